--- /dev/null
+++ b/core/event/peer.go
@@ -0,0 +1,12 @@
+package event
+
+// Events of the peer subsystem.
+const (
+	PeerConnected Number = 600 + iota
+	PeerLost
+)
+
+var peerEntries = []Entry{
+	{PeerConnected, "peer", "A link to another entry host was established."},
+	{PeerLost, "peer", "A link to another entry host broke."},
+}
--- /dev/null
+++ b/core/event/platform.go
@@ -0,0 +1,14 @@
+package event
+
+// Events of the platform subsystem.
+const (
+	StoreUnavailable Number = 700 + iota
+	StoreRecovered
+	CommitOutcomeResolved
+)
+
+var platformEntries = []Entry{
+	{StoreUnavailable, "platform", "The table service stopped answering."},
+	{StoreRecovered, "platform", "The table service answers again."},
+	{CommitOutcomeResolved, "platform", "A commit whose answer was lost was read back."},
+}
--- /dev/null
+++ b/io/cli/documents.go
@@ -0,0 +1,151 @@
+package cli
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+
+	"github.com/urfave/cli/v3"
+
+	"siskincross/core/event"
+)
+
+const (
+	documentDirectoryMode = 0o755
+	documentFileMode      = 0o644
+)
+
+// document is a file of the docs directory that is generated from code.
+type document struct {
+	path    string
+	content []byte
+}
+
+func documentsCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "documents",
+		Usage:     "writes the generated pages of the documentation",
+		ArgsUsage: "DIRECTORY",
+		Hidden:    true,
+		Flags: []cli.Flag{
+			&cli.BoolFlag{Name: "check", Usage: "fail if a page is not current, and write nothing"},
+		},
+		Action: runDocuments,
+	}
+}
+
+func runDocuments(_ context.Context, cmd *cli.Command) error {
+	directory := cmd.Args().First()
+	if directory == "" {
+		return failed(ExitUsage, "documents needs a DIRECTORY")
+	}
+	for _, doc := range documents(cmd.Root()) {
+		path := filepath.Join(directory, doc.path)
+		if err := writeDocument(path, doc.content, cmd.Bool("check")); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func writeDocument(path string, content []byte, check bool) error {
+	if check {
+		current, err := os.ReadFile(path)
+		if err != nil || !bytes.Equal(current, content) {
+			return failed(ExitFailure, "%s is not current: run _scripts/generate", path)
+		}
+		return nil
+	}
+	if err := os.MkdirAll(filepath.Dir(path), documentDirectoryMode); err != nil {
+		return failed(ExitFailure, "create the directory of %s: %w", path, err)
+	}
+	if err := os.WriteFile(path, content, documentFileMode); err != nil {
+		return failed(ExitFailure, "write %s: %w", path, err)
+	}
+	return nil
+}
+
+// documents returns all generated pages.
+func documents(root *cli.Command) []document {
+	return append(usageDocuments(root), document{path: "EVENTS.md", content: eventsDocument()})
+}
+
+func eventsDocument() []byte {
+	var b bytes.Buffer
+	b.WriteString("# Events\n\nEvery entry of the logs and of the time line carries one of these numbers.\n\n")
+	b.WriteString("| number | name | subsystem | meaning |\n|---|---|---|---|\n")
+	for _, entry := range event.Catalogue() {
+		fmt.Fprintf(&b, "| %d | `%s` | %s | %s |\n", int(entry.Number), entry.Number, entry.Subsystem, entry.Meaning)
+	}
+	return b.Bytes()
+}
+
+func usageDocuments(root *cli.Command) []document {
+	index := &bytes.Buffer{}
+	index.WriteString("# Commands\n\n")
+	var pages []document
+	for _, cmd := range root.Commands {
+		if cmd.Hidden {
+			continue
+		}
+		page := "usage/siskincross-" + cmd.Name + ".md"
+		fmt.Fprintf(index, "- [`siskincross %s`](%s): %s\n", cmd.Name, strings.TrimPrefix(page, "usage/"), cmd.Usage)
+		pages = append(pages, document{path: page, content: usagePage("siskincross", cmd)})
+	}
+	return append(pages, document{path: "usage/README.md", content: index.Bytes()})
+}
+
+func usagePage(parent string, cmd *cli.Command) []byte {
+	var b bytes.Buffer
+	writeUsage(&b, parent, cmd, 1)
+	return b.Bytes()
+}
+
+func writeUsage(b *bytes.Buffer, parent string, cmd *cli.Command, level int) {
+	name := parent + " " + cmd.Name
+	fmt.Fprintf(b, "%s `%s`\n\n%s.\n\n", strings.Repeat("#", level), name, sentence(cmd.Usage))
+	fmt.Fprintf(b, "    %s\n\n", strings.TrimSpace(name+" [options] "+cmd.ArgsUsage))
+	if cmd.Description != "" {
+		fmt.Fprintf(b, "%s\n\n", strings.TrimSpace(cmd.Description))
+	}
+	writeFlags(b, cmd.Flags)
+	for _, sub := range cmd.Commands {
+		if !sub.Hidden && sub.Name != "help" {
+			writeUsage(b, name, sub, level+1)
+		}
+	}
+}
+
+func writeFlags(b *bytes.Buffer, flags []cli.Flag) {
+	if len(flags) == 0 {
+		return
+	}
+	b.WriteString("| option | meaning |\n|---|---|\n")
+	for _, flag := range flags {
+		fmt.Fprintf(b, "| %s |\n", strings.ReplaceAll(flagLine(flag), "\t", " | "))
+	}
+	b.WriteString("\n")
+}
+
+func flagLine(flag cli.Flag) string {
+	names := "`--" + strings.Join(flag.Names(), "`, `-") + "`"
+	documented, ok := flag.(cli.DocGenerationFlag)
+	if !ok {
+		return names + "\t"
+	}
+	usage := documented.GetUsage()
+	if documented.TakesValue() && documented.GetDefaultText() != "" {
+		usage += " (default: " + documented.GetDefaultText() + ")"
+	}
+	return names + "\t" + usage
+}
+
+func sentence(text string) string {
+	if text == "" {
+		return ""
+	}
+	return strings.ToUpper(text[:1]) + strings.TrimSuffix(text[1:], ".")
+}
--- /dev/null
+++ b/io/platform/platform.go
@@ -0,0 +1,201 @@
+// Package platform is the interface of the outside platform: its transactional
+// table service, object store, list of hosts, workers and pool operations.
+//
+// Every service is a concrete type with function fields, so that another wire
+// format is one more constructor. Nothing outside this package and its HTTP
+// client knows a wire format.
+package platform
+
+import (
+	"context"
+	"time"
+
+	"siskincross/core/host"
+)
+
+// Platform bundles the services of one deployment's platform.
+type Platform struct {
+	Table   Table
+	Objects Objects
+	Hosts   Hosts
+	Workers Workers
+}
+
+// Table is the transactional table service.
+type Table struct {
+	// Commit applies all writes if all preconditions hold, or none.
+	// It returns ErrConflict, ErrUnavailable or ErrOutcomeUnknown.
+	Commit func(ctx context.Context, tx Transaction) error
+	// Read returns the rows of the keys that exist, in the order of keys.
+	Read func(ctx context.Context, keys []string) ([]Row, error)
+	// Scan returns up to limit rows whose keys begin with prefix and follow
+	// after, ordered by key.
+	Scan func(ctx context.Context, prefix, after string, limit int) ([]Row, error)
+}
+
+// Row is one row of the table service.
+type Row struct {
+	Key string `json:"key"`
+	// Version grows by at least one with each write of the row, also over deletion.
+	Version uint64 `json:"version"`
+	Value   []byte `json:"value"`
+}
+
+// Transaction is a set of preconditions and writes that takes effect as a whole.
+type Transaction struct {
+	// ID names the transaction in the service's log. Outcomes are read back from rows, not by ID.
+	ID            string         `json:"id"`
+	Preconditions []Precondition `json:"preconditions,omitempty"`
+	Writes        []Write        `json:"writes"`
+	// Purpose names the mechanism that writes, for the metric of writes by purpose.
+	Purpose string `json:"-"`
+}
+
+// Precondition requires a row to have exactly this version. Version zero requires that the row does not exist.
+type Precondition struct {
+	Key     string `json:"key"`
+	Version uint64 `json:"version"`
+}
+
+// Write sets a row's value, or deletes the row.
+type Write struct {
+	Key    string `json:"key"`
+	Value  []byte `json:"value,omitempty"`
+	Delete bool   `json:"delete,omitempty"`
+}
+
+// Objects is the object store. Objects are immutable once put.
+type Objects struct {
+	Put func(ctx context.Context, name string, content []byte) error
+	// Get returns ErrNotFound when there is no such object.
+	Get    func(ctx context.Context, name string) ([]byte, error)
+	Delete func(ctx context.Context, name string) error
+}
+
+// Hosts is the lagging list of hosts and the operations on hosts.
+type Hosts struct {
+	// List returns what the platform knows, seconds late. It may flap or be empty.
+	List func(ctx context.Context) ([]Listing, error)
+	// Drain tells a host to refuse new requests and tasks. It is idempotent.
+	Drain func(ctx context.Context, id host.ID) error
+	// Undrain makes a drained host accept work again. It is idempotent.
+	Undrain func(ctx context.Context, id host.ID) error
+	// Reboot restarts a host for maintenance. Work in progress is cut off.
+	// The same operation ID never reboots a host twice.
+	Reboot func(ctx context.Context, id host.ID, operation string) error
+}
+
+// Listing is one line of the list of hosts.
+type Listing struct {
+	Host host.ID `json:"host"`
+	// Address is "ip:port" of the host's request listener.
+	Address  string        `json:"address"`
+	Place    host.Place    `json:"place"`
+	Capacity host.Capacity `json:"capacity"`
+	// HomePool is the full name of the pool that the host was delivered to.
+	HomePool string `json:"home-pool"`
+	// Condition tells whether the host takes part in the fleet.
+	Condition Condition `json:"condition"`
+	// Boot counts the host's starts; a growing count tells a finished reboot.
+	Boot int `json:"boot"`
+}
+
+//go:generate go run github.com/dmarkham/enumer@v1.7.2 -type=Condition,TaskState -transform=kebab -text -json -trimprefix=Condition,Task -output=platform_enumer.go
+
+// Condition is the platform's view of a host.
+type Condition int
+
+// Conditions of a host.
+const (
+	ConditionLive Condition = iota
+	// ConditionLeaving hosts will be taken away soon.
+	ConditionLeaving
+	// ConditionRebooting hosts are being restarted.
+	ConditionRebooting
+	// ConditionFailed hosts do not answer the platform.
+	ConditionFailed
+)
+
+// Workers starts and controls tasks on workers. Every command carries the epoch of the pool's duty
+// holder; a worker refuses epochs below the highest that it has seen for the task's pool with ErrStaleEpoch.
+type Workers struct {
+	// Start begins a task. Starting a task ID twice on one worker is idempotent.
+	// It returns ErrRefused when the worker proves that nothing was started.
+	Start func(ctx context.Context, id host.ID, spec TaskSpec) error
+	// Renew extends the leases of tasks on a worker.
+	Renew func(ctx context.Context, id host.ID, lease Lease) error
+	// Tasks returns all tasks on a worker, with their usage as of a few seconds ago.
+	Tasks func(ctx context.Context, id host.ID) ([]TaskStatus, error)
+	// Checkpoint asks a task to save its progress to the object store.
+	Checkpoint func(ctx context.Context, id host.ID, command TaskCommand) error
+	// Throttle sets the share of its declared cores that a task may use, in (0, 1].
+	Throttle func(ctx context.Context, id host.ID, command TaskCommand, share float64) error
+	// Stop ends a task. A stopped task reports TaskStopped.
+	Stop func(ctx context.Context, id host.ID, command TaskCommand) error
+}
+
+// TaskSpec says what a worker runs for one attempt of a job.
+type TaskSpec struct {
+	// Task is the attempt's ID, unique over all jobs.
+	Task string `json:"task"`
+	Job  string `json:"job"`
+	Pool string `json:"pool"`
+	// Epoch is the epoch of the pool's duty holder.
+	Epoch uint64 `json:"epoch"`
+	// Program is what the worker runs, opaque to the system.
+	Program string `json:"program"`
+	Cores   int    `json:"cores"`
+	// MemoryBytes is the declared memory.
+	MemoryBytes int64 `json:"memory-bytes"`
+	// Lease is how long the worker runs the task without a renewal.
+	Lease time.Duration `json:"lease"`
+	// Checkpoint names the object to resume from; empty for a fresh start.
+	Checkpoint string `json:"checkpoint,omitempty"`
+}
+
+// Lease renews tasks on one worker for Duration from its receipt.
+type Lease struct {
+	Pool     string        `json:"pool"`
+	Epoch    uint64        `json:"epoch"`
+	Tasks    []string      `json:"tasks"`
+	Duration time.Duration `json:"duration"`
+}
+
+// TaskCommand names a task and the authority to control it.
+type TaskCommand struct {
+	Task  string `json:"task"`
+	Pool  string `json:"pool"`
+	Epoch uint64 `json:"epoch"`
+}
+
+// TaskState is the worker's view of a task.
+type TaskState int
+
+// States of a task.
+const (
+	TaskRunning TaskState = iota
+	TaskFinished
+	TaskFailed
+	TaskStopped
+	// TaskLapsed tasks ended because their lease was not renewed.
+	TaskLapsed
+)
+
+// TaskStatus is a worker's report on one task.
+type TaskStatus struct {
+	Task  string    `json:"task"`
+	Job   string    `json:"job"`
+	Pool  string    `json:"pool"`
+	State TaskState `json:"state"`
+	// UsedCores and UsedMemoryBytes lag by a few seconds.
+	UsedCores       float64 `json:"used-cores"`
+	UsedMemoryBytes int64   `json:"used-memory-bytes"`
+	// Checkpoint names the newest saved progress; empty if there is none.
+	Checkpoint string `json:"checkpoint,omitempty"`
+	// Result names the object that holds a finished task's whole result.
+	Result string `json:"result,omitempty"`
+	// ResultDigest is the hex SHA-256 of the result.
+	ResultDigest string `json:"result-digest,omitempty"`
+	// Failure tells why a task failed.
+	Failure string `json:"failure,omitempty"`
+}
--- /dev/null
+++ b/io/standin/table.go
@@ -0,0 +1,179 @@
+// Package standin is the project's own small stand-in of the platform, its
+// workers and targets, with fault switches.
+package standin
+
+import (
+	"context"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"siskincross/io/platform"
+)
+
+// TableFaults switches the failures of the table service. The zero value is a healthy service.
+type TableFaults struct {
+	// Down makes every call fail with ErrUnavailable and no effect.
+	Down bool `json:"down,omitempty"`
+	// Delay is added to every call.
+	Delay time.Duration `json:"delay,omitempty"`
+	// LoseAnswers is the number of coming commits that take effect and answer ErrOutcomeUnknown.
+	LoseAnswers int `json:"lose-answers,omitempty"`
+	// LoseCommits is the number of coming commits that take no effect and answer ErrOutcomeUnknown.
+	LoseCommits int `json:"lose-commits,omitempty"`
+}
+
+// Table is an in-memory transactional table. The zero value is empty and healthy.
+type Table struct {
+	mu     sync.Mutex
+	rows   map[string]platform.Row
+	serial uint64
+	faults TableFaults
+	counts TableCounts
+}
+
+// TableCounts counts the calls that a table has answered.
+type TableCounts struct {
+	Commits  int            `json:"commits"`
+	Writes   int            `json:"writes"`
+	Reads    int            `json:"reads"`
+	Purposes map[string]int `json:"purposes"`
+}
+
+// Service returns the table as the platform's table service, without a wire format.
+func (t *Table) Service() platform.Table {
+	return platform.Table{Commit: t.Commit, Read: t.Read, Scan: t.Scan}
+}
+
+// SetFaults replaces the fault switches.
+func (t *Table) SetFaults(f TableFaults) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.faults = f
+}
+
+// Faults returns the fault switches as they stand.
+func (t *Table) Faults() TableFaults {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.faults
+}
+
+// Counts returns what the table has answered so far. Reads counts rows.
+func (t *Table) Counts() TableCounts {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	counts := t.counts
+	counts.Purposes = make(map[string]int, len(t.counts.Purposes))
+	for purpose, n := range t.counts.Purposes {
+		counts.Purposes[purpose] = n
+	}
+	return counts
+}
+
+// Commit implements platform.Table.
+func (t *Table) Commit(ctx context.Context, tx platform.Transaction) error {
+	if err := t.enter(ctx); err != nil {
+		return err
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.faults.LoseCommits > 0 {
+		t.faults.LoseCommits--
+		return platform.ErrOutcomeUnknown{Service: "table", Reason: "request lost"}
+	}
+	if err := t.check(tx.Preconditions); err != nil {
+		return err
+	}
+	t.apply(tx)
+	if t.faults.LoseAnswers > 0 {
+		t.faults.LoseAnswers--
+		return platform.ErrOutcomeUnknown{Service: "table", Reason: "answer lost"}
+	}
+	return nil
+}
+
+// Read implements platform.Table.
+func (t *Table) Read(ctx context.Context, keys []string) ([]platform.Row, error) {
+	if err := t.enter(ctx); err != nil {
+		return nil, err
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.counts.Reads += len(keys)
+	rows := make([]platform.Row, 0, len(keys))
+	for _, key := range keys {
+		if row, ok := t.rows[key]; ok {
+			rows = append(rows, row)
+		}
+	}
+	return rows, nil
+}
+
+// Scan implements platform.Table.
+func (t *Table) Scan(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+	if err := t.enter(ctx); err != nil {
+		return nil, err
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var rows []platform.Row
+	for key, row := range t.rows {
+		if strings.HasPrefix(key, prefix) && key > after {
+			rows = append(rows, row)
+		}
+	}
+	sort.Slice(rows, func(i, j int) bool { return rows[i].Key < rows[j].Key })
+	if len(rows) > limit {
+		rows = rows[:limit]
+	}
+	t.counts.Reads += len(rows)
+	return rows, nil
+}
+
+// enter applies the delay and the outage that every call meets.
+func (t *Table) enter(ctx context.Context) error {
+	faults := t.Faults()
+	if faults.Delay > 0 {
+		select {
+		case <-time.After(faults.Delay):
+		case <-ctx.Done():
+			return platform.ErrUnavailable{Service: "table", Reason: ctx.Err().Error()}
+		}
+	}
+	if faults.Down {
+		return platform.ErrUnavailable{Service: "table", Reason: "down"}
+	}
+	return nil
+}
+
+func (t *Table) check(preconditions []platform.Precondition) error {
+	for _, p := range preconditions {
+		actual := t.rows[p.Key].Version
+		if actual != p.Version {
+			return platform.ErrConflict{Key: p.Key, Expected: p.Version, Actual: actual}
+		}
+	}
+	return nil
+}
+
+// apply writes all rows of tx. One serial number for the whole table keeps a
+// row's version growing over its deletion.
+func (t *Table) apply(tx platform.Transaction) {
+	if t.rows == nil {
+		t.rows = make(map[string]platform.Row)
+		t.counts.Purposes = make(map[string]int)
+	}
+	t.serial++
+	for _, w := range tx.Writes {
+		if w.Delete {
+			delete(t.rows, w.Key)
+			continue
+		}
+		t.rows[w.Key] = platform.Row{Key: w.Key, Version: t.serial, Value: w.Value}
+	}
+	t.counts.Commits++
+	t.counts.Writes += len(tx.Writes)
+	t.counts.Purposes[tx.Purpose] += len(tx.Writes)
+}
