Merge and filter the events of several processes

Cause: the time line needs one order over all processes. Hybrid logical clocks give it; events of equal readings are ordered by process, so every merge is the same.

--- /dev/null
+++ b/io/timeline/merge.go
@@ -0,0 +1,82 @@
+package timeline
+
+import (
+	"sort"
+
+	"siskincross/core/event"
+)
+
+// Filter selects events. An empty field selects everything.
+type Filter struct {
+	Host    string `json:"host,omitempty"`
+	Pool    string `json:"pool,omitempty"`
+	Job     string `json:"job,omitempty"`
+	Request string `json:"request,omitempty"`
+}
+
+// Matches reports whether e has every field that the filter names.
+func (f Filter) Matches(e event.Event) bool {
+	return matches(f.Host, e.Host) &&
+		matches(f.Pool, e.Pool) &&
+		matches(f.Job, e.Job) &&
+		matches(f.Request, e.Request)
+}
+
+func matches(want, got string) bool {
+	return want == "" || want == got
+}
+
+// Select returns the events that match f, in their order.
+func Select(events []event.Event, f Filter) []event.Event {
+	var selected []event.Event
+	for _, e := range events {
+		if f.Matches(e) {
+			selected = append(selected, e)
+		}
+	}
+	return selected
+}
+
+// Merge returns the events of several processes in the order of their hybrid
+// logical clocks, without those that stand twice. Events of the same reading
+// are ordered by process, so that every merge of the same events is the same.
+func Merge(lists ...[]event.Event) []event.Event {
+	seen := make(map[event.ID]bool)
+	var merged []event.Event
+	for _, list := range lists {
+		for _, e := range list {
+			if !seen[e.ID] {
+				seen[e.ID] = true
+				merged = append(merged, e)
+			}
+		}
+	}
+	sort.SliceStable(merged, func(i, j int) bool { return orders(merged[i], merged[j]) })
+	return merged
+}
+
+func orders(a, b event.Event) bool {
+	if a.Time != b.Time {
+		return a.Time.Before(b.Time)
+	}
+	return a.Process < b.Process
+}
+
+// Causes returns e and the chain of events that led to it, oldest first.
+func Causes(events []event.Event, id event.ID) []event.Event {
+	byID := make(map[event.ID]event.Event, len(events))
+	for _, e := range events {
+		byID[e.ID] = e
+	}
+	var chain []event.Event
+	for {
+		e, ok := byID[id]
+		if !ok {
+			break
+		}
+		delete(byID, id)
+		chain = append([]event.Event{e}, chain...)
+		id = e.Cause
+	}
+	return chain
+}
