Name the kinds of peer messages

The tree of switches on envelope bodies would stand in every subsystem. KindOf gives one enum, with KindUnknown for bodies of newer protocols.

--- /dev/null
+++ b/io/peer/kind.go
@@ -0,0 +1,52 @@
+package peer
+
+import "siskincross/io/peer/peerpb"
+
+//go:generate go run github.com/dmarkham/enumer@v1.7.2 -type=Kind -transform=kebab -text -json -trimprefix=Kind -output=kind_enumer.go
+
+// Kind is the kind of an envelope's body.
+type Kind int
+
+// Kinds of messages between entry hosts.
+const (
+	// KindUnknown bodies come from peers with a newer protocol; they are not handled.
+	KindUnknown Kind = iota
+	KindHello
+	KindRoutes
+	KindRouteReport
+	KindConfigHead
+	KindConfigReport
+	KindTimelineRequest
+	KindTimelineReply
+	KindLoadReport
+	KindVouch
+	KindAcknowledgement
+)
+
+// KindOf returns the kind of the envelope's body.
+func KindOf(e *peerpb.Envelope) Kind {
+	switch e.GetBody().(type) {
+	case *peerpb.Envelope_Hello:
+		return KindHello
+	case *peerpb.Envelope_Routes:
+		return KindRoutes
+	case *peerpb.Envelope_RouteReport:
+		return KindRouteReport
+	case *peerpb.Envelope_ConfigHead:
+		return KindConfigHead
+	case *peerpb.Envelope_ConfigReport:
+		return KindConfigReport
+	case *peerpb.Envelope_TimelineRequest:
+		return KindTimelineRequest
+	case *peerpb.Envelope_TimelineReply:
+		return KindTimelineReply
+	case *peerpb.Envelope_LoadReport:
+		return KindLoadReport
+	case *peerpb.Envelope_Vouch:
+		return KindVouch
+	case *peerpb.Envelope_Acknowledgement:
+		return KindAcknowledgement
+	default:
+		return KindUnknown
+	}
+}
