--- a/core/event/number_enumer.go
+++ b/core/event/number_enumer.go
@@ -16,10 +16,10 @@
 	_NumberLowerName_2 = "member-joinedmember-lapsedduty-takenduty-released"
 	_NumberName_3      = "job-accepted"
 	_NumberLowerName_3 = "job-accepted"
-	_NumberName_4      = "config-acceptedconfig-in-force"
-	_NumberLowerName_4 = "config-acceptedconfig-in-force"
-	_NumberName_5      = "peer-connectedpeer-lost"
-	_NumberLowerName_5 = "peer-connectedpeer-lost"
+	_NumberName_4      = "config-acceptedconfig-in-forceconfig-refusedconfig-adoptedconfig-proved"
+	_NumberLowerName_4 = "config-acceptedconfig-in-forceconfig-refusedconfig-adoptedconfig-proved"
+	_NumberName_5      = "peer-connectedpeer-lostpeer-refused"
+	_NumberLowerName_5 = "peer-connectedpeer-lostpeer-refused"
 	_NumberName_6      = "store-unavailablestore-recoveredcommit-outcome-resolved"
 	_NumberLowerName_6 = "store-unavailablestore-recoveredcommit-outcome-resolved"
 )
@@ -29,8 +29,8 @@
 	_NumberIndex_1 = [...]uint8{0, 16, 31, 46}
 	_NumberIndex_2 = [...]uint8{0, 13, 26, 36, 49}
 	_NumberIndex_3 = [...]uint8{0, 12}
-	_NumberIndex_4 = [...]uint8{0, 15, 30}
-	_NumberIndex_5 = [...]uint8{0, 14, 23}
+	_NumberIndex_4 = [...]uint8{0, 15, 30, 44, 58, 71}
+	_NumberIndex_5 = [...]uint8{0, 14, 23, 35}
 	_NumberIndex_6 = [...]uint8{0, 17, 32, 55}
 )
 
@@ -47,10 +47,10 @@
 		return _NumberName_2[_NumberIndex_2[i]:_NumberIndex_2[i+1]]
 	case i == 400:
 		return _NumberName_3
-	case 500 <= i && i <= 501:
+	case 500 <= i && i <= 504:
 		i -= 500
 		return _NumberName_4[_NumberIndex_4[i]:_NumberIndex_4[i+1]]
-	case 600 <= i && i <= 601:
+	case 600 <= i && i <= 602:
 		i -= 600
 		return _NumberName_5[_NumberIndex_5[i]:_NumberIndex_5[i+1]]
 	case 700 <= i && i <= 702:
@@ -79,14 +79,18 @@
 	_ = x[JobAccepted-(400)]
 	_ = x[ConfigAccepted-(500)]
 	_ = x[ConfigInForce-(501)]
+	_ = x[ConfigRefused-(502)]
+	_ = x[ConfigAdopted-(503)]
+	_ = x[ConfigProved-(504)]
 	_ = x[PeerConnected-(600)]
 	_ = x[PeerLost-(601)]
+	_ = x[PeerRefused-(602)]
 	_ = x[StoreUnavailable-(700)]
 	_ = x[StoreRecovered-(701)]
 	_ = x[CommitOutcomeResolved-(702)]
 }
 
-var _NumberValues = []Number{ProcessStarted, ProcessServing, ProcessStopping, ProcessStopped, RequestAnswered, RequestNotRun, RequestUnknown, MemberJoined, MemberLapsed, DutyTaken, DutyReleased, JobAccepted, ConfigAccepted, ConfigInForce, PeerConnected, PeerLost, StoreUnavailable, StoreRecovered, CommitOutcomeResolved}
+var _NumberValues = []Number{ProcessStarted, ProcessServing, ProcessStopping, ProcessStopped, RequestAnswered, RequestNotRun, RequestUnknown, MemberJoined, MemberLapsed, DutyTaken, DutyReleased, JobAccepted, ConfigAccepted, ConfigInForce, ConfigRefused, ConfigAdopted, ConfigProved, PeerConnected, PeerLost, PeerRefused, StoreUnavailable, StoreRecovered, CommitOutcomeResolved}
 
 var _NumberNameToValueMap = map[string]Number{
 	_NumberName_0[0:15]:  ProcessStarted,
@@ -103,8 +107,12 @@
 	_NumberName_3[0:12]:  JobAccepted,
 	_NumberName_4[0:15]:  ConfigAccepted,
 	_NumberName_4[15:30]: ConfigInForce,
+	_NumberName_4[30:44]: ConfigRefused,
+	_NumberName_4[44:58]: ConfigAdopted,
+	_NumberName_4[58:71]: ConfigProved,
 	_NumberName_5[0:14]:  PeerConnected,
 	_NumberName_5[14:23]: PeerLost,
+	_NumberName_5[23:35]: PeerRefused,
 	_NumberName_6[0:17]:  StoreUnavailable,
 	_NumberName_6[17:32]: StoreRecovered,
 	_NumberName_6[32:55]: CommitOutcomeResolved,
@@ -125,8 +133,12 @@
 	_NumberLowerName_3[0:12]:  JobAccepted,
 	_NumberLowerName_4[0:15]:  ConfigAccepted,
 	_NumberLowerName_4[15:30]: ConfigInForce,
+	_NumberLowerName_4[30:44]: ConfigRefused,
+	_NumberLowerName_4[44:58]: ConfigAdopted,
+	_NumberLowerName_4[58:71]: ConfigProved,
 	_NumberLowerName_5[0:14]:  PeerConnected,
 	_NumberLowerName_5[14:23]: PeerLost,
+	_NumberLowerName_5[23:35]: PeerRefused,
 	_NumberLowerName_6[0:17]:  StoreUnavailable,
 	_NumberLowerName_6[17:32]: StoreRecovered,
 	_NumberLowerName_6[32:55]: CommitOutcomeResolved,
@@ -147,8 +159,12 @@
 	_NumberName_3[0:12],
 	_NumberName_4[0:15],
 	_NumberName_4[15:30],
+	_NumberName_4[30:44],
+	_NumberName_4[44:58],
+	_NumberName_4[58:71],
 	_NumberName_5[0:14],
 	_NumberName_5[14:23],
+	_NumberName_5[23:35],
 	_NumberName_6[0:17],
 	_NumberName_6[17:32],
 	_NumberName_6[32:55],
--- a/core/event/peer.go
+++ b/core/event/peer.go
@@ -4,9 +4,11 @@
 const (
 	PeerConnected Number = 600 + iota
 	PeerLost
+	PeerRefused
 )
 
 var peerEntries = []Entry{
 	{PeerConnected, "peer", "A link to another entry host was established."},
 	{PeerLost, "peer", "A link to another entry host broke."},
+	{PeerRefused, "peer", "A connection was turned away: its deployment, protocol or messages are not right."},
 }
