--- a/core/event/number_enumer.go
+++ b/core/event/number_enumer.go
@@ -14,8 +14,8 @@
 	_NumberLowerName_1 = "request-answeredrequest-not-runrequest-unknown"
 	_NumberName_2      = "member-joinedmember-lapsedduty-takenduty-released"
 	_NumberLowerName_2 = "member-joinedmember-lapsedduty-takenduty-released"
-	_NumberName_3      = "job-accepted"
-	_NumberLowerName_3 = "job-accepted"
+	_NumberName_3      = "job-acceptedjob-cancel-requestedjob-releasedjob-startedjob-finishedjob-requeuedjob-failedjob-parkedjob-unknownjob-cancelledjob-late-attemptjob-lapsedjob-leavingworker-suspectedworker-clearedjob-duty-takenjob-duty-lostjob-commit-failed"
+	_NumberLowerName_3 = "job-acceptedjob-cancel-requestedjob-releasedjob-startedjob-finishedjob-requeuedjob-failedjob-parkedjob-unknownjob-cancelledjob-late-attemptjob-lapsedjob-leavingworker-suspectedworker-clearedjob-duty-takenjob-duty-lostjob-commit-failed"
 	_NumberName_4      = "config-acceptedconfig-in-force"
 	_NumberLowerName_4 = "config-acceptedconfig-in-force"
 	_NumberName_5      = "peer-connectedpeer-lost"
@@ -28,7 +28,7 @@
 	_NumberIndex_0 = [...]uint8{0, 15, 30, 46, 61}
 	_NumberIndex_1 = [...]uint8{0, 16, 31, 46}
 	_NumberIndex_2 = [...]uint8{0, 13, 26, 36, 49}
-	_NumberIndex_3 = [...]uint8{0, 12}
+	_NumberIndex_3 = [...]uint8{0, 12, 32, 44, 55, 67, 79, 89, 99, 110, 123, 139, 149, 160, 176, 190, 204, 217, 234}
 	_NumberIndex_4 = [...]uint8{0, 15, 30}
 	_NumberIndex_5 = [...]uint8{0, 14, 23}
 	_NumberIndex_6 = [...]uint8{0, 17, 32, 55}
@@ -45,8 +45,9 @@
 	case 300 <= i && i <= 303:
 		i -= 300
 		return _NumberName_2[_NumberIndex_2[i]:_NumberIndex_2[i+1]]
-	case i == 400:
-		return _NumberName_3
+	case 400 <= i && i <= 417:
+		i -= 400
+		return _NumberName_3[_NumberIndex_3[i]:_NumberIndex_3[i+1]]
 	case 500 <= i && i <= 501:
 		i -= 500
 		return _NumberName_4[_NumberIndex_4[i]:_NumberIndex_4[i+1]]
@@ -77,6 +78,23 @@
 	_ = x[DutyTaken-(302)]
 	_ = x[DutyReleased-(303)]
 	_ = x[JobAccepted-(400)]
+	_ = x[JobCancelRequested-(401)]
+	_ = x[JobReleased-(402)]
+	_ = x[JobStarted-(403)]
+	_ = x[JobFinished-(404)]
+	_ = x[JobRequeued-(405)]
+	_ = x[JobFailed-(406)]
+	_ = x[JobParked-(407)]
+	_ = x[JobUnknown-(408)]
+	_ = x[JobCancelled-(409)]
+	_ = x[JobLateAttempt-(410)]
+	_ = x[JobLapsed-(411)]
+	_ = x[JobLeaving-(412)]
+	_ = x[WorkerSuspected-(413)]
+	_ = x[WorkerCleared-(414)]
+	_ = x[JobDutyTaken-(415)]
+	_ = x[JobDutyLost-(416)]
+	_ = x[JobCommitFailed-(417)]
 	_ = x[ConfigAccepted-(500)]
 	_ = x[ConfigInForce-(501)]
 	_ = x[PeerConnected-(600)]
@@ -86,50 +104,84 @@
 	_ = x[CommitOutcomeResolved-(702)]
 }
 
-var _NumberValues = []Number{ProcessStarted, ProcessServing, ProcessStopping, ProcessStopped, RequestAnswered, RequestNotRun, RequestUnknown, MemberJoined, MemberLapsed, DutyTaken, DutyReleased, JobAccepted, ConfigAccepted, ConfigInForce, PeerConnected, PeerLost, StoreUnavailable, StoreRecovered, CommitOutcomeResolved}
+var _NumberValues = []Number{ProcessStarted, ProcessServing, ProcessStopping, ProcessStopped, RequestAnswered, RequestNotRun, RequestUnknown, MemberJoined, MemberLapsed, DutyTaken, DutyReleased, JobAccepted, JobCancelRequested, JobReleased, JobStarted, JobFinished, JobRequeued, JobFailed, JobParked, JobUnknown, JobCancelled, JobLateAttempt, JobLapsed, JobLeaving, WorkerSuspected, WorkerCleared, JobDutyTaken, JobDutyLost, JobCommitFailed, ConfigAccepted, ConfigInForce, PeerConnected, PeerLost, StoreUnavailable, StoreRecovered, CommitOutcomeResolved}
 
 var _NumberNameToValueMap = map[string]Number{
-	_NumberName_0[0:15]:  ProcessStarted,
-	_NumberName_0[15:30]: ProcessServing,
-	_NumberName_0[30:46]: ProcessStopping,
-	_NumberName_0[46:61]: ProcessStopped,
-	_NumberName_1[0:16]:  RequestAnswered,
-	_NumberName_1[16:31]: RequestNotRun,
-	_NumberName_1[31:46]: RequestUnknown,
-	_NumberName_2[0:13]:  MemberJoined,
-	_NumberName_2[13:26]: MemberLapsed,
-	_NumberName_2[26:36]: DutyTaken,
-	_NumberName_2[36:49]: DutyReleased,
-	_NumberName_3[0:12]:  JobAccepted,
-	_NumberName_4[0:15]:  ConfigAccepted,
-	_NumberName_4[15:30]: ConfigInForce,
-	_NumberName_5[0:14]:  PeerConnected,
-	_NumberName_5[14:23]: PeerLost,
-	_NumberName_6[0:17]:  StoreUnavailable,
-	_NumberName_6[17:32]: StoreRecovered,
-	_NumberName_6[32:55]: CommitOutcomeResolved,
+	_NumberName_0[0:15]:    ProcessStarted,
+	_NumberName_0[15:30]:   ProcessServing,
+	_NumberName_0[30:46]:   ProcessStopping,
+	_NumberName_0[46:61]:   ProcessStopped,
+	_NumberName_1[0:16]:    RequestAnswered,
+	_NumberName_1[16:31]:   RequestNotRun,
+	_NumberName_1[31:46]:   RequestUnknown,
+	_NumberName_2[0:13]:    MemberJoined,
+	_NumberName_2[13:26]:   MemberLapsed,
+	_NumberName_2[26:36]:   DutyTaken,
+	_NumberName_2[36:49]:   DutyReleased,
+	_NumberName_3[0:12]:    JobAccepted,
+	_NumberName_3[12:32]:   JobCancelRequested,
+	_NumberName_3[32:44]:   JobReleased,
+	_NumberName_3[44:55]:   JobStarted,
+	_NumberName_3[55:67]:   JobFinished,
+	_NumberName_3[67:79]:   JobRequeued,
+	_NumberName_3[79:89]:   JobFailed,
+	_NumberName_3[89:99]:   JobParked,
+	_NumberName_3[99:110]:  JobUnknown,
+	_NumberName_3[110:123]: JobCancelled,
+	_NumberName_3[123:139]: JobLateAttempt,
+	_NumberName_3[139:149]: JobLapsed,
+	_NumberName_3[149:160]: JobLeaving,
+	_NumberName_3[160:176]: WorkerSuspected,
+	_NumberName_3[176:190]: WorkerCleared,
+	_NumberName_3[190:204]: JobDutyTaken,
+	_NumberName_3[204:217]: JobDutyLost,
+	_NumberName_3[217:234]: JobCommitFailed,
+	_NumberName_4[0:15]:    ConfigAccepted,
+	_NumberName_4[15:30]:   ConfigInForce,
+	_NumberName_5[0:14]:    PeerConnected,
+	_NumberName_5[14:23]:   PeerLost,
+	_NumberName_6[0:17]:    StoreUnavailable,
+	_NumberName_6[17:32]:   StoreRecovered,
+	_NumberName_6[32:55]:   CommitOutcomeResolved,
 }
 
 var _NumberLowerNameToValueMap = map[string]Number{
-	_NumberLowerName_0[0:15]:  ProcessStarted,
-	_NumberLowerName_0[15:30]: ProcessServing,
-	_NumberLowerName_0[30:46]: ProcessStopping,
-	_NumberLowerName_0[46:61]: ProcessStopped,
-	_NumberLowerName_1[0:16]:  RequestAnswered,
-	_NumberLowerName_1[16:31]: RequestNotRun,
-	_NumberLowerName_1[31:46]: RequestUnknown,
-	_NumberLowerName_2[0:13]:  MemberJoined,
-	_NumberLowerName_2[13:26]: MemberLapsed,
-	_NumberLowerName_2[26:36]: DutyTaken,
-	_NumberLowerName_2[36:49]: DutyReleased,
-	_NumberLowerName_3[0:12]:  JobAccepted,
-	_NumberLowerName_4[0:15]:  ConfigAccepted,
-	_NumberLowerName_4[15:30]: ConfigInForce,
-	_NumberLowerName_5[0:14]:  PeerConnected,
-	_NumberLowerName_5[14:23]: PeerLost,
-	_NumberLowerName_6[0:17]:  StoreUnavailable,
-	_NumberLowerName_6[17:32]: StoreRecovered,
-	_NumberLowerName_6[32:55]: CommitOutcomeResolved,
+	_NumberLowerName_0[0:15]:    ProcessStarted,
+	_NumberLowerName_0[15:30]:   ProcessServing,
+	_NumberLowerName_0[30:46]:   ProcessStopping,
+	_NumberLowerName_0[46:61]:   ProcessStopped,
+	_NumberLowerName_1[0:16]:    RequestAnswered,
+	_NumberLowerName_1[16:31]:   RequestNotRun,
+	_NumberLowerName_1[31:46]:   RequestUnknown,
+	_NumberLowerName_2[0:13]:    MemberJoined,
+	_NumberLowerName_2[13:26]:   MemberLapsed,
+	_NumberLowerName_2[26:36]:   DutyTaken,
+	_NumberLowerName_2[36:49]:   DutyReleased,
+	_NumberLowerName_3[0:12]:    JobAccepted,
+	_NumberLowerName_3[12:32]:   JobCancelRequested,
+	_NumberLowerName_3[32:44]:   JobReleased,
+	_NumberLowerName_3[44:55]:   JobStarted,
+	_NumberLowerName_3[55:67]:   JobFinished,
+	_NumberLowerName_3[67:79]:   JobRequeued,
+	_NumberLowerName_3[79:89]:   JobFailed,
+	_NumberLowerName_3[89:99]:   JobParked,
+	_NumberLowerName_3[99:110]:  JobUnknown,
+	_NumberLowerName_3[110:123]: JobCancelled,
+	_NumberLowerName_3[123:139]: JobLateAttempt,
+	_NumberLowerName_3[139:149]: JobLapsed,
+	_NumberLowerName_3[149:160]: JobLeaving,
+	_NumberLowerName_3[160:176]: WorkerSuspected,
+	_NumberLowerName_3[176:190]: WorkerCleared,
+	_NumberLowerName_3[190:204]: JobDutyTaken,
+	_NumberLowerName_3[204:217]: JobDutyLost,
+	_NumberLowerName_3[217:234]: JobCommitFailed,
+	_NumberLowerName_4[0:15]:    ConfigAccepted,
+	_NumberLowerName_4[15:30]:   ConfigInForce,
+	_NumberLowerName_5[0:14]:    PeerConnected,
+	_NumberLowerName_5[14:23]:   PeerLost,
+	_NumberLowerName_6[0:17]:    StoreUnavailable,
+	_NumberLowerName_6[17:32]:   StoreRecovered,
+	_NumberLowerName_6[32:55]:   CommitOutcomeResolved,
 }
 
 var _NumberNames = []string{
@@ -145,6 +197,23 @@
 	_NumberName_2[26:36],
 	_NumberName_2[36:49],
 	_NumberName_3[0:12],
+	_NumberName_3[12:32],
+	_NumberName_3[32:44],
+	_NumberName_3[44:55],
+	_NumberName_3[55:67],
+	_NumberName_3[67:79],
+	_NumberName_3[79:89],
+	_NumberName_3[89:99],
+	_NumberName_3[99:110],
+	_NumberName_3[110:123],
+	_NumberName_3[123:139],
+	_NumberName_3[139:149],
+	_NumberName_3[149:160],
+	_NumberName_3[160:176],
+	_NumberName_3[176:190],
+	_NumberName_3[190:204],
+	_NumberName_3[204:217],
+	_NumberName_3[217:234],
 	_NumberName_4[0:15],
 	_NumberName_4[15:30],
 	_NumberName_5[0:14],
--- /dev/null
+++ b/core/job/count.go
@@ -0,0 +1,71 @@
+package job
+
+import (
+	"sort"
+
+	"siskincross/core/chart"
+	"siskincross/core/host"
+)
+
+// Counts sums up a scheduler's memory.
+type Counts struct {
+	// States counts the jobs that are not final by state.
+	States map[chart.State]int `json:"states"`
+	// Queues counts the waiting jobs by the full name of the queue.
+	Queues map[string]int `json:"queues"`
+	// Slots is the number of task slots of the workers that may receive new work; FreeSlots of them are free.
+	Slots     int `json:"slots"`
+	FreeSlots int `json:"free-slots"`
+	// Behind counts the jobs whose rows are not written yet.
+	Behind int `json:"behind"`
+	// Suspected holds the workers that get probes only, sorted.
+	Suspected []host.ID `json:"suspected"`
+}
+
+// Counts returns the sums over all jobs in memory.
+func (s *Scheduler) Counts() Counts {
+	s.init()
+	c := Counts{
+		States: make(map[chart.State]int), Queues: make(map[string]int),
+		Slots: s.total, FreeSlots: s.free, Behind: s.Behind(),
+	}
+	for _, e := range s.jobs {
+		c.States[e.job.State]++
+		if e.queued {
+			c.Queues[e.job.Spec.Queue]++
+		}
+	}
+	for _, w := range s.workers {
+		if w.record.suspected {
+			c.Suspected = append(c.Suspected, w.id)
+		}
+	}
+	sort.Slice(c.Suspected, func(i, j int) bool { return c.Suspected[i] < c.Suspected[j] })
+	return c
+}
+
+// TasksOn counts the tasks that may run on a worker.
+func (s *Scheduler) TasksOn(h host.ID) int {
+	w := s.workers[h]
+	if w == nil {
+		return 0
+	}
+	return len(w.tasks)
+}
+
+// Busy calls visit for each worker that may run tasks, with the tasks' IDs, in the order of worker IDs.
+func (s *Scheduler) Busy(visit func(h host.ID, tasks []string)) {
+	for _, w := range s.order {
+		var ids []string
+		for _, t := range w.tasks {
+			if t.dispatched {
+				ids = append(ids, t.job.job.Task())
+			}
+		}
+		if len(ids) == 0 {
+			continue
+		}
+		sort.Strings(ids)
+		visit(w.id, ids)
+	}
+}
--- /dev/null
+++ b/core/job/fixture_test.go
@@ -0,0 +1,3 @@
+package job
+
+const gigabyte = 1 << 30
--- /dev/null
+++ b/core/job/job_test.go
@@ -0,0 +1,86 @@
+package job
+
+import (
+	"errors"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"siskincross/core/chart"
+)
+
+func testJob(idempotent bool) Job {
+	return Job{ID: "lessons-1", State: StateQueued, Spec: Spec{
+		Organisation: "kunta", Queue: "kunta/render", Team: "kunta/video", Program: "render",
+		Cores: 1, MemoryBytes: gigabyte, Idempotent: idempotent,
+	}}
+}
+
+func started(is *is.I, j Job) Job {
+	next, err := j.WithStart("host-1", 7)
+	is.NoErr(err)
+	return next
+}
+
+func TestJobDropsLateAttempts(t *testing.T) {
+	is := is.New(t)
+	first := started(is, testJob(true))
+	queued, err := first.WithLapse(1, "progress-1", "lapsed")
+	is.NoErr(err)
+	is.Equal(queued.Checkpoint, "progress-1")
+	second := started(is, queued)
+	_, err = second.WithFinish(1, "late", "digest")
+	var late ErrLateAttempt
+	is.True(errors.As(err, &late))
+	is.Equal(late.Newest, 2)
+	done, err := second.WithFinish(2, "result", "digest")
+	is.NoErr(err)
+	is.Equal(done.State, StateFinished)
+}
+
+func TestJobThatRunsOnceNeverWaitsAgain(t *testing.T) {
+	ends := map[string]func(j Job) (Job, error){
+		"lapse":   func(j Job) (Job, error) { return j.WithLapse(1, "progress", "lapsed") },
+		"failure": func(j Job) (Job, error) { return j.WithFailure(1, "exit status 1") },
+	}
+	want := map[string]chart.State{"lapse": StateUnknown, "failure": StateFailed}
+	for name, end := range ends {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			ended, err := end(started(is, testJob(false)))
+			is.NoErr(err)
+			is.Equal(ended.State, want[name])
+			_, err = ended.WithStart("host-2", 7)
+			is.True(err != nil)
+		})
+	}
+}
+
+func TestMergeHasOneOutcome(t *testing.T) {
+	is := is.New(t)
+	running := started(is, testJob(true))
+	cancelling, err := running.WithCancel()
+	is.NoErr(err)
+	finished, err := running.WithFinish(1, "result", "digest")
+	is.NoErr(err)
+	requeued, err := running.WithRequeue(1, "", "drain")
+	is.NoErr(err)
+	cancelled, err := testJob(true).WithCancel()
+	is.NoErr(err)
+
+	t.Run("a finish that was known first stays finished", func(t *testing.T) {
+		merged, ok := Merge(cancelling, finished)
+		is.True(ok)
+		is.Equal(merged.State, StateFinished)
+	})
+	t.Run("a cancelled job is not queued again", func(t *testing.T) {
+		merged, ok := Merge(cancelling, requeued)
+		is.True(ok)
+		is.Equal(merged.State, StateCancelled)
+	})
+	t.Run("a job that was cancelled while it waited does not start", func(t *testing.T) {
+		merged, ok := Merge(cancelled, running)
+		is.True(!ok)
+		is.Equal(merged.State, StateCancelled)
+	})
+}
--- /dev/null
+++ b/core/job/lease.go
@@ -0,0 +1,78 @@
+package job
+
+import (
+	"fmt"
+	"time"
+
+	"siskincross/core/host"
+)
+
+// Started takes in the worker's answer to the start of a task.
+func (s *Scheduler) Started(id ID, attempt int, answer StartAnswer, now time.Time) {
+	e := s.jobs[id]
+	if e == nil || e.task == nil || e.job.Attempt != attempt {
+		return
+	}
+	t := e.task
+	switch answer {
+	case StartAccepted:
+		t.worker.contact = now
+		t.started = now
+		t.follow(AttemptSeen)
+	case StartRefused:
+		s.refused(t, now)
+	case StartUnknown:
+		t.worker.backoff = now.Add(refuseWait)
+		if e.job.Spec.Idempotent {
+			s.lapse(t, "the answer of worker "+string(t.worker.id)+" to the start was lost")
+		}
+	}
+}
+
+// refuseWait is how long a worker that refused a task gets no other.
+const refuseWait = 2 * time.Second
+
+func (s *Scheduler) refused(t *task, now time.Time) {
+	if !t.follow(AttemptRefuse) {
+		return
+	}
+	t.worker.backoff = now.Add(refuseWait)
+	j := t.job.job
+	next, err := j.WithRequeue(j.Attempt, "", "worker "+string(t.worker.id)+" refused the task")
+	s.settle(t, next, err)
+}
+
+// StartAnswer is what is known after a worker was told to start a task.
+type StartAnswer int
+
+// Answers to a start.
+const (
+	// StartAccepted tasks run.
+	StartAccepted StartAnswer = iota
+	// StartRefused tasks were proved not to have started.
+	StartRefused
+	// StartUnknown tasks may run; reports or the lease will tell.
+	StartUnknown
+)
+
+// Renewed notes that a worker took the renewal of its tasks' leases.
+func (s *Scheduler) Renewed(h host.ID, now time.Time) {
+	if w := s.workers[h]; w != nil {
+		w.contact = now
+	}
+}
+
+// Lapse ends the tasks of workers that were silent for a whole lease.
+func (s *Scheduler) Lapse(now time.Time) {
+	limit := s.policy.Lease + s.policy.LeaseMargin
+	for _, w := range s.workers {
+		if len(w.tasks) == 0 || now.Sub(w.contact) <= limit {
+			continue
+		}
+		for _, t := range w.tasks {
+			if t.dispatched && now.Sub(t.since) > limit {
+				s.lapse(t, fmt.Sprintf("worker %s was silent for %v", w.id, limit))
+			}
+		}
+	}
+}
--- /dev/null
+++ b/core/job/placement.go
@@ -0,0 +1,207 @@
+package job
+
+import (
+	"math"
+	"time"
+)
+
+// lookahead bounds the jobs of one lane that are tried after one that fits nowhere.
+const lookahead = 4
+
+// spreadKey names a group in a rack or an availability zone.
+type spreadKey struct {
+	group  string
+	domain string
+}
+
+// pass is the state of one round of placement.
+type pass struct {
+	now time.Time
+	// unfit holds groups that fit nowhere in this round.
+	unfit map[string]bool
+	skip  map[*team]bool
+}
+
+// Place chooses workers for up to limit waiting jobs and returns how many it
+// placed. Their attempts are pending writes until Committed.
+func (s *Scheduler) Place(now time.Time, limit int) int {
+	s.init()
+	if s.backlog.waiting == 0 || s.open == 0 {
+		return 0
+	}
+	placed := s.placeUrgent(now, limit)
+	return placed + s.placeTeams(now, limit-placed, workLanes)
+}
+
+func urgentLanes(t *team) []*lane { return []*lane{&t.urgent} }
+
+func workLanes(t *team) []*lane { return []*lane{&t.failed, &t.retries, &t.normal} }
+
+func (s *Scheduler) placeUrgent(now time.Time, limit int) int {
+	if s.backlog.urgent == 0 {
+		return 0
+	}
+	return s.placeTeams(now, limit, urgentLanes)
+}
+
+func (s *Scheduler) placeTeams(now time.Time, limit int, lanes func(*team) []*lane) int {
+	p := pass{now: now, unfit: make(map[string]bool), skip: make(map[*team]bool)}
+	placed := 0
+	for placed < limit {
+		t := s.backlog.next(p.skip)
+		if t == nil {
+			return placed
+		}
+		if s.placeOne(p, lanes(t)) {
+			placed++
+		} else {
+			p.skip[t] = true
+		}
+	}
+	return placed
+}
+
+func (s *Scheduler) placeOne(p pass, lanes []*lane) bool {
+	for _, l := range lanes {
+		for _, e := range l.first(lookahead) {
+			if s.free <= s.reserved() && !e.job.Spec.Urgent {
+				return false
+			}
+			if s.placeEntry(p, e) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func (s *Scheduler) placeEntry(p pass, e *entry) bool {
+	fresh := len(e.job.Failures) == 0
+	group := e.job.Spec.Group()
+	if fresh && p.unfit[group] {
+		return false
+	}
+	d := s.demand(e.job.Spec)
+	w := s.choose(e, d, p.now)
+	if w == nil {
+		p.unfit[group] = p.unfit[group] || fresh
+		return false
+	}
+	s.start(e, w, d, p.now)
+	return true
+}
+
+// reserved is the number of slots that only urgent work may take.
+func (s *Scheduler) reserved() int {
+	return max(1, int(math.Ceil(s.policy.UrgentShare*float64(s.total))))
+}
+
+// demand returns what a job is expected to use, at most what the largest
+// worker gives to tasks: a declared size that fits nowhere is tried there.
+func (s *Scheduler) demand(spec Spec) Demand {
+	if s.policy.Method != MethodLearned {
+		return Demand{Cores: float64(spec.Cores), MemoryBytes: spec.MemoryBytes, Learnt: true}
+	}
+	d := s.usage.Estimate(spec)
+	d.Cores = math.Min(d.Cores, s.largest.Cores)
+	d.MemoryBytes = min(d.MemoryBytes, s.largest.MemoryBytes)
+	return d
+}
+
+// choose returns the best worker for a job, or nil.
+func (s *Scheduler) choose(e *entry, d Demand, now time.Time) *worker {
+	var best *worker
+	var bestScore float64
+	group := e.job.Spec.Group()
+	for _, w := range s.order {
+		if !s.fits(w, d) || now.Before(w.backoff) || !s.suspicion.allows(w, e, now) {
+			continue
+		}
+		if s.policy.Method == MethodFirstFit {
+			return w
+		}
+		score := s.score(w, e, d, group)
+		if best == nil || score > bestScore {
+			best, bestScore = w, score
+		}
+	}
+	return best
+}
+
+// fits reports whether a worker has room for a demand. Of tasks whose group is
+// not known yet, a worker holds at most one.
+func (s *Scheduler) fits(w *worker, d Demand) bool {
+	if !w.open || w.draining || len(w.tasks) >= s.slots(w) {
+		return false
+	}
+	room := s.room(w)
+	if w.demand.Cores+d.Cores > room.Cores || w.demand.MemoryBytes+d.MemoryBytes > room.MemoryBytes {
+		return false
+	}
+	return d.Learnt || !w.unlearnt()
+}
+
+// room is what a worker gives to all its tasks together.
+func (s *Scheduler) room(w *worker) Demand {
+	if s.policy.Method != MethodLearned {
+		return Demand{Cores: float64(w.capacity.Cores), MemoryBytes: w.capacity.MemoryBytes}
+	}
+	return Demand{
+		Cores:       s.policy.CoreShare * float64(w.capacity.Cores),
+		MemoryBytes: int64(s.policy.MemoryShare * float64(w.capacity.MemoryBytes)),
+	}
+}
+
+// slots is the number of tasks that a worker may hold.
+func (s *Scheduler) slots(w *worker) int {
+	return max(0, w.capacity.Slots-s.policy.RequestSlots)
+}
+
+func (w *worker) unlearnt() bool {
+	for _, t := range w.tasks {
+		if !t.demand.Learnt {
+			return true
+		}
+	}
+	return false
+}
+
+const (
+	// scoreTrust puts jobs that failed, and those that run only once, on proved workers.
+	scoreTrust = 1000
+	// scoreZone and scoreRack are lost for each task of the group in the same failure domain.
+	scoreZone = 10
+	scoreRack = 3
+)
+
+// score rates a worker for a job; the highest is chosen. Failure domains
+// without the group's tasks come first, then the fullest worker.
+func (s *Scheduler) score(w *worker, e *entry, d Demand, group string) float64 {
+	room := s.room(w)
+	cores := (w.demand.Cores + d.Cores) / room.Cores
+	memory := float64(w.demand.MemoryBytes+d.MemoryBytes) / float64(room.MemoryBytes)
+	score := math.Max(cores, memory)
+	if s.policy.Method != MethodLearned {
+		return score
+	}
+	score -= scoreZone * float64(s.spread[spreadKey{group, w.place.Zone}])
+	score -= scoreRack * float64(s.spread[spreadKey{group, w.place.Rack}])
+	careful := len(e.job.Failures) > 0 || !e.job.Spec.Idempotent
+	if careful && (w.record.proved.IsZero() || len(w.record.evidence) > 0) {
+		score -= scoreTrust
+	}
+	return score
+}
+
+// start commits a job to a worker. The attempt is written before the worker hears of it.
+func (s *Scheduler) start(e *entry, w *worker, d Demand, now time.Time) {
+	next, err := e.job.WithStart(w.id, s.epoch)
+	if err != nil {
+		return
+	}
+	s.suspicion.probe(w, now)
+	s.backlog.remove(e)
+	e.job = next
+	s.attach(e, w, &task{state: attemptChart.Initial, since: now, demand: d})
+	s.write(e)
+}
--- /dev/null
+++ b/core/job/state.go
@@ -0,0 +1,75 @@
+package job
+
+import (
+	_ "embed" // The charts are embedded in the program.
+
+	"siskincross/core/chart"
+)
+
+// States of a job, as the chart in job.toml names them.
+const (
+	StateQueued     chart.State = "queued"
+	StateRunning    chart.State = "running"
+	StateCancelling chart.State = "cancelling"
+	StateFinished   chart.State = "finished"
+	StateFailed     chart.State = "failed"
+	StateCancelled  chart.State = "cancelled"
+	StateUnknown    chart.State = "unknown"
+	StateParked     chart.State = "parked"
+)
+
+// Events of a job's chart.
+const (
+	eventStart   chart.Event = "start"
+	eventFinish  chart.Event = "finish"
+	eventRequeue chart.Event = "requeue"
+	eventFail    chart.Event = "fail"
+	eventLose    chart.Event = "lose"
+	eventPark    chart.Event = "park"
+	eventRelease chart.Event = "release"
+	eventCancel  chart.Event = "cancel"
+)
+
+// States of an attempt, as the chart in attempt.toml names them.
+const (
+	AttemptCommitted chart.State = "committed"
+	AttemptRunning   chart.State = "running"
+	AttemptStopping  chart.State = "stopping"
+	AttemptFinished  chart.State = "finished"
+	AttemptFailed    chart.State = "failed"
+	AttemptStopped   chart.State = "stopped"
+	AttemptLapsed    chart.State = "lapsed"
+	AttemptRefused   chart.State = "refused"
+)
+
+// Events of an attempt's chart.
+const (
+	AttemptSeen   chart.Event = "see"
+	AttemptRefuse chart.Event = "refuse"
+	AttemptStop   chart.Event = "stop"
+	AttemptFinish chart.Event = "finish"
+	AttemptFail   chart.Event = "fail"
+	AttemptEnd    chart.Event = "end"
+	AttemptLapse  chart.Event = "lapse"
+)
+
+//go:embed job.toml
+var jobChartText string
+
+//go:embed attempt.toml
+var attemptChartText string
+
+var (
+	jobChart     = chart.MustParse(jobChartText)
+	attemptChart = chart.MustParse(attemptChartText)
+)
+
+// Final reports whether a job in state s is never changed again.
+func Final(s chart.State) bool {
+	return jobChart.IsFinal(s)
+}
+
+// OnWorker reports whether a job in state s may have an attempt on a worker.
+func OnWorker(s chart.State) bool {
+	return s == StateRunning || s == StateCancelling
+}
--- /dev/null
+++ b/core/job/suspicion.go
@@ -0,0 +1,236 @@
+package job
+
+import (
+	"time"
+
+	"siskincross/core/host"
+)
+
+// maxProbeDoublings bounds the wait between probes.
+const maxProbeDoublings = 6
+
+// evidence is one failed task on a worker.
+type evidence struct {
+	job   ID
+	group string
+	at    time.Time
+	// convicted is true once the job ran well elsewhere, so that the worker was at fault.
+	convicted bool
+	// repeatable is false if the job never runs elsewhere, so that only its group can tell.
+	repeatable bool
+}
+
+// record is what speaks for and against one worker.
+type record struct {
+	// proved is the latest start of a task that ran well.
+	proved time.Time
+	// evidence holds the failures since proved whose jobs are not known to fail everywhere.
+	evidence []evidence
+	// suspected workers get probes only.
+	suspected bool
+	// probes counts the tasks given while suspected or held; nextProbe is when the next may start.
+	probes    int
+	nextProbe time.Time
+}
+
+// prove notes that a task that started at the given time ran well.
+func (r *record) prove(started time.Time) {
+	if started.After(r.proved) {
+		r.proved = started
+	}
+	kept := r.evidence[:0]
+	for _, e := range r.evidence {
+		if e.at.After(started) {
+			kept = append(kept, e)
+		}
+	}
+	r.evidence = kept
+	if len(kept) == 0 {
+		r.suspected, r.probes = false, 0
+	}
+}
+
+// convict marks the evidence of a job that ran well elsewhere.
+func (r *record) convict(id ID) {
+	for i := range r.evidence {
+		if r.evidence[i].job == id {
+			r.evidence[i].convicted = true
+		}
+	}
+}
+
+// withdraw drops the evidence of a job that fails everywhere.
+func (r *record) withdraw(id ID) {
+	kept := r.evidence[:0]
+	for _, e := range r.evidence {
+		if e.job != id {
+			kept = append(kept, e)
+		}
+	}
+	r.evidence = kept
+	if len(kept) == 0 {
+		r.suspected, r.probes = false, 0
+	}
+}
+
+// groupRecord tells where a group's jobs ran well.
+type groupRecord struct {
+	proved map[host.ID]bool
+}
+
+// suspicion tells jobs that can never run from workers that fail every task.
+//
+// A failure speaks against both until one of them is cleared. If the job then
+// runs well elsewhere, the failure was the worker's; if it fails on MaxTries
+// workers that are not suspected, it was the job's. Until then the worker gets
+// no more than Exposure unproved tasks.
+type suspicion struct {
+	policy Policy
+	groups map[string]*groupRecord
+	// failed maps a job to the workers that hold evidence from it.
+	failed map[ID][]*worker
+}
+
+// note records a failed task.
+func (s *suspicion) note(t *task, now time.Time) {
+	if s.failed == nil {
+		s.failed = make(map[ID][]*worker)
+	}
+	w, j := t.worker, t.job.job
+	w.record.evidence = append(w.record.evidence, evidence{
+		job: j.ID, group: j.Spec.Group(), at: now, repeatable: j.Spec.Idempotent,
+	})
+	s.failed[j.ID] = append(s.failed[j.ID], w)
+	if w.record.nextProbe.Before(now) {
+		w.record.nextProbe = now.Add(s.probeWait(w))
+	}
+	s.judge(w)
+}
+
+// proof records that a task ran well on its worker: it finished, saved
+// progress or ran for a while. It returns the workers that this speaks against.
+func (s *suspicion) proof(t *task) []*worker {
+	t.worker.record.prove(t.since)
+	group := t.job.job.Spec.Group()
+	if s.groups == nil {
+		s.groups = make(map[string]*groupRecord)
+	}
+	g := s.groups[group]
+	if g == nil {
+		g = &groupRecord{proved: make(map[host.ID]bool)}
+		s.groups[group] = g
+	}
+	g.proved[t.worker.id] = true
+	return s.convict(t)
+}
+
+func (s *suspicion) convict(t *task) []*worker {
+	var suspects []*worker
+	for _, w := range s.failed[t.job.job.ID] {
+		if w == t.worker {
+			continue
+		}
+		w.record.convict(t.job.job.ID)
+		if s.judge(w) {
+			suspects = append(suspects, w)
+		}
+	}
+	delete(s.failed, t.job.job.ID)
+	return suspects
+}
+
+// clear withdraws a parked job's failures from the workers that it failed on.
+func (s *suspicion) clear(id ID) {
+	for _, w := range s.failed[id] {
+		w.record.withdraw(id)
+	}
+	delete(s.failed, id)
+}
+
+// judge suspects w if enough different jobs failed by its fault. It reports whether w became suspected.
+func (s *suspicion) judge(w *worker) bool {
+	if w.record.suspected {
+		return false
+	}
+	jobs := make(map[ID]bool)
+	for _, e := range w.record.evidence {
+		if s.worker(w, e) {
+			jobs[e.job] = true
+		}
+	}
+	w.record.suspected = len(jobs) >= s.policy.Exposure
+	return w.record.suspected
+}
+
+// worker reports whether a failure was the worker's fault. A job that must not
+// run again can't be tried elsewhere; its group speaks for it.
+func (s *suspicion) worker(w *worker, e evidence) bool {
+	if e.convicted {
+		return true
+	}
+	g := s.groups[e.group]
+	if e.repeatable || g == nil {
+		return false
+	}
+	others := len(g.proved)
+	if g.proved[w.id] {
+		others--
+	}
+	return others > 0
+}
+
+// exposed counts what a worker has failed or may yet fail since it was proved.
+func (w *worker) exposed() int {
+	n := len(w.record.evidence)
+	for _, t := range w.tasks {
+		if t.since.After(w.record.proved) {
+			n++
+		}
+	}
+	return n
+}
+
+// allows reports whether a worker may get a job, as far as its record tells.
+func (s *suspicion) allows(w *worker, e *entry, now time.Time) bool {
+	if failedOn(e.job, w.id) {
+		return false
+	}
+	if !w.record.suspected && w.exposed() < s.policy.Exposure {
+		return true
+	}
+	if len(w.record.evidence) == 0 || !e.job.Spec.Idempotent || e.job.Spec.Urgent {
+		return false
+	}
+	if w.exposed() > len(w.record.evidence) {
+		return false
+	}
+	due := !now.Before(w.record.nextProbe)
+	more := w.record.probes < s.policy.MaxProbes
+	if w.record.suspected {
+		return due && more && len(e.job.Failures) == 0
+	}
+	return due || more && len(e.job.Failures) > 0
+}
+
+// probe counts a task that a suspected or held worker gets.
+func (s *suspicion) probe(w *worker, now time.Time) {
+	if !w.record.suspected && w.exposed() < s.policy.Exposure {
+		return
+	}
+	w.record.probes++
+	w.record.nextProbe = now.Add(s.probeWait(w))
+}
+
+// probeWait doubles with every probe.
+func (s *suspicion) probeWait(w *worker) time.Duration {
+	return s.policy.ProbeAfter << min(w.record.probes, maxProbeDoublings)
+}
+
+func failedOn(j Job, h host.ID) bool {
+	for _, f := range j.Failures {
+		if f.Host == h {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/core/job/usage.go
@@ -0,0 +1,83 @@
+package job
+
+import "math"
+
+const (
+	// learntTasks is the number of observed tasks from which a group's usage replaces the declared size.
+	learntTasks = 3
+	// forget is the weight of the newest task in a group's mean.
+	forget = 0.1
+	// memoryDeviations are added to the mean memory, coreDeviations to the mean cores.
+	memoryDeviations = 3
+	coreDeviations   = 1
+	// unlearntFactor multiplies the declared memory while a group's usage is not known.
+	unlearntFactor = 3
+	// peakDecay is what remains of a group's highest memory after each task.
+	peakDecay = 0.98
+)
+
+// Demand is what a task is expected to use.
+type Demand struct {
+	Cores       float64
+	MemoryBytes int64
+	// Learnt is false while the demand rests on the declared size.
+	Learnt bool
+}
+
+// Usage learns the usage of groups of jobs. The zero value knows nothing.
+type Usage struct {
+	groups map[string]*groupUsage
+}
+
+// groupUsage holds the moments of the peaks of a group's tasks.
+type groupUsage struct {
+	tasks  int
+	cores  moments
+	memory moments
+	// peak is the highest memory of a task, decaying with each further task.
+	peak float64
+}
+
+// moments is an exponentially weighted mean and variance.
+type moments struct {
+	mean, variance float64
+}
+
+func (m *moments) add(x float64, n int) {
+	weight := math.Max(forget, 1/float64(n))
+	delta := x - m.mean
+	m.mean += weight * delta
+	m.variance = (1 - weight) * (m.variance + weight*delta*delta)
+}
+
+func (m moments) above(deviations float64) float64 {
+	return m.mean + deviations*math.Sqrt(m.variance)
+}
+
+// Observe learns the peaks of one task.
+func (u *Usage) Observe(group string, cores float64, memoryBytes int64) {
+	if u.groups == nil {
+		u.groups = make(map[string]*groupUsage)
+	}
+	g := u.groups[group]
+	if g == nil {
+		g = &groupUsage{}
+		u.groups[group] = g
+	}
+	g.tasks++
+	g.cores.add(cores, g.tasks)
+	g.memory.add(float64(memoryBytes), g.tasks)
+	g.peak = math.Max(g.peak*peakDecay, float64(memoryBytes))
+}
+
+// Estimate returns the demand of a job. Declared sizes count only while little
+// is known of the job's group; memory then counts several times, because
+// memory that was declared too small can't be taken back.
+func (u *Usage) Estimate(spec Spec) Demand {
+	g := u.groups[spec.Group()]
+	if g == nil || g.tasks < learntTasks {
+		return Demand{Cores: float64(spec.Cores), MemoryBytes: unlearntFactor * spec.MemoryBytes}
+	}
+	memory := math.Max(g.memory.above(memoryDeviations), g.peak)
+	return Demand{Cores: g.cores.above(coreDeviations), MemoryBytes: int64(memory), Learnt: true}
+}
--- /dev/null
+++ b/core/job/worker.go
@@ -0,0 +1,108 @@
+package job
+
+import (
+	"time"
+
+	"siskincross/core/chart"
+	"siskincross/core/host"
+	"siskincross/core/route"
+)
+
+// worker is what the scheduler knows of one host.
+type worker struct {
+	id       host.ID
+	place    host.Place
+	capacity host.Capacity
+	// open is true while the host may receive new work.
+	open bool
+	// draining is true while the host's tasks must leave.
+	draining bool
+	// contact is when the host last answered, or when it was first known.
+	contact time.Time
+	// listed is when the host was last among those that may receive new work.
+	listed time.Time
+	// backoff is when the host may be tried again after it refused a task.
+	backoff time.Time
+	tasks   map[ID]*task
+	// demand is the sum over tasks of task.demand.
+	demand Demand
+	record record
+}
+
+// task is the newest attempt of a job on a worker.
+type task struct {
+	job    *entry
+	worker *worker
+	// state is a state of the chart in attempt.toml.
+	state chart.State
+	// since is when the attempt was decided or found; started is when the worker acknowledged it.
+	since, started time.Time
+	// demand is the larger of the estimate and the measured usage.
+	demand      Demand
+	peakCores   float64
+	peakMemory  int64
+	usedMemory  int64
+	sampled     bool
+	checkpoint  string
+	newProgress bool
+	// throttled is true after the worker was told to throttle the task.
+	throttled bool
+	// dispatched is true once the worker may have heard of the task.
+	dispatched bool
+	// resumed is true for a task that was found in a row, not decided here.
+	resumed bool
+	// leave tells why the task must go, and leaveAt when it is stopped at the latest.
+	leave   leaveReason
+	leaveAt time.Time
+	// asked is true after the worker was told to checkpoint the leaving task.
+	asked bool
+	// stopSent is when the last stop was sent.
+	stopSent time.Time
+}
+
+func (w *worker) update(target route.Target) {
+	w.place = target.Place
+	w.capacity = target.Capacity
+	w.open = true
+}
+
+func (w *worker) add(t *task) {
+	w.tasks[t.job.job.ID] = t
+	w.demand.Cores += t.demand.Cores
+	w.demand.MemoryBytes += t.demand.MemoryBytes
+}
+
+func (w *worker) remove(t *task) {
+	delete(w.tasks, t.job.job.ID)
+	w.demand.Cores -= t.demand.Cores
+	w.demand.MemoryBytes -= t.demand.MemoryBytes
+	if len(w.tasks) == 0 {
+		w.demand = Demand{}
+	}
+}
+
+// setDemand replaces the demand of one of the worker's tasks.
+func (w *worker) setDemand(t *task, d Demand) {
+	w.demand.Cores += d.Cores - t.demand.Cores
+	w.demand.MemoryBytes += d.MemoryBytes - t.demand.MemoryBytes
+	t.demand = d
+}
+
+// usedMemory sums the reported memory of all tasks.
+func (w *worker) usedMemory() int64 {
+	var sum int64
+	for _, t := range w.tasks {
+		sum += t.usedMemory
+	}
+	return sum
+}
+
+// follow moves the attempt along its chart. Events that the state does not handle change nothing.
+func (t *task) follow(on chart.Event) bool {
+	next, err := attemptChart.Next(t.state, on)
+	if err != nil {
+		return false
+	}
+	t.state = next
+	return true
+}
--- /dev/null
+++ b/io/jobs/fixture_test.go
@@ -0,0 +1,161 @@
+package jobs
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"siskincross/core/chart"
+	"siskincross/core/config"
+	"siskincross/core/host"
+	"siskincross/core/job"
+	"siskincross/core/route"
+	"siskincross/io/platform"
+	"siskincross/io/standin"
+	"siskincross/io/timeline"
+)
+
+const (
+	testPool = "kunta/lessons"
+	gigabyte = 1 << 30
+)
+
+// fixture is one pool with its store, its workers and the entry hosts.
+type fixture struct {
+	t       *testing.T
+	is      *is.I
+	ctx     context.Context
+	table   *standin.Table
+	workers *fakeWorkers
+	targets []route.Target
+	teams   []config.Team
+	// holder and epoch tell which entry host holds the pool's duty; change them with hold.
+	holder string
+	epoch  uint64
+	drain  []host.ID
+}
+
+// withFixture runs a test in virtual time on a pool of the given number of hosts.
+func withFixture(t *testing.T, hosts int, test func(f *fixture)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		f := &fixture{t: t, is: is.New(t), ctx: ctx, table: &standin.Table{}, workers: &fakeWorkers{}}
+		f.teams = []config.Team{{Name: "kunta/video", Organisation: "kunta", Weight: 1, Slots: 10}}
+		for i := range hosts {
+			f.targets = append(f.targets, testTarget(i))
+		}
+		f.hold("a")
+		test(f)
+	})
+}
+
+func testTarget(i int) route.Target {
+	return route.Target{
+		Host:     host.ID(fmt.Sprintf("host-%03d", i)),
+		Place:    host.Place{Zone: fmt.Sprintf("zone-%d", i%3), Rack: fmt.Sprintf("rack-%d", i/4)},
+		Capacity: host.Capacity{Slots: 8, Connections: 64, Cores: 32, MemoryBytes: 64 * gigabyte},
+	}
+}
+
+// hold gives the duty to an entry host, with the next epoch.
+func (f *fixture) hold(member string) {
+	f.holder = member
+	f.epoch++
+	value := encode(poolRow{Holder: member, Epoch: f.epoch})
+	faults := f.table.Faults()
+	f.table.SetFaults(standin.TableFaults{})
+	err := f.table.Commit(f.ctx, platform.Transaction{Writes: []platform.Write{{Key: poolPrefix + testPool, Value: value}}})
+	f.table.SetFaults(faults)
+	f.is.NoErr(err)
+}
+
+func (f *fixture) config() config.Expanded {
+	return config.Expanded{
+		Version: 1,
+		Pools:   []config.Pool{{Name: testPool, Organisation: "kunta", Hosts: len(f.targets)}},
+		Queues:  []config.Queue{{Name: "kunta/render", Organisation: "kunta", Pool: testPool}},
+		Teams:   f.teams,
+	}
+}
+
+// manager starts an entry host. The returned function stops it as a crash would.
+func (f *fixture) manager(member string) (*Manager, func()) {
+	m := &Manager{
+		Platform: platform.Platform{Table: f.table.Service(), Workers: f.workers.platform(), Objects: f.workers.objectStore()},
+		Config:   f.config,
+		Snapshot: func(string) (route.Snapshot, bool) { return route.Snapshot{Targets: f.targets}, true },
+		Holds: func(pool string) (uint64, bool) {
+			return f.epoch, f.holder == member && pool == testPool
+		},
+		Draining: func(string) []host.ID { return f.drain },
+		Recorder: &timeline.Recorder{Process: member},
+		Member:   member,
+	}
+	ctx, cancel := context.WithCancel(f.ctx)
+	ended := m.Start(ctx)
+	stop := func() {
+		cancel()
+		f.is.NoErr(<-ended)
+	}
+	return m, stop
+}
+
+func submission() Submission {
+	return Submission{Queue: "render", Team: "video", Program: "render", Cores: 1, MemoryBytes: gigabyte, Idempotent: true}
+}
+
+func (f *fixture) submit(m *Manager, s Submission, key string) job.Job {
+	f.t.Helper()
+	j, err := m.submit(f.ctx, "kunta", s, key)
+	f.is.NoErr(err)
+	return j
+}
+
+// row returns a job as it stands in the table, whatever its faults.
+func (f *fixture) row(id job.ID) job.Job {
+	f.t.Helper()
+	faults := f.table.Faults()
+	f.table.SetFaults(standin.TableFaults{})
+	defer f.table.SetFaults(faults)
+	rows, err := f.table.Read(f.ctx, []string{jobKey(testPool, id)})
+	f.is.NoErr(err)
+	f.is.Equal(len(rows), 1)
+	j, err := decodeJob(rows[0])
+	f.is.NoErr(err)
+	return j
+}
+
+// await waits until the job's row has a state.
+func (f *fixture) await(id job.ID, state chart.State, limit time.Duration) job.Job {
+	f.t.Helper()
+	start := time.Now()
+	for {
+		j := f.row(id)
+		if j.State == state {
+			return j
+		}
+		if time.Since(start) > limit {
+			f.t.Fatalf("job %s is %q (%s) after %v, want %q", id, j.State, j.Reason, limit, state)
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
+// awaitRunning waits until a worker runs the job.
+func (f *fixture) awaitRunning(id job.ID, limit time.Duration) time.Duration {
+	f.t.Helper()
+	start := time.Now()
+	for f.workers.running(id) == 0 {
+		if time.Since(start) > limit {
+			f.t.Fatalf("job %s does not run after %v: %+v", id, limit, f.row(id))
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	return time.Since(start)
+}
--- /dev/null
+++ b/io/jobs/manager_test.go
@@ -0,0 +1,110 @@
+package jobs
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"siskincross/core/job"
+	"siskincross/io/platform"
+)
+
+func TestJobRuns(t *testing.T) {
+	t.Run("from submission to a whole result", func(t *testing.T) {
+		withFixture(t, 3, func(f *fixture) {
+			m, stop := f.manager("a")
+			defer stop()
+			j := f.submit(m, submission(), "")
+			f.await(j.ID, job.StateFinished, 20*time.Second)
+			content, _, err := m.result(f.ctx, "kunta", j.ID)
+			f.is.NoErr(err)
+			f.is.Equal(string(content), "result of "+string(j.ID))
+			f.is.Equal(f.workers.starts[string(j.ID)], 1)
+		})
+	})
+	t.Run("a damaged result is not passed on", func(t *testing.T) {
+		withFixture(t, 1, func(f *fixture) {
+			m, stop := f.manager("a")
+			defer stop()
+			j := f.submit(m, submission(), "")
+			done := f.await(j.ID, job.StateFinished, 20*time.Second)
+			f.workers.objects[done.Result] = []byte("result of")
+			_, _, err := m.result(f.ctx, "kunta", j.ID)
+			f.is.True(errors.As(err, &ErrDamaged{}))
+		})
+	})
+	t.Run("submitted elsewhere than at the holder", func(t *testing.T) {
+		withFixture(t, 1, func(f *fixture) {
+			_, stopA := f.manager("a")
+			defer stopA()
+			b, stopB := f.manager("b")
+			defer stopB()
+			j := f.submit(b, submission(), "")
+			f.awaitRunning(j.ID, time.Second)
+		})
+	})
+}
+
+func TestSubmitIsIdempotentByKey(t *testing.T) {
+	withFixture(t, 1, func(f *fixture) {
+		a, stopA := f.manager("a")
+		defer stopA()
+		b, stopB := f.manager("b")
+		defer stopB()
+		first := f.submit(a, submission(), "order-1")
+		again := f.submit(b, submission(), "order-1")
+		f.is.Equal(first.ID, again.ID)
+		other := submission()
+		other.Program = "another"
+		_, err := b.submit(f.ctx, "kunta", other, "order-1")
+		f.is.True(errors.As(err, &ErrKeyReused{}))
+		f.await(first.ID, job.StateFinished, 20*time.Second)
+		f.is.Equal(f.workers.starts[string(first.ID)], 1)
+	})
+}
+
+func TestSubmitTellsTheOutcome(t *testing.T) {
+	cases := []struct {
+		name   string
+		faults func(f *fixture)
+		check  func(f *fixture, j job.Job, err error)
+	}{
+		{"the answer of the commit is lost", func(f *fixture) { f.lose(1, 0) }, func(f *fixture, j job.Job, err error) {
+			f.is.NoErr(err)
+			f.is.Equal(f.row(j.ID).State, job.StateQueued)
+		}},
+		{"the commit itself is lost", func(f *fixture) { f.lose(0, 1) }, func(f *fixture, j job.Job, err error) {
+			f.is.NoErr(err)
+			f.is.Equal(f.row(j.ID).State, job.StateQueued)
+		}},
+		{"the table is down", func(f *fixture) { f.down(true) }, func(f *fixture, _ job.Job, err error) {
+			f.is.True(errors.As(err, &platform.ErrUnavailable{}))
+		}},
+		{"all commits are lost", func(f *fixture) { f.lose(0, 100) }, func(f *fixture, _ job.Job, err error) {
+			f.is.True(errors.As(err, &platform.ErrOutcomeUnknown{}))
+		}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			withFixture(t, 1, func(f *fixture) {
+				m, stop := f.manager("b")
+				defer stop()
+				c.faults(f)
+				j, err := m.submit(f.ctx, "kunta", submission(), "")
+				c.check(f, j, err)
+			})
+		})
+	}
+}
+
+func (f *fixture) lose(answers, commits int) {
+	faults := f.table.Faults()
+	faults.LoseAnswers, faults.LoseCommits = answers, commits
+	f.table.SetFaults(faults)
+}
+
+func (f *fixture) down(down bool) {
+	faults := f.table.Faults()
+	faults.Down = down
+	f.table.SetFaults(faults)
+}
--- /dev/null
+++ b/io/jobs/takeover.go
@@ -0,0 +1,131 @@
+package jobs
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"siskincross/core/job"
+	"siskincross/io/platform"
+)
+
+// scanPage is the number of rows of one scan.
+const scanPage = 2000
+
+// errFenced is returned when another entry host holds the pool's jobs.
+var errFenced = errors.New("another entry host holds the pool's jobs")
+
+// takeOver fences earlier holders and rebuilds the state from the rows. It
+// tries until ctx is done or a later holder is there.
+func (h *holder) takeOver(ctx context.Context) error {
+	var wait retry
+	wait.limit = h.m.periods.MaxBackoff
+	for {
+		err := h.rebuild(ctx)
+		if err == nil || errors.Is(err, errFenced) {
+			return err
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-time.After(wait.next()):
+		}
+		if h.newer.Load() || !h.duty.Load() {
+			return errFenced
+		}
+	}
+}
+
+func (h *holder) rebuild(ctx context.Context) error {
+	if err := h.raiseFence(ctx); err != nil {
+		return err
+	}
+	// Notices are listed before the jobs are scanned: the scan finds all jobs that they name.
+	spent, err := h.m.scanAll(ctx, noticePrefix+h.pool+"/")
+	if err != nil {
+		return err
+	}
+	rows, err := h.m.scanAll(ctx, jobPrefix+h.pool+"/")
+	if err != nil {
+		return err
+	}
+	in := h.m.inputs(h.pool)
+	h.locked(func() { err = h.adoptAll(in, rows, spent) })
+	return err
+}
+
+func (h *holder) adoptAll(in inputs, rows, spent []platform.Row) error {
+	now := time.Now()
+	h.scheduler = &job.Scheduler{Pool: h.pool, Epoch: h.epoch, Policy: h.m.Policy}
+	h.take(in, now)
+	for _, row := range rows {
+		j, err := decodeJob(row)
+		if err != nil {
+			return err
+		}
+		if job.Final(j.State) {
+			h.retention.add(j.ID, time.UnixMilli(j.EndedMillis))
+			continue
+		}
+		h.scheduler.Put(j, now)
+	}
+	for _, row := range spent {
+		h.notices.spend(row.Key)
+	}
+	h.rebuilt = true
+	return nil
+}
+
+// raiseFence writes the epoch into the fence row, on condition that the pool's row still has it.
+func (h *holder) raiseFence(ctx context.Context) error {
+	fenceKey, poolKey := fencePrefix+h.pool, poolPrefix+h.pool
+	fence, pool, err := h.readFence(ctx, fenceKey, poolKey)
+	if err != nil {
+		return err
+	}
+	tx := platform.Transaction{
+		ID: unique(),
+		Preconditions: []platform.Precondition{
+			{Key: fenceKey, Version: fence.Version}, {Key: poolKey, Version: pool.Version},
+		},
+		Writes:  []platform.Write{{Key: fenceKey, Value: encode(fenceRow{Epoch: h.epoch, Holder: h.m.Member})}},
+		Purpose: "job-fence",
+	}
+	if err := h.m.commitOnce(ctx, tx); err != nil {
+		return errors.Wrapf(err, "fence of pool %s", h.pool)
+	}
+	fence, _, err = h.readFence(ctx, fenceKey, poolKey)
+	h.fence = fence.Version
+	return err
+}
+
+// readFence reads both rows and returns errFenced if a later holder wrote one of them.
+func (h *holder) readFence(ctx context.Context, fenceKey, poolKey string) (fence, pool platform.Row, err error) {
+	rows, err := h.m.read(ctx, []string{fenceKey, poolKey})
+	if err != nil {
+		return fence, pool, err
+	}
+	fence, pool = rows[fenceKey], rows[poolKey]
+	var f fenceRow
+	if err := decodeIfPresent(fence, &f); err != nil {
+		return fence, pool, err
+	}
+	var p poolRow
+	if err := decodeIfPresent(pool, &p); err != nil {
+		return fence, pool, err
+	}
+	otherHolder := f.Epoch == h.epoch && f.Holder != h.m.Member
+	if f.Epoch > h.epoch || p.Epoch > h.epoch || otherHolder {
+		return fence, pool, errFenced
+	}
+	return fence, pool, nil
+}
+
+func decodeIfPresent(row platform.Row, value any) error {
+	if row.Version == 0 {
+		return nil
+	}
+	return errors.Wrapf(json.Unmarshal(row.Value, value), "row %q", row.Key)
+}
--- /dev/null
+++ b/io/jobs/workers_test.go
@@ -0,0 +1,242 @@
+package jobs
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"sync"
+	"time"
+
+	"siskincross/core/host"
+	"siskincross/core/job"
+	"siskincross/io/platform"
+)
+
+// behaviour is what a task really does.
+type behaviour struct {
+	duration time.Duration
+	failure  string
+	cores    float64
+	memory   int64
+	// checkpoints is whether the task can save its progress.
+	checkpoints bool
+}
+
+type fakeTask struct {
+	spec       platform.TaskSpec
+	behaviour  behaviour
+	start      time.Time
+	leaseEnd   time.Time
+	state      platform.TaskState
+	ended      time.Time
+	checkpoint string
+	throttled  float64
+}
+
+type fakeHost struct {
+	tasks map[string]*fakeTask
+	epoch map[string]uint64
+	// silent hosts answer nothing; their tasks go on.
+	silent bool
+}
+
+// fakeWorkers is an in-memory set of workers. Their tasks move with the clock.
+type fakeWorkers struct {
+	mu    sync.Mutex
+	hosts map[host.ID]*fakeHost
+	// behave decides what a task does; nil means that it runs for ten seconds.
+	behave func(id host.ID, spec platform.TaskSpec) behaviour
+	// loseStarts is the number of coming starts that take effect and lose their answer.
+	loseStarts int
+	// starts counts the started tasks by job, log holds them in order.
+	starts  map[string]int
+	log     []fakeStart
+	objects map[string][]byte
+}
+
+type fakeStart struct {
+	host host.ID
+	spec platform.TaskSpec
+	at   time.Time
+}
+
+func (f *fakeWorkers) platform() platform.Workers {
+	return platform.Workers{
+		Start: f.start, Renew: f.renew, Tasks: f.statuses, Checkpoint: f.save, Throttle: f.throttle, Stop: f.stop,
+	}
+}
+
+func (f *fakeWorkers) objectStore() platform.Objects {
+	return platform.Objects{Get: func(_ context.Context, name string) ([]byte, error) {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		content, ok := f.objects[name]
+		if !ok {
+			return nil, platform.ErrNotFound{Kind: "object", Name: name}
+		}
+		return content, nil
+	}}
+}
+
+// enter locks, and brings the host's tasks up to now. The caller unlocks if there is no error.
+func (f *fakeWorkers) enter(id host.ID, pool string, epoch uint64) (*fakeHost, error) {
+	f.mu.Lock()
+	h := f.host(id)
+	if h.silent {
+		f.mu.Unlock()
+		return nil, platform.ErrUnavailable{Service: "worker", Reason: "silent"}
+	}
+	if pool != "" && epoch < h.epoch[pool] {
+		f.mu.Unlock()
+		return nil, platform.ErrStaleEpoch{Host: string(id), Epoch: epoch, Highest: h.epoch[pool]}
+	}
+	if pool != "" {
+		h.epoch[pool] = epoch
+	}
+	f.advance(h)
+	return h, nil
+}
+
+func (f *fakeWorkers) host(id host.ID) *fakeHost {
+	if f.hosts == nil {
+		f.hosts = make(map[host.ID]*fakeHost)
+		f.starts = make(map[string]int)
+		f.objects = make(map[string][]byte)
+	}
+	h := f.hosts[id]
+	if h == nil {
+		h = &fakeHost{tasks: make(map[string]*fakeTask), epoch: make(map[string]uint64)}
+		f.hosts[id] = h
+	}
+	return h
+}
+
+func (f *fakeWorkers) advance(h *fakeHost) {
+	now := time.Now()
+	for _, t := range h.tasks {
+		if t.state != platform.TaskRunning {
+			continue
+		}
+		end := t.start.Add(t.behaviour.duration)
+		switch {
+		case t.leaseEnd.Before(now) && t.leaseEnd.Before(end):
+			t.state, t.ended = platform.TaskLapsed, t.leaseEnd
+		case !end.After(now) && t.behaviour.failure != "":
+			t.state, t.ended = platform.TaskFailed, end
+		case !end.After(now):
+			t.state, t.ended = platform.TaskFinished, end
+			f.objects["result-"+t.spec.Task] = []byte("result of " + t.spec.Job)
+		}
+	}
+}
+
+func (f *fakeWorkers) start(_ context.Context, id host.ID, spec platform.TaskSpec) error {
+	h, err := f.enter(id, spec.Pool, spec.Epoch)
+	if err != nil {
+		return err
+	}
+	defer f.mu.Unlock()
+	if h.tasks[spec.Task] == nil {
+		b := behaviour{duration: 10 * time.Second, cores: 1, memory: 1 << 30, checkpoints: true}
+		if f.behave != nil {
+			b = f.behave(id, spec)
+		}
+		now := time.Now()
+		h.tasks[spec.Task] = &fakeTask{spec: spec, behaviour: b, start: now, leaseEnd: now.Add(spec.Lease), checkpoint: spec.Checkpoint}
+		f.starts[spec.Job]++
+		f.log = append(f.log, fakeStart{id, spec, now})
+	}
+	if f.loseStarts > 0 {
+		f.loseStarts--
+		return platform.ErrOutcomeUnknown{Service: "worker", Reason: "answer lost"}
+	}
+	return nil
+}
+
+func (f *fakeWorkers) renew(_ context.Context, id host.ID, lease platform.Lease) error {
+	h, err := f.enter(id, lease.Pool, lease.Epoch)
+	if err != nil {
+		return err
+	}
+	defer f.mu.Unlock()
+	for _, name := range lease.Tasks {
+		if t := h.tasks[name]; t != nil {
+			t.leaseEnd = time.Now().Add(lease.Duration)
+		}
+	}
+	return nil
+}
+
+func (f *fakeWorkers) statuses(_ context.Context, id host.ID) ([]platform.TaskStatus, error) {
+	h, err := f.enter(id, "", 0)
+	if err != nil {
+		return nil, err
+	}
+	defer f.mu.Unlock()
+	var list []platform.TaskStatus
+	for name, t := range h.tasks {
+		s := platform.TaskStatus{
+			Task: name, Job: t.spec.Job, Pool: t.spec.Pool, State: t.state, Checkpoint: t.checkpoint,
+			UsedCores: t.behaviour.cores, UsedMemoryBytes: t.behaviour.memory,
+		}
+		switch t.state {
+		case platform.TaskFinished:
+			s.Result = "result-" + name
+			sum := sha256.Sum256(f.objects[s.Result])
+			s.ResultDigest = hex.EncodeToString(sum[:])
+		case platform.TaskFailed:
+			s.Failure = t.behaviour.failure
+		}
+		list = append(list, s)
+	}
+	return list, nil
+}
+
+func (f *fakeWorkers) command(id host.ID, c platform.TaskCommand, apply func(t *fakeTask)) error {
+	h, err := f.enter(id, c.Pool, c.Epoch)
+	if err != nil {
+		return err
+	}
+	defer f.mu.Unlock()
+	t := h.tasks[c.Task]
+	if t == nil {
+		return platform.ErrNotFound{Kind: "task", Name: c.Task}
+	}
+	if t.state == platform.TaskRunning {
+		apply(t)
+	}
+	return nil
+}
+
+func (f *fakeWorkers) save(_ context.Context, id host.ID, c platform.TaskCommand) error {
+	return f.command(id, c, func(t *fakeTask) {
+		if t.behaviour.checkpoints {
+			t.checkpoint = fmt.Sprintf("checkpoint-%s-%d", c.Task, time.Since(t.start)/time.Second)
+		}
+	})
+}
+
+func (f *fakeWorkers) throttle(_ context.Context, id host.ID, c platform.TaskCommand, share float64) error {
+	return f.command(id, c, func(t *fakeTask) { t.throttled = share })
+}
+
+func (f *fakeWorkers) stop(_ context.Context, id host.ID, c platform.TaskCommand) error {
+	return f.command(id, c, func(t *fakeTask) { t.state, t.ended = platform.TaskStopped, time.Now() })
+}
+
+// running counts the running tasks of a job over all hosts.
+func (f *fakeWorkers) running(id job.ID) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := 0
+	for _, h := range f.hosts {
+		f.advance(h)
+		for _, t := range h.tasks {
+			if t.spec.Job == string(id) && t.state == platform.TaskRunning {
+				n++
+			}
+		}
+	}
+	return n
+}
