--- a/core/event/event.go
+++ b/core/event/event.go
@@ -4,6 +4,8 @@
 // hundred. docs/EVENTS.md is generated from the catalogue.
 package event
 
+import "slices"
+
 //go:generate go run github.com/dmarkham/enumer@v1.7.2 -type=Number -transform=kebab -text -output=number_enumer.go
 
 // Number identifies a kind of event. Numbers are never reused.
@@ -68,3 +70,14 @@
 	}
 	return ""
 }
+
+// Subsystems returns the names of all subsystems, in the order of their numbers.
+func Subsystems() []string {
+	var names []string
+	for _, entry := range Catalogue() {
+		if !slices.Contains(names, entry.Subsystem) {
+			names = append(names, entry.Subsystem)
+		}
+	}
+	return names
+}
--- /dev/null
+++ b/io/logs/logs.go
@@ -0,0 +1,79 @@
+// Package logs writes events as structured log lines, switched on by subsystem.
+package logs
+
+import (
+	"io"
+	"slices"
+
+	"github.com/phuslu/log"
+
+	"siskincross/core/event"
+)
+
+// Logger writes events as one JSON object a line. The zero value writes every
+// event to standard error.
+type Logger struct {
+	// Writer receives the lines; nil means standard error.
+	Writer io.Writer
+	// Level is the lowest level written: "debug", "info", "warn" or "error"; empty means "debug".
+	Level string
+	// Subsystems are the subsystems written; empty means all.
+	Subsystems []string
+}
+
+// Sink returns the function that a timeline.Recorder calls with every event.
+func (l Logger) Sink() func(event.Event) {
+	logger := l.build()
+	return func(e event.Event) {
+		if l.wants(e.Number) {
+			write(logger, e)
+		}
+	}
+}
+
+func (l Logger) build() *log.Logger {
+	logger := &log.Logger{Level: log.DebugLevel}
+	if l.Level != "" {
+		logger.Level = log.ParseLevel(l.Level)
+	}
+	if l.Writer != nil {
+		logger.Writer = &log.IOWriter{Writer: l.Writer}
+	}
+	return logger
+}
+
+func (l Logger) wants(n event.Number) bool {
+	return len(l.Subsystems) == 0 || slices.Contains(l.Subsystems, n.Subsystem())
+}
+
+func write(logger *log.Logger, e event.Event) {
+	line := logger.WithLevel(levelOf(e.Number))
+	line.Int("event", int(e.Number))
+	line.Str("name", e.Number.String())
+	line.Str("process", e.Process)
+	line.Str("id", string(e.ID))
+	text(line, "cause", string(e.Cause))
+	text(line, "organisation", e.Organisation)
+	text(line, "pool", e.Pool)
+	text(line, "host", e.Host)
+	text(line, "job", e.Job)
+	text(line, "request", e.Request)
+	line.Msg(e.Detail)
+}
+
+func text(line *log.Entry, key, value string) {
+	if value != "" {
+		line.Str(key, value)
+	}
+}
+
+func levelOf(n event.Number) log.Level {
+	switch n.Level() {
+	case event.LevelDebug:
+		return log.DebugLevel
+	case event.LevelWarn:
+		return log.WarnLevel
+	default:
+		return log.InfoLevel
+	}
+}
