--- /dev/null
+++ b/core/duty/member.go
@@ -0,0 +1,113 @@
+// Package duty decides which entry hosts are alive and which of them holds the
+// duty of a pool.
+package duty
+
+import (
+	"sort"
+	"time"
+
+	"siskincross/core/host"
+)
+
+// Member is the value of an entry host's member row. Only that entry host writes it.
+type Member struct {
+	Name    string `json:"name"`
+	Zone    string `json:"zone"`
+	Address string `json:"address"`
+	// Beat counts the writes of the row.
+	Beat uint64 `json:"beat"`
+	// Rows holds the versions of the pools' rows that the member wrote or holds, by pool.
+	Rows map[string]uint64 `json:"rows,omitempty"`
+	// Routes acknowledges the version of each pool's row that the member routes
+	// by, for the pools that have hosts out of service.
+	Routes map[string]uint64 `json:"routes,omitempty"`
+	// Busy counts the member's own requests in progress on hosts that no version in Routes has.
+	Busy map[host.ID]int `json:"busy,omitempty"`
+}
+
+// Sighting is one member row of one poll.
+type Sighting struct {
+	Member  Member
+	Version uint64
+}
+
+// Ledger judges members by what its owner has observed. The zero value has
+// seen nobody. Ledgers are immutable.
+//
+// A member lapses when its row's version has not changed for the whole lease
+// by the observer's own clock. Only time in which the observer itself could
+// read and write the table service counts, so that an outage of the service or
+// a pause of the observer lapses nobody.
+type Ledger struct {
+	// Lease is how long a row may stay unchanged.
+	Lease   time.Duration
+	records map[string]record
+}
+
+type record struct {
+	sighting Sighting
+	// unchanged is how long the row has had this version.
+	unchanged time.Duration
+	// observed is how long the member has been live without a break.
+	observed time.Duration
+}
+
+// WithPoll returns the ledger after a poll that saw all rows, elapsed after the one before.
+func (l Ledger) WithPoll(rows []Sighting, elapsed time.Duration) Ledger {
+	records := make(map[string]record, len(rows))
+	for _, row := range rows {
+		name := row.Member.Name
+		previous, known := l.records[name]
+		next := record{sighting: row}
+		if known && previous.unchanged < l.Lease {
+			next.observed = previous.observed + elapsed
+		}
+		if known && previous.sighting.Version == row.Version {
+			next.unchanged = previous.unchanged + elapsed
+		}
+		records[name] = next
+	}
+	return Ledger{Lease: l.Lease, records: records}
+}
+
+// Live returns the names of the members that have not lapsed, sorted.
+func (l Ledger) Live() []string {
+	return l.names(func(r record) bool { return r.unchanged < l.Lease })
+}
+
+// Lapsed returns the names of the members whose rows are there and lapsed, sorted.
+func (l Ledger) Lapsed() []string {
+	return l.names(func(r record) bool { return r.unchanged >= l.Lease })
+}
+
+// All returns the names of the members whose rows are there, sorted.
+func (l Ledger) All() []string {
+	return l.names(func(record) bool { return true })
+}
+
+// Settled returns the names of the live members that have been observed for at least d, sorted.
+func (l Ledger) Settled(d time.Duration) []string {
+	return l.names(func(r record) bool { return r.unchanged < l.Lease && r.observed >= d })
+}
+
+// LongLapsed returns the names of the members that lapsed at least d ago, sorted.
+func (l Ledger) LongLapsed(d time.Duration) []string {
+	return l.names(func(r record) bool { return r.unchanged >= l.Lease+d })
+}
+
+// Member returns the newest row of a member.
+func (l Ledger) Member(name string) (Sighting, bool) {
+	r, ok := l.records[name]
+	return r.sighting, ok
+}
+
+func (l Ledger) names(keep func(record) bool) []string {
+	names := make([]string, 0, len(l.records))
+	for name, r := range l.records {
+		if keep(r) {
+			names = append(names, name)
+		}
+	}
+	sort.Strings(names)
+	return names
+}
--- a/core/event/number_enumer.go
+++ b/core/event/number_enumer.go
@@ -12,8 +12,8 @@
 	_NumberLowerName_0 = "process-startedprocess-servingprocess-stoppingprocess-stopped"
 	_NumberName_1      = "request-answeredrequest-not-runrequest-unknown"
 	_NumberLowerName_1 = "request-answeredrequest-not-runrequest-unknown"
-	_NumberName_2      = "member-joinedmember-lapsedduty-takenduty-released"
-	_NumberLowerName_2 = "member-joinedmember-lapsedduty-takenduty-released"
+	_NumberName_2      = "member-joinedmember-lapsedduty-takenduty-releasedhost-adoptedhost-draininghost-drainedhost-rebootinghost-readyhost-servinghost-failedhost-leavinghost-forgottenhost-movedwork-refusedwork-resumeddrain-overduemaintenance-behindlist-doubtedlist-trustedroutes-silencedroutes-vouchedduty-conflict"
+	_NumberLowerName_2 = "member-joinedmember-lapsedduty-takenduty-releasedhost-adoptedhost-draininghost-drainedhost-rebootinghost-readyhost-servinghost-failedhost-leavinghost-forgottenhost-movedwork-refusedwork-resumeddrain-overduemaintenance-behindlist-doubtedlist-trustedroutes-silencedroutes-vouchedduty-conflict"
 	_NumberName_3      = "job-accepted"
 	_NumberLowerName_3 = "job-accepted"
 	_NumberName_4      = "config-acceptedconfig-in-force"
@@ -27,7 +27,7 @@
 var (
 	_NumberIndex_0 = [...]uint8{0, 15, 30, 46, 61}
 	_NumberIndex_1 = [...]uint8{0, 16, 31, 46}
-	_NumberIndex_2 = [...]uint8{0, 13, 26, 36, 49}
+	_NumberIndex_2 = [...]uint16{0, 13, 26, 36, 49, 61, 74, 86, 100, 110, 122, 133, 145, 159, 169, 181, 193, 206, 224, 236, 248, 263, 277, 290}
 	_NumberIndex_3 = [...]uint8{0, 12}
 	_NumberIndex_4 = [...]uint8{0, 15, 30}
 	_NumberIndex_5 = [...]uint8{0, 14, 23}
@@ -42,7 +42,7 @@
 	case 200 <= i && i <= 202:
 		i -= 200
 		return _NumberName_1[_NumberIndex_1[i]:_NumberIndex_1[i+1]]
-	case 300 <= i && i <= 303:
+	case 300 <= i && i <= 322:
 		i -= 300
 		return _NumberName_2[_NumberIndex_2[i]:_NumberIndex_2[i+1]]
 	case i == 400:
@@ -76,6 +76,25 @@
 	_ = x[MemberLapsed-(301)]
 	_ = x[DutyTaken-(302)]
 	_ = x[DutyReleased-(303)]
+	_ = x[HostAdopted-(304)]
+	_ = x[HostDraining-(305)]
+	_ = x[HostDrained-(306)]
+	_ = x[HostRebooting-(307)]
+	_ = x[HostReady-(308)]
+	_ = x[HostServing-(309)]
+	_ = x[HostFailed-(310)]
+	_ = x[HostLeaving-(311)]
+	_ = x[HostForgotten-(312)]
+	_ = x[HostMoved-(313)]
+	_ = x[WorkRefused-(314)]
+	_ = x[WorkResumed-(315)]
+	_ = x[DrainOverdue-(316)]
+	_ = x[MaintenanceBehind-(317)]
+	_ = x[ListDoubted-(318)]
+	_ = x[ListTrusted-(319)]
+	_ = x[RoutesSilenced-(320)]
+	_ = x[RoutesVouched-(321)]
+	_ = x[DutyConflict-(322)]
 	_ = x[JobAccepted-(400)]
 	_ = x[ConfigAccepted-(500)]
 	_ = x[ConfigInForce-(501)]
@@ -86,50 +105,88 @@
 	_ = x[CommitOutcomeResolved-(702)]
 }
 
-var _NumberValues = []Number{ProcessStarted, ProcessServing, ProcessStopping, ProcessStopped, RequestAnswered, RequestNotRun, RequestUnknown, MemberJoined, MemberLapsed, DutyTaken, DutyReleased, JobAccepted, ConfigAccepted, ConfigInForce, PeerConnected, PeerLost, StoreUnavailable, StoreRecovered, CommitOutcomeResolved}
+var _NumberValues = []Number{ProcessStarted, ProcessServing, ProcessStopping, ProcessStopped, RequestAnswered, RequestNotRun, RequestUnknown, MemberJoined, MemberLapsed, DutyTaken, DutyReleased, HostAdopted, HostDraining, HostDrained, HostRebooting, HostReady, HostServing, HostFailed, HostLeaving, HostForgotten, HostMoved, WorkRefused, WorkResumed, DrainOverdue, MaintenanceBehind, ListDoubted, ListTrusted, RoutesSilenced, RoutesVouched, DutyConflict, JobAccepted, ConfigAccepted, ConfigInForce, PeerConnected, PeerLost, StoreUnavailable, StoreRecovered, CommitOutcomeResolved}
 
 var _NumberNameToValueMap = map[string]Number{
-	_NumberName_0[0:15]:  ProcessStarted,
-	_NumberName_0[15:30]: ProcessServing,
-	_NumberName_0[30:46]: ProcessStopping,
-	_NumberName_0[46:61]: ProcessStopped,
-	_NumberName_1[0:16]:  RequestAnswered,
-	_NumberName_1[16:31]: RequestNotRun,
-	_NumberName_1[31:46]: RequestUnknown,
-	_NumberName_2[0:13]:  MemberJoined,
-	_NumberName_2[13:26]: MemberLapsed,
-	_NumberName_2[26:36]: DutyTaken,
-	_NumberName_2[36:49]: DutyReleased,
-	_NumberName_3[0:12]:  JobAccepted,
-	_NumberName_4[0:15]:  ConfigAccepted,
-	_NumberName_4[15:30]: ConfigInForce,
-	_NumberName_5[0:14]:  PeerConnected,
-	_NumberName_5[14:23]: PeerLost,
-	_NumberName_6[0:17]:  StoreUnavailable,
-	_NumberName_6[17:32]: StoreRecovered,
-	_NumberName_6[32:55]: CommitOutcomeResolved,
+	_NumberName_0[0:15]:    ProcessStarted,
+	_NumberName_0[15:30]:   ProcessServing,
+	_NumberName_0[30:46]:   ProcessStopping,
+	_NumberName_0[46:61]:   ProcessStopped,
+	_NumberName_1[0:16]:    RequestAnswered,
+	_NumberName_1[16:31]:   RequestNotRun,
+	_NumberName_1[31:46]:   RequestUnknown,
+	_NumberName_2[0:13]:    MemberJoined,
+	_NumberName_2[13:26]:   MemberLapsed,
+	_NumberName_2[26:36]:   DutyTaken,
+	_NumberName_2[36:49]:   DutyReleased,
+	_NumberName_2[49:61]:   HostAdopted,
+	_NumberName_2[61:74]:   HostDraining,
+	_NumberName_2[74:86]:   HostDrained,
+	_NumberName_2[86:100]:  HostRebooting,
+	_NumberName_2[100:110]: HostReady,
+	_NumberName_2[110:122]: HostServing,
+	_NumberName_2[122:133]: HostFailed,
+	_NumberName_2[133:145]: HostLeaving,
+	_NumberName_2[145:159]: HostForgotten,
+	_NumberName_2[159:169]: HostMoved,
+	_NumberName_2[169:181]: WorkRefused,
+	_NumberName_2[181:193]: WorkResumed,
+	_NumberName_2[193:206]: DrainOverdue,
+	_NumberName_2[206:224]: MaintenanceBehind,
+	_NumberName_2[224:236]: ListDoubted,
+	_NumberName_2[236:248]: ListTrusted,
+	_NumberName_2[248:263]: RoutesSilenced,
+	_NumberName_2[263:277]: RoutesVouched,
+	_NumberName_2[277:290]: DutyConflict,
+	_NumberName_3[0:12]:    JobAccepted,
+	_NumberName_4[0:15]:    ConfigAccepted,
+	_NumberName_4[15:30]:   ConfigInForce,
+	_NumberName_5[0:14]:    PeerConnected,
+	_NumberName_5[14:23]:   PeerLost,
+	_NumberName_6[0:17]:    StoreUnavailable,
+	_NumberName_6[17:32]:   StoreRecovered,
+	_NumberName_6[32:55]:   CommitOutcomeResolved,
 }
 
 var _NumberLowerNameToValueMap = map[string]Number{
-	_NumberLowerName_0[0:15]:  ProcessStarted,
-	_NumberLowerName_0[15:30]: ProcessServing,
-	_NumberLowerName_0[30:46]: ProcessStopping,
-	_NumberLowerName_0[46:61]: ProcessStopped,
-	_NumberLowerName_1[0:16]:  RequestAnswered,
-	_NumberLowerName_1[16:31]: RequestNotRun,
-	_NumberLowerName_1[31:46]: RequestUnknown,
-	_NumberLowerName_2[0:13]:  MemberJoined,
-	_NumberLowerName_2[13:26]: MemberLapsed,
-	_NumberLowerName_2[26:36]: DutyTaken,
-	_NumberLowerName_2[36:49]: DutyReleased,
-	_NumberLowerName_3[0:12]:  JobAccepted,
-	_NumberLowerName_4[0:15]:  ConfigAccepted,
-	_NumberLowerName_4[15:30]: ConfigInForce,
-	_NumberLowerName_5[0:14]:  PeerConnected,
-	_NumberLowerName_5[14:23]: PeerLost,
-	_NumberLowerName_6[0:17]:  StoreUnavailable,
-	_NumberLowerName_6[17:32]: StoreRecovered,
-	_NumberLowerName_6[32:55]: CommitOutcomeResolved,
+	_NumberLowerName_0[0:15]:    ProcessStarted,
+	_NumberLowerName_0[15:30]:   ProcessServing,
+	_NumberLowerName_0[30:46]:   ProcessStopping,
+	_NumberLowerName_0[46:61]:   ProcessStopped,
+	_NumberLowerName_1[0:16]:    RequestAnswered,
+	_NumberLowerName_1[16:31]:   RequestNotRun,
+	_NumberLowerName_1[31:46]:   RequestUnknown,
+	_NumberLowerName_2[0:13]:    MemberJoined,
+	_NumberLowerName_2[13:26]:   MemberLapsed,
+	_NumberLowerName_2[26:36]:   DutyTaken,
+	_NumberLowerName_2[36:49]:   DutyReleased,
+	_NumberLowerName_2[49:61]:   HostAdopted,
+	_NumberLowerName_2[61:74]:   HostDraining,
+	_NumberLowerName_2[74:86]:   HostDrained,
+	_NumberLowerName_2[86:100]:  HostRebooting,
+	_NumberLowerName_2[100:110]: HostReady,
+	_NumberLowerName_2[110:122]: HostServing,
+	_NumberLowerName_2[122:133]: HostFailed,
+	_NumberLowerName_2[133:145]: HostLeaving,
+	_NumberLowerName_2[145:159]: HostForgotten,
+	_NumberLowerName_2[159:169]: HostMoved,
+	_NumberLowerName_2[169:181]: WorkRefused,
+	_NumberLowerName_2[181:193]: WorkResumed,
+	_NumberLowerName_2[193:206]: DrainOverdue,
+	_NumberLowerName_2[206:224]: MaintenanceBehind,
+	_NumberLowerName_2[224:236]: ListDoubted,
+	_NumberLowerName_2[236:248]: ListTrusted,
+	_NumberLowerName_2[248:263]: RoutesSilenced,
+	_NumberLowerName_2[263:277]: RoutesVouched,
+	_NumberLowerName_2[277:290]: DutyConflict,
+	_NumberLowerName_3[0:12]:    JobAccepted,
+	_NumberLowerName_4[0:15]:    ConfigAccepted,
+	_NumberLowerName_4[15:30]:   ConfigInForce,
+	_NumberLowerName_5[0:14]:    PeerConnected,
+	_NumberLowerName_5[14:23]:   PeerLost,
+	_NumberLowerName_6[0:17]:    StoreUnavailable,
+	_NumberLowerName_6[17:32]:   StoreRecovered,
+	_NumberLowerName_6[32:55]:   CommitOutcomeResolved,
 }
 
 var _NumberNames = []string{
@@ -144,6 +201,25 @@
 	_NumberName_2[13:26],
 	_NumberName_2[26:36],
 	_NumberName_2[36:49],
+	_NumberName_2[49:61],
+	_NumberName_2[61:74],
+	_NumberName_2[74:86],
+	_NumberName_2[86:100],
+	_NumberName_2[100:110],
+	_NumberName_2[110:122],
+	_NumberName_2[122:133],
+	_NumberName_2[133:145],
+	_NumberName_2[145:159],
+	_NumberName_2[159:169],
+	_NumberName_2[169:181],
+	_NumberName_2[181:193],
+	_NumberName_2[193:206],
+	_NumberName_2[206:224],
+	_NumberName_2[224:236],
+	_NumberName_2[236:248],
+	_NumberName_2[248:263],
+	_NumberName_2[263:277],
+	_NumberName_2[277:290],
 	_NumberName_3[0:12],
 	_NumberName_4[0:15],
 	_NumberName_4[15:30],
--- /dev/null
+++ b/core/pool/budget.go
@@ -0,0 +1,105 @@
+package pool
+
+import (
+	"fmt"
+	"time"
+
+	"siskincross/core/chart"
+	"siskincross/core/host"
+)
+
+// Disruptions counts the hosts of a pool that are out of service, by cause.
+type Disruptions struct {
+	Failed  int `json:"failed"`
+	Leaving int `json:"leaving"`
+	Planned int `json:"planned"`
+}
+
+// Total returns how many hosts count against the budget.
+func (d Disruptions) Total() int { return d.Failed + d.Leaving + d.Planned }
+
+// Disruptions counts the hosts of p that are out of service. A host that never
+// came back from planned work stays counted.
+func (p Pool) Disruptions() Disruptions {
+	var d Disruptions
+	for _, h := range p.Hosts {
+		switch h.State {
+		case host.Serving:
+		case host.Failed:
+			d.Failed++
+		case host.Leaving:
+			d.Leaving++
+		default:
+			d.Planned++
+		}
+	}
+	return d
+}
+
+// ErrBudget is returned when planned work would exceed the availability budget.
+type ErrBudget struct {
+	Pool           string
+	Disruptions    Disruptions
+	MaxUnavailable int
+}
+
+// Error implements error.
+func (e ErrBudget) Error() string {
+	return fmt.Sprintf("pool %s has %d of %d hosts of its budget out of service (%d failed, %d leaving, %d planned)",
+		e.Pool, e.Disruptions.Total(), e.MaxUnavailable, e.Disruptions.Failed, e.Disruptions.Leaving, e.Disruptions.Planned)
+}
+
+// ErrAbsent is returned when a pool does not have a host.
+type ErrAbsent struct {
+	Pool string
+	Host host.ID
+}
+
+// Error implements error.
+func (e ErrAbsent) Error() string {
+	return fmt.Sprintf("pool %s does not have host %s", e.Pool, e.Host)
+}
+
+// Room returns nil when p may take one more planned disruption.
+func (p Pool) Room(maxUnavailable int) error {
+	d := p.Disruptions()
+	if d.Total()+1 > maxUnavailable {
+		return ErrBudget{Pool: p.Name, Disruptions: d, MaxUnavailable: maxUnavailable}
+	}
+	return nil
+}
+
+// WithWork takes a disruption from the budget and starts to drain a host for it.
+func (p Pool) WithWork(id host.ID, work Work, maxUnavailable int, now time.Time) (Pool, error) {
+	if err := p.Room(maxUnavailable); err != nil {
+		return p, err
+	}
+	next, err := p.WithEvent(id, host.Drain, "drained for "+work.Purpose.String(), now)
+	if err != nil {
+		return p, err
+	}
+	h, _ := next.Host(id)
+	h.Work = work
+	return next.WithHost(h), nil
+}
+
+// WithEvent returns p after a host's event, or the refusal of the host's chart.
+// A host whose planned work is over or was overtaken by a failure has no work left.
+func (p Pool) WithEvent(id host.ID, event chart.Event, reason string, now time.Time) (Pool, error) {
+	h, ok := p.Host(id)
+	if !ok {
+		return p, ErrAbsent{Pool: p.Name, Host: id}
+	}
+	next, err := host.Chart.Next(h.State, event)
+	if err != nil {
+		return p, err
+	}
+	if next == host.Gone {
+		return p.WithoutHost(id), nil
+	}
+	h.State, h.Reason, h.Since = next, reason, now
+	if event == host.Fail || event == host.Leave || event == host.Cancel || event == host.Serve {
+		h.Work = Work{}
+	}
+	return p.WithHost(h), nil
+}
--- /dev/null
+++ b/core/pool/list.go
@@ -0,0 +1,181 @@
+package pool
+
+import (
+	"fmt"
+	"time"
+
+	"siskincross/core/host"
+)
+
+// Line is one line of the platform's list of hosts.
+type Line struct {
+	ID       host.ID
+	Address  string
+	Place    host.Place
+	Capacity host.Capacity
+	// HomePool is the pool that adopts the host at first sight.
+	HomePool string
+	// Live, Leaving and Failed give the condition; all false means that the host is restarting.
+	Live, Leaving, Failed bool
+	// Boot counts the host's starts.
+	Boot int
+}
+
+// List is what successive readings of the platform's list told. The zero value
+// has read nothing. Lists are immutable.
+//
+// A reading in which more than a third of the hosts are missing, or more than
+// half of the live hosts are failed, is doubted: a fault of the list is
+// likelier than the end of half of the fleet. Missing hosts of a doubted
+// reading stay as they were for as long as the doubt lasts; a mass failure is
+// believed after Doubt.
+type List struct {
+	// Doubt is how long a mass failure must be listed until it is believed.
+	Doubt   time.Duration
+	entries map[host.ID]entry
+	// doubted is when the present doubt began; zero when there is none.
+	doubted time.Time
+	reason  string
+}
+
+type entry struct {
+	line   Line
+	listed bool
+	// since is when the list began to tell this of the host.
+	since time.Time
+}
+
+// WithReading returns the list after one more reading at now.
+func (l List) WithReading(lines []Line, now time.Time) List {
+	c := l.compare(lines)
+	shrunken := 3*c.missing > c.listed
+	collapsed := 2*c.collapsed > c.live
+	next := List{Doubt: l.Doubt, entries: make(map[host.ID]entry, len(l.entries)), doubted: l.doubted}
+	next.noteDoubt(shrunken, collapsed, c, now)
+	believed := !collapsed || now.Sub(next.doubted) >= l.Doubt
+	for id, e := range l.entries {
+		next.entries[id] = e
+	}
+	seen := make(map[host.ID]bool, len(lines))
+	for _, line := range lines {
+		seen[line.ID] = true
+		next.observe(line, believed, now)
+	}
+	if !shrunken {
+		next.observeMissing(seen, now)
+	}
+	return next
+}
+
+// Doubted returns why the newest reading was doubted, or "".
+func (l List) Doubted() string { return l.reason }
+
+// Known reports whether any reading was made.
+func (l List) Known() bool { return l.entries != nil }
+
+// Line returns the newest line of a host that the list has shown.
+func (l List) Line(id host.ID) (Line, bool) {
+	e, ok := l.entries[id]
+	return e.line, ok && e.listed
+}
+
+// Lines calls yield for each listed host, in no order.
+func (l List) Lines(yield func(Line) bool) {
+	for _, e := range l.entries {
+		if e.listed && !yield(e.line) {
+			return
+		}
+	}
+}
+
+// Sight returns what the list tells of a host. A host that was never listed has been missing since the first reading.
+func (l List) Sight(id host.ID, started, now time.Time) Sight {
+	e, ok := l.entries[id]
+	if !ok {
+		return Sight{Unchanged: now.Sub(started)}
+	}
+	s := Sight{Listed: e.listed, Boot: e.line.Boot, Unchanged: now.Sub(e.since)}
+	if e.listed {
+		s.Live, s.Leaving, s.Failed = e.line.Live, e.line.Leaving, e.line.Failed
+	}
+	return s
+}
+
+// comparison counts hosts of the list before a reading.
+type comparison struct {
+	listed, live int
+	// missing hosts were listed and are not in the reading.
+	missing int
+	// collapsed hosts were live and are failed in the reading.
+	collapsed int
+}
+
+func (l List) compare(lines []Line) comparison {
+	read := make(map[host.ID]Line, len(lines))
+	for _, line := range lines {
+		read[line.ID] = line
+	}
+	var c comparison
+	for id, e := range l.entries {
+		if !e.listed {
+			continue
+		}
+		line, ok := read[id]
+		c.listed++
+		if !ok {
+			c.missing++
+		}
+		if e.line.Live {
+			c.live++
+		}
+		if e.line.Live && line.Failed {
+			c.collapsed++
+		}
+	}
+	return c
+}
+
+func (l *List) noteDoubt(shrunken, collapsed bool, c comparison, now time.Time) {
+	if !shrunken && !collapsed {
+		l.doubted = time.Time{}
+		return
+	}
+	if l.doubted.IsZero() {
+		l.doubted = now
+	}
+	l.reason = fmt.Sprintf("%d of %d hosts are missing from the list at once", c.missing, c.listed)
+	if !shrunken {
+		l.reason = fmt.Sprintf("%d of %d live hosts are listed as failed at once", c.collapsed, c.live)
+	}
+}
+
+func (l *List) observe(line Line, believed bool, now time.Time) {
+	e, ok := l.entries[line.ID]
+	if ok && !believed && e.listed && e.line.Live && line.Failed {
+		return
+	}
+	same := ok && e.listed && e.line.Live == line.Live && e.line.Leaving == line.Leaving && e.line.Failed == line.Failed
+	if !same {
+		e.since = now
+	}
+	e.line, e.listed = line, true
+	l.entries[line.ID] = e
+}
+
+// longMissing is how long a missing host is remembered.
+const longMissing = 24 * time.Hour
+
+func (l *List) observeMissing(seen map[host.ID]bool, now time.Time) {
+	for id, e := range l.entries {
+		if seen[id] {
+			continue
+		}
+		if e.listed {
+			e.listed, e.since = false, now
+			l.entries[id] = e
+		}
+		if now.Sub(e.since) >= longMissing {
+			delete(l.entries, id)
+		}
+	}
+}
--- /dev/null
+++ b/core/pool/pool.go
@@ -0,0 +1,151 @@
+// Package pool decides over the hosts of one pool: their states, the
+// availability budget and the ownership of hosts.
+//
+// A Pool is the value of the pool's row. Every change is a method that returns
+// a new Pool; the caller commits it under the version of the row that it was
+// made from, so that two holders of one duty never both succeed.
+package pool
+
+import (
+	"sort"
+	"time"
+
+	"siskincross/core/chart"
+	"siskincross/core/host"
+)
+
+// Pool is the immutable row of one pool.
+type Pool struct {
+	// Name is "organisation/pool".
+	Name string `json:"name"`
+	// Holder is the member that holds the pool's duty; empty when it was released to nobody.
+	Holder string `json:"holder"`
+	// Epoch grows by one with every change of Holder.
+	Epoch uint64 `json:"epoch"`
+	// Hosts holds the pool's hosts, sorted by ID. A host is in the row of exactly one pool.
+	Hosts []Host `json:"hosts,omitempty"`
+	// Inbound holds the hosts that other pools drain for this one, sorted by ID.
+	Inbound []Inbound `json:"inbound,omitempty"`
+}
+
+// Host is one host as its pool's row records it.
+type Host struct {
+	ID       host.ID       `json:"id"`
+	Address  string        `json:"address"`
+	Place    host.Place    `json:"place"`
+	Capacity host.Capacity `json:"capacity"`
+	State    chart.State   `json:"state"`
+	// Work is the planned work that the host is out of service for; the zero value means none.
+	Work Work `json:"work,omitzero"`
+	// Boot is the count of starts that the list showed before a reboot of ours; a higher one ends the reboot.
+	Boot int `json:"boot"`
+	// Since is when the host entered State, by the clock of the holder of that time. No decision of safety reads it.
+	Since time.Time `json:"since"`
+	// Maintained is when the host last returned from a reboot of ours, or when it was adopted.
+	Maintained time.Time `json:"maintained"`
+	// Moved is when the host entered this pool from another; zero means never.
+	Moved time.Time `json:"moved,omitzero"`
+	// Reason says why the host is in State.
+	Reason string `json:"reason,omitempty"`
+	// Generation counts the pools that the host has been in.
+	Generation uint64 `json:"generation"`
+}
+
+// Work is a planned disruption of one host.
+type Work struct {
+	Purpose Purpose `json:"purpose"`
+	// Operation names the reboot, so that repeated commands restart the host once.
+	Operation string `json:"operation"`
+	// Destination is the pool that a move leads to.
+	Destination string `json:"destination,omitempty"`
+}
+
+//go:generate go run github.com/dmarkham/enumer@v1.7.2 -type=Purpose -transform=kebab -text -json -trimprefix=Purpose -output=purpose_enumer.go
+
+// Purpose says what planned work is for.
+type Purpose int
+
+// Purposes of planned work.
+const (
+	PurposeNone Purpose = iota
+	PurposeMaintenance
+	PurposeMove
+)
+
+// Inbound is a host that another pool drains for this one.
+type Inbound struct {
+	Host host.ID `json:"host"`
+	From string  `json:"from"`
+}
+
+// Ownership is the value of a host's own row.
+type Ownership struct {
+	Pool       string `json:"pool"`
+	Generation uint64 `json:"generation"`
+}
+
+// Host returns the host of that ID.
+func (p Pool) Host(id host.ID) (Host, bool) {
+	i := p.index(id)
+	if i == len(p.Hosts) || p.Hosts[i].ID != id {
+		return Host{}, false
+	}
+	return p.Hosts[i], true
+}
+
+// WithHost returns p with h added or replaced.
+func (p Pool) WithHost(h Host) Pool {
+	i := p.index(h.ID)
+	replaced := i < len(p.Hosts) && p.Hosts[i].ID == h.ID
+	hosts := make([]Host, 0, len(p.Hosts)+1)
+	hosts = append(hosts, p.Hosts[:i]...)
+	hosts = append(hosts, h)
+	if replaced {
+		i++
+	}
+	p.Hosts = append(hosts, p.Hosts[i:]...)
+	return p
+}
+
+// WithoutHost returns p without the host of that ID.
+func (p Pool) WithoutHost(id host.ID) Pool {
+	hosts := make([]Host, 0, len(p.Hosts))
+	for _, h := range p.Hosts {
+		if h.ID != id {
+			hosts = append(hosts, h)
+		}
+	}
+	p.Hosts = hosts
+	return p
+}
+
+// WithHolder returns p held by member under the next epoch.
+func (p Pool) WithHolder(member string) Pool {
+	p.Holder = member
+	p.Epoch++
+	return p
+}
+
+// withInbound returns p expecting a host.
+func (p Pool) withInbound(in Inbound) Pool {
+	p = p.WithoutInbound(in.Host)
+	p.Inbound = append(p.Inbound, in)
+	sort.Slice(p.Inbound, func(i, j int) bool { return p.Inbound[i].Host < p.Inbound[j].Host })
+	return p
+}
+
+// WithoutInbound returns p no longer expecting a host.
+func (p Pool) WithoutInbound(id host.ID) Pool {
+	inbound := make([]Inbound, 0, len(p.Inbound)+1)
+	for _, in := range p.Inbound {
+		if in.Host != id {
+			inbound = append(inbound, in)
+		}
+	}
+	p.Inbound = inbound
+	return p
+}
+
+func (p Pool) index(id host.ID) int {
+	return sort.Search(len(p.Hosts), func(i int) bool { return p.Hosts[i].ID >= id })
+}
--- /dev/null
+++ b/io/fleet/beat.go
@@ -0,0 +1,117 @@
+package fleet
+
+import (
+	"context"
+	"encoding/json"
+	"maps"
+	"time"
+
+	"siskincross/core/duty"
+	"siskincross/core/host"
+	"siskincross/io/platform"
+)
+
+const memberPrefix = "member/"
+
+// runBeats writes the member row until ctx ends.
+func (m *Manager) runBeats(ctx context.Context) error {
+	var beat uint64
+	return every(ctx, m.Periods.Heartbeat, m.urgent, func(ctx context.Context) {
+		beat++
+		m.beat(ctx, beat)
+	})
+}
+
+// beat writes the member row once. The row has one writer, so it needs no
+// precondition, and a lost answer is settled by the next beat.
+func (m *Manager) beat(ctx context.Context, count uint64) {
+	m.mu.Lock()
+	left := m.left
+	member := m.describe(time.Now())
+	m.mu.Unlock()
+	if left {
+		return
+	}
+	member.Beat = count
+	value, err := json.Marshal(member)
+	if err != nil {
+		return
+	}
+	tx := platform.Transaction{
+		Writes:  []platform.Write{{Key: memberPrefix + m.Member, Value: value}},
+		Purpose: "heartbeat",
+	}
+	if m.commit(ctx, tx) != nil {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.contact.beat = time.Now()
+}
+
+// beatSoon asks for a beat before the period is over.
+func (m *Manager) beatSoon() {
+	select {
+	case m.urgent <- struct{}{}:
+	default:
+	}
+}
+
+// touchedTime is how long a member advertises rows that it wrote and does not hold.
+const touchedTime = time.Minute
+
+// describe returns the member row. The caller holds the lock.
+func (m *Manager) describe(now time.Time) duty.Member {
+	member := duty.Member{
+		Name:    m.Member,
+		Zone:    m.Zone,
+		Address: m.PeerAddress,
+		Rows:    make(map[string]uint64),
+	}
+	for name, t := range m.touched {
+		if now.Sub(t.at) > touchedTime {
+			delete(m.touched, name)
+			continue
+		}
+		member.Rows[name] = t.version
+	}
+	for name, r := range m.rows {
+		if r.pool.Holder == m.Member {
+			member.Rows[name] = max(member.Rows[name], r.version)
+		}
+	}
+	member.Routes, member.Busy = m.acknowledge(now)
+	return member
+}
+
+// acknowledge returns the versions that this entry host has gone by for long
+// enough, for the pools with hosts out of service, and its requests in
+// progress on those hosts. The caller holds the lock.
+func (m *Manager) acknowledge(now time.Time) (map[string]uint64, map[host.ID]int) {
+	versions := make(map[string]uint64)
+	busy := make(map[host.ID]int)
+	for name, r := range m.rows {
+		current, ok := m.routes[name]
+		settled := ok && now.Sub(current.since) >= m.Periods.Acknowledge
+		if !settled || (r.pool.Disruptions().Total() == 0 && current.snapshot.Version == r.version) {
+			continue
+		}
+		versions[name] = current.snapshot.Version
+		maps.Copy(busy, m.busyOutside(name, current))
+	}
+	return versions, busy
+}
+
+// busyOutside returns the requests in progress on hosts that a snapshot does not have.
+func (m *Manager) busyOutside(name string, current routes) map[host.ID]int {
+	busy := make(map[host.ID]int)
+	if m.InProgress == nil {
+		return busy
+	}
+	for id, n := range m.InProgress(name) {
+		if n > 0 && !hasTarget(current.snapshot, id) {
+			busy[id] = n
+		}
+	}
+	return busy
+}
--- /dev/null
+++ b/io/fleet/duties_test.go
@@ -0,0 +1,196 @@
+package fleet_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"siskincross/core/host"
+	"siskincross/io/platform"
+	"siskincross/io/standin"
+)
+
+func TestAdoption(t *testing.T) {
+	withCluster(t, 5, 10, 3, func(c *cluster) {
+		time.Sleep(5 * time.Second)
+		c.assertHeld(c.managers...)
+		c.assertOnePoolEach()
+		for _, m := range c.managers {
+			for i := range 5 {
+				c.is.Equal(c.targets(m, i), 10) // targets of a pool at a member
+			}
+		}
+	})
+}
+
+func TestTakeover(t *testing.T) {
+	t.Run("killed holder within the lapse", func(t *testing.T) {
+		withCluster(t, 5, 4, 3, func(c *cluster) {
+			time.Sleep(20 * time.Second)
+			c.kill(c.managers[0])
+			time.Sleep(6 * time.Second)
+			c.assertHeld(c.managers[1:]...)
+		})
+	})
+	t.Run("paused holder decides nothing when it wakes", func(t *testing.T) {
+		withCluster(t, 5, 4, 3, func(c *cluster) {
+			time.Sleep(20 * time.Second)
+			before := c.pool(0)
+			paused := c.managerOf(before.Holder)
+			wake := paused.pause()
+			c.hosts.condition(hostName(0, 0), platform.ConditionFailed)
+			time.Sleep(time.Minute)
+			taken := c.pool(0)
+			c.is.Equal(taken.Epoch, before.Epoch+1) // one takeover
+			wake()
+			time.Sleep(3 * time.Second)
+			c.is.Equal(c.pool(0), taken) // the woken holder wrote nothing
+			_, holds := paused.Holds(poolName(0))
+			c.is.True(!holds)
+			time.Sleep(30 * time.Second)
+			c.assertHeld(c.managers...)
+		})
+	})
+	t.Run("all replaced one after another, two at once at the end", func(t *testing.T) {
+		withCluster(t, 5, 4, 7, func(c *cluster) {
+			time.Sleep(20 * time.Second)
+			for i := range 5 {
+				c.add()
+				c.is.NoErr(c.managers[i].HandOver(context.Background()))
+				c.kill(c.managers[i])
+				time.Sleep(15 * time.Second)
+				c.assertHeld(c.managers[i+1:]...)
+			}
+			c.add()
+			c.add()
+			c.kill(c.managers[5])
+			c.kill(c.managers[6])
+			time.Sleep(7 * time.Second)
+			c.assertHeld(c.managers[7:]...)
+			c.assertOnePoolEach()
+		})
+	})
+	t.Run("hand-over passes duties on without a lapse", func(t *testing.T) {
+		withCluster(t, 5, 4, 2, func(c *cluster) {
+			time.Sleep(20 * time.Second)
+			c.is.NoErr(c.managers[0].HandOver(context.Background()))
+			c.kill(c.managers[0])
+			time.Sleep(2 * time.Second)
+			c.assertHeld(c.managers[1])
+		})
+	})
+}
+
+func TestStoreOutage(t *testing.T) {
+	t.Run("lapses nobody", func(t *testing.T) {
+		withCluster(t, 5, 4, 3, func(c *cluster) {
+			time.Sleep(20 * time.Second)
+			epochs := c.epochs()
+			c.table.SetFaults(standin.TableFaults{Down: true})
+			time.Sleep(5 * time.Minute)
+			c.table.SetFaults(standin.TableFaults{})
+			time.Sleep(10 * time.Second)
+			c.is.Equal(c.epochs(), epochs) // no duty changed hands
+			c.assertHeld(c.managers...)
+		})
+	})
+	t.Run("lost answers are read back", func(t *testing.T) {
+		withCluster(t, 5, 4, 0, func(c *cluster) {
+			c.table.SetFaults(standin.TableFaults{LoseAnswers: 20})
+			c.add()
+			c.add()
+			time.Sleep(20 * time.Second)
+			c.assertHeld(c.managers...)
+			c.assertOnePoolEach()
+			c.is.Equal(len(c.pool(0).Hosts), 4)
+		})
+	})
+	t.Run("lost commits are tried again", func(t *testing.T) {
+		withCluster(t, 5, 4, 0, func(c *cluster) {
+			c.table.SetFaults(standin.TableFaults{LoseCommits: 20})
+			c.add()
+			c.add()
+			time.Sleep(20 * time.Second)
+			c.assertHeld(c.managers...)
+			c.assertOnePoolEach()
+		})
+	})
+	t.Run("member cut off from store and peers falls silent", func(t *testing.T) {
+		withCluster(t, 2, 4, 2, func(c *cluster) {
+			time.Sleep(10 * time.Second)
+			c.managers[0].setCut(true)
+			time.Sleep(3100 * time.Millisecond)
+			c.is.Equal(c.targets(c.managers[0], 0), -1) // no snapshot
+			c.is.Equal(c.targets(c.managers[1], 0), 4)
+			c.managers[0].setCut(false)
+			time.Sleep(2 * time.Second)
+			c.is.Equal(c.targets(c.managers[0], 0), 4)
+		})
+	})
+}
+
+func TestListedConditions(t *testing.T) {
+	t.Run("failed host leaves the snapshots and returns", func(t *testing.T) {
+		withCluster(t, 2, 4, 3, func(c *cluster) {
+			time.Sleep(10 * time.Second)
+			c.hosts.condition(hostName(0, 1), platform.ConditionFailed)
+			time.Sleep(3 * time.Second)
+			c.is.Equal(c.pool(0).Disruptions().Failed, 1)
+			for _, m := range c.managers {
+				c.is.Equal(c.targets(m, 0), 3)
+			}
+			c.hosts.condition(hostName(0, 1), platform.ConditionLive)
+			time.Sleep(15 * time.Second)
+			c.is.Equal(c.pool(0).Disruptions().Total(), 0)
+			c.is.Equal(c.targets(c.managers[0], 0), 4)
+		})
+	})
+	t.Run("leaving host gets no new work within three seconds during a store outage", func(t *testing.T) {
+		withCluster(t, 2, 4, 1, func(c *cluster) {
+			time.Sleep(10 * time.Second)
+			c.table.SetFaults(standin.TableFaults{Down: true})
+			time.Sleep(30 * time.Second)
+			c.hosts.condition(hostName(0, 1), platform.ConditionLeaving)
+			time.Sleep(3 * time.Second)
+			c.is.Equal(c.targets(c.managers[0], 0), 3)
+		})
+	})
+	t.Run("empty list takes no host away", func(t *testing.T) {
+		withCluster(t, 2, 4, 2, func(c *cluster) {
+			time.Sleep(10 * time.Second)
+			c.hosts.hide(func(platform.Listing) bool { return true })
+			time.Sleep(10 * time.Minute)
+			c.is.Equal(c.targets(c.managers[0], 0), 4)
+			c.is.Equal(c.pool(0).Disruptions().Total(), 0)
+		})
+	})
+	t.Run("missing host is failed, then forgotten, and adopted when it comes back", func(t *testing.T) {
+		withCluster(t, 2, 4, 0, func(c *cluster) {
+			c.periods.Forget = 5 * time.Minute
+			c.add()
+			c.add()
+			time.Sleep(10 * time.Second)
+			gone := hostName(0, 2)
+			c.hosts.hide(func(l platform.Listing) bool { return l.Host == gone })
+			time.Sleep(40 * time.Second)
+			c.assertState(0, gone, host.Failed)
+			time.Sleep(6 * time.Minute)
+			c.is.Equal(len(c.pool(0).Hosts), 3)
+			c.assertOnePoolEach()
+			c.hosts.hide(nil)
+			time.Sleep(10 * time.Second)
+			c.assertState(0, gone, host.Serving)
+		})
+	})
+	t.Run("flapping list changes nothing", func(t *testing.T) {
+		withCluster(t, 2, 4, 2, func(c *cluster) {
+			time.Sleep(20 * time.Second)
+			before := c.pool(0)
+			for n := range 30 {
+				c.hosts.hide(func(l platform.Listing) bool { return n%2 == 0 && l.Host == hostName(0, 2) })
+				time.Sleep(2 * time.Second)
+			}
+			c.is.Equal(c.pool(0), before)
+		})
+	})
+}
--- /dev/null
+++ b/io/fleet/list.go
@@ -0,0 +1,78 @@
+package fleet
+
+import (
+	"context"
+	"time"
+
+	"siskincross/core/event"
+	"siskincross/core/host"
+	"siskincross/core/pool"
+	"siskincross/io/platform"
+)
+
+// runList reads the platform's list of hosts until ctx ends. Every entry host
+// reads it itself: a host that is listed as leaving or failed gets no new work
+// here, also while nobody can write the pool's row.
+func (m *Manager) runList(ctx context.Context) error {
+	return every(ctx, m.Periods.List, nil, m.readList)
+}
+
+func (m *Manager) readList(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, m.Periods.Call)
+	defer cancel()
+	listings, err := m.Platform.Hosts.List(ctx)
+	if err != nil {
+		return
+	}
+	now := time.Now()
+	m.mu.Lock()
+	if m.listStarted.IsZero() && len(listings) > 0 {
+		m.listStarted = now
+	}
+	before := m.list
+	m.list = before.WithReading(lines(listings), now)
+	after := m.list
+	m.mu.Unlock()
+	m.reportDoubt(before.Doubted(), after.Doubted())
+}
+
+func (m *Manager) reportDoubt(before, after string) {
+	switch {
+	case before == "" && after != "":
+		m.record(event.Event{Number: event.ListDoubted, Detail: after})
+	case before != "" && after == "":
+		m.record(event.Event{Number: event.ListTrusted, Detail: before})
+	}
+}
+
+func lines(listings []platform.Listing) []pool.Line {
+	all := make([]pool.Line, 0, len(listings))
+	for _, l := range listings {
+		all = append(all, pool.Line{
+			ID:       l.Host,
+			Address:  l.Address,
+			Place:    l.Place,
+			Capacity: l.Capacity,
+			HomePool: l.HomePool,
+			Live:     l.Condition == platform.ConditionLive,
+			Leaving:  l.Condition == platform.ConditionLeaving,
+			Failed:   l.Condition == platform.ConditionFailed,
+			Boot:     l.Boot,
+		})
+	}
+	return all
+}
+
+// listed returns the list, and whether anything may be decided by it.
+func (m *Manager) listed() (pool.List, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.list, !m.listStarted.IsZero()
+}
+
+// sight returns what the list tells of a host.
+func (m *Manager) sight(id host.ID, now time.Time) pool.Sight {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.list.Sight(id, m.listStarted, now)
+}
--- /dev/null
+++ b/io/fleet/peers.go
@@ -0,0 +1,269 @@
+package fleet
+
+import (
+	"context"
+	"sort"
+	"time"
+
+	"siskincross/core/host"
+	"siskincross/core/route"
+	"siskincross/io/peer"
+	"siskincross/io/peer/peerpb"
+)
+
+// peerState is what one peer told over the link.
+type peerState struct {
+	// heard is when the peer last vouched.
+	heard time.Time
+	// storeAge was the age of the peer's last full read of the table service then.
+	storeAge time.Duration
+	// versions holds the versions of the pools' rows that the peer knows.
+	versions map[string]uint64
+	// reports holds the peer's acknowledgements of routes, by pool.
+	reports map[string]routeReport
+	// loads holds the peer's requests in progress, by pool.
+	loads map[string]map[host.ID]int
+}
+
+// maxLoadEntries bounds the hosts whose load is told in one period, for the sake of the link's traffic.
+const maxLoadEntries = 64
+
+// runPeers tells the peers about routes and load until ctx ends.
+func (m *Manager) runPeers(ctx context.Context) error {
+	var turn int
+	return every(ctx, m.Periods.Peers, nil, func(context.Context) {
+		m.reportTouch()
+		m.forgetPeers()
+		if m.Link.Broadcast == nil {
+			return
+		}
+		m.tellVouch(turn)
+		m.tellReports()
+		m.tellLoads()
+		turn++
+	})
+}
+
+// forgetPeers drops what peers told that have not been heard of for long.
+func (m *Manager) forgetPeers() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for name, p := range m.peers {
+		if time.Since(p.heard) > m.Periods.Bury {
+			delete(m.peers, name)
+		}
+	}
+}
+
+// fullVouch is the number of periods between vouches for the rows of all pools. The others name rows that changed.
+const fullVouch = 5
+
+// recentChange is how long a row counts as changed for vouches.
+const recentChange = 10 * time.Second
+
+func (m *Manager) tellVouch(turn int) {
+	now := time.Now()
+	vouch := &peerpb.Vouch{Versions: make(map[string]uint64)}
+	m.mu.Lock()
+	vouch.StoreAgeMillis = now.Sub(m.contact.read).Milliseconds()
+	for name, current := range m.routes {
+		if turn%fullVouch == 0 || now.Sub(current.since) < recentChange {
+			vouch.Versions[name] = current.snapshot.Version
+		}
+	}
+	m.mu.Unlock()
+	m.Link.Broadcast(&peerpb.Envelope{Member: m.Member, Body: &peerpb.Envelope_Vouch{Vouch: vouch}})
+}
+
+// tellReports acknowledges the routes of pools with hosts out of service.
+func (m *Manager) tellReports() {
+	m.mu.Lock()
+	versions, busy := m.acknowledge(time.Now())
+	m.mu.Unlock()
+	for name, version := range versions {
+		report := &peerpb.RouteReport{Pool: name, Version: version, InProgress: counts(busy)}
+		m.Link.Broadcast(&peerpb.Envelope{Member: m.Member, Body: &peerpb.Envelope_RouteReport{RouteReport: report}})
+	}
+}
+
+// tellLoads tells this entry host's requests in progress, some pools in each period.
+func (m *Manager) tellLoads() {
+	if m.InProgress == nil {
+		return
+	}
+	pools := m.Config().Pools
+	for told, i := 0, 0; told < maxLoadEntries && i < len(pools); i++ {
+		name := pools[m.nextLoad%len(pools)].Name
+		m.nextLoad++
+		load := m.InProgress(name)
+		told += len(load)
+		report := &peerpb.LoadReport{Pool: name, InProgress: counts(load)}
+		m.Link.Broadcast(&peerpb.Envelope{Member: m.Member, Body: &peerpb.Envelope_LoadReport{LoadReport: report}})
+	}
+}
+
+func counts(load map[host.ID]int) map[string]int32 {
+	all := make(map[string]int32, len(load))
+	for id, n := range load {
+		all[string(id)] = int32(n)
+	}
+	return all
+}
+
+func hostCounts(load map[string]int32) map[host.ID]int {
+	all := make(map[host.ID]int, len(load))
+	for id, n := range load {
+		all[host.ID(id)] = int(n)
+	}
+	return all
+}
+
+// handlePeers registers the receivers of the peers' messages.
+func (m *Manager) handlePeers() {
+	if m.Link.Handle == nil {
+		return
+	}
+	m.Link.Handle(peer.KindVouch, m.receive(m.receiveVouch))
+	m.Link.Handle(peer.KindRoutes, m.receive(m.receiveRoutes))
+	m.Link.Handle(peer.KindRouteReport, m.receive(m.receiveReport))
+	m.Link.Handle(peer.KindLoadReport, m.receive(m.receiveLoad))
+}
+
+func (m *Manager) receive(take func(from string, e *peerpb.Envelope)) func(context.Context, string, *peerpb.Envelope) *peerpb.Envelope {
+	return func(_ context.Context, from string, e *peerpb.Envelope) *peerpb.Envelope {
+		take(from, e)
+		return nil
+	}
+}
+
+// receiveVouch notes what a peer knows, and publishes routes that the peer does not have yet.
+func (m *Manager) receiveVouch(from string, e *peerpb.Envelope) {
+	vouch := e.GetVouch()
+	m.mu.Lock()
+	p := m.peer(from)
+	p.heard = time.Now()
+	p.storeAge = time.Duration(vouch.GetStoreAgeMillis()) * time.Millisecond
+	var behind []route.Snapshot
+	for name, version := range vouch.GetVersions() {
+		p.versions[name] = version
+		if current := m.routes[name].snapshot; current.Version > version {
+			behind = append(behind, current)
+		}
+	}
+	m.peers[from] = p
+	m.mu.Unlock()
+	for _, s := range behind {
+		m.publish(s)
+	}
+}
+
+// receiveRoutes adopts a snapshot that is newer than the own one and passes it
+// on, so that it reaches peers that the sender has no link to.
+func (m *Manager) receiveRoutes(_ string, e *peerpb.Envelope) {
+	s := snapshotOf(e.GetRoutes())
+	m.mu.Lock()
+	adopted := m.adopt(s, time.Now())
+	m.mu.Unlock()
+	if adopted {
+		m.publish(s)
+	}
+}
+
+func (m *Manager) receiveReport(from string, e *peerpb.Envelope) {
+	r := e.GetRouteReport()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.peer(from).reports[r.GetPool()] = routeReport{member: from, version: r.GetVersion(), busy: hostCounts(r.GetInProgress())}
+}
+
+func (m *Manager) receiveLoad(from string, e *peerpb.Envelope) {
+	r := e.GetLoadReport()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.peer(from).loads[r.GetPool()] = hostCounts(r.GetInProgress())
+}
+
+// peer returns what a peer told, ready to be filled. The caller holds the lock.
+func (m *Manager) peer(name string) peerState {
+	p, ok := m.peers[name]
+	if !ok {
+		p = peerState{
+			versions: make(map[string]uint64),
+			reports:  make(map[string]routeReport),
+			loads:    make(map[string]map[host.ID]int),
+		}
+		m.peers[name] = p
+	}
+	return p
+}
+
+// heardReport returns the last report of a member whose row lapsed but that the
+// link still reaches. Such a member may still send requests. The caller holds the lock.
+func (m *Manager) heardReport(member, name string) (routeReport, bool) {
+	p, ok := m.peers[member]
+	if !ok || time.Since(p.heard) > m.Periods.Vouch {
+		return routeReport{}, false
+	}
+	report, ok := p.reports[name]
+	if !ok {
+		report = routeReport{member: member}
+	}
+	return report, true
+}
+
+// PeerLoad returns the other members' requests in progress on the targets of a pool.
+func (m *Manager) PeerLoad(name string) map[host.ID]int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	total := make(map[host.ID]int)
+	for _, p := range m.peers {
+		if time.Since(p.heard) > m.Periods.Lapse {
+			continue
+		}
+		for id, n := range p.loads[name] {
+			total[id] += n
+		}
+	}
+	return total
+}
+
+// publish tells a snapshot to all peers.
+func (m *Manager) publish(s route.Snapshot) {
+	if m.Link.Broadcast == nil {
+		return
+	}
+	m.Link.Broadcast(&peerpb.Envelope{Member: m.Member, Body: &peerpb.Envelope_Routes{Routes: routesOf(s)}})
+}
+
+func routesOf(s route.Snapshot) *peerpb.Routes {
+	r := &peerpb.Routes{Pool: s.Pool, Epoch: s.Epoch, Version: s.Version}
+	for _, t := range s.Targets {
+		r.Targets = append(r.Targets, &peerpb.Target{
+			Host:        string(t.Host),
+			Address:     t.Address,
+			Region:      t.Place.Region,
+			Zone:        t.Place.Zone,
+			Rack:        t.Place.Rack,
+			Slots:       int32(t.Capacity.Slots),
+			Connections: int32(t.Capacity.Connections),
+		})
+	}
+	return r
+}
+
+func snapshotOf(r *peerpb.Routes) route.Snapshot {
+	s := route.Snapshot{Pool: r.GetPool(), Epoch: r.GetEpoch(), Version: r.GetVersion()}
+	for _, t := range r.GetTargets() {
+		s.Targets = append(s.Targets, route.Target{
+			Host:    host.ID(t.GetHost()),
+			Address: t.GetAddress(),
+			Place:   host.Place{Region: t.GetRegion(), Zone: t.GetZone(), Rack: t.GetRack()},
+			Capacity: host.Capacity{
+				Slots:       int(t.GetSlots()),
+				Connections: int(t.GetConnections()),
+			},
+		})
+	}
+	sort.Slice(s.Targets, func(i, j int) bool { return s.Targets[i].Host < s.Targets[j].Host })
+	return s
+}
--- /dev/null
+++ b/io/fleet/routes.go
@@ -0,0 +1,119 @@
+package fleet
+
+import (
+	"slices"
+	"sort"
+	"time"
+
+	"siskincross/core/duty"
+	"siskincross/core/event"
+	"siskincross/core/host"
+	"siskincross/core/route"
+)
+
+// Snapshot returns the newest targets of a pool. It returns false when there
+// are none yet, or when this entry host can't vouch for them.
+func (m *Manager) Snapshot(name string) (route.Snapshot, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	current, ok := m.routes[name]
+	if !ok || !m.vouched(name, time.Now()) {
+		return route.Snapshot{}, false
+	}
+	return m.withoutListed(current.snapshot), true
+}
+
+// Holds returns the epoch under which this member holds a pool's duty.
+func (m *Manager) Holds(name string) (uint64, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	r, ok := m.rows[name]
+	if !ok || m.left || r.pool.Holder != m.Member {
+		return 0, false
+	}
+	return r.pool.Epoch, true
+}
+
+// Members returns the live members with this one, sorted.
+func (m *Manager) Members() []string { return m.view().Live }
+
+// Draining returns the hosts of a pool that planned work waits to drain. Their tasks should checkpoint and leave.
+func (m *Manager) Draining(name string) []host.ID {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var draining []host.ID
+	for _, h := range m.rows[name].pool.Hosts {
+		if h.State == host.Draining || h.State == host.Leaving {
+			draining = append(draining, h.ID)
+		}
+	}
+	return draining
+}
+
+// adopt puts a snapshot in force if it is newer. The caller holds the lock.
+func (m *Manager) adopt(s route.Snapshot, now time.Time) bool {
+	current, ok := m.routes[s.Pool]
+	if ok && !s.Newer(current.snapshot) {
+		return false
+	}
+	m.routes[s.Pool] = routes{snapshot: s, since: now}
+	return true
+}
+
+// withoutListed drops the targets that the platform's list shows as leaving or
+// failed before the pool's row does. The caller holds the lock.
+func (m *Manager) withoutListed(s route.Snapshot) route.Snapshot {
+	unfit := func(t route.Target) bool {
+		line, ok := m.list.Line(t.Host)
+		return ok && (line.Leaving || line.Failed)
+	}
+	if !slices.ContainsFunc(s.Targets, unfit) {
+		return s
+	}
+	s.Targets = slices.DeleteFunc(slices.Clone(s.Targets), unfit)
+	return s
+}
+
+func hasTarget(s route.Snapshot, id host.ID) bool {
+	i := sort.Search(len(s.Targets), func(i int) bool { return s.Targets[i].Host >= id })
+	return i < len(s.Targets) && s.Targets[i].Host == id
+}
+
+// vouched reports whether the routes of a pool may be used. The caller holds the lock.
+func (m *Manager) vouched(name string, now time.Time) bool {
+	for _, p := range m.peers {
+		if now.Sub(p.heard) <= m.Periods.Vouch && p.versions[name] > m.routes[name].snapshot.Version {
+			return false
+		}
+	}
+	return m.inTouch(now)
+}
+
+// inTouch reports whether this entry host may rely on its knowledge of the fleet. The caller holds the lock.
+func (m *Manager) inTouch(now time.Time) bool {
+	v := duty.Vouching{Members: len(m.ledger.Live()), StoreAge: now.Sub(m.contact.read)}
+	if m.contact.read.IsZero() {
+		v.Members = maxMembers
+	}
+	for _, p := range m.peers {
+		v.Peers = append(v.Peers, duty.PeerVouch{Heard: now.Sub(p.heard), StoreAge: p.storeAge})
+	}
+	return v.Good(m.Periods.Vouch)
+}
+
+// reportTouch records when this entry host falls silent and when it speaks again.
+func (m *Manager) reportTouch() {
+	m.mu.Lock()
+	silent := !m.inTouch(time.Now())
+	changed := silent != m.contact.silent
+	m.contact.silent = silent
+	m.mu.Unlock()
+	if !changed {
+		return
+	}
+	number := event.RoutesVouched
+	if silent {
+		number = event.RoutesSilenced
+	}
+	m.record(event.Event{Number: number})
+}
--- /dev/null
+++ b/io/fleet/status.go
@@ -0,0 +1,85 @@
+package fleet
+
+import (
+	"siskincross/core/config"
+	"siskincross/core/host"
+	"siskincross/core/pool"
+)
+
+// Status is what an entry host knows of the fleet, for operators.
+type Status struct {
+	Member  string       `json:"member"`
+	Members []string     `json:"members"`
+	Pools   []PoolStatus `json:"pools"`
+	// ListDoubt is why the platform's list is doubted; empty when it is trusted.
+	ListDoubt string `json:"list-doubt,omitempty"`
+}
+
+// PoolStatus is the state of one pool.
+type PoolStatus struct {
+	Name           string           `json:"name"`
+	Holder         string           `json:"holder"`
+	Epoch          uint64           `json:"epoch"`
+	Limits         config.Pool      `json:"limits"`
+	Disruptions    pool.Disruptions `json:"disruptions"`
+	Hosts          []HostStatus     `json:"hosts"`
+	Inbound        []pool.Inbound   `json:"inbound,omitempty"`
+	WaitingForWork string           `json:"waiting-for-work,omitempty"`
+}
+
+// HostStatus is the state of one host.
+type HostStatus struct {
+	pool.Host
+	// WaitsFor says what the host's next step waits for.
+	WaitsFor string `json:"waits-for,omitempty"`
+}
+
+// Status returns the pools with their budgets and hosts as this entry host knows them.
+func (m *Manager) Status() Status {
+	list, _ := m.listed()
+	s := Status{Member: m.Member, Members: m.Members(), ListDoubt: list.Doubted()}
+	for _, limits := range m.Config().Pools {
+		s.Pools = append(s.Pools, m.poolStatus(limits))
+	}
+	return s
+}
+
+func (m *Manager) poolStatus(limits config.Pool) PoolStatus {
+	r, _ := m.rowOf(limits.Name)
+	m.mu.Lock()
+	waiting := m.refusals[limits.Name].reason
+	m.mu.Unlock()
+	s := PoolStatus{
+		Name:           limits.Name,
+		Holder:         r.pool.Holder,
+		Epoch:          r.pool.Epoch,
+		Limits:         limits,
+		Disruptions:    r.pool.Disruptions(),
+		Inbound:        r.pool.Inbound,
+		WaitingForWork: waiting,
+	}
+	for _, h := range r.pool.Hosts {
+		s.Hosts = append(s.Hosts, HostStatus{Host: h, WaitsFor: m.explainWait(r, h)})
+	}
+	return s
+}
+
+// explainWait says what a host that is out of service waits for.
+func (m *Manager) explainWait(r row, h pool.Host) string {
+	switch h.State {
+	case host.Serving:
+		return ""
+	case host.Draining:
+		if wait := m.waitsFor(r, h); wait != "" {
+			return wait
+		}
+		return "the platform's confirmation of the drain"
+	case host.Drained:
+		return "the record of the reboot"
+	case host.Rebooting:
+		return "the host's return from its reboot"
+	case host.Ready:
+		return "the platform's confirmation that the host accepts work"
+	}
+	return "the platform's list to show the host live"
+}
