Forward requests with proved outcomes

Cause: there was no request path.

Change: core/route chooses targets by two draws on requests in progress, queues waiting requests fairly, bounds retries and classifies attempts; io/entry carries that out over net/http and proves by counting bytes on the connection whether a request was sent and whether an answer was whole.

--- /dev/null
+++ b/core/route/board.go
@@ -0,0 +1,264 @@
+package route
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"siskincross/core/host"
+)
+
+// Board counts the requests that one entry host has in progress at each target of
+// a pool, and chooses targets for new ones. The cost of a choice does not depend on
+// the number of targets: only those with room are kept in the list that it draws from.
+//
+// The zero value knows no target. A Board is not safe for concurrent use.
+type Board struct {
+	// members is the number of entry hosts that share the targets; less than one means one.
+	members int
+
+	epoch, version uint64
+	seats          map[host.ID]*seat
+	// listed is the number of targets in the newest snapshot, total the own requests in progress.
+	listed, total int
+	// open holds the seats that may get another request, in no order.
+	open []*seat
+	// resting holds the seats that refused lately.
+	resting []*seat
+}
+
+// seat is one target's place on the board.
+type seat struct {
+	target Target
+	// listed tells whether the target is in the newest snapshot.
+	listed bool
+	// own and peers count requests in progress at the target. own >= 0.
+	own, peers int
+	// position is the index in Board.open, or noPosition.
+	position int
+	// refusals counts the refusals since the last start; restsUntil is when the target is tried again.
+	refusals   int
+	restsUntil time.Time
+}
+
+const (
+	noPosition = -1
+	// minRest and maxRest bound how long a target that refused gets no request.
+	minRest = 5 * time.Millisecond
+	maxRest = 160 * time.Millisecond
+	// drawsToAvoid bounds the draws made to find a target that was not tried yet.
+	drawsToAvoid = 4
+)
+
+// Update replaces the set of targets if s is newer. Requests in progress stay counted.
+func (b *Board) Update(s Snapshot) {
+	if b.seats != nil && !s.Newer(Snapshot{Epoch: b.epoch, Version: b.version}) {
+		return
+	}
+	if b.seats == nil {
+		b.seats = make(map[host.ID]*seat, len(s.Targets))
+	}
+	b.epoch, b.version = s.Epoch, s.Version
+	b.listed = len(s.Targets)
+	for _, st := range b.seats {
+		st.listed = false
+	}
+	for _, target := range s.Targets {
+		b.list(target)
+	}
+	for id, st := range b.seats {
+		b.settle(st)
+		if !st.listed && st.own == 0 {
+			delete(b.seats, id)
+		}
+	}
+}
+
+func (b *Board) list(target Target) {
+	st := b.seats[target.Host]
+	if st == nil {
+		st = &seat{position: noPosition}
+		b.seats[target.Host] = st
+	}
+	st.target = target
+	st.listed = true
+}
+
+// SetPeers replaces the requests that the other entry hosts have in progress, by host.
+func (b *Board) SetPeers(inProgress map[host.ID]int) {
+	for id, st := range b.seats {
+		st.peers = inProgress[id]
+		b.settle(st)
+	}
+}
+
+// SetMembers sets the number of entry hosts that share the targets.
+func (b *Board) SetMembers(members int) {
+	if members == b.members {
+		return
+	}
+	b.members = members
+	for _, st := range b.seats {
+		b.settle(st)
+	}
+}
+
+// Acquire chooses a target with room and counts a request there. Of two targets
+// drawn at random it takes the less loaded one. Targets in avoid are taken only if no other has room.
+func (b *Board) Acquire(now time.Time, rng *rand.Rand, avoid []host.ID) (Target, bool) {
+	b.wake(now)
+	if len(b.open) == 0 {
+		return Target{}, false
+	}
+	st := b.draw(rng, avoid)
+	if other := b.draw(rng, avoid); other.load() < st.load() {
+		st = other
+	}
+	st.own++
+	b.total++
+	b.settle(st)
+	return st.target, true
+}
+
+// Listed reports whether any target may receive new work.
+func (b *Board) Listed() bool {
+	return b.listed > 0
+}
+
+// Open reports whether a target has room.
+func (b *Board) Open(now time.Time) bool {
+	b.wake(now)
+	return len(b.open) > 0
+}
+
+// Release ends a request at a target. refused tells that the target did not start it.
+func (b *Board) Release(now time.Time, id host.ID, refused bool) {
+	st := b.seats[id]
+	if st == nil || st.own == 0 {
+		return
+	}
+	st.own--
+	b.total--
+	if refused {
+		b.rest(now, st)
+	} else {
+		st.refusals = 0
+	}
+	b.settle(st)
+	if !st.listed && st.own == 0 {
+		delete(b.seats, id)
+	}
+}
+
+// InProgress returns the own requests in progress by host, also on hosts outside the snapshot.
+func (b *Board) InProgress() map[host.ID]int {
+	counts := make(map[host.ID]int)
+	for id, st := range b.seats {
+		if st.own > 0 {
+			counts[id] = st.own
+		}
+	}
+	return counts
+}
+
+// Total returns the number of own requests in progress.
+func (b *Board) Total() int {
+	return b.total
+}
+
+// NextOpening returns when the first resting target is tried again.
+func (b *Board) NextOpening() (time.Time, bool) {
+	var next time.Time
+	for _, st := range b.resting {
+		if next.IsZero() || st.restsUntil.Before(next) {
+			next = st.restsUntil
+		}
+	}
+	return next, !next.IsZero()
+}
+
+// Connections returns the share of a target's connections that one entry host may hold.
+func (b *Board) Connections(t Target) int {
+	return max(1, t.Capacity.Connections/max(1, b.members))
+}
+
+func (b *Board) draw(rng *rand.Rand, avoid []host.ID) *seat {
+	st := b.open[rng.IntN(len(b.open))]
+	for range drawsToAvoid {
+		if !contains(avoid, st.target.Host) {
+			return st
+		}
+		st = b.open[rng.IntN(len(b.open))]
+	}
+	for _, other := range b.open {
+		if !contains(avoid, other.target.Host) {
+			return other
+		}
+	}
+	return st
+}
+
+func contains(ids []host.ID, id host.ID) bool {
+	for _, other := range ids {
+		if other == id {
+			return true
+		}
+	}
+	return false
+}
+
+// load is the share of the target's slots that is known to be taken.
+func (st *seat) load() float64 {
+	return float64(st.own+st.peers) / float64(max(1, st.target.Capacity.Slots))
+}
+
+// room reports whether the target may get another request. An entry host may always use its
+// equal share of the slots, and beyond it those that the others were not using when last heard of.
+func (b *Board) room(st *seat) bool {
+	if !st.listed || !st.restsUntil.IsZero() || st.own >= b.Connections(st.target) {
+		return false
+	}
+	slots := st.target.Capacity.Slots
+	share := max(1, slots/max(1, b.members))
+	return st.own < min(share, slots) || st.own+st.peers < slots
+}
+
+// settle puts a seat into the open list or takes it out.
+func (b *Board) settle(st *seat) {
+	room := b.room(st)
+	if room == (st.position != noPosition) {
+		return
+	}
+	if room {
+		st.position = len(b.open)
+		b.open = append(b.open, st)
+		return
+	}
+	last := b.open[len(b.open)-1]
+	b.open[st.position] = last
+	last.position = st.position
+	b.open = b.open[:len(b.open)-1]
+	st.position = noPosition
+}
+
+func (b *Board) rest(now time.Time, st *seat) {
+	if st.restsUntil.IsZero() {
+		b.resting = append(b.resting, st)
+	}
+	length := min(minRest<<min(st.refusals, 10), maxRest)
+	st.refusals++
+	st.restsUntil = now.Add(length)
+}
+
+// wake opens the resting seats whose time has come.
+func (b *Board) wake(now time.Time) {
+	kept := b.resting[:0]
+	for _, st := range b.resting {
+		if now.Before(st.restsUntil) {
+			kept = append(kept, st)
+			continue
+		}
+		st.restsUntil = time.Time{}
+		b.settle(st)
+	}
+	b.resting = kept
+}
--- /dev/null
+++ b/io/entry/answer.go
@@ -0,0 +1,182 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"siskincross/core/route"
+)
+
+// errEndOfBody ends the empty body of a request.
+var errEndOfBody = io.EOF
+
+const (
+	// maxDiscard bounds what is read of an answer that is not used.
+	maxDiscard = 4 * kib
+	// copyBytes is the size of the buffers through which answers are passed on.
+	copyBytes = 32 * kib
+)
+
+var copyBuffers = sync.Pool{New: func() any { return new([copyBytes]byte) }}
+
+// errOverrun is returned when bytes came behind the end of an answer.
+var errOverrun = errors.New("bytes came behind the end of the answer")
+
+// answer is a target's answer whose head was checked and whose first bytes arrived.
+type answer struct {
+	response *http.Response
+	exchange *exchange
+	// cancel ends the attempt.
+	cancel context.CancelFunc
+	buffer *[copyBytes]byte
+	// first holds the first bytes of the body, in buffer; whole tells that they are all of it.
+	first []byte
+	whole bool
+	// length is the body's length, or -1 for a chunked body.
+	length int64
+}
+
+// open checks the head and the first bytes of a response. On a fault it closes the response.
+func open(c call, response *http.Response, e *exchange) (answer, route.Fault) {
+	a := answer{response: response, exchange: e, length: response.ContentLength}
+	if response.Request.Method == http.MethodHead {
+		a.length = 0
+	}
+	f := headFault(c, response)
+	if f == route.FaultNone {
+		a.buffer = copyBuffers.Get().(*[copyBytes]byte)
+		f = a.readFirst(c)
+	}
+	if f == route.FaultNone {
+		return a, f
+	}
+	if n, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxDiscard+1)); f != route.FaultRefused || err != nil || n > maxDiscard {
+		e.drop()
+	}
+	_ = response.Body.Close()
+	a.release()
+	return answer{}, f
+}
+
+// readFirst reads the first bytes of the body: all of a short body of known length, else what comes with one read.
+func (a *answer) readFirst(c call) route.Fault {
+	n, whole, err := a.read()
+	if err != nil {
+		return bodyFault(c, err)
+	}
+	a.first, a.whole = a.buffer[:n], whole
+	return route.FaultNone
+}
+
+// read fills the buffer from the body. whole tells that the answer has ended and was proved whole.
+// With a known length it fills the whole buffer unless the body ends, so that the last
+// bytes are never passed on before the end was checked.
+func (a *answer) read() (n int, whole bool, err error) {
+	for err == nil && n < len(a.buffer) {
+		var more int
+		more, err = a.response.Body.Read(a.buffer[n:])
+		n += more
+		if a.length < 0 {
+			break
+		}
+	}
+	if !errors.Is(err, io.EOF) {
+		return n, false, err
+	}
+	if a.exchange.overrun(a.length, len(a.response.Trailer) > 0) {
+		return n, false, errOverrun
+	}
+	return n, true, nil
+}
+
+// close ends the attempt. The connection is used again only if the answer was whole.
+func (a *answer) close() {
+	if !a.whole {
+		a.exchange.drop()
+	}
+	_ = a.response.Body.Close()
+	a.cancel()
+	a.release()
+}
+
+func (a *answer) release() {
+	if a.buffer != nil {
+		copyBuffers.Put(a.buffer)
+		a.buffer = nil
+	}
+}
+
+// pass sends a target's answer to the caller. If it turns out not to be whole, the caller's connection is aborted.
+func (s *Server) pass(w http.ResponseWriter, c call, p *pool, target route.Target, a answer, begun time.Time) {
+	copyHead(w.Header(), a.response, c)
+	w.WriteHeader(a.response.StatusCode)
+	f, err := a.copyTo(w, c)
+	if err == nil {
+		addTrailers(w.Header(), a.response.Trailer)
+	}
+	status := a.response.StatusCode
+	a.close()
+	attempt := route.Attempt{Fault: f, Sent: true}
+	p.finish(c.queue.Name, target.Host, attempt, time.Since(begun))
+	s.metrics.attempt(attempt)
+	if err != nil {
+		s.conclude(c, route.OutcomeUnknown, "aborted: "+err.Error())
+		panic(http.ErrAbortHandler)
+	}
+	s.conclude(c, route.OutcomeAnswered, strconv.Itoa(status))
+}
+
+// copyTo writes the body to the caller.
+func (a *answer) copyTo(w http.ResponseWriter, c call) (route.Fault, error) {
+	chunk := a.first
+	for {
+		if _, err := w.Write(chunk); err != nil && len(chunk) > 0 {
+			return route.FaultCaller, err
+		}
+		if a.whole {
+			return route.FaultNone, nil
+		}
+		if a.length < 0 {
+			_ = http.NewResponseController(w).Flush()
+		}
+		n, whole, err := a.read()
+		if err != nil {
+			return bodyFault(c, err), err
+		}
+		chunk, a.whole = a.buffer[:n], whole
+	}
+}
+
+// bodyFault tells why a body is not whole.
+func bodyFault(c call, err error) route.Fault {
+	switch {
+	case errors.Is(err, errOverrun):
+		return route.FaultGarbage
+	case errors.Is(err, context.Canceled):
+		return route.FaultCaller
+	case !time.Now().Before(c.deadline):
+		return route.FaultTimeout
+	}
+	return route.FaultCut
+}
+
+func copyHead(h http.Header, response *http.Response, c call) {
+	dropHopHeaders(response.Header)
+	for name, values := range response.Header {
+		h[name] = values
+	}
+	h.Set(headerOutcome, route.OutcomeAnswered.String())
+	h.Set(headerRequestID, c.id)
+	h.Del(headerRefused)
+}
+
+func addTrailers(h, trailers http.Header) {
+	for name, values := range trailers {
+		h[http.TrailerPrefix+name] = values
+	}
+}
--- /dev/null
+++ b/io/entry/body.go
@@ -0,0 +1,129 @@
+package entry
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"net/http"
+	"sync"
+)
+
+// errStale is returned by reads of an attempt that was followed by another.
+var errStale = errors.New("the attempt was followed by another")
+
+// body is a caller's request body. It keeps the first bytes, so that it can be sent again as long as no more were read.
+type body struct {
+	source io.ReadCloser
+	// length is the body's length in bytes, or -1 when unknown.
+	length int64
+	limit  int
+
+	mu sync.Mutex
+	// kept holds the first bytes, at most limit.
+	kept []byte
+	// lost tells that bytes were read that are not kept.
+	lost bool
+	// end is the error that the source ended with; nil before.
+	end error
+	// attempt numbers the reader that may read.
+	attempt int
+}
+
+func newBody(r *http.Request, limits Limits) *body {
+	b := &body{source: r.Body, length: r.ContentLength, limit: limits.ReplayBytes}
+	if r.Body == nil || r.Body == http.NoBody {
+		b.end = io.EOF
+		b.length = 0
+	}
+	return b
+}
+
+// prefetch reads the first bytes, so that a slow caller with a short body holds no target.
+func (b *body) prefetch() error {
+	if b.end != nil {
+		return nil
+	}
+	var kept bytes.Buffer
+	_, err := io.CopyN(&kept, b.source, int64(b.limit))
+	b.kept = kept.Bytes()
+	if errors.Is(err, io.EOF) {
+		b.end = io.EOF
+		b.length = int64(len(b.kept))
+		return nil
+	}
+	return err
+}
+
+// next returns a reader of the whole body for another attempt; false if the body can't be read again.
+func (b *body) next() (io.ReadCloser, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.attempt++
+	if b.lost {
+		return nil, false
+	}
+	if b.length == 0 {
+		return http.NoBody, true
+	}
+	return &bodyReader{body: b, attempt: b.attempt}, true
+}
+
+// replayable reports whether another attempt could send the whole body.
+func (b *body) replayable() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return !b.lost
+}
+
+// failure returns the caller's fault in sending the body; nil for none.
+func (b *body) failure() error {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if errors.Is(b.end, io.EOF) {
+		return nil
+	}
+	return b.end
+}
+
+// bodyReader reads a body from its beginning for one attempt.
+type bodyReader struct {
+	body    *body
+	attempt int
+	offset  int
+}
+
+// Read implements io.Reader.
+func (r *bodyReader) Read(p []byte) (int, error) {
+	b := r.body
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.attempt != r.attempt {
+		return 0, errStale
+	}
+	if r.offset < len(b.kept) {
+		n := copy(p, b.kept[r.offset:])
+		r.offset += n
+		return n, nil
+	}
+	if b.end != nil {
+		return 0, b.end
+	}
+	n, err := b.source.Read(p)
+	b.keep(p[:n])
+	r.offset += n
+	b.end = err
+	return n, err
+}
+
+// Close implements io.Closer. The source belongs to the HTTP server.
+func (r *bodyReader) Close() error {
+	return nil
+}
+
+func (b *body) keep(p []byte) {
+	b.lost = b.lost || len(b.kept)+len(p) > b.limit
+	if b.lost {
+		return
+	}
+	b.kept = append(b.kept, p...)
+}
--- /dev/null
+++ b/io/entry/metrics.go
@@ -0,0 +1,50 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"siskincross/core/route"
+)
+
+// metrics holds the handles of the request path's metrics, so that a request looks none up by name.
+type metrics struct {
+	outcomes  map[route.Outcome]tally.Counter
+	durations map[route.Outcome]tally.Timer
+	attempts  tally.Counter
+	faults    map[route.Fault]tally.Counter
+}
+
+func newMetrics(scope tally.Scope) metrics {
+	if scope == nil {
+		scope = tally.NoopScope
+	}
+	m := metrics{
+		outcomes:  make(map[route.Outcome]tally.Counter),
+		durations: make(map[route.Outcome]tally.Timer),
+		attempts:  scope.Counter("request-attempts"),
+		faults:    make(map[route.Fault]tally.Counter),
+	}
+	for _, o := range route.OutcomeValues() {
+		tagged := scope.Tagged(map[string]string{"outcome": o.String()})
+		m.outcomes[o] = tagged.Counter("requests")
+		m.durations[o] = tagged.Timer("request-duration")
+	}
+	for _, f := range route.FaultValues() {
+		m.faults[f] = scope.Tagged(map[string]string{"fault": f.String()}).Counter("request-faults")
+	}
+	return m
+}
+
+func (m metrics) outcome(o route.Outcome, took time.Duration) {
+	m.outcomes[o].Inc(1)
+	m.durations[o].Record(took)
+}
+
+func (m metrics) attempt(a route.Attempt) {
+	m.attempts.Inc(1)
+	if a.Fault != route.FaultNone {
+		m.faults[a.Fault].Inc(1)
+	}
+}
--- /dev/null
+++ b/io/entry/pool.go
@@ -0,0 +1,164 @@
+package entry
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"siskincross/core/host"
+	"siskincross/core/route"
+)
+
+// pool carries out a route.Scheduler: it gives it the clock and wakes the requests that wait.
+type pool struct {
+	name   string
+	server *Server
+
+	mu        sync.Mutex
+	scheduler route.Scheduler
+	rng       *rand.Rand
+	// waits holds the channel of each waiting request; each gets one grant.
+	waits map[*route.Waiter]chan route.Grant
+	// timer runs advance when a resting target may be tried again; nil when none is set.
+	timer *time.Timer
+	// refreshed is when the peers' figures were last read.
+	refreshed time.Time
+}
+
+func newPool(s *Server, name string) *pool {
+	return &pool{
+		name:   name,
+		server: s,
+		rng:    rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		waits:  make(map[*route.Waiter]chan route.Grant),
+	}
+}
+
+// acquire finds a target for w, or tells why there is none. It ends with ctx or at w's deadline at the latest.
+func (p *pool) acquire(ctx context.Context, w *route.Waiter) (route.Target, route.Refusal) {
+	p.mu.Lock()
+	now := time.Now()
+	if !p.update(now) {
+		defer p.mu.Unlock()
+		return route.Target{}, p.scheduler.Refuse(p.rng, route.ReasonUnvouched)
+	}
+	admission := p.scheduler.Arrive(now, p.rng, w)
+	if d := admission.Displaced; d != nil {
+		p.deliver([]route.Grant{{Waiter: d, Refusal: p.scheduler.Refuse(p.rng, route.ReasonDisplaced)}})
+	}
+	if !admission.Waits {
+		p.mu.Unlock()
+		return admission.Target, admission.Refusal
+	}
+	return p.wait(ctx, w)
+}
+
+// again finds another target for w after its attempt at a target failed.
+func (p *pool) again(ctx context.Context, w *route.Waiter, failed host.ID) (route.Target, route.Refusal) {
+	p.mu.Lock()
+	p.scheduler.Again(w, failed)
+	return p.wait(ctx, w)
+}
+
+// spend takes an attempt from the retry budget.
+func (p *pool) spend() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.scheduler.Budget.Spend()
+}
+
+// finish ends an attempt at a target and lets others have its slot.
+func (p *pool) finish(queue string, id host.ID, a route.Attempt, took time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	p.scheduler.Finish(now, queue, id, a, took)
+	p.advance(now)
+}
+
+// refresh reads the snapshot and the peers' figures and acts on them.
+func (p *pool) refresh() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.advance(time.Now())
+}
+
+// wait unlocks the pool and waits for w's grant.
+func (p *pool) wait(ctx context.Context, w *route.Waiter) (route.Target, route.Refusal) {
+	grants := make(chan route.Grant, 1)
+	p.waits[w] = grants
+	p.advance(time.Now())
+	p.mu.Unlock()
+	select {
+	case g := <-grants:
+		return g.Target, g.Refusal
+	case <-ctx.Done():
+		return route.Target{}, p.abandon(ctx, w, grants)
+	}
+}
+
+// abandon ends w's wait without a target. A target that was granted meanwhile is given back.
+func (p *pool) abandon(ctx context.Context, w *route.Waiter, grants <-chan route.Grant) route.Refusal {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.waits, w)
+	if !p.scheduler.Cancel(w) {
+		if g := <-grants; g.Refusal.Reason == route.ReasonNone {
+			p.scheduler.Board.Release(time.Now(), g.Target.Host, false)
+			p.advance(time.Now())
+		}
+	}
+	if ctx.Err() == context.DeadlineExceeded {
+		return p.scheduler.Refuse(p.rng, route.ReasonDeadline)
+	}
+	return route.Refusal{Reason: route.ReasonCallerGone}
+}
+
+// update gives the newest snapshot and the peers' figures to the scheduler. It
+// reports false while this entry host can't vouch for the pool's hosts.
+func (p *pool) update(now time.Time) bool {
+	snapshot, ok := p.server.Snapshot(p.name)
+	if !ok {
+		return false
+	}
+	p.scheduler.Board.Update(snapshot)
+	if now.Sub(p.refreshed) < refreshInterval {
+		return true
+	}
+	p.refreshed = now
+	p.scheduler.Board.SetMembers(p.server.members())
+	if p.server.PeerLoad != nil {
+		p.scheduler.Board.SetPeers(p.server.PeerLoad(p.name))
+	}
+	return true
+}
+
+// advance ends all waits that can end now and sets the timer for the next that may.
+func (p *pool) advance(now time.Time) {
+	if !p.update(now) {
+		p.deliver(p.scheduler.Dismiss(p.rng, route.ReasonUnvouched))
+		return
+	}
+	p.deliver(p.scheduler.Next(now, p.rng))
+	if p.timer != nil || p.scheduler.Waiting() == 0 {
+		return
+	}
+	if next, ok := p.scheduler.Board.NextOpening(); ok {
+		p.timer = time.AfterFunc(next.Sub(now), p.wake)
+	}
+}
+
+func (p *pool) wake() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.timer = nil
+	p.advance(time.Now())
+}
+
+func (p *pool) deliver(grants []route.Grant) {
+	for _, g := range grants {
+		p.waits[g.Waiter] <- g
+		delete(p.waits, g.Waiter)
+	}
+}
--- /dev/null
+++ b/io/entry/problem.go
@@ -0,0 +1,115 @@
+package entry
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"siskincross/core/event"
+	"siskincross/core/route"
+)
+
+const (
+	problemType = "application/problem+json"
+	// problemURN begins the type of a problem; the reason follows.
+	problemURN = "urn:siskincross:"
+	// drainRetryAfter is when a caller finds another entry host behind the balancer.
+	drainRetryAfter = time.Second
+)
+
+// problem is the body of an answer that is not a target's, after RFC 9457.
+type problem struct {
+	Type    string        `json:"type"`
+	Title   string        `json:"title"`
+	Status  int           `json:"status"`
+	Detail  string        `json:"detail,omitempty"`
+	Outcome route.Outcome `json:"outcome"`
+	Request string        `json:"request-id"`
+}
+
+// refuse tells the caller that its request was not run.
+func (s *Server) refuse(w http.ResponseWriter, c call, refusal route.Refusal, detail string) {
+	seconds := int((refusal.RetryAfter + time.Second - 1) / time.Second)
+	w.Header().Set("Retry-After", strconv.Itoa(max(1, seconds)))
+	if refusal.Reason == route.ReasonDraining {
+		w.Header().Set("Connection", "close")
+	}
+	s.state(w, c, route.OutcomeNotRun, refusal.Reason, detail)
+}
+
+// state tells the caller an outcome other than answered.
+func (s *Server) state(w http.ResponseWriter, c call, outcome route.Outcome, reason route.Reason, detail string) {
+	status := statusOf(outcome, reason)
+	body, err := json.Marshal(problem{
+		Type:    problemURN + reason.String(),
+		Title:   titleOf(outcome),
+		Status:  status,
+		Detail:  detail,
+		Outcome: outcome,
+		Request: c.id,
+	})
+	if err != nil {
+		body = nil
+	}
+	h := w.Header()
+	h.Set("Content-Type", problemType)
+	h.Set("Content-Length", strconv.Itoa(len(body)))
+	h.Set(headerOutcome, outcome.String())
+	h.Set(headerRequestID, c.id)
+	w.WriteHeader(status)
+	_, _ = w.Write(body)
+	s.conclude(c, outcome, reason.String())
+}
+
+// conclude records the outcome that the caller was told.
+func (s *Server) conclude(c call, outcome route.Outcome, detail string) {
+	took := time.Duration(0)
+	if !c.received.IsZero() {
+		took = time.Since(c.received)
+	}
+	s.metrics.outcome(outcome, took)
+	s.record(event.Event{
+		Number:       outcomeEvents[outcome],
+		Organisation: c.queue.Organisation,
+		Pool:         c.queue.Pool,
+		Host:         c.target,
+		Request:      c.id,
+		Detail:       detail,
+	})
+}
+
+var outcomeEvents = map[route.Outcome]event.Number{
+	route.OutcomeAnswered: event.RequestAnswered,
+	route.OutcomeNotRun:   event.RequestNotRun,
+	route.OutcomeUnknown:  event.RequestUnknown,
+}
+
+func titleOf(outcome route.Outcome) string {
+	if outcome == route.OutcomeNotRun {
+		return "The request was not run."
+	}
+	return "The request may have been run; its outcome is unknown."
+}
+
+func statusOf(outcome route.Outcome, reason route.Reason) int {
+	switch reason {
+	case route.ReasonBadRequest, route.ReasonUnknownTeam:
+		return http.StatusBadRequest
+	case route.ReasonTooLarge:
+		return http.StatusRequestEntityTooLarge
+	case route.ReasonUnknownQueue:
+		return http.StatusNotFound
+	case route.ReasonKeyReused:
+		return http.StatusUnprocessableEntity
+	case route.ReasonTeamFull, route.ReasonDisplaced:
+		return http.StatusTooManyRequests
+	}
+	if outcome == route.OutcomeNotRun {
+		return http.StatusServiceUnavailable
+	}
+	if reason == route.ReasonDeadline {
+		return http.StatusGatewayTimeout
+	}
+	return http.StatusBadGateway
+}
--- /dev/null
+++ b/io/entry/request.go
@@ -0,0 +1,223 @@
+package entry
+
+import (
+	"fmt"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/oklog/ulid/v2"
+
+	"siskincross/core/config"
+	"siskincross/core/route"
+)
+
+// Headers between callers, entry hosts and targets.
+const (
+	headerTeam       = "Siskincross-Team"
+	headerTimeout    = "Siskincross-Timeout"
+	headerIdempotent = "Siskincross-Idempotent"
+	headerUrgent     = "Siskincross-Urgent"
+	headerRequestID  = "Siskincross-Request-Id"
+	headerOutcome    = "Siskincross-Outcome"
+	headerRefused    = "Siskincross-Refused"
+	headerKey        = "Idempotency-Key"
+	headerPrefix     = "Siskincross-"
+	// refusedNotStarted is the value of headerRefused that proves that a target did not start a request.
+	refusedNotStarted = "not-started"
+)
+
+const (
+	maxRequestIDLength = 128
+	maxKeyLength       = 255
+)
+
+// call is one request of a caller, as it was understood.
+type call struct {
+	id    string
+	queue config.Queue
+	// team is the full name, or empty.
+	team config.Team
+	// path is what follows the queue's name, escaped as the caller sent it.
+	path, rawPath string
+	key           string
+	idempotent    bool
+	urgent        bool
+	received      time.Time
+	deadline      time.Time
+	// target is the host of the last attempt.
+	target string
+}
+
+// fault is a reason to refuse a request before anything was done for it.
+type fault struct {
+	reason route.Reason
+	detail string
+}
+
+func badRequest(format string, args ...any) *fault {
+	return &fault{route.ReasonBadRequest, fmt.Sprintf(format, args...)}
+}
+
+// parse understands a request. Where it can't, the call holds at least an ID.
+func (s *Server) parse(r *http.Request) (call, *fault) {
+	c := call{id: requestID(r), received: time.Now()}
+	if id := r.Header.Get(headerRequestID); id != "" && id != c.id {
+		return c, badRequest("%s must be 1 to %d letters, digits, dots, hyphens or underscores", headerRequestID, maxRequestIDLength)
+	}
+	if f := s.parseQueue(&c, r.URL); f != nil {
+		return c, f
+	}
+	if f := s.parseTeam(&c, r.Header); f != nil {
+		return c, f
+	}
+	if f := s.parseTimeout(&c, r.Header); f != nil {
+		return c, f
+	}
+	return c, parseSafety(&c, r)
+}
+
+// parseQueue takes the queue and the path at the target from /queues/ORGANISATION/QUEUE/PATH.
+func (s *Server) parseQueue(c *call, u *url.URL) *fault {
+	escaped := strings.TrimPrefix(u.EscapedPath(), queuesPrefix)
+	parts := strings.SplitN(escaped, "/", 3)
+	if len(parts) < 2 {
+		return &fault{route.ReasonUnknownQueue, "the path must be /queues/ORGANISATION/QUEUE/PATH"}
+	}
+	name := parts[0] + "/" + parts[1]
+	queue, ok := s.lookup().queues[name]
+	if !ok {
+		return &fault{route.ReasonUnknownQueue, fmt.Sprintf("there is no queue %q", name)}
+	}
+	c.queue = queue
+	c.rawPath = "/"
+	if len(parts) == 3 {
+		c.rawPath += parts[2]
+	}
+	path, err := url.PathUnescape(c.rawPath)
+	if err != nil {
+		return badRequest("the path is not properly escaped")
+	}
+	c.path = path
+	return nil
+}
+
+func (s *Server) parseTeam(c *call, h http.Header) *fault {
+	name := h.Get(headerTeam)
+	if name == "" {
+		return nil
+	}
+	if !strings.Contains(name, "/") {
+		name = c.queue.Organisation + "/" + name
+	}
+	team, ok := s.lookup().teams[name]
+	if !ok || team.Organisation != c.queue.Organisation {
+		return &fault{route.ReasonUnknownTeam, fmt.Sprintf("there is no team %q in organisation %q", name, c.queue.Organisation)}
+	}
+	c.team = team
+	return nil
+}
+
+func (s *Server) parseTimeout(c *call, h http.Header) *fault {
+	timeout := c.queue.Deadline
+	if text := h.Get(headerTimeout); text != "" {
+		d, err := time.ParseDuration(text)
+		if err != nil || d <= 0 {
+			return badRequest("%s must be a positive Go duration such as 1.5s", headerTimeout)
+		}
+		timeout = d
+	}
+	if timeout <= 0 {
+		timeout = s.limits.Deadline
+	}
+	c.deadline = c.received.Add(min(timeout, s.limits.Deadline))
+	return nil
+}
+
+func parseSafety(c *call, r *http.Request) *fault {
+	switch r.Method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodPut, http.MethodDelete:
+		c.idempotent = true
+	case http.MethodConnect, http.MethodTrace:
+		return badRequest("method %s is not served", r.Method)
+	}
+	if f := parseBool(r.Header, headerIdempotent, &c.idempotent); f != nil {
+		return f
+	}
+	c.urgent = c.queue.Urgent
+	if f := parseBool(r.Header, headerUrgent, &c.urgent); f != nil {
+		return f
+	}
+	keys := r.Header.Values(headerKey)
+	if len(keys) == 0 {
+		return nil
+	}
+	if len(keys) > 1 || !validKey(keys[0]) {
+		return badRequest("%s must be one value of 1 to %d visible ASCII characters", headerKey, maxKeyLength)
+	}
+	c.key = keys[0]
+	return nil
+}
+
+func parseBool(h http.Header, name string, value *bool) *fault {
+	text := h.Get(name)
+	if text == "" {
+		return nil
+	}
+	b, err := strconv.ParseBool(text)
+	if err != nil {
+		return badRequest("%s must be true or false", name)
+	}
+	*value = b
+	return nil
+}
+
+// requestID returns the ID that the caller sent if it is valid, else a new one.
+func requestID(r *http.Request) string {
+	if id := r.Header.Get(headerRequestID); validRequestID(id) {
+		return id
+	}
+	return ulid.Make().String()
+}
+
+func validRequestID(id string) bool {
+	if id == "" || len(id) > maxRequestIDLength {
+		return false
+	}
+	for i := range len(id) {
+		c := id[i]
+		letter := c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z'
+		digit := c >= '0' && c <= '9'
+		if !letter && !digit && c != '-' && c != '_' && c != '.' {
+			return false
+		}
+	}
+	return true
+}
+
+func validKey(key string) bool {
+	if key == "" || len(key) > maxKeyLength {
+		return false
+	}
+	for i := range len(key) {
+		if key[i] <= ' ' || key[i] > '~' {
+			return false
+		}
+	}
+	return true
+}
+
+// waiter returns what the scheduler needs to know of the call.
+func (c call) waiter() *route.Waiter {
+	maxTeam := c.team.MaxQueued
+	return &route.Waiter{
+		Flow:      route.Flow{Queue: c.queue.Name, Team: c.team.Name},
+		Weight:    c.team.Weight,
+		Urgent:    c.urgent,
+		Deadline:  c.deadline,
+		MaxQueued: c.queue.MaxQueued,
+		MaxTeam:   maxTeam,
+	}
+}
--- /dev/null
+++ b/io/entry/serve.go
@@ -0,0 +1,123 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"siskincross/core/route"
+)
+
+// serve has one request of /queues/ answered.
+func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
+	s.requests.Add(1)
+	defer s.requests.Add(-1)
+	c, f := s.parse(r)
+	if f != nil {
+		s.refuse(w, c, route.Refusal{Reason: f.reason}, f.detail)
+		return
+	}
+	if s.draining.Load() {
+		s.refuse(w, c, route.Refusal{Reason: route.ReasonDraining, RetryAfter: drainRetryAfter}, "")
+		return
+	}
+	if r.ContentLength > s.limits.BodyBytes {
+		s.refuse(w, c, route.Refusal{Reason: route.ReasonTooLarge}, "the request body is too long")
+		return
+	}
+	defer bound(w, r, c.deadline)()
+	r.Body = http.MaxBytesReader(w, r.Body, s.limits.BodyBytes)
+	b := newBody(r, s.limits)
+	if err := b.prefetch(); err != nil {
+		s.refuse(w, c, route.Refusal{Reason: prefetchReason(err)}, "the request body did not arrive whole")
+		return
+	}
+	s.run(w, r, c, b)
+}
+
+// bound lets reads and writes on the caller's connection fail after the deadline, and returns how to lift that.
+func bound(w http.ResponseWriter, r *http.Request, deadline time.Time) func() {
+	control := http.NewResponseController(w)
+	if r.ContentLength != 0 {
+		_ = control.SetReadDeadline(deadline)
+		_ = control.EnableFullDuplex()
+	}
+	_ = control.SetWriteDeadline(deadline.Add(writeGrace))
+	return func() { _ = control.SetWriteDeadline(time.Time{}) }
+}
+
+// writeGrace is the time after a request's deadline in which its outcome is written.
+const writeGrace = 2 * time.Second
+
+func prefetchReason(err error) route.Reason {
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return route.ReasonTooLarge
+	}
+	return route.ReasonBadRequest
+}
+
+// run finds targets for the request until one answers or no other may be tried.
+func (s *Server) run(w http.ResponseWriter, r *http.Request, c call, b *body) {
+	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
+	defer cancel()
+	p := s.pool(c.queue.Pool)
+	waiter := c.waiter()
+	target, refusal := p.acquire(ctx, waiter)
+	started := false
+	for {
+		if refusal.Reason != route.ReasonNone {
+			s.giveUp(w, c, started, refusal)
+			return
+		}
+		c.target = string(target.Host)
+		begun := time.Now()
+		answer, attempt := s.attempt(ctx, r, c, b, target)
+		if attempt.Fault == route.FaultNone {
+			s.pass(w, c, p, target, answer, begun)
+			return
+		}
+		p.finish(c.queue.Name, target.Host, attempt, time.Since(begun))
+		s.metrics.attempt(attempt)
+		started = started || attempt.Started()
+		if !s.mayRetry(p, c, b, attempt) {
+			s.fail(w, c, attempt, started)
+			return
+		}
+		target, refusal = p.again(ctx, waiter, target.Host)
+	}
+}
+
+func (s *Server) mayRetry(p *pool, c call, b *body, a route.Attempt) bool {
+	return a.Retriable(c.idempotent && c.key == "") && b.replayable() && p.spend()
+}
+
+// giveUp tells the caller that no target was found.
+func (s *Server) giveUp(w http.ResponseWriter, c call, started bool, refusal route.Refusal) {
+	if started {
+		s.state(w, c, route.OutcomeUnknown, refusal.Reason, "an earlier attempt may have run the request")
+		return
+	}
+	s.refuse(w, c, refusal, "")
+}
+
+// fail tells the caller the outcome of its last attempt.
+func (s *Server) fail(w http.ResponseWriter, c call, a route.Attempt, started bool) {
+	reason := reasonOf(a.Fault)
+	if a.Outcome(started) == route.OutcomeNotRun {
+		s.refuse(w, c, route.Refusal{Reason: reason, RetryAfter: time.Second}, "the target: "+a.Fault.String())
+		return
+	}
+	s.state(w, c, route.OutcomeUnknown, reason, "the target: "+a.Fault.String())
+}
+
+func reasonOf(f route.Fault) route.Reason {
+	switch f {
+	case route.FaultTimeout:
+		return route.ReasonDeadline
+	case route.FaultCaller:
+		return route.ReasonCallerGone
+	}
+	return route.ReasonTargetFailed
+}
--- /dev/null
+++ b/io/entry/server.go
@@ -0,0 +1,207 @@
+// Package entry serves callers' HTTP requests: it has each of them answered by a target of
+// its queue's pool and states one of three outcomes.
+package entry
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"siskincross/core/config"
+	"siskincross/core/event"
+	"siskincross/core/host"
+	"siskincross/core/route"
+	"siskincross/io/platform"
+	"siskincross/io/timeline"
+)
+
+// Server is the callers' side of one entry host. Its fields are set before the first use and
+// not changed afterwards.
+type Server struct {
+	// Config returns the configuration that is in force.
+	Config func() config.Expanded
+	// Snapshot returns a pool's targets, or false while this entry host can't vouch for them.
+	Snapshot func(pool string) (route.Snapshot, bool)
+	Table    platform.Table
+	Objects  platform.Objects
+	Recorder *timeline.Recorder
+	// Jobs serves the callers' job API under /jobs/; nil means 404.
+	Jobs http.Handler
+	// Members returns the number of live entry hosts, at least 1; nil means 1.
+	Members func() int
+	// PeerLoad returns the other entry hosts' requests in progress by host; it may be nil.
+	PeerLoad func(pool string) map[host.ID]int
+	// Scope receives the metrics; nil means none.
+	Scope  tally.Scope
+	Limits Limits
+	// Member names this entry host's incarnation.
+	Member string
+
+	once       sync.Once
+	limits     Limits
+	metrics    metrics
+	transports transports
+	index      atomic.Pointer[configIndex]
+	mu         sync.RWMutex
+	pools      map[string]*pool
+	// requests counts the requests in progress; draining refuses new ones.
+	requests atomic.Int64
+	draining atomic.Bool
+}
+
+const (
+	// refreshInterval is how often each pool's snapshot and the peers' figures are read without traffic.
+	refreshInterval = 50 * time.Millisecond
+	// drainInterval is how often Drain looks for requests in progress.
+	drainInterval = 5 * time.Millisecond
+	queuesPrefix  = "/queues/"
+	jobsPrefix    = "/jobs/"
+)
+
+// Handler returns the handler of the callers' requests.
+func (s *Server) Handler() http.Handler {
+	s.init()
+	return http.HandlerFunc(s.route)
+}
+
+// HTTPServer returns an HTTP server with the limits set, ready to serve callers.
+func (s *Server) HTTPServer() *http.Server {
+	handler := s.Handler()
+	return &http.Server{
+		Handler:           handler,
+		MaxHeaderBytes:    s.limits.HeaderBytes,
+		ReadHeaderTimeout: s.limits.ReadHeader,
+		IdleTimeout:       s.limits.Idle,
+	}
+}
+
+// Start runs the background loops until ctx ends. The channel gives nil once they have stopped.
+func (s *Server) Start(ctx context.Context) <-chan error {
+	s.init()
+	done := make(chan error, 1)
+	go func() {
+		s.refreshPools(ctx)
+		s.transports.close()
+		done <- nil
+	}()
+	return done
+}
+
+// InProgress returns the pool's requests in progress at targets, also at hosts outside the snapshot.
+func (s *Server) InProgress(name string) map[host.ID]int {
+	p := s.pool(name)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.scheduler.Board.InProgress()
+}
+
+// Demand returns the pool's requests in progress, those waiting, and the running count of arrivals.
+func (s *Server) Demand(name string) (inProgress, queued int, arrivals uint64) {
+	p := s.pool(name)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.scheduler.Board.Total(), p.scheduler.Waiting(), p.scheduler.Arrivals()
+}
+
+// Drain refuses new requests as not run and returns when those in progress have ended, or with ctx's error.
+func (s *Server) Drain(ctx context.Context) error {
+	s.draining.Store(true)
+	ticker := time.NewTicker(drainInterval)
+	defer ticker.Stop()
+	for s.requests.Load() > 0 {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	return nil
+}
+
+func (s *Server) init() {
+	s.once.Do(func() {
+		s.limits = s.Limits.withDefaults()
+		s.metrics = newMetrics(s.Scope)
+		s.transports.dial = s.limits.Dial
+		s.transports.idle = s.limits.IdleConnections
+	})
+}
+
+func (s *Server) route(w http.ResponseWriter, r *http.Request) {
+	switch {
+	case strings.HasPrefix(r.URL.Path, queuesPrefix):
+		s.serve(w, r)
+	case strings.HasPrefix(r.URL.Path, jobsPrefix) && s.Jobs != nil:
+		s.serveJobs(w, r)
+	default:
+		s.refuse(w, call{id: requestID(r)}, route.Refusal{Reason: route.ReasonUnknownQueue}, "there is no such path")
+	}
+}
+
+func (s *Server) serveJobs(w http.ResponseWriter, r *http.Request) {
+	s.requests.Add(1)
+	defer s.requests.Add(-1)
+	if s.draining.Load() {
+		s.refuse(w, call{id: requestID(r)}, route.Refusal{Reason: route.ReasonDraining, RetryAfter: drainRetryAfter}, "")
+		return
+	}
+	s.Jobs.ServeHTTP(w, r)
+}
+
+func (s *Server) pool(name string) *pool {
+	s.mu.RLock()
+	p := s.pools[name]
+	s.mu.RUnlock()
+	if p != nil {
+		return p
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.pools == nil {
+		s.pools = make(map[string]*pool)
+	}
+	if s.pools[name] == nil {
+		s.pools[name] = newPool(s, name)
+	}
+	return s.pools[name]
+}
+
+func (s *Server) refreshPools(ctx context.Context) {
+	ticker := time.NewTicker(refreshInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+		s.mu.RLock()
+		pools := make([]*pool, 0, len(s.pools))
+		for _, p := range s.pools {
+			pools = append(pools, p)
+		}
+		s.mu.RUnlock()
+		for _, p := range pools {
+			p.refresh()
+		}
+	}
+}
+
+func (s *Server) members() int {
+	if s.Members == nil {
+		return 1
+	}
+	return max(1, s.Members())
+}
+
+func (s *Server) record(e event.Event) event.ID {
+	if s.Recorder == nil {
+		return ""
+	}
+	return s.Recorder.Record(e)
+}
--- /dev/null
+++ b/io/entry/site_test.go
@@ -0,0 +1,194 @@
+package entry
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"siskincross/core/config"
+	"siskincross/core/host"
+	"siskincross/core/route"
+	"siskincross/io/standin"
+	"siskincross/io/timeline"
+)
+
+const (
+	testPool  = "letting/desk"
+	testQueue = "letting/quotes"
+	testPath  = "/queues/letting/quotes/hold"
+)
+
+// site is an entry host under test with its targets.
+type site struct {
+	*Server
+	url   string
+	table *standin.Table
+	// snapshot is what the entry host is told; vouched tells whether it is told anything.
+	snapshot atomic.Pointer[route.Snapshot]
+	vouched  atomic.Bool
+	expanded config.Expanded
+}
+
+// withSite starts an entry host in front of targets at the addresses.
+func withSite(t testing.TB, addresses ...string) *site {
+	t.Helper()
+	s := &site{table: &standin.Table{}, expanded: config.Expanded{
+		Version: 1,
+		Pools:   []config.Pool{{Name: testPool, Organisation: "letting", Hosts: len(addresses), MaxUnavailable: 2}},
+		Queues:  []config.Queue{{Name: testQueue, Organisation: "letting", Pool: testPool, MaxQueued: 100, Deadline: 5 * time.Second}},
+		Teams:   []config.Team{{Name: "letting/north", Organisation: "letting", Weight: 1}},
+	}}
+	s.setTargets(1, addresses...)
+	s.vouched.Store(true)
+	s.Server = &Server{
+		Config:   func() config.Expanded { return s.expanded },
+		Snapshot: func(string) (route.Snapshot, bool) { return *s.snapshot.Load(), s.vouched.Load() },
+		Table:    s.table.Service(),
+		Recorder: &timeline.Recorder{Process: "m1"},
+		Member:   "m1",
+	}
+	s.url = withCallers(t, s.Server)
+	return s
+}
+
+// withCallers serves callers of s until the test ends and returns the URL.
+func withCallers(t testing.TB, s *Server) string {
+	t.Helper()
+	server := httptest.NewUnstartedServer(nil)
+	server.Config = s.HTTPServer()
+	server.Start()
+	t.Cleanup(server.Close)
+	return server.URL
+}
+
+func (s *site) setTargets(version uint64, addresses ...string) {
+	snapshot := route.Snapshot{Pool: testPool, Epoch: 1, Version: version}
+	for _, address := range addresses {
+		snapshot.Targets = append(snapshot.Targets, route.Target{
+			Host:     host.ID("host-" + address),
+			Address:  address,
+			Capacity: host.Capacity{Slots: 8, Connections: 64},
+		})
+	}
+	s.snapshot.Store(&snapshot)
+}
+
+// withTarget starts a well-behaved target that echoes request IDs.
+func withTarget(t testing.TB, handle http.HandlerFunc) string {
+	t.Helper()
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(headerRequestID, r.Header.Get(headerRequestID))
+		handle(w, r)
+	}))
+	t.Cleanup(server.Close)
+	return strings.TrimPrefix(server.URL, "http://")
+}
+
+// withRawTarget starts a target that answers each connection's first request with the bytes
+// that answer makes from its request ID, and then closes the connection.
+func withRawTarget(t testing.TB, runs *atomic.Int32, answer func(id string) string) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go answerRaw(c, runs, answer)
+		}
+	}()
+	return listener.Addr().String()
+}
+
+func answerRaw(c net.Conn, runs *atomic.Int32, answer func(id string) string) {
+	defer func() { _ = c.Close() }()
+	r, err := http.ReadRequest(bufio.NewReader(c))
+	if err != nil {
+		return
+	}
+	_, _ = io.Copy(io.Discard, r.Body)
+	runs.Add(1)
+	_, _ = io.WriteString(c, answer(r.Header.Get(headerRequestID)))
+}
+
+// refusing returns a handler that proves that it did not start the request.
+func refusing(count *atomic.Int32) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		count.Add(1)
+		w.Header().Set(headerRefused, refusedNotStarted)
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+// closedAddress returns an address where nothing listens.
+func closedAddress(t testing.TB) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = listener.Close()
+	return listener.Addr().String()
+}
+
+// reply is what a caller saw.
+type reply struct {
+	status  int
+	outcome string
+	body    string
+	header  http.Header
+	err     error
+}
+
+// call sends one request and reads the whole answer. Headers are pairs of names and values.
+func (s *site) call(t testing.TB, method, path, body string, headers ...string) reply {
+	t.Helper()
+	return send(t, s.url, method, path, strings.NewReader(body), headers...)
+}
+
+func send(t testing.TB, url, method, path string, body io.Reader, headers ...string) reply {
+	t.Helper()
+	r, err := http.NewRequest(method, url+path, body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := 0; i+1 < len(headers); i += 2 {
+		r.Header.Add(headers[i], headers[i+1])
+	}
+	response, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer func() { _ = response.Body.Close() }()
+	content, err := io.ReadAll(response.Body)
+	return reply{response.StatusCode, response.Header.Get(headerOutcome), string(content), response.Header, err}
+}
+
+func assertOutcome(t *testing.T, got reply, status int, outcome route.Outcome) {
+	t.Helper()
+	is := is.New(t)
+	is.Helper()
+	is.NoErr(got.err)                              // the caller got an answer
+	is.Equal(got.outcome, outcome.String())        // outcome header
+	is.Equal(got.status, status)                   // HTTP status
+	is.True(got.header.Get(headerRequestID) != "") // request ID
+	if outcome == route.OutcomeNotRun {
+		is.True(got.header.Get("Retry-After") != "") // Retry-After with not-run
+	}
+	if outcome != route.OutcomeAnswered {
+		is.Equal(got.header.Get("Content-Type"), problemType)
+	}
+}
