--- a/core/chart/chart_test.go
+++ b/core/chart/chart_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"strings"
 	"testing"
 
 	"github.com/matryer/is"
@@ -69,3 +70,10 @@
 		})
 	}
 }
+
+func TestMarkdownTellsEveryCase(t *testing.T) {
+	is := is.New(t)
+	text := chart.MustParse(doorChart).Markdown()
+	is.True(strings.Contains(text, "closed --> opened: open"))
+	is.True(strings.Contains(text, "| opened | refused | gone |"))
+}
--- a/io/settings/settings.go
+++ b/io/settings/settings.go
@@ -79,7 +79,9 @@
 	TaskLease Duration `toml:"task-lease"`
 	// Maintenance is the time in which every host is maintained once.
 	Maintenance Duration `toml:"maintenance"`
-	// Shutdown bounds a graceful shutdown.
+	// Linger is how long requests are accepted after the health check began to fail.
+	Linger Duration `toml:"linger"`
+	// Shutdown bounds a graceful shutdown; over Linger.
 	Shutdown Duration `toml:"shutdown"`
 }
 
@@ -118,6 +120,7 @@
 	defaultPlan        = time.Second
 	defaultTaskLease   = 15 * time.Second
 	defaultMaintenance = 8 * 7 * 24 * time.Hour
+	defaultLinger      = 3 * time.Second
 	defaultShutdown    = 30 * time.Second
 	defaultLevel       = "info"
 )
@@ -136,6 +139,7 @@
 			Plan:        Duration(defaultPlan),
 			TaskLease:   Duration(defaultTaskLease),
 			Maintenance: Duration(defaultMaintenance),
+			Linger:      Duration(defaultLinger),
 			Shutdown:    Duration(defaultShutdown),
 		},
 		Logs: Logs{Level: defaultLevel},
--- a/io/settings/settings_test.go
+++ b/io/settings/settings_test.go
@@ -75,6 +75,7 @@
 		{"malformed duration", valid + "[periods]\nplan = \"2 seconds\"\n", "periods.plan", `such as "2s"`},
 		{"negative duration", valid + "[periods]\nplan = \"-2s\"\n", "periods.plan", "over 0s"},
 		{"lapse within two heartbeats", valid + "[periods]\nlapse = \"4s\"\n", "periods.lapse", "over 4s"},
+		{"shutdown within linger", valid + "[periods]\nshutdown = \"1s\"\n", "periods.shutdown", "over 3s"},
 		{"limit too low", valid + "[limits]\nheader-bytes = 10\n", "limits.header-bytes", "at least 1024"},
 		{"limit too high", valid + "[limits]\nheader-bytes = 10000000\n", "limits.header-bytes", "at most 1048576"},
 		{"no token off loopback", with("127.0.0.1:7200", "10.0.0.1:7200"), "operators.token", "a secret"},
--- a/io/settings/validate.go
+++ b/io/settings/validate.go
@@ -147,7 +147,12 @@
 	r.positive("periods.plan", s.Periods.Plan)
 	r.positive("periods.task-lease", s.Periods.TaskLease)
 	r.positive("periods.maintenance", s.Periods.Maintenance)
-	r.positive("periods.shutdown", s.Periods.Shutdown)
+	r.positive("periods.linger", s.Periods.Linger)
+	if s.Periods.Shutdown <= s.Periods.Linger {
+		r.add("periods.shutdown",
+			fmt.Sprintf("has the value %q", time.Duration(s.Periods.Shutdown)),
+			fmt.Sprintf("over %s, periods.linger", time.Duration(s.Periods.Linger)))
+	}
 	if s.Periods.Lapse <= lapseHeartbeats*s.Periods.Heartbeat {
 		r.add("periods.lapse",
 			fmt.Sprintf("has the value %q", time.Duration(s.Periods.Lapse)),
