Add the stand-in of the platform and its HTTP wire format

The platform's client and its handler share one wire format. Errors keep their types: a call that reached no connection is unavailable, a write whose answer was lost has an unknown outcome. The stand-in has hosts with real listeners, tasks under leases, a lagging list and fault switches.

--- a/io/platform/errors.go
+++ b/io/platform/errors.go
@@ -69,3 +69,14 @@
 func (e ErrStaleEpoch) Error() string {
 	return fmt.Sprintf("host %s has seen epoch %d, the command carries %d", e.Host, e.Highest, e.Epoch)
 }
+
+// ErrInvalid is returned when the service could not understand a call. Nothing took effect.
+type ErrInvalid struct {
+	Service string
+	Reason  string
+}
+
+// Error implements error.
+func (e ErrInvalid) Error() string {
+	return fmt.Sprintf("the platform's %s rejected a malformed call: %s", e.Service, e.Reason)
+}
--- /dev/null
+++ b/io/platform/http_test.go
@@ -0,0 +1,119 @@
+package platform
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"siskincross/core/host"
+)
+
+// withWire returns a client of p over loopback.
+func withWire(t *testing.T, p Platform) Platform {
+	t.Helper()
+	server := httptest.NewServer(NewHandler(p))
+	t.Cleanup(server.Close)
+	return NewHTTP(server.Listener.Addr().String(), nil)
+}
+
+// assertCarried checks that an error of the service reaches the client with its type and data.
+func assertCarried(t *testing.T, sent, want error) {
+	t.Helper()
+	is := is.New(t)
+	p := withWire(t, Platform{Table: Table{Commit: func(context.Context, Transaction) error { return sent }}})
+	is.Equal(p.Table.Commit(context.Background(), Transaction{}), want)
+}
+
+func TestErrorsKeepTheirTypes(t *testing.T) {
+	for _, err := range []error{
+		ErrConflict{Key: "pool/a", Expected: 7, Actual: 9},
+		ErrUnavailable{Service: "table", Reason: "down"},
+		ErrNotFound{Kind: "object", Name: "x"},
+		ErrRefused{Host: "h1", Reason: "drained"},
+		ErrStaleEpoch{Host: "h1", Epoch: 3, Highest: 4},
+	} {
+		t.Run(fmt.Sprintf("%T", err), func(t *testing.T) { assertCarried(t, err, err) })
+	}
+}
+
+func TestLostAnswers(t *testing.T) {
+	lose := Platform{
+		Table: Table{
+			Commit: func(context.Context, Transaction) error { return ErrOutcomeUnknown{Service: "table"} },
+			Read:   func(context.Context, []string) ([]Row, error) { return nil, ErrOutcomeUnknown{Service: "table"} },
+		},
+		Hosts: Hosts{Reboot: func(context.Context, host.ID, string) error { panic(http.ErrAbortHandler) }},
+	}
+	p := withWire(t, lose)
+	t.Run("of a write leaves the outcome unknown", func(t *testing.T) {
+		assertUnknown(t, p.Table.Commit(context.Background(), Transaction{}))
+		assertUnknown(t, p.Hosts.Reboot(context.Background(), "h1", "op"))
+	})
+	t.Run("of a read has no effect", func(t *testing.T) {
+		_, err := p.Table.Read(context.Background(), []string{"a"})
+		assertUnavailable(t, err)
+	})
+}
+
+func TestCallsThatNeverArrive(t *testing.T) {
+	t.Run("refused connection", func(t *testing.T) {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		is.New(t).NoErr(err)
+		address := listener.Addr().String()
+		is.New(t).NoErr(listener.Close())
+		assertUnavailable(t, NewHTTP(address, nil).Table.Commit(context.Background(), Transaction{}))
+	})
+	t.Run("foreign 503", func(t *testing.T) {
+		assertForeign(t, http.StatusServiceUnavailable, assertUnavailable)
+	})
+	t.Run("foreign 500 leaves the outcome unknown", func(t *testing.T) {
+		assertForeign(t, http.StatusInternalServerError, assertUnknown)
+	})
+	t.Run("foreign 200 leaves the outcome of a read unavailable", func(t *testing.T) {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("<html>")) }))
+		t.Cleanup(server.Close)
+		_, err := NewHTTP(server.Listener.Addr().String(), nil).Hosts.List(context.Background())
+		assertUnavailable(t, err)
+	})
+}
+
+func TestTransactionsKeepTheirContent(t *testing.T) {
+	is := is.New(t)
+	var got Transaction
+	p := withWire(t, Platform{Table: Table{Commit: func(_ context.Context, tx Transaction) error {
+		got = tx
+		return nil
+	}}})
+	want := Transaction{
+		ID: "t1", Purpose: "member", Preconditions: []Precondition{{Key: "a", Version: 1 << 63}},
+		Writes: []Write{{Key: "a", Value: []byte{0, 255}}, {Key: "b", Delete: true}},
+	}
+	is.NoErr(p.Table.Commit(context.Background(), want))
+	is.Equal(got, want)
+}
+
+// assertForeign checks a commit's error when something other than the service answers.
+func assertForeign(t *testing.T, status int, assert func(*testing.T, error)) {
+	t.Helper()
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(status) }))
+	t.Cleanup(server.Close)
+	assert(t, NewHTTP(server.Listener.Addr().String(), nil).Table.Commit(context.Background(), Transaction{}))
+}
+
+func assertUnknown(t *testing.T, err error) {
+	t.Helper()
+	var unknown ErrOutcomeUnknown
+	is.New(t).True(errors.As(err, &unknown))
+}
+
+func assertUnavailable(t *testing.T, err error) {
+	t.Helper()
+	var unavailable ErrUnavailable
+	is.New(t).True(errors.As(err, &unavailable))
+}
--- /dev/null
+++ b/io/standin/target_test.go
@@ -0,0 +1,214 @@
+package standin
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"siskincross/core/host"
+	"siskincross/io/platform"
+)
+
+const testSlots = 2
+
+// withPlatform starts a stand-in of three hosts and returns it with a client over the wire.
+func withPlatform(t *testing.T) (*Platform, platform.Platform) {
+	t.Helper()
+	fleet := Fleet{RebootTime: 50 * time.Millisecond}
+	for _, id := range []host.ID{"h1", "h2", "h3"} {
+		fleet.Hosts = append(fleet.Hosts, HostSpec{
+			ID: id, HomePool: "o/p", Capacity: host.Capacity{Slots: testSlots, Connections: 64, MemoryBytes: 1000},
+		})
+	}
+	p := New(fleet)
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := p.Start(ctx)
+	t.Cleanup(func() {
+		cancel()
+		is.New(t).NoErr(<-ended)
+	})
+	return p, platform.NewHTTP(p.Address(), nil)
+}
+
+// request is one request straight to a target.
+type request struct {
+	work   time.Duration
+	size   int
+	stream bool
+	key    string
+}
+
+func send(t *testing.T, p *Platform, id host.ID, r request) (*http.Response, []byte, error) {
+	t.Helper()
+	httpRequest, err := http.NewRequest(http.MethodPost, "http://"+addressOf(t, p, id)+"/x", nil)
+	is.New(t).NoErr(err)
+	httpRequest.Header.Set(headerRequestID, "r1")
+	httpRequest.Header.Set(HeaderCaller, "c1")
+	httpRequest.Header.Set(HeaderWork, r.work.String())
+	httpRequest.Header.Set(HeaderAnswerBytes, strconv.Itoa(r.size))
+	httpRequest.Header.Set(HeaderStream, strconv.FormatBool(r.stream))
+	httpRequest.Header.Set(headerKey, r.key)
+	transport := &http.Transport{DisableKeepAlives: true}
+	response, err := transport.RoundTrip(httpRequest)
+	if err != nil {
+		return nil, nil, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	return response, body, err
+}
+
+func addressOf(t *testing.T, p *Platform, id host.ID) string {
+	t.Helper()
+	listings, err := p.listHosts(context.Background())
+	is.New(t).NoErr(err)
+	for _, listing := range listings {
+		if listing.Host == id {
+			return listing.Address
+		}
+	}
+	t.Fatalf("host %s is not listed", id)
+	return ""
+}
+
+// awaitRuns waits until the targets have recorded n arrivals, and returns them.
+func awaitRuns(p *Platform, n int) []Run {
+	for {
+		if runs := p.Records().Runs; len(runs) >= n {
+			return runs
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+func assertRefused(t *testing.T, p *Platform, id host.ID) {
+	t.Helper()
+	is := is.New(t)
+	response, _, err := send(t, p, id, request{})
+	is.NoErr(err)
+	is.Equal(response.StatusCode, http.StatusServiceUnavailable)
+	is.Equal(response.Header.Get(headerRefused), "not-started")
+}
+
+func TestTargetAnswers(t *testing.T) {
+	p, services := withPlatform(t)
+	t.Run("whole answers with the request ID", func(t *testing.T) {
+		is := is.New(t)
+		response, body, err := send(t, p, "h1", request{size: 10_000, stream: true})
+		is.NoErr(err)
+		is.Equal(response.Header.Get(headerRequestID), "r1")
+		is.Equal(body, Answer(Identity("", "c1"), 10_000))
+		run := p.Records().Runs[0]
+		is.Equal(run.Outcome, RunWhole)
+		is.Equal(run.Caller, "c1")
+	})
+	t.Run("drained hosts refuse", func(t *testing.T) {
+		is := is.New(t)
+		is.NoErr(services.Hosts.Drain(context.Background(), "h1"))
+		assertRefused(t, p, "h1")
+		is.NoErr(services.Hosts.Undrain(context.Background(), "h1"))
+		_, _, err := send(t, p, "h1", request{})
+		is.NoErr(err)
+	})
+	t.Run("full slots refuse, counted with tasks", func(t *testing.T) {
+		is := is.New(t)
+		for i := range testSlots {
+			spec := platform.TaskSpec{Task: strconv.Itoa(i), Pool: "o/p", Program: "work=1h", Lease: time.Hour}
+			is.NoErr(services.Workers.Start(context.Background(), "h2", spec))
+		}
+		assertRefused(t, p, "h2")
+	})
+}
+
+func TestTargetFaults(t *testing.T) {
+	for name, tc := range map[string]struct {
+		faults  TargetFaults
+		outcome RunOutcome
+		whole   bool
+	}{
+		"cut":       {TargetFaults{Cut: 1}, RunCut, false},
+		"garbage":   {TargetFaults{Garbage: 1}, RunCut, false},
+		"duplicate": {TargetFaults{Duplicate: 1}, RunWhole, true},
+		"cross":     {TargetFaults{Cross: 1}, RunWhole, false},
+		"late":      {TargetFaults{Late: 1, LateBy: time.Millisecond}, RunWhole, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			p, _ := withPlatform(t)
+			is.NoErr(p.SetTargetFaults("h1", tc.faults))
+			response, body, err := send(t, p, "h1", request{size: 1000})
+			whole := err == nil && string(body) == string(Answer(Identity("", "c1"), 1000))
+			is.Equal(whole && response.Header.Get(headerRequestID) == "r1", tc.whole)
+			run := awaitRuns(p, 1)[0]
+			is.Equal(run.Fault, name)
+			is.Equal(run.Outcome, tc.outcome)
+			_, body, err = send(t, p, "h1", request{size: 1000})
+			is.NoErr(err)
+			is.Equal(body, Answer(Identity("", "c1"), 1000))
+		})
+	}
+}
+
+func TestHostsGoDown(t *testing.T) {
+	for name, down := range map[string]func(*Platform, platform.Platform) error{
+		"reboot": func(_ *Platform, s platform.Platform) error { return s.Hosts.Reboot(context.Background(), "h1", "op1") },
+		"crash":  func(p *Platform, _ platform.Platform) error { return p.Fail("h1", FailRefuse) },
+	} {
+		t.Run(name+" cuts off work", func(t *testing.T) {
+			is := is.New(t)
+			p, services := withPlatform(t)
+			cut := make(chan error, 1)
+			go func() {
+				_, _, err := send(t, p, "h1", request{work: time.Hour})
+				cut <- err
+			}()
+			awaitRuns(p, 1)
+			is.NoErr(down(p, services))
+			is.True(<-cut != nil)
+			is.NoErr(p.Recover("h1"))
+			awaitAnswer(t, p, "h1")
+			listings, err := services.Hosts.List(context.Background())
+			is.NoErr(err)
+			is.Equal(listings[0].Boot, 2)
+		})
+	}
+	t.Run("the same operation reboots once", func(t *testing.T) {
+		is := is.New(t)
+		p, services := withPlatform(t)
+		is.NoErr(services.Hosts.Reboot(context.Background(), "h1", "op1"))
+		awaitAnswer(t, p, "h1")
+		is.NoErr(services.Hosts.Reboot(context.Background(), "h1", "op1"))
+		_, _, err := send(t, p, "h1", request{})
+		is.NoErr(err)
+	})
+	t.Run("a hung host answers after it recovers", func(t *testing.T) {
+		is := is.New(t)
+		p, _ := withPlatform(t)
+		is.NoErr(p.Fail("h1", FailHang))
+		answered := make(chan error, 1)
+		go func() {
+			_, _, err := send(t, p, "h1", request{})
+			answered <- err
+		}()
+		time.Sleep(20 * time.Millisecond)
+		is.Equal(len(p.Records().Runs), 0)
+		is.NoErr(p.Recover("h1"))
+		is.NoErr(<-answered)
+	})
+}
+
+// awaitAnswer waits until the target answers again.
+func awaitAnswer(t *testing.T, p *Platform, id host.ID) {
+	t.Helper()
+	for {
+		if _, _, err := send(t, p, id, request{}); err == nil {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
