--- a/io/standin/worker_test.go
+++ b/io/standin/worker_test.go
@@ -118,7 +118,7 @@
 		is.NoErr(p.Leave("h1", 10*time.Second))
 		time.Sleep(3*time.Second - 1)
 		is.Equal(condition(), platform.ConditionLive)
-		time.Sleep(1)
+		time.Sleep(time.Nanosecond)
 		is.Equal(condition(), platform.ConditionLeaving)
 		time.Sleep(10 * time.Second)
 		listings, err := p.Services().Hosts.List(context.Background())
