Maintain hosts by drain and reboot within the pools' budgets

Every host is rebooted once in the period, rack by rack, while the pool's row leaves room for the disruption and one more failure. A drain is over when all members that may still send requests acknowledged routes without the host and nothing is in progress; the reboot is recorded before it is ordered, so that the next holder repeats the same operation. Waves of failures, a doubted list and a lapse of most entry hosts pause it.

--- a/core/pool/budget.go
+++ b/core/pool/budget.go
@@ -98,6 +98,9 @@
 		return p.WithoutHost(id), nil
 	}
 	h.State, h.Reason, h.Since = next, reason, now
+	if event == host.Cancel {
+		h.GivenUp = now
+	}
 	if event == host.Fail || event == host.Leave || event == host.Cancel || event == host.Serve {
 		h.Work = Work{}
 	}
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -43,6 +43,8 @@
 	Since time.Time `json:"since"`
 	// Maintained is when the host last returned from a reboot of ours, or when it was adopted.
 	Maintained time.Time `json:"maintained"`
+	// GivenUp is when a drain of the host was last given up; zero means never.
+	GivenUp time.Time `json:"given-up,omitzero"`
 	// Moved is when the host entered this pool from another; zero means never.
 	Moved time.Time `json:"moved,omitzero"`
 	// Reason says why the host is in State.
--- a/io/fleet/manager.go
+++ b/io/fleet/manager.go
@@ -68,8 +68,12 @@
 	confirmed map[host.ID]confirmation
 	// elsewhere holds hosts of the list that have an owner which is not their home pool.
 	elsewhere map[host.ID]time.Time
-	refusals  map[string]refusal
-	loads     map[string]load
+	// waiting holds why planned work of a pool waits.
+	waiting map[string]string
+	// behind tells the pools that are behind their maintenance schedule.
+	behind map[string]bool
+	// planned is when planned work was last considered. Only decisions use it.
+	planned time.Time
 	// outSince holds the version of the pool's row that first showed a host out of service.
 	outSince map[host.ID]uint64
 	// lastEvents holds the newest event of each host. Only decisions use it.
@@ -151,8 +155,8 @@
 	m.peers = make(map[string]peerState)
 	m.confirmed = make(map[host.ID]confirmation)
 	m.elsewhere = make(map[host.ID]time.Time)
-	m.refusals = make(map[string]refusal)
-	m.loads = make(map[string]load)
+	m.waiting = make(map[string]string)
+	m.behind = make(map[string]bool)
 	m.outSince = make(map[host.ID]uint64)
 	m.lastEvents = make(map[host.ID]event.ID)
 	m.urgent = make(chan struct{}, 1)
--- a/io/fleet/status.go
+++ b/io/fleet/status.go
@@ -1,8 +1,11 @@
 package fleet
 
 import (
+	"time"
+
 	"siskincross/core/config"
 	"siskincross/core/host"
+	"siskincross/core/plan"
 	"siskincross/core/pool"
 )
 
@@ -17,14 +20,19 @@
 
 // PoolStatus is the state of one pool.
 type PoolStatus struct {
-	Name           string           `json:"name"`
-	Holder         string           `json:"holder"`
-	Epoch          uint64           `json:"epoch"`
-	Limits         config.Pool      `json:"limits"`
-	Disruptions    pool.Disruptions `json:"disruptions"`
-	Hosts          []HostStatus     `json:"hosts"`
-	Inbound        []pool.Inbound   `json:"inbound,omitempty"`
-	WaitingForWork string           `json:"waiting-for-work,omitempty"`
+	Name        string           `json:"name"`
+	Holder      string           `json:"holder"`
+	Epoch       uint64           `json:"epoch"`
+	Limits      config.Pool      `json:"limits"`
+	Disruptions pool.Disruptions `json:"disruptions"`
+	Hosts       []HostStatus     `json:"hosts"`
+	Inbound     []pool.Inbound   `json:"inbound,omitempty"`
+	// Headroom names the loss that the budget bears besides one planned disruption: "rack", "host" or "none".
+	Headroom string `json:"headroom"`
+	// WorkWaitsFor says what holds planned work back; only the duty's holder knows it.
+	WorkWaitsFor string `json:"work-waits-for,omitempty"`
+	// Behind tells that the holder forecasts a missed deadline of maintenance.
+	Behind bool `json:"behind,omitempty"`
 }
 
 // HostStatus is the state of one host.
@@ -32,6 +40,8 @@
 	pool.Host
 	// WaitsFor says what the host's next step waits for.
 	WaitsFor string `json:"waits-for,omitempty"`
+	// MaintenanceDue is when the host's maintenance may start.
+	MaintenanceDue time.Time `json:"maintenance-due"`
 }
 
 // Status returns the pools with their budgets and hosts as this entry host knows them.
@@ -47,19 +57,21 @@
 func (m *Manager) poolStatus(limits config.Pool) PoolStatus {
 	r, _ := m.rowOf(limits.Name)
 	m.mu.Lock()
-	waiting := m.refusals[limits.Name].reason
+	waiting, behind := m.waiting[limits.Name], m.behind[limits.Name]
 	m.mu.Unlock()
 	s := PoolStatus{
-		Name:           limits.Name,
-		Holder:         r.pool.Holder,
-		Epoch:          r.pool.Epoch,
-		Limits:         limits,
-		Disruptions:    r.pool.Disruptions(),
-		Inbound:        r.pool.Inbound,
-		WaitingForWork: waiting,
+		Name:         limits.Name,
+		Holder:       r.pool.Holder,
+		Epoch:        r.pool.Epoch,
+		Limits:       limits,
+		Disruptions:  r.pool.Disruptions(),
+		Inbound:      r.pool.Inbound,
+		Headroom:     plan.Headroom(r.pool, limits),
+		WorkWaitsFor: waiting,
+		Behind:       behind,
 	}
 	for _, h := range r.pool.Hosts {
-		s.Hosts = append(s.Hosts, HostStatus{Host: h, WaitsFor: m.explainWait(r, h)})
+		s.Hosts = append(s.Hosts, HostStatus{Host: h, WaitsFor: m.explainWait(r, h), MaintenanceDue: m.maintenance().Due(h)})
 	}
 	return s
 }
--- /dev/null
+++ b/io/fleet/work_test.go
@@ -0,0 +1,206 @@
+package fleet_test
+
+import (
+	"testing"
+	"time"
+
+	"siskincross/core/host"
+	"siskincross/io/fleet"
+	"siskincross/io/platform"
+	"siskincross/io/standin"
+)
+
+// withWave runs a test on a cluster that maintains every host within ten minutes.
+func withWave(t *testing.T, members int, prepare func(*cluster), test func(*cluster)) {
+	withCluster(t, 2, 8, 0, func(c *cluster) {
+		c.periods = fleet.Periods{Maintenance: 10 * time.Minute, MoveTime: 15 * time.Second}
+		if prepare != nil {
+			prepare(c)
+		}
+		for range members {
+			c.add()
+		}
+		test(c)
+	})
+}
+
+// watchBudget checks the pools' rows four times a second and returns the highest count of hosts out of service.
+func (c *cluster) watchBudget(d time.Duration) int {
+	highest := 0
+	for range int(d / (250 * time.Millisecond)) {
+		time.Sleep(250 * time.Millisecond)
+		for i := range c.config.Pools {
+			highest = max(highest, c.pool(i).Disruptions().Total())
+		}
+	}
+	return highest
+}
+
+func (c *cluster) assertMaintained(i int, since time.Time) {
+	c.t.Helper()
+	for _, h := range c.pool(i).Hosts {
+		if h.Maintained.Before(since) {
+			c.t.Errorf("host %s was last maintained at %v", h.ID, h.Maintained)
+		}
+	}
+}
+
+func TestMaintenanceWave(t *testing.T) {
+	t.Run("every host within the period and the budget", func(t *testing.T) {
+		withWave(t, 3, nil, func(c *cluster) {
+			time.Sleep(20 * time.Second)
+			started := time.Now()
+			highest := c.watchBudget(10 * time.Minute)
+			c.is.True(highest <= 2) // hosts out of service at one time
+			c.assertMaintained(0, started)
+			c.assertMaintained(1, started)
+			c.assertOnePoolEach()
+		})
+	})
+	t.Run("the next holder goes on and reboots no host twice", func(t *testing.T) {
+		withWave(t, 3, nil, func(c *cluster) {
+			time.Sleep(20 * time.Second)
+			started := time.Now()
+			c.sleepUntil(func() bool { return c.pool(0).Disruptions().Planned > 0 })
+			c.kill(c.managerOf(c.pool(0).Holder))
+			c.is.True(c.watchBudget(10*time.Minute) <= 2)
+			c.assertMaintained(0, started)
+			for id, n := range c.hosts.reboots() {
+				c.is.True(n <= 2) // at most once a period
+				c.is.True(c.hosts.isUp(id) || n == 2)
+			}
+		})
+	})
+	t.Run("failures hold it back", func(t *testing.T) {
+		withWave(t, 3, nil, func(c *cluster) {
+			time.Sleep(20 * time.Second)
+			c.hosts.condition(hostName(0, 6), platform.ConditionFailed)
+			c.hosts.condition(hostName(0, 7), platform.ConditionFailed)
+			time.Sleep(9 * time.Minute)
+			c.is.Equal(c.pool(0).Disruptions().Planned, 0)
+			c.is.True(c.waits(0) != "") // the status says what holds it back
+			c.hosts.condition(hostName(0, 6), platform.ConditionLive)
+			c.hosts.condition(hostName(0, 7), platform.ConditionLive)
+			c.sleepUntil(func() bool { return c.pool(0).Disruptions().Planned > 0 })
+		})
+	})
+	t.Run("a host that never comes back stays counted", func(t *testing.T) {
+		withWave(t, 2, func(c *cluster) { c.periods.Reboot = time.Minute }, func(c *cluster) {
+			for h := range 8 {
+				c.hosts.stuck[hostName(0, h)] = true
+			}
+			c.is.True(c.watchBudget(20*time.Minute) <= 2)
+			c.is.Equal(c.pool(0).Disruptions().Failed, 2)
+		})
+	})
+	t.Run("a store outage between drain and reboot", func(t *testing.T) {
+		withWave(t, 2, nil, func(c *cluster) {
+			time.Sleep(20 * time.Second)
+			started := time.Now()
+			c.sleepUntil(func() bool { return c.pool(0).Disruptions().Planned > 0 })
+			c.table.SetFaults(standin.TableFaults{Down: true})
+			time.Sleep(time.Minute)
+			c.table.SetFaults(standin.TableFaults{LoseAnswers: 5})
+			c.is.True(c.watchBudget(9*time.Minute) <= 2)
+			c.assertMaintained(0, started)
+		})
+	})
+}
+
+func TestDrain(t *testing.T) {
+	t.Run("waits for requests in progress at every member", func(t *testing.T) {
+		busy := map[host.ID]int{}
+		prepare := func(c *cluster) {
+			c.prepare = func(m *fleet.Manager) {
+				if m.Member == "entry-2" {
+					m.InProgress = func(name string) map[host.ID]int { return busy }
+				}
+			}
+			for h := range 8 {
+				busy[hostName(0, h)] = 1
+			}
+		}
+		withWave(t, 3, prepare, func(c *cluster) {
+			c.sleepUntil(func() bool { return c.pool(0).Disruptions().Planned > 0 })
+			time.Sleep(time.Minute)
+			for id := range c.hosts.reboots() {
+				c.is.Equal(busy[id], 0) // requests in progress on a host that was rebooted
+			}
+			clear(busy)
+			c.sleepUntil(func() bool { return c.hosts.reboots()[hostName(0, 0)] > 0 })
+		})
+	})
+	t.Run("waits for tasks and is given up after the timeout", func(t *testing.T) {
+		prepare := func(c *cluster) {
+			c.periods.DrainTimeout = time.Minute
+			c.prepare = func(m *fleet.Manager) { m.TasksOn = func(host.ID) int { return 1 } }
+		}
+		withWave(t, 2, prepare, func(c *cluster) {
+			c.sleepUntil(func() bool { return c.pool(0).Disruptions().Planned > 0 })
+			draining := c.managers[0].Draining(poolName(0))
+			c.is.Equal(len(draining), 1)
+			c.sleepUntil(func() bool {
+				h, _ := c.pool(0).Host(draining[0])
+				return h.State == host.Serving && !h.GivenUp.IsZero()
+			})
+			c.is.Equal(len(c.hosts.reboots()), 0)
+		})
+	})
+	t.Run("waits for a member that is cut off until it is silent", func(t *testing.T) {
+		withWave(t, 3, nil, func(c *cluster) {
+			time.Sleep(20 * time.Second)
+			c.sleepUntil(func() bool { return c.pool(0).Disruptions().Planned > 0 })
+			var cut *member
+			for _, m := range c.managers {
+				if m.Member != c.pool(0).Holder {
+					cut = m
+				}
+			}
+			cut.setCut(true)
+			c.hosts.onReboot = func(host.ID) { c.is.Equal(c.targets(cut, 0), -1) }
+			c.sleepUntil(func() bool { return len(c.hosts.reboots()) > 0 })
+		})
+	})
+	t.Run("waits for the platform's confirmation", func(t *testing.T) {
+		withWave(t, 2, nil, func(c *cluster) {
+			c.hosts.down = true
+			c.sleepUntil(func() bool { return c.pool(0).Disruptions().Planned > 0 })
+			time.Sleep(time.Minute)
+			c.is.Equal(len(c.hosts.reboots()), 0)
+		})
+	})
+}
+
+// sleepUntil waits in virtual time for an outcome.
+func (c *cluster) sleepUntil(outcome func() bool) {
+	c.t.Helper()
+	const limit = 30 * time.Minute
+	for range int(limit / (250 * time.Millisecond)) {
+		if outcome() {
+			return
+		}
+		time.Sleep(250 * time.Millisecond)
+	}
+	c.t.Fatal("the outcome did not come about")
+}
+
+// waits returns what planned work of a pool waits for, as its holder's status says.
+func (c *cluster) waits(i int) string {
+	return c.managerOf(c.pool(i).Holder).Status().Pools[i].WorkWaitsFor
+}
+
+func (f *hostsFake) reboots() map[host.ID]int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := make(map[host.ID]int)
+	for _, id := range f.operations {
+		n[id]++
+	}
+	return n
+}
+
+func (f *hostsFake) isUp(id host.ID) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.listings[id].Condition == platform.ConditionLive
+}
