Tell jobs that can never run from workers that fail every task

Cause: a failure alone blames neither the job nor the worker, and a job may meet several bad workers before the first of them is known.

A worker that does not answer gets no new work, for a time that doubles.

Figures: go test ./core/job -run Suspicion -v: at most 5 tasks of good jobs lost by a bad worker, no good worker suspected, in six mixes of both.

Conclusion: the two are told apart, also when jobs that can never run are the majority.

--- a/core/job/job.go
+++ b/core/job/job.go
@@ -45,6 +45,8 @@
 type Failure struct {
 	Host   host.ID `json:"host"`
 	Reason string  `json:"reason"`
+	// Proved is true if the worker had run another job well.
+	Proved bool `json:"proved,omitempty"`
 }
 
 // Job is a job's row. It is changed only by the methods below, which follow the chart.
@@ -149,8 +151,9 @@
 	return next, nil
 }
 
-// WithFailure returns the job after a failed attempt. A job that is not idempotent ends.
-func (j Job) WithFailure(attempt int, reason string) (Job, error) {
+// WithFailure returns the job after a failed attempt on a worker that was proved or not.
+// A job that is not idempotent ends.
+func (j Job) WithFailure(attempt int, reason string, proved bool) (Job, error) {
 	on := eventRequeue
 	if !j.Spec.Idempotent {
 		on = eventFail
@@ -160,7 +163,7 @@
 		return j, err
 	}
 	next.Reason = reason
-	next.Failures = append(append([]Failure(nil), j.Failures...), Failure{Host: j.Host, Reason: reason})
+	next.Failures = append(append([]Failure(nil), j.Failures...), Failure{Host: j.Host, Reason: reason, Proved: proved})
 	return next, nil
 }
 
--- a/core/job/job_test.go
+++ b/core/job/job_test.go
@@ -41,7 +41,7 @@
 func TestJobThatRunsOnceNeverWaitsAgain(t *testing.T) {
 	ends := map[string]func(j Job) (Job, error){
 		"lapse":   func(j Job) (Job, error) { return j.WithLapse(1, "progress", "lapsed") },
-		"failure": func(j Job) (Job, error) { return j.WithFailure(1, "exit status 1") },
+		"failure": func(j Job) (Job, error) { return j.WithFailure(1, "exit status 1", true) },
 	}
 	want := map[string]chart.State{"lapse": StateUnknown, "failure": StateFailed}
 	for name, end := range ends {
--- a/core/job/lease.go
+++ b/core/job/lease.go
@@ -16,27 +16,50 @@
 	t := e.task
 	switch answer {
 	case StartAccepted:
-		t.worker.contact = now
+		t.worker.answered(now)
 		t.started = now
 		t.follow(AttemptSeen)
 	case StartRefused:
 		s.refused(t, now)
 	case StartUnknown:
-		t.worker.backoff = now.Add(refuseWait)
+		t.worker.putOff(now)
 		if e.job.Spec.Idempotent {
 			s.lapse(t, "the answer of worker "+string(t.worker.id)+" to the start was lost")
 		}
 	}
 }
 
-// refuseWait is how long a worker that refused a task gets no other.
-const refuseWait = 2 * time.Second
+const (
+	// refuseWait is how long a worker that refused a task or did not answer gets no other. It doubles each time.
+	refuseWait = 2 * time.Second
+	// maxRefusals bounds the doublings.
+	maxRefusals = 5
+)
+
+// putOff keeps new work from a worker for a while.
+func (w *worker) putOff(now time.Time) {
+	w.backoff = now.Add(refuseWait << min(w.refusals, maxRefusals))
+	w.refusals++
+}
+
+// answered notes that a worker answered.
+func (w *worker) answered(now time.Time) {
+	w.contact = now
+	w.refusals = 0
+}
+
+// Unanswered notes that a worker did not answer.
+func (s *Scheduler) Unanswered(h host.ID, now time.Time) {
+	if w := s.workers[h]; w != nil {
+		w.putOff(now)
+	}
+}
 
 func (s *Scheduler) refused(t *task, now time.Time) {
 	if !t.follow(AttemptRefuse) {
 		return
 	}
-	t.worker.backoff = now.Add(refuseWait)
+	t.worker.putOff(now)
 	j := t.job.job
 	next, err := j.WithRequeue(j.Attempt, "", "worker "+string(t.worker.id)+" refused the task")
 	s.settle(t, next, err)
@@ -58,7 +81,7 @@
 // Renewed notes that a worker took the renewal of its tasks' leases.
 func (s *Scheduler) Renewed(h host.ID, now time.Time) {
 	if w := s.workers[h]; w != nil {
-		w.contact = now
+		w.answered(now)
 	}
 }
 
--- a/core/job/outcome.go
+++ b/core/job/outcome.go
@@ -10,7 +10,7 @@
 // fail takes in a failed attempt: the job runs again elsewhere, is parked or ends.
 func (s *Scheduler) fail(t *task, reason string, now time.Time) {
 	j, w := t.job.job, t.worker
-	next, err := j.WithFailure(j.Attempt, reason)
+	next, err := j.WithFailure(j.Attempt, reason, w.proves())
 	if err != nil {
 		return
 	}
@@ -20,28 +20,73 @@
 	if !wasSuspected && w.record.suspected {
 		s.suspect(w)
 	}
-	if next.State == StateQueued && s.tries(next) >= s.policy.MaxTries {
-		next, _ = next.WithPark(fmt.Sprintf("failed on %d workers that run other jobs, last: %s", s.policy.MaxTries, reason))
-		s.suspicion.clear(j.ID)
-		s.notice(NoticeParked, j.ID, w.id, next.Reason)
-	}
-	s.keep(t.job, next)
+	s.keep(t.job, s.parkIfHopeless(next, w))
 }
 
-func (s *Scheduler) detachFailed(t *task, now time.Time) {
-	s.suspicion.note(t, now)
-	s.detach(t)
+// parkIfHopeless parks a waiting job that failed often enough.
+func (s *Scheduler) parkIfHopeless(j Job, last *worker) Job {
+	if j.State != StateQueued || !s.hopeless(j) {
+		return j
+	}
+	parked, err := j.WithPark(fmt.Sprintf("failed on %d workers, last: %s", len(j.Failures), j.Reason))
+	if err != nil {
+		return j
+	}
+	s.suspicion.clear(j.ID)
+	s.notice(NoticeParked, j.ID, last.id, parked.Reason)
+	return parked
 }
 
-// tries counts the different workers that a job failed on and that are not suspected.
-func (s *Scheduler) tries(j Job) int {
-	hosts := make(map[host.ID]bool)
+// hopeless reports whether a job failed on MaxTries different workers that ran
+// other jobs, on twice as many whatever they did, or on all that there are.
+func (s *Scheduler) hopeless(j Job) bool {
+	proved, all := 0, 0
+	tried := make(map[host.ID]bool)
 	for _, f := range j.Failures {
-		if w := s.workers[f.Host]; w == nil || !w.record.suspected {
-			hosts[f.Host] = true
+		w := s.workers[f.Host]
+		if tried[f.Host] || w != nil && w.record.suspected {
+			continue
+		}
+		tried[f.Host] = true
+		all++
+		if f.Proved {
+			proved++
 		}
 	}
-	return len(hosts)
+	return proved >= s.policy.MaxTries || all >= 2*s.policy.MaxTries || all > 0 && s.untried(j) == 0
+}
+
+// untried counts the workers that may receive new work and that the job has not failed on.
+func (s *Scheduler) untried(j Job) int {
+	n := 0
+	for _, w := range s.order {
+		if w.open && !w.record.suspected && !failedOn(j, w.id) {
+			n++
+		}
+	}
+	return n
+}
+
+// reconsider lets parked jobs wait again whose failures were a suspected worker's.
+func (s *Scheduler) reconsider(w *worker) {
+	for _, e := range s.jobs {
+		if e.job.State != StateParked || !failedOn(e.job, w.id) || s.hopeless(e.job) {
+			continue
+		}
+		failures := e.job.Failures
+		next, err := e.job.WithRelease()
+		if err != nil {
+			continue
+		}
+		next.Failures = failures
+		s.notice(NoticeReleased, e.job.ID, w.id, "parked by the failures of a suspected worker")
+		s.keep(e, next)
+	}
+}
+
+func (s *Scheduler) detachFailed(t *task, now time.Time) {
+	s.suspicion.note(t, now)
+	s.detach(t)
 }
 
 // ended takes in a task that the worker stopped before it had a result.
--- a/core/job/placement.go
+++ b/core/job/placement.go
@@ -114,7 +114,7 @@
 	var bestScore float64
 	group := e.job.Spec.Group()
 	for _, w := range s.order {
-		if !s.fits(w, d) || now.Before(w.backoff) || !s.suspicion.allows(w, e, now) {
+		if !s.fits(w, d, e.job.Spec.Urgent) || now.Before(w.backoff) || !s.suspicion.allows(w, e, now) {
 			continue
 		}
 		if s.policy.Method == MethodFirstFit {
@@ -128,9 +128,11 @@
 	return best
 }
 
-// fits reports whether a worker has room for a demand. Of tasks whose group is
-// not known yet, a worker holds at most one.
-func (s *Scheduler) fits(w *worker, d Demand) bool {
+// maxUnlearnt bounds the tasks of a worker whose usage is a guess, but for urgent ones.
+const maxUnlearnt = 2
+
+// fits reports whether a worker has room for a demand.
+func (s *Scheduler) fits(w *worker, d Demand, urgent bool) bool {
 	if !w.open || w.draining || len(w.tasks) >= s.slots(w) {
 		return false
 	}
@@ -138,7 +140,7 @@
 	if w.demand.Cores+d.Cores > room.Cores || w.demand.MemoryBytes+d.MemoryBytes > room.MemoryBytes {
 		return false
 	}
-	return d.Learnt || !w.unlearnt()
+	return d.Learnt || urgent || w.unlearnt() < maxUnlearnt
 }
 
 // room is what a worker gives to all its tasks together.
@@ -157,13 +159,15 @@
 	return max(0, w.capacity.Slots-s.policy.RequestSlots)
 }
 
-func (w *worker) unlearnt() bool {
+// unlearnt counts the tasks whose demand rests on the declared size.
+func (w *worker) unlearnt() int {
+	n := 0
 	for _, t := range w.tasks {
 		if !t.demand.Learnt {
-			return true
+			n++
 		}
 	}
-	return false
+	return n
 }
 
 const (
--- a/core/job/report.go
+++ b/core/job/report.go
@@ -63,7 +63,7 @@
 func (s *Scheduler) Report(h host.ID, reports []Report, asked, now time.Time) []string {
 	s.init()
 	w := s.worker(h, now)
-	w.contact = now
+	w.answered(now)
 	var stop []string
 	seen := make(map[ID]bool, len(reports))
 	for _, r := range reports {
@@ -183,4 +183,5 @@
 
 func (s *Scheduler) suspect(w *worker) {
 	s.notice(NoticeSuspected, "", w.id, fmt.Sprintf("%d jobs failed that run elsewhere", len(w.record.evidence)))
+	s.reconsider(w)
 }
--- a/core/job/scheduler.go
+++ b/core/job/scheduler.go
@@ -127,11 +127,15 @@
 	}
 }
 
-// resume attaches a job whose attempt may be on its worker.
+// resume attaches a job whose attempt may be on its worker. The worker counts as
+// proved, so that a takeover does not keep new work from it.
 func (s *Scheduler) resume(e *entry, dispatched bool, now time.Time) {
 	w := s.worker(e.job.Host, now)
 	t := &task{state: attemptChart.Initial, since: now, demand: s.demand(e.job.Spec), dispatched: dispatched, resumed: true}
 	s.attach(e, w, t)
+	if len(w.record.evidence) == 0 {
+		w.record.prove(now)
+	}
 	if e.job.State == StateCancelling {
 		s.leave(t, leaveCancel, now)
 	}
--- a/core/job/suspicion.go
+++ b/core/job/suspicion.go
@@ -179,6 +179,11 @@
 	return others > 0
 }
 
+// proves reports whether a failure on the worker speaks against the job: it has run another job well.
+func (w *worker) proves() bool {
+	return !w.record.proved.IsZero() && !w.record.suspected
+}
+
 // exposed counts what a worker has failed or may yet fail since it was proved.
 func (w *worker) exposed() int {
 	n := len(w.record.evidence)
@@ -195,7 +200,7 @@
 	if failedOn(e.job, w.id) {
 		return false
 	}
-	if !w.record.suspected && w.exposed() < s.policy.Exposure {
+	if s.trusts(w) || e.job.Spec.Urgent && len(w.record.evidence) == 0 {
 		return true
 	}
 	if len(w.record.evidence) == 0 || !e.job.Spec.Idempotent || e.job.Spec.Urgent {
@@ -212,9 +217,14 @@
 	return due || more && len(e.job.Failures) > 0
 }
 
+// trusts reports whether a worker may get any job.
+func (s *suspicion) trusts(w *worker) bool {
+	return !w.record.suspected && w.exposed() < s.policy.Exposure
+}
+
 // probe counts a task that a suspected or held worker gets.
 func (s *suspicion) probe(w *worker, now time.Time) {
-	if !w.record.suspected && w.exposed() < s.policy.Exposure {
+	if s.trusts(w) || len(w.record.evidence) == 0 {
 		return
 	}
 	w.record.probes++
--- /dev/null
+++ b/core/job/suspicion_test.go
@@ -0,0 +1,133 @@
+package job
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"siskincross/core/host"
+)
+
+// maxLost bounds the tasks that one bad worker may fail.
+const maxLost = 5
+
+// assertSuspects asserts which workers are suspected.
+func assertSuspects(b *bench, want ...host.ID) {
+	b.t.Helper()
+	got := b.s.Counts().Suspected
+	if fmt.Sprint(got) != fmt.Sprint(want) {
+		b.t.Errorf("suspected workers: got %v, want %v", got, want)
+	}
+}
+
+// assertNeverSuspected asserts that no worker but the named ones was ever suspected.
+func assertNeverSuspected(b *bench, bad map[host.ID]bool) {
+	b.t.Helper()
+	for _, n := range b.seen[NoticeSuspected] {
+		if !bad[n.Host] {
+			b.t.Errorf("good worker %s was suspected: %s", n.Host, n.Detail)
+		}
+	}
+}
+
+// assertLost asserts that no bad worker failed more tasks than allowed, but at least one.
+func assertLost(b *bench, bad map[host.ID]bool) {
+	b.t.Helper()
+	for h := range bad {
+		if n := b.failed[h]; n == 0 || n > maxLost {
+			b.t.Errorf("bad worker %s failed %d tasks, want 1 to %d", h, n, maxLost)
+		}
+	}
+}
+
+// failing makes the tasks of some workers and some jobs fail after their time.
+func failing(bad map[host.ID]bool, poison map[ID]bool, after time.Duration) func(h host.ID, j Job) truth {
+	return func(h host.ID, j Job) truth {
+		if bad[h] || poison[j.ID] {
+			return truth{duration: after, fails: true, poison: poison[j.ID], cores: 1, memory: gigabyte}
+		}
+		return truth{duration: 20 * time.Second, cores: 1, memory: gigabyte}
+	}
+}
+
+func TestSuspicionTellsJobsFromWorkers(t *testing.T) {
+	cases := []struct {
+		name      string
+		workers   int
+		bad       []int
+		good      int
+		poison    int
+		failAfter time.Duration
+	}{
+		{name: "a bad worker", workers: 12, bad: []int{3}, good: 400, failAfter: time.Second},
+		{name: "jobs that can never run", workers: 12, good: 300, poison: 30, failAfter: time.Second},
+		{name: "both together", workers: 12, bad: []int{3}, good: 400, poison: 30, failAfter: time.Second},
+		{name: "both, slow failures", workers: 12, bad: []int{3}, good: 400, poison: 30, failAfter: 10 * time.Second},
+		{name: "three bad workers of twelve", workers: 12, bad: []int{0, 5, 9}, good: 400, poison: 10, failAfter: 2 * time.Second},
+		{name: "more jobs that can never run than slots", workers: 6, bad: []int{2}, good: 100, poison: 120, failAfter: time.Second},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			b := newBench(t, c.workers)
+			bad := make(map[host.ID]bool)
+			var suspects []host.ID
+			for _, i := range c.bad {
+				suspects = append(suspects, b.targets[i].Host)
+				bad[b.targets[i].Host] = true
+			}
+			poison := make(map[ID]bool)
+			b.truth = failing(bad, poison, c.failAfter)
+			ids, poisoned := mixed(b, c.good, c.poison, poison)
+			b.run(30 * time.Minute)
+			b.is.Equal(b.count(ids, "finished"), c.good)
+			b.is.Equal(b.count(poisoned, "parked"), c.poison)
+			assertSuspects(b, suspects...)
+			assertNeverSuspected(b, bad)
+			assertLost(b, bad)
+			most := 0
+			for _, id := range poisoned {
+				most = max(most, len(b.ended[id].Failures))
+			}
+			t.Logf("failed by worker %v, most tries of a parked job %d", b.failed, most)
+		})
+	}
+}
+
+// mixed submits good and poisoned jobs of the same template, the poisoned ones between the others.
+func mixed(b *bench, good, bad int, poison map[ID]bool) (ids, poisoned []ID) {
+	for i := range good + bad {
+		id := b.submit(1, benchSpec(fmt.Sprintf("team-%d", i%4), "video"))[0]
+		if i*bad/(good+bad) != (i+1)*bad/(good+bad) {
+			poison[id] = true
+			poisoned = append(poisoned, id)
+		} else {
+			ids = append(ids, id)
+		}
+	}
+	return ids, poisoned
+}
+
+func TestSuspectedWorkerThatRecoversIsCleared(t *testing.T) {
+	b := newBench(t, 6)
+	bad := map[host.ID]bool{b.targets[0].Host: true}
+	b.truth = failing(bad, nil, time.Second)
+	b.submit(200, benchSpec("video", "video"))
+	b.run(90 * time.Second)
+	assertSuspects(b, b.targets[0].Host)
+	delete(bad, b.targets[0].Host)
+	b.submit(2000, benchSpec("video", "video"))
+	b.run(5 * time.Minute)
+	assertSuspects(b)
+	b.is.Equal(len(b.seen[NoticeCleared]), 1)
+}
+
+func TestJobParkedByBadWorkersRunsAfterAll(t *testing.T) {
+	b := newBench(t, 4)
+	bad := map[host.ID]bool{b.targets[0].Host: true, b.targets[1].Host: true, b.targets[2].Host: true}
+	b.truth = failing(bad, nil, time.Second)
+	ids := b.submit(60, benchSpec("video", "video"))
+	b.run(30 * time.Minute)
+	b.is.Equal(b.count(ids, "finished"), 60)
+	assertSuspects(b, b.targets[0].Host, b.targets[1].Host, b.targets[2].Host)
+	assertLost(b, bad)
+}
--- a/core/job/worker.go
+++ b/core/job/worker.go
@@ -21,9 +21,11 @@
 	contact time.Time
 	// listed is when the host was last among those that may receive new work.
 	listed time.Time
-	// backoff is when the host may be tried again after it refused a task.
+	// backoff is when the host may be tried again after it refused a task or did not answer.
 	backoff time.Time
-	tasks   map[ID]*task
+	// refusals counts what led to backoff since the host last answered.
+	refusals int
+	tasks    map[ID]*task
 	// demand is the sum over tasks of task.demand.
 	demand Demand
 	record record
--- a/io/jobs/dispatch.go
+++ b/io/jobs/dispatch.go
@@ -148,6 +148,7 @@
 		h.scheduler.Renewed(id, now)
 	}
 	if err != nil {
+		h.scheduler.Unanswered(id, now)
 		return
 	}
 	stop := h.scheduler.Report(id, h.reports(statuses), asked, now)
--- a/io/jobs/fixture_test.go
+++ b/io/jobs/fixture_test.go
@@ -37,6 +37,8 @@
 	holder string
 	epoch  uint64
 	drain  []host.ID
+	// stale holds the epochs of entry hosts that have not heard of their loss.
+	stale map[string]uint64
 }
 
 // withFixture runs a test in virtual time on a pool of the given number of hosts.
@@ -91,6 +93,9 @@
 		Config:   f.config,
 		Snapshot: func(string) (route.Snapshot, bool) { return route.Snapshot{Targets: f.targets}, true },
 		Holds: func(pool string) (uint64, bool) {
+			if epoch, ok := f.stale[member]; ok {
+				return epoch, pool == testPool
+			}
 			return f.epoch, f.holder == member && pool == testPool
 		},
 		Draining: func(string) []host.ID { return f.drain },
--- a/io/jobs/holder.go
+++ b/io/jobs/holder.go
@@ -255,6 +255,7 @@
 	job.NoticeSuspected: event.WorkerSuspected,
 	job.NoticeCleared:   event.WorkerCleared,
 	job.NoticeLeaving:   event.JobLeaving,
+	job.NoticeReleased:  event.JobReleased,
 }
 
 // tell records what the scheduler noticed.
--- /dev/null
+++ b/io/jobs/recovery_test.go
@@ -0,0 +1,215 @@
+package jobs
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"siskincross/core/host"
+	"siskincross/core/job"
+	"siskincross/io/platform"
+)
+
+func once() Submission {
+	s := submission()
+	s.Idempotent = false
+	return s
+}
+
+func (f *fixture) submitMany(m *Manager, s Submission, n int) []job.ID {
+	f.t.Helper()
+	ids := make([]job.ID, n)
+	for i := range ids {
+		ids[i] = f.submit(m, s, "").ID
+	}
+	return ids
+}
+
+func (f *fixture) awaitAll(ids []job.ID, limit time.Duration) {
+	f.t.Helper()
+	for _, id := range ids {
+		f.await(id, job.StateFinished, limit)
+	}
+}
+
+// assertOnce asserts that no job was started more than once.
+func (f *fixture) assertOnce(ids []job.ID) {
+	f.t.Helper()
+	for _, id := range ids {
+		if n := f.workers.starts[string(id)]; n > 1 {
+			f.t.Errorf("job %s was started %d times", id, n)
+		}
+	}
+}
+
+func TestLostAnswersRepeatNothing(t *testing.T) {
+	withFixture(t, 8, func(f *fixture) {
+		m, stop := f.manager("a")
+		defer stop()
+		var ids []job.ID
+		for i := range 30 {
+			f.lose(i%3, (i+1)%2)
+			ids = append(ids, f.submit(m, once(), "").ID)
+			time.Sleep(300 * time.Millisecond)
+		}
+		f.awaitAll(ids, time.Minute)
+		f.assertOnce(ids)
+	})
+}
+
+func TestLostStartAnswers(t *testing.T) {
+	for _, idempotent := range []bool{true, false} {
+		t.Run(fmt.Sprintf("idempotent %v", idempotent), func(t *testing.T) {
+			withFixture(t, 4, func(f *fixture) {
+				m, stop := f.manager("a")
+				defer stop()
+				f.workers.loseStarts = 3
+				s := submission()
+				s.Idempotent = idempotent
+				ids := f.submitMany(m, s, 3)
+				f.awaitAll(ids, time.Minute)
+				if !idempotent {
+					f.assertOnce(ids)
+				}
+			})
+		})
+	}
+}
+
+func TestHolderCrashFindsAttemptsAgain(t *testing.T) {
+	withFixture(t, 4, func(f *fixture) {
+		a, crash := f.manager("a")
+		b, stop := f.manager("b")
+		defer stop()
+		ids := f.submitMany(a, once(), 6)
+		for _, id := range ids {
+			f.awaitRunning(id, time.Second)
+		}
+		crash()
+		f.hold("b")
+		time.Sleep(time.Second)
+		f.is.Equal(b.TasksOn("host-000")+b.TasksOn("host-001")+b.TasksOn("host-002")+b.TasksOn("host-003"), 6)
+		f.awaitAll(ids, time.Minute)
+		f.assertOnce(ids)
+	})
+}
+
+func TestStaleHolderStartsNothing(t *testing.T) {
+	withFixture(t, 4, func(f *fixture) {
+		a, stopA := f.manager("a")
+		defer stopA()
+		_, stopB := f.manager("b")
+		defer stopB()
+		f.await(f.submit(a, once(), "").ID, job.StateFinished, time.Minute)
+		f.stale = map[string]uint64{"a": f.epoch}
+		f.hold("b")
+		time.Sleep(time.Second)
+		ids := f.submitMany(a, once(), 20)
+		f.awaitAll(ids, 2*time.Minute)
+		f.assertOnce(ids)
+		for _, start := range f.workers.log[1:] {
+			f.is.Equal(start.spec.Epoch, f.epoch)
+		}
+	})
+}
+
+func TestSilentWorker(t *testing.T) {
+	silence := func(f *fixture, id job.ID, silent bool) {
+		f.workers.host(f.row(id).Host).silent = silent
+	}
+	long := func(f *fixture) {
+		f.workers.behave = longTask
+	}
+	t.Run("a job that runs once ends unknown", func(t *testing.T) {
+		withFixture(t, 2, func(f *fixture) {
+			long(f)
+			m, stop := f.manager("a")
+			defer stop()
+			id := f.submit(m, once(), "").ID
+			f.awaitRunning(id, time.Second)
+			silence(f, id, true)
+			j := f.await(id, job.StateUnknown, time.Minute)
+			f.is.True(strings.Contains(j.Reason, "silent"))
+			time.Sleep(5 * time.Minute)
+			f.assertOnce([]job.ID{id})
+			f.is.Equal(f.row(id).State, job.StateUnknown)
+		})
+	})
+	t.Run("an idempotent job resumes and the late finish is dropped", func(t *testing.T) {
+		withFixture(t, 2, func(f *fixture) {
+			long(f)
+			m, stop := f.manager("a")
+			defer stop()
+			id := f.submit(m, submission(), "").ID
+			f.awaitRunning(id, time.Second)
+			first := f.row(id)
+			command := platform.TaskCommand{Task: first.Task(), Pool: testPool, Epoch: f.epoch}
+			f.is.NoErr(f.workers.save(f.ctx, first.Host, command))
+			time.Sleep(3 * time.Second)
+			silence(f, id, true)
+			time.Sleep(40 * time.Second)
+			second := f.row(id)
+			f.is.Equal(second.Attempt, 2)
+			f.is.True(second.Host != first.Host)
+			resumed := f.workers.log[len(f.workers.log)-1].spec
+			f.is.True(resumed.Checkpoint != "")
+			f.workers.host(first.Host).silent = false
+			j := f.await(id, job.StateFinished, 20*time.Minute)
+			f.is.Equal(j.Attempt, 2)
+		})
+	})
+}
+
+func longTask(_ host.ID, _ platform.TaskSpec) behaviour {
+	return behaviour{duration: 10 * time.Minute, cores: 1, memory: gigabyte, checkpoints: true}
+}
+
+func TestStoreDownForMinutes(t *testing.T) {
+	t.Run("tasks go on, ends are committed after", func(t *testing.T) {
+		withFixture(t, 8, func(f *fixture) {
+			f.workers.behave = func(host.ID, platform.TaskSpec) behaviour {
+				return behaviour{duration: time.Minute, cores: 1, memory: gigabyte}
+			}
+			m, stop := f.manager("a")
+			defer stop()
+			ids := f.submitMany(m, once(), 12)
+			for _, id := range ids {
+				f.awaitRunning(id, 2*time.Second)
+			}
+			f.down(true)
+			time.Sleep(3 * time.Minute)
+			for _, id := range ids {
+				f.is.Equal(f.row(id).State, job.StateRunning)
+			}
+			before := f.table.Counts()
+			f.down(false)
+			f.awaitAll(ids, 3*time.Second)
+			f.assertOnce(ids)
+			after := f.table.Counts()
+			f.is.True(after.Commits-before.Commits <= 3)
+		})
+	})
+	t.Run("the holder is lost meanwhile", func(t *testing.T) {
+		withFixture(t, 4, func(f *fixture) {
+			f.workers.behave = func(host.ID, platform.TaskSpec) behaviour {
+				return behaviour{duration: 20 * time.Second, cores: 1, memory: gigabyte}
+			}
+			a, crash := f.manager("a")
+			_, stop := f.manager("b")
+			defer stop()
+			ids := f.submitMany(a, once(), 4)
+			for _, id := range ids {
+				f.awaitRunning(id, 2*time.Second)
+			}
+			f.down(true)
+			time.Sleep(25 * time.Second)
+			crash()
+			f.hold("b")
+			time.Sleep(2 * time.Minute)
+			f.down(false)
+			f.awaitAll(ids, 10*time.Second)
+			f.assertOnce(ids)
+		})
+	})
+}
