Lend and take back slots by team, and make room for urgent jobs

Cause: idle guarantees were wasted, and a full pool kept urgent jobs waiting. Workers whose running tasks had not aged for a minute got three tasks only.

Change: teams below their guarantee take slots back from the largest borrower per weight after 5 s; urgent jobs claim a worker, where lesser tasks are throttled if only cores lack, else checkpointed and stopped. A task proves its worker after 10 s, or after one and a half times what bad workers took to fail. Jobs that failed on several workers, one of them proved, count no more against the workers, so that jobs that can never run don't hold all of them.

--- a/core/job/backlog.go
+++ b/core/job/backlog.go
@@ -1,12 +1,18 @@
 package job
 
-import "siskincross/core/config"
+import (
+	"time"
+
+	"siskincross/core/config"
+)
 
 // entry is a job in the scheduler's memory.
 type entry struct {
 	job Job
 	// task is set exactly while the job is running or cancelling.
 	task *task
+	// claim is the room that is being made for a waiting urgent job.
+	claim claim
 	// base is the commit ID of the row as it was last known.
 	base string
 	// dirty is true exactly while the row is behind the memory.
@@ -69,6 +75,8 @@
 	// running counts the team's tasks in the pool, without those that must leave.
 	running int
 	waiting int
+	// blocked is since when the team waits below its guarantee; zero if it does not.
+	blocked time.Time
 	urgent  lane
 	// failed holds jobs that failed on at least two workers, retries other jobs that ran before; they go first.
 	failed  lane
--- a/core/job/placement.go
+++ b/core/job/placement.go
@@ -30,7 +30,12 @@
 		return 0
 	}
 	placed := s.placeUrgent(now, limit)
-	return placed + s.placeTeams(now, limit-placed, workLanes)
+	if s.backlog.urgent > 0 {
+		s.makeRoom(now)
+	}
+	placed += s.placeTeams(now, limit-placed, workLanes)
+	s.takeBack(now)
+	return placed
 }
 
 func urgentLanes(t *team) []*lane { return []*lane{&t.urgent} }
@@ -54,13 +59,24 @@
 		}
 		if s.placeOne(p, lanes(t)) {
 			placed++
-		} else {
-			p.skip[t] = true
+			t.blocked = time.Time{}
+			continue
 		}
+		p.skip[t] = true
+		t.block(now)
 	}
 	return placed
 }
 
+// block notes that a team found no room.
+func (t *team) block(now time.Time) {
+	if !t.below() {
+		t.blocked = time.Time{}
+	} else if t.blocked.IsZero() {
+		t.blocked = now
+	}
+}
+
 func (s *Scheduler) placeOne(p pass, lanes []*lane) bool {
 	for _, l := range lanes {
 		for _, e := range l.first(lookahead) {
@@ -114,7 +130,7 @@
 	var bestScore float64
 	group := e.job.Spec.Group()
 	for _, w := range s.order {
-		if !s.fits(w, d, e.job.Spec.Urgent) || now.Before(w.backoff) || !s.suspicion.allows(w, e, now) {
+		if !s.fits(w, d, e) || now.Before(w.backoff) || !s.suspicion.allows(w, e, now) {
 			continue
 		}
 		if s.policy.Method == MethodFirstFit {
@@ -131,16 +147,24 @@
 // maxUnlearnt bounds the tasks of a worker whose usage is a guess, but for urgent ones.
 const maxUnlearnt = 2
 
-// fits reports whether a worker has room for a demand.
-func (s *Scheduler) fits(w *worker, d Demand, urgent bool) bool {
-	if !w.open || w.draining || len(w.tasks) >= s.slots(w) {
+// fits reports whether a worker has room for a job, beside what others have claimed.
+func (s *Scheduler) fits(w *worker, d Demand, e *entry) bool {
+	claims, claimed := w.claims, w.claimed
+	if e.claim.worker == w {
+		claims--
+		claimed.Cores -= e.claim.demand.Cores
+		claimed.MemoryBytes -= e.claim.demand.MemoryBytes
+	}
+	if !w.open || w.draining || len(w.tasks)+claims >= s.slots(w) {
 		return false
 	}
 	room := s.room(w)
-	if w.demand.Cores+d.Cores > room.Cores || w.demand.MemoryBytes+d.MemoryBytes > room.MemoryBytes {
+	cores := w.demand.Cores + claimed.Cores + d.Cores
+	memory := w.demand.MemoryBytes + claimed.MemoryBytes + d.MemoryBytes
+	if cores > room.Cores || memory > room.MemoryBytes {
 		return false
 	}
-	return d.Learnt || urgent || w.unlearnt() < maxUnlearnt
+	return d.Learnt || e.job.Spec.Urgent || w.unlearnt() < maxUnlearnt
 }
 
 // room is what a worker gives to all its tasks together.
@@ -205,6 +229,7 @@
 	}
 	s.suspicion.probe(w, now)
 	s.backlog.remove(e)
+	e.claim.drop()
 	e.job = next
 	s.attach(e, w, &task{state: attemptChart.Initial, since: now, demand: d})
 	s.write(e)
--- a/core/job/policy.go
+++ b/core/job/policy.go
@@ -36,7 +36,7 @@
 	MaxTries int
 	// Exposure bounds the tasks that an unproved worker may hold and fail.
 	Exposure int
-	// ProofAge is how long a task runs before it proves its worker.
+	// ProofAge is how long a task runs before it proves its worker, if no bad worker was slower to fail.
 	ProofAge time.Duration
 	// ProbeAfter is the wait before the first probe of a suspected worker; each further wait doubles.
 	ProbeAfter time.Duration
@@ -63,7 +63,7 @@
 		LeaseMargin:          5 * time.Second,
 		MaxTries:             3,
 		Exposure:             3,
-		ProofAge:             time.Minute,
+		ProofAge:             10 * time.Second,
 		ProbeAfter:           2 * time.Minute,
 		MaxProbes:            2,
 		CheckpointWait:       10 * time.Second,
--- a/core/job/relief.go
+++ b/core/job/relief.go
@@ -45,6 +45,9 @@
 	if t.leave != leaveNone && !now.Add(wait).Before(t.leaveAt) {
 		return
 	}
+	if t.leave == leaveNone {
+		s.backlog.team(t.job.job.Spec.Team).running--
+	}
 	t.leave = why
 	t.leaveAt = now.Add(wait)
 	t.newProgress = false
@@ -170,11 +173,15 @@
 			list = append(list, t)
 		}
 	}
+	sortYoungest(list)
+	return list
+}
+
+func sortYoungest(list []*task) {
 	sort.Slice(list, func(i, j int) bool {
 		if list[i].since.Equal(list[j].since) {
 			return list[i].job.job.ID > list[j].job.job.ID
 		}
 		return list[i].since.After(list[j].since)
 	})
-	return list
 }
--- a/core/job/report.go
+++ b/core/job/report.go
@@ -149,7 +149,7 @@
 		t.checkpoint = r.Checkpoint
 		s.proof(t)
 	}
-	aged := now.Sub(t.started) >= s.policy.ProofAge && len(t.worker.record.evidence) == 0
+	aged := now.Sub(t.started) >= s.suspicion.proofAge() && len(t.worker.record.evidence) == 0
 	if r.Event == AttemptSeen && aged && t.since.After(t.worker.record.proved) {
 		s.proof(t)
 	}
--- a/core/job/scheduler.go
+++ b/core/job/scheduler.go
@@ -41,6 +41,8 @@
 	// largest is the most that one open worker gives to tasks.
 	largest Demand
 	notices []Notice
+	// tookBack is when slots were last taken back.
+	tookBack time.Time
 }
 
 func (s *Scheduler) init() {
@@ -144,6 +146,7 @@
 // release detaches an entry from its worker and from the backlog.
 func (s *Scheduler) release(e *entry) {
 	s.backlog.remove(e)
+	e.claim.drop()
 	if e.task != nil {
 		s.detach(e.task)
 	}
@@ -166,7 +169,9 @@
 	s.free += s.occupied(t.worker)
 	t.worker.remove(t)
 	delete(s.leaving, t.job.job.ID)
-	s.backlog.team(t.job.job.Spec.Team).running--
+	if t.leave == leaveNone {
+		s.backlog.team(t.job.job.Spec.Team).running--
+	}
 	s.countSpread(t, -1)
 	t.job.task = nil
 }
--- a/core/job/suspicion.go
+++ b/core/job/suspicion.go
@@ -14,8 +14,12 @@
 	job   ID
 	group string
 	at    time.Time
+	// age is how long the task ran before it failed.
+	age time.Duration
 	// convicted is true once the job ran well elsewhere, so that the worker was at fault.
 	convicted bool
+	// doubted is true once the job has failed on several workers, so that it is likely at fault.
+	doubted bool
 	// repeatable is false if the job never runs elsewhere, so that only its group can tell.
 	repeatable bool
 }
@@ -50,13 +54,40 @@
 	}
 }
 
-// convict marks the evidence of a job that ran well elsewhere.
-func (r *record) convict(id ID) {
+// convict marks the evidence of a job that ran well elsewhere, and returns how long its tasks ran here.
+func (r *record) convict(id ID) time.Duration {
+	var longest time.Duration
 	for i := range r.evidence {
 		if r.evidence[i].job == id {
-			r.evidence[i].convicted = true
+			r.evidence[i].convicted, r.evidence[i].doubted = true, false
+			longest = max(longest, r.evidence[i].age)
 		}
 	}
+	return longest
+}
+
+// doubt stops counting the evidence of a job that has failed on several
+// workers, of which one had run another job well.
+func (r *record) doubt(id ID) {
+	for i := range r.evidence {
+		if r.evidence[i].job == id {
+			r.evidence[i].doubted = true
+		}
+	}
+	if !r.suspected {
+		r.probes = 0
+	}
+}
+
+// failures counts the evidence that is not doubted.
+func (r *record) failures() int {
+	n := 0
+	for _, e := range r.evidence {
+		if !e.doubted {
+			n++
+		}
+	}
+	return n
 }
 
 // withdraw drops the evidence of a job that fails everywhere.
@@ -89,6 +120,16 @@
 	groups map[string]*groupRecord
 	// failed maps a job to the workers that hold evidence from it.
 	failed map[ID][]*worker
+	// slowest is the longest that a task ran before a bad worker failed it.
+	slowest time.Duration
+}
+
+// maxProofAge bounds proofAge.
+const maxProofAge = 2 * time.Minute
+
+// proofAge is how long a task runs before it proves its worker: longer than bad workers took to fail.
+func (s *suspicion) proofAge() time.Duration {
+	return max(s.policy.ProofAge, min(s.slowest*3/2, maxProofAge))
 }
 
 // note records a failed task.
@@ -98,13 +139,20 @@
 	}
 	w, j := t.worker, t.job.job
 	w.record.evidence = append(w.record.evidence, evidence{
-		job: j.ID, group: j.Spec.Group(), at: now, repeatable: j.Spec.Idempotent,
+		job: j.ID, group: j.Spec.Group(), at: now, age: now.Sub(t.since), repeatable: j.Spec.Idempotent,
 	})
 	s.failed[j.ID] = append(s.failed[j.ID], w)
 	if w.record.nextProbe.Before(now) {
 		w.record.nextProbe = now.Add(s.probeWait(w))
 	}
 	s.judge(w)
+	known := w.proves() || failedOnProved(j)
+	if len(s.failed[j.ID]) < s.policy.MaxTries || !known {
+		return
+	}
+	for _, other := range s.failed[j.ID] {
+		other.record.doubt(j.ID)
+	}
 }
 
 // proof records that a task ran well on its worker: it finished, saved
@@ -130,7 +178,7 @@
 		if w == t.worker {
 			continue
 		}
-		w.record.convict(t.job.job.ID)
+		s.slowest = max(s.slowest, w.record.convict(t.job.job.ID))
 		if s.judge(w) {
 			suspects = append(suspects, w)
 		}
@@ -186,7 +234,7 @@
 
 // exposed counts what a worker has failed or may yet fail since it was proved.
 func (w *worker) exposed() int {
-	n := len(w.record.evidence)
+	n := w.record.failures()
 	for _, t := range w.tasks {
 		if t.since.After(w.record.proved) {
 			n++
@@ -206,7 +254,7 @@
 	if len(w.record.evidence) == 0 || !e.job.Spec.Idempotent || e.job.Spec.Urgent {
 		return false
 	}
-	if w.exposed() > len(w.record.evidence) {
+	if w.exposed() > w.record.failures() {
 		return false
 	}
 	due := !now.Before(w.record.nextProbe)
@@ -214,7 +262,9 @@
 	if w.record.suspected {
 		return due && more && len(e.job.Failures) == 0
 	}
-	return due || more && len(e.job.Failures) > 0
+	// Each further job must have failed on more workers: it brings a verdict on
+	// all of them, so that jobs that can never run don't hold every worker.
+	return due || more && len(e.job.Failures) > w.record.probes
 }
 
 // trusts reports whether a worker may get any job.
@@ -244,3 +294,12 @@
 	}
 	return false
 }
+
+func failedOnProved(j Job) bool {
+	for _, f := range j.Failures {
+		if f.Proved {
+			return true
+		}
+	}
+	return false
+}
--- a/core/job/worker.go
+++ b/core/job/worker.go
@@ -28,7 +28,10 @@
 	tasks    map[ID]*task
 	// demand is the sum over tasks of task.demand.
 	demand Demand
-	record record
+	// claims counts the urgent jobs that room is being made for; claimed is the sum of their demands.
+	claims  int
+	claimed Demand
+	record  record
 }
 
 // task is the newest attempt of a job on a worker.
