Relieve workers whose memory fills by throttling, then checkpoints, then stops

Cause: reports of usage are late and tasks grow beyond what was learnt, so a worker could pass its memory.

Change: a task is expected to grow on up to its estimate, or beyond it once it has passed that; the youngest tasks are throttled, then checkpointed and stopped, then stopped at once; room for cores is given back. A stopped task's next attempt is placed with what it reached.

--- a/core/job/backlog.go
+++ b/core/job/backlog.go
@@ -17,6 +17,8 @@
 	base string
 	// dirty is true exactly while the row is behind the memory.
 	dirty bool
+	// floor is the least memory that the job's next attempt is expected to use.
+	floor int64
 	// queued is true exactly while the entry is in a lane and waiting.
 	queued bool
 	// ticket grows each time the entry is put into a lane; older places in a lane are void.
--- a/core/job/fixture_test.go
+++ b/core/job/fixture_test.go
@@ -49,9 +49,11 @@
 	truth   func(h host.ID, j Job) truth
 	killed  int
 	stops   int
-	serial  int
-	ended   map[ID]Job
-	waits   []time.Duration
+	// commands counts what the workers were told.
+	commands map[Action]int
+	serial   int
+	ended    map[ID]Job
+	waits    []time.Duration
 	// failed counts the tasks of good jobs that failed by worker.
 	failed  map[host.ID]int
 	usage   benchUsage
@@ -71,7 +73,7 @@
 	b := &bench{
 		t: t, is: is.New(t), s: &Scheduler{Pool: "kunta/lessons", Epoch: 1}, now: time.UnixMilli(0), step: 500 * time.Millisecond,
 		tasks: make(map[host.ID]map[string]*benchTask), ended: make(map[ID]Job), failed: make(map[host.ID]int),
-		seen: make(map[NoticeKind][]Notice), arrived: make(map[ID]time.Time),
+		seen: make(map[NoticeKind][]Notice), commands: make(map[Action]int), arrived: make(map[ID]time.Time),
 	}
 	b.truth = func(host.ID, Job) truth { return truth{duration: 10 * time.Second, cores: 1, memory: gigabyte} }
 	for i := range workers {
@@ -151,6 +153,7 @@
 		if t == nil || t.state != "running" {
 			continue
 		}
+		b.commands[c.Action]++
 		switch c.Action {
 		case ActionThrottle:
 			t.share = c.Share
@@ -163,10 +166,22 @@
 	}
 }
 
+// benchLag is how late workers report usage.
+const benchLag = 4 * time.Second
+
 // memory is what a task uses now.
 func (t *benchTask) memory() int64 {
-	if t.truth.rampUp > 0 && t.work < t.truth.rampUp {
-		return int64(float64(t.truth.memory) * float64(t.work) / float64(t.truth.rampUp))
+	return t.memoryAfter(t.work)
+}
+
+// reported is what the worker reports as a task's memory.
+func (t *benchTask) reported() int64 {
+	return t.memoryAfter(t.work - time.Duration(float64(benchLag)*t.share))
+}
+
+func (t *benchTask) memoryAfter(work time.Duration) int64 {
+	if t.truth.rampUp > 0 && work < t.truth.rampUp {
+		return int64(float64(t.truth.memory) * float64(max(0, work)) / float64(t.truth.rampUp))
 	}
 	return t.truth.memory
 }
@@ -221,7 +236,7 @@
 	for _, target := range b.targets {
 		var reports []Report
 		for name, t := range b.tasks[target.Host] {
-			r := Report{Task: name, Event: AttemptSeen, UsedCores: t.truth.cores * t.share, UsedMemory: t.memory()}
+			r := Report{Task: name, Event: AttemptSeen, UsedCores: t.truth.cores * t.share, UsedMemory: t.reported()}
 			if t.saved {
 				r.Checkpoint = "checkpoint-" + name
 			}
--- a/core/job/outcome.go
+++ b/core/job/outcome.go
@@ -96,6 +96,9 @@
 		s.lapse(t, "the worker stopped the task")
 		return
 	}
+	if t.leave == leaveMemory {
+		t.job.floor = t.peakMemory + t.peakMemory/4
+	}
 	next, err := j.WithRequeue(j.Attempt, t.checkpoint, t.leave.String())
 	s.settle(t, next, err)
 }
--- a/core/job/placement.go
+++ b/core/job/placement.go
@@ -92,12 +92,12 @@
 }
 
 func (s *Scheduler) placeEntry(p pass, e *entry) bool {
-	fresh := len(e.job.Failures) == 0
+	fresh := len(e.job.Failures) == 0 && e.floor == 0
 	group := e.job.Spec.Group()
 	if fresh && p.unfit[group] {
 		return false
 	}
-	d := s.demand(e.job.Spec)
+	d := s.demand(e)
 	w := s.choose(e, d, p.now)
 	if w == nil {
 		p.unfit[group] = p.unfit[group] || fresh
@@ -114,13 +114,14 @@
 
 // demand returns what a job is expected to use, at most what the largest
 // worker gives to tasks: a declared size that fits nowhere is tried there.
-func (s *Scheduler) demand(spec Spec) Demand {
+func (s *Scheduler) demand(e *entry) Demand {
+	spec := e.job.Spec
 	if s.policy.Method != MethodLearned {
 		return Demand{Cores: float64(spec.Cores), MemoryBytes: spec.MemoryBytes, Learnt: true}
 	}
 	d := s.usage.Estimate(spec)
 	d.Cores = math.Min(d.Cores, s.largest.Cores)
-	d.MemoryBytes = min(d.MemoryBytes, s.largest.MemoryBytes)
+	d.MemoryBytes = min(max(d.MemoryBytes, e.floor), s.largest.MemoryBytes)
 	return d
 }
 
@@ -231,6 +232,6 @@
 	s.backlog.remove(e)
 	e.claim.drop()
 	e.job = next
-	s.attach(e, w, &task{state: attemptChart.Initial, since: now, demand: d})
+	s.attach(e, w, &task{state: attemptChart.Initial, since: now, demand: d, estimate: d.MemoryBytes})
 	s.write(e)
 }
--- a/core/job/policy.go
+++ b/core/job/policy.go
@@ -46,6 +46,8 @@
 	CheckpointWait time.Duration
 	// UrgentCheckpointWait replaces CheckpointWait when urgent work waits.
 	UrgentCheckpointWait time.Duration
+	// UsageLag is how late reports of usage are.
+	UsageLag time.Duration
 	// ThrottleAt, CheckpointAt and StopAt are shares of a worker's memory in use.
 	ThrottleAt, CheckpointAt, StopAt float64
 	// ThrottleShare is the share of its cores that a throttled task keeps.
@@ -68,6 +70,7 @@
 		MaxProbes:            2,
 		CheckpointWait:       10 * time.Second,
 		UrgentCheckpointWait: 1500 * time.Millisecond,
+		UsageLag:             6 * time.Second,
 		ThrottleAt:           0.88,
 		CheckpointAt:         0.92,
 		StopAt:               0.96,
@@ -91,6 +94,7 @@
 	p.MaxProbes = orDefault(p.MaxProbes, d.MaxProbes)
 	p.CheckpointWait = orDefault(p.CheckpointWait, d.CheckpointWait)
 	p.UrgentCheckpointWait = orDefault(p.UrgentCheckpointWait, d.UrgentCheckpointWait)
+	p.UsageLag = orDefault(p.UsageLag, d.UsageLag)
 	p.ThrottleAt = orDefault(p.ThrottleAt, d.ThrottleAt)
 	p.CheckpointAt = orDefault(p.CheckpointAt, d.CheckpointAt)
 	p.StopAt = orDefault(p.StopAt, d.StopAt)
--- /dev/null
+++ b/core/job/pressure_test.go
@@ -0,0 +1,41 @@
+package job
+
+import (
+	"testing"
+	"time"
+
+	"siskincross/core/host"
+)
+
+func TestGrowingTasksNeverFillAWorker(t *testing.T) {
+	cases := []struct {
+		name   string
+		memory int64
+		growth time.Duration
+		// stopped is whether throttling can't be enough.
+		stopped bool
+	}{
+		{"a little more than learnt", 9.5 * gigabyte, 2 * time.Minute, false},
+		{"far more than learnt", 14 * gigabyte, 2 * time.Minute, true},
+		{"far more and fast", 20 * gigabyte, time.Minute, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			b := newBench(t, 8)
+			b.truth = func(host.ID, Job) truth { return truth{duration: 20 * time.Second, cores: 1, memory: 3 * gigabyte} }
+			b.submit(100, benchSpec("video", "video"))
+			b.run(4 * time.Minute)
+			b.truth = func(host.ID, Job) truth {
+				return truth{duration: 5 * time.Minute, cores: 1, memory: c.memory, rampUp: c.growth}
+			}
+			ids := b.submit(60, benchSpec("video", "video"))
+			b.run(2 * time.Hour)
+			t.Logf("throttled %d, checkpointed %d, stopped %d, killed %d",
+				b.commands[ActionThrottle], b.commands[ActionCheckpoint], b.commands[ActionStop], b.killed)
+			b.is.Equal(b.count(ids, "finished"), 60)
+			b.is.Equal(b.killed, 0)
+			b.is.Equal(b.commands[ActionStop] > 0, c.stopped)
+			b.is.True(b.commands[ActionThrottle] >= b.commands[ActionCheckpoint])
+		})
+	}
+}
--- a/core/job/reclaim.go
+++ b/core/job/reclaim.go
@@ -61,7 +61,7 @@
 }
 
 func (s *Scheduler) claimRoom(e *entry, now time.Time) {
-	d := s.demand(e.job.Spec)
+	d := s.demand(e)
 	if s.throttleFor(e, d, now) {
 		return
 	}
--- a/core/job/relief.go
+++ b/core/job/relief.go
@@ -125,32 +125,6 @@
 	return c, true
 }
 
-// pressure relieves a worker whose memory fills: the youngest movable task is
-// throttled, then checkpointed and stopped, then stopped at once.
-func (s *Scheduler) pressure(w *worker, now time.Time) {
-	if s.policy.Method != MethodLearned || w.capacity.MemoryBytes == 0 {
-		return
-	}
-	used := float64(w.usedMemory()) / float64(w.capacity.MemoryBytes)
-	if used < s.policy.ThrottleAt {
-		return
-	}
-	victims := w.victims()
-	if len(victims) == 0 {
-		return
-	}
-	v := victims[0]
-	switch {
-	case used >= s.policy.StopAt:
-		s.leave(v, leaveMemory, now)
-		v.leaveAt, v.asked = now, true
-	case used >= s.policy.CheckpointAt:
-		s.leave(v, leaveMemory, now)
-	default:
-		s.throttle(v)
-	}
-}
-
 // throttle lets a task use only a part of its cores.
 func (s *Scheduler) throttle(t *task) {
 	if t.throttled {
--- a/core/job/report.go
+++ b/core/job/report.go
@@ -135,7 +135,7 @@
 
 // progress takes in a task's usage and checkpoint.
 func (s *Scheduler) progress(t *task, r Report, now time.Time) {
-	t.usedMemory = r.UsedMemory
+	t.measure(r.UsedMemory, now)
 	t.peakCores = max(t.peakCores, r.UsedCores)
 	t.peakMemory = max(t.peakMemory, r.UsedMemory)
 	if s.policy.Method == MethodLearned && !t.throttled {
@@ -153,17 +153,22 @@
 	if r.Event == AttemptSeen && aged && t.since.After(t.worker.record.proved) {
 		s.proof(t)
 	}
-	if r.Event != AttemptSeen || now.Sub(t.started) >= sampleAge {
-		s.sample(t)
-	}
+	s.learn(t, r.Event, now)
 }
 
-// sampleAge is how long a task runs before its usage is learnt while it still runs.
+// sampleAge is how long a task runs before its usage is learnt while it still
+// runs, if its group is not known.
 const sampleAge = 15 * time.Second
 
-// sample teaches the usage of one task, once.
-func (s *Scheduler) sample(t *task) {
-	if t.sampled || t.peakMemory == 0 {
+// learn teaches the usage of a task: its peaks when it finished, or when it
+// passed its estimate, and what it uses so far while nothing is known.
+func (s *Scheduler) learn(t *task, on chart.Event, now time.Time) {
+	if t.peakMemory == 0 {
+		return
+	}
+	early := on == AttemptSeen && !t.demand.Learnt && !t.sampled && now.Sub(t.started) >= sampleAge
+	beyond := on == AttemptEnd && t.peakMemory > t.estimate
+	if !early && !beyond && on != AttemptFinish {
 		return
 	}
 	t.sampled = true
--- a/core/job/scheduler.go
+++ b/core/job/scheduler.go
@@ -133,7 +133,11 @@
 // proved, so that a takeover does not keep new work from it.
 func (s *Scheduler) resume(e *entry, dispatched bool, now time.Time) {
 	w := s.worker(e.job.Host, now)
-	t := &task{state: attemptChart.Initial, since: now, demand: s.demand(e.job.Spec), dispatched: dispatched, resumed: true}
+	d := s.demand(e)
+	t := &task{
+		state: attemptChart.Initial, since: now, demand: d, estimate: d.MemoryBytes,
+		dispatched: dispatched, resumed: true,
+	}
 	s.attach(e, w, t)
 	if len(w.record.evidence) == 0 {
 		w.record.prove(now)
--- a/core/job/worker.go
+++ b/core/job/worker.go
@@ -43,10 +43,15 @@
 	// since is when the attempt was decided or found; started is when the worker acknowledged it.
 	since, started time.Time
 	// demand is the larger of the estimate and the measured usage.
-	demand      Demand
-	peakCores   float64
-	peakMemory  int64
+	demand     Demand
+	peakCores  float64
+	peakMemory int64
+	// estimate is the memory that the task was expected to use when it started.
+	estimate int64
+	// usedMemory is the last reported memory, at measuredAt; growth is in bytes a second.
 	usedMemory  int64
+	measuredAt  time.Time
+	growth      float64
 	sampled     bool
 	checkpoint  string
 	newProgress bool
@@ -93,15 +98,6 @@
 	t.demand = d
 }
 
-// usedMemory sums the reported memory of all tasks.
-func (w *worker) usedMemory() int64 {
-	var sum int64
-	for _, t := range w.tasks {
-		sum += t.usedMemory
-	}
-	return sum
-}
-
 // follow moves the attempt along its chart. Events that the state does not handle change nothing.
 func (t *task) follow(on chart.Event) bool {
 	next, err := attemptChart.Next(t.state, on)
