Run a request with an Idempotency-Key at most once

Cause: a second arrival with the same key ran the request again.

Change: the key is claimed by a conditional insert before dispatch, in commits that all keyed requests of an entry host share; the answer is kept in the row or in the object store before its last byte goes to the caller. Unknown commits are read back. A claim of an entry host that is gone becomes unknown. Retries have a budget that a full outage empties.

--- a/core/event/number_enumer.go
+++ b/core/event/number_enumer.go
@@ -10,8 +10,8 @@
 const (
 	_NumberName_0      = "process-startedprocess-servingprocess-stoppingprocess-stopped"
 	_NumberLowerName_0 = "process-startedprocess-servingprocess-stoppingprocess-stopped"
-	_NumberName_1      = "request-answeredrequest-not-runrequest-unknown"
-	_NumberLowerName_1 = "request-answeredrequest-not-runrequest-unknown"
+	_NumberName_1      = "request-answeredrequest-not-runrequest-unknownrequest-retriedrequest-replayedclaim-losttarget-ejectedtarget-restored"
+	_NumberLowerName_1 = "request-answeredrequest-not-runrequest-unknownrequest-retriedrequest-replayedclaim-losttarget-ejectedtarget-restored"
 	_NumberName_2      = "member-joinedmember-lapsedduty-takenduty-released"
 	_NumberLowerName_2 = "member-joinedmember-lapsedduty-takenduty-released"
 	_NumberName_3      = "job-accepted"
@@ -26,7 +26,7 @@
 
 var (
 	_NumberIndex_0 = [...]uint8{0, 15, 30, 46, 61}
-	_NumberIndex_1 = [...]uint8{0, 16, 31, 46}
+	_NumberIndex_1 = [...]uint8{0, 16, 31, 46, 61, 77, 87, 101, 116}
 	_NumberIndex_2 = [...]uint8{0, 13, 26, 36, 49}
 	_NumberIndex_3 = [...]uint8{0, 12}
 	_NumberIndex_4 = [...]uint8{0, 15, 30}
@@ -39,7 +39,7 @@
 	case 100 <= i && i <= 103:
 		i -= 100
 		return _NumberName_0[_NumberIndex_0[i]:_NumberIndex_0[i+1]]
-	case 200 <= i && i <= 202:
+	case 200 <= i && i <= 207:
 		i -= 200
 		return _NumberName_1[_NumberIndex_1[i]:_NumberIndex_1[i+1]]
 	case 300 <= i && i <= 303:
@@ -72,6 +72,11 @@
 	_ = x[RequestAnswered-(200)]
 	_ = x[RequestNotRun-(201)]
 	_ = x[RequestUnknown-(202)]
+	_ = x[RequestRetried-(203)]
+	_ = x[RequestReplayed-(204)]
+	_ = x[ClaimLost-(205)]
+	_ = x[TargetEjected-(206)]
+	_ = x[TargetRestored-(207)]
 	_ = x[MemberJoined-(300)]
 	_ = x[MemberLapsed-(301)]
 	_ = x[DutyTaken-(302)]
@@ -86,50 +91,60 @@
 	_ = x[CommitOutcomeResolved-(702)]
 }
 
-var _NumberValues = []Number{ProcessStarted, ProcessServing, ProcessStopping, ProcessStopped, RequestAnswered, RequestNotRun, RequestUnknown, MemberJoined, MemberLapsed, DutyTaken, DutyReleased, JobAccepted, ConfigAccepted, ConfigInForce, PeerConnected, PeerLost, StoreUnavailable, StoreRecovered, CommitOutcomeResolved}
+var _NumberValues = []Number{ProcessStarted, ProcessServing, ProcessStopping, ProcessStopped, RequestAnswered, RequestNotRun, RequestUnknown, RequestRetried, RequestReplayed, ClaimLost, TargetEjected, TargetRestored, MemberJoined, MemberLapsed, DutyTaken, DutyReleased, JobAccepted, ConfigAccepted, ConfigInForce, PeerConnected, PeerLost, StoreUnavailable, StoreRecovered, CommitOutcomeResolved}
 
 var _NumberNameToValueMap = map[string]Number{
-	_NumberName_0[0:15]:  ProcessStarted,
-	_NumberName_0[15:30]: ProcessServing,
-	_NumberName_0[30:46]: ProcessStopping,
-	_NumberName_0[46:61]: ProcessStopped,
-	_NumberName_1[0:16]:  RequestAnswered,
-	_NumberName_1[16:31]: RequestNotRun,
-	_NumberName_1[31:46]: RequestUnknown,
-	_NumberName_2[0:13]:  MemberJoined,
-	_NumberName_2[13:26]: MemberLapsed,
-	_NumberName_2[26:36]: DutyTaken,
-	_NumberName_2[36:49]: DutyReleased,
-	_NumberName_3[0:12]:  JobAccepted,
-	_NumberName_4[0:15]:  ConfigAccepted,
-	_NumberName_4[15:30]: ConfigInForce,
-	_NumberName_5[0:14]:  PeerConnected,
-	_NumberName_5[14:23]: PeerLost,
-	_NumberName_6[0:17]:  StoreUnavailable,
-	_NumberName_6[17:32]: StoreRecovered,
-	_NumberName_6[32:55]: CommitOutcomeResolved,
+	_NumberName_0[0:15]:    ProcessStarted,
+	_NumberName_0[15:30]:   ProcessServing,
+	_NumberName_0[30:46]:   ProcessStopping,
+	_NumberName_0[46:61]:   ProcessStopped,
+	_NumberName_1[0:16]:    RequestAnswered,
+	_NumberName_1[16:31]:   RequestNotRun,
+	_NumberName_1[31:46]:   RequestUnknown,
+	_NumberName_1[46:61]:   RequestRetried,
+	_NumberName_1[61:77]:   RequestReplayed,
+	_NumberName_1[77:87]:   ClaimLost,
+	_NumberName_1[87:101]:  TargetEjected,
+	_NumberName_1[101:116]: TargetRestored,
+	_NumberName_2[0:13]:    MemberJoined,
+	_NumberName_2[13:26]:   MemberLapsed,
+	_NumberName_2[26:36]:   DutyTaken,
+	_NumberName_2[36:49]:   DutyReleased,
+	_NumberName_3[0:12]:    JobAccepted,
+	_NumberName_4[0:15]:    ConfigAccepted,
+	_NumberName_4[15:30]:   ConfigInForce,
+	_NumberName_5[0:14]:    PeerConnected,
+	_NumberName_5[14:23]:   PeerLost,
+	_NumberName_6[0:17]:    StoreUnavailable,
+	_NumberName_6[17:32]:   StoreRecovered,
+	_NumberName_6[32:55]:   CommitOutcomeResolved,
 }
 
 var _NumberLowerNameToValueMap = map[string]Number{
-	_NumberLowerName_0[0:15]:  ProcessStarted,
-	_NumberLowerName_0[15:30]: ProcessServing,
-	_NumberLowerName_0[30:46]: ProcessStopping,
-	_NumberLowerName_0[46:61]: ProcessStopped,
-	_NumberLowerName_1[0:16]:  RequestAnswered,
-	_NumberLowerName_1[16:31]: RequestNotRun,
-	_NumberLowerName_1[31:46]: RequestUnknown,
-	_NumberLowerName_2[0:13]:  MemberJoined,
-	_NumberLowerName_2[13:26]: MemberLapsed,
-	_NumberLowerName_2[26:36]: DutyTaken,
-	_NumberLowerName_2[36:49]: DutyReleased,
-	_NumberLowerName_3[0:12]:  JobAccepted,
-	_NumberLowerName_4[0:15]:  ConfigAccepted,
-	_NumberLowerName_4[15:30]: ConfigInForce,
-	_NumberLowerName_5[0:14]:  PeerConnected,
-	_NumberLowerName_5[14:23]: PeerLost,
-	_NumberLowerName_6[0:17]:  StoreUnavailable,
-	_NumberLowerName_6[17:32]: StoreRecovered,
-	_NumberLowerName_6[32:55]: CommitOutcomeResolved,
+	_NumberLowerName_0[0:15]:    ProcessStarted,
+	_NumberLowerName_0[15:30]:   ProcessServing,
+	_NumberLowerName_0[30:46]:   ProcessStopping,
+	_NumberLowerName_0[46:61]:   ProcessStopped,
+	_NumberLowerName_1[0:16]:    RequestAnswered,
+	_NumberLowerName_1[16:31]:   RequestNotRun,
+	_NumberLowerName_1[31:46]:   RequestUnknown,
+	_NumberLowerName_1[46:61]:   RequestRetried,
+	_NumberLowerName_1[61:77]:   RequestReplayed,
+	_NumberLowerName_1[77:87]:   ClaimLost,
+	_NumberLowerName_1[87:101]:  TargetEjected,
+	_NumberLowerName_1[101:116]: TargetRestored,
+	_NumberLowerName_2[0:13]:    MemberJoined,
+	_NumberLowerName_2[13:26]:   MemberLapsed,
+	_NumberLowerName_2[26:36]:   DutyTaken,
+	_NumberLowerName_2[36:49]:   DutyReleased,
+	_NumberLowerName_3[0:12]:    JobAccepted,
+	_NumberLowerName_4[0:15]:    ConfigAccepted,
+	_NumberLowerName_4[15:30]:   ConfigInForce,
+	_NumberLowerName_5[0:14]:    PeerConnected,
+	_NumberLowerName_5[14:23]:   PeerLost,
+	_NumberLowerName_6[0:17]:    StoreUnavailable,
+	_NumberLowerName_6[17:32]:   StoreRecovered,
+	_NumberLowerName_6[32:55]:   CommitOutcomeResolved,
 }
 
 var _NumberNames = []string{
@@ -140,6 +155,11 @@
 	_NumberName_1[0:16],
 	_NumberName_1[16:31],
 	_NumberName_1[31:46],
+	_NumberName_1[46:61],
+	_NumberName_1[61:77],
+	_NumberName_1[77:87],
+	_NumberName_1[87:101],
+	_NumberName_1[101:116],
 	_NumberName_2[0:13],
 	_NumberName_2[13:26],
 	_NumberName_2[26:36],
--- a/core/event/request.go
+++ b/core/event/request.go
@@ -5,10 +5,20 @@
 	RequestAnswered Number = 200 + iota
 	RequestNotRun
 	RequestUnknown
+	RequestRetried
+	RequestReplayed
+	ClaimLost
+	TargetEjected
+	TargetRestored
 )
 
 var requestEntries = []Entry{
 	{RequestAnswered, "request", "A caller got the whole answer to its request."},
 	{RequestNotRun, "request", "A caller was told that its request was not run."},
 	{RequestUnknown, "request", "A caller was told that the outcome of its request is unknown."},
+	{RequestRetried, "request", "An attempt at a target failed and another target is tried."},
+	{RequestReplayed, "request", "A caller got the kept answer of its Idempotency-Key."},
+	{ClaimLost, "request", "The entry host that had claimed an Idempotency-Key is gone; the key's outcome is unknown."},
+	{TargetEjected, "request", "A target failed or was slow more than the others of its pool and gets no requests."},
+	{TargetRestored, "request", "A target that got no requests answers again as the others do."},
 }
--- a/core/route/board.go
+++ b/core/route/board.go
@@ -13,11 +13,19 @@
 //
 // The zero value knows no target. A Board is not safe for concurrent use.
 type Board struct {
+	// Room decides whether a target may get another request beside the own and the peers' requests
+	// in progress there; nil means the equal share, and beyond it what the peers leave idle.
+	Room func(t Target, own, peers int) bool
+	// Draws is the number of targets that the least loaded is taken of; zero means 2.
+	Draws int
+
 	// members is the number of entry hosts that share the targets; less than one means one.
 	members int
 
 	epoch, version uint64
 	seats          map[host.ID]*seat
+	// all holds the seats in the order in which they were first listed, so that decisions are repeatable.
+	all []*seat
 	// listed is the number of targets in the newest snapshot, total the own requests in progress.
 	listed, total int
 	// open holds the seats that may get another request, in no order.
@@ -59,18 +67,16 @@
 	}
 	b.epoch, b.version = s.Epoch, s.Version
 	b.listed = len(s.Targets)
-	for _, st := range b.seats {
+	for _, st := range b.all {
 		st.listed = false
 	}
 	for _, target := range s.Targets {
 		b.list(target)
 	}
-	for id, st := range b.seats {
+	for _, st := range b.all {
 		b.settle(st)
-		if !st.listed && st.own == 0 {
-			delete(b.seats, id)
-		}
 	}
+	b.forget()
 }
 
 func (b *Board) list(target Target) {
@@ -78,6 +84,7 @@
 	if st == nil {
 		st = &seat{position: noPosition}
 		b.seats[target.Host] = st
+		b.all = append(b.all, st)
 	}
 	st.target = target
 	st.listed = true
@@ -85,8 +92,8 @@
 
 // SetPeers replaces the requests that the other entry hosts have in progress, by host.
 func (b *Board) SetPeers(inProgress map[host.ID]int) {
-	for id, st := range b.seats {
-		st.peers = inProgress[id]
+	for _, st := range b.all {
+		st.peers = inProgress[st.target.Host]
 		b.settle(st)
 	}
 }
@@ -97,7 +104,7 @@
 		return
 	}
 	b.members = members
-	for _, st := range b.seats {
+	for _, st := range b.all {
 		b.settle(st)
 	}
 }
@@ -110,8 +117,10 @@
 		return Target{}, false
 	}
 	st := b.draw(rng, avoid)
-	if other := b.draw(rng, avoid); other.load() < st.load() {
-		st = other
+	for range b.draws() - 1 {
+		if other := b.draw(rng, avoid); other.load() < st.load() {
+			st = other
+		}
 	}
 	st.own++
 	b.total++
@@ -145,10 +154,24 @@
 	}
 	b.settle(st)
 	if !st.listed && st.own == 0 {
-		delete(b.seats, id)
+		b.forget()
 	}
 }
 
+// forget drops the seats that are neither listed nor in use.
+func (b *Board) forget() {
+	kept := b.all[:0]
+	for _, st := range b.all {
+		if st.listed || st.own > 0 {
+			kept = append(kept, st)
+			continue
+		}
+		delete(b.seats, st.target.Host)
+	}
+	clear(b.all[len(kept):])
+	b.all = kept
+}
+
 // InProgress returns the own requests in progress by host, also on hosts outside the snapshot.
 func (b *Board) InProgress() map[host.ID]int {
 	counts := make(map[host.ID]int)
@@ -181,6 +204,13 @@
 	return max(1, t.Capacity.Connections/max(1, b.members))
 }
 
+func (b *Board) draws() int {
+	if b.Draws == 0 {
+		return 2
+	}
+	return b.Draws
+}
+
 func (b *Board) draw(rng *rand.Rand, avoid []host.ID) *seat {
 	st := b.open[rng.IntN(len(b.open))]
 	for range drawsToAvoid {
@@ -217,6 +247,9 @@
 	if !st.listed || !st.restsUntil.IsZero() || st.own >= b.Connections(st.target) {
 		return false
 	}
+	if b.Room != nil {
+		return b.Room(st.target, st.own, st.peers)
+	}
 	slots := st.target.Capacity.Slots
 	share := max(1, slots/max(1, b.members))
 	return st.own < min(share, slots) || st.own+st.peers < slots
--- a/core/route/budget.go
+++ b/core/route/budget.go
@@ -8,8 +8,12 @@
 	retryPerAnswer = 1.0
 	// maxRetryBalance bounds the attempts saved up.
 	maxRetryBalance = 10.0
-	// outageStreak is the number of failures in a row after which saved attempts are lost.
-	outageStreak = 2
+	// outageStreak is the weight of failures in a row from which saved attempts are lost.
+	outageStreak = 8
+	// faultWeight and refusalWeight are the weights of a failed and of a refused attempt. Healthy
+	// workers refuse too, when several entry hosts take their last slot at the same time.
+	faultWeight   = 4
+	refusalWeight = 1
 )
 
 // Budget bounds the second and later attempts of all requests of one pool. While
@@ -17,10 +21,12 @@
 // saved attempts are lost, and what remains is a fixed share of the new requests:
 // a wave of failures does not multiply the load. The zero value allows no retry yet.
 type Budget struct {
-	// balance is in [0, maxRetryBalance].
+	// balance is at most maxRetryBalance. Below zero, it is a debt from the beginning of an outage.
 	balance float64
-	// failures counts the failed attempts since the last answer.
-	failures int
+	// streak is the weight of the failures since the last answer.
+	streak int
+	// spent counts the attempts taken since the last answer.
+	spent float64
 }
 
 // Arrive earns the share of a new request.
@@ -30,24 +36,35 @@
 
 // Answer earns the share of an answered request and ends a streak of failures.
 func (b *Budget) Answer() {
-	b.failures = 0
+	b.streak = 0
+	b.spent = 0
 	b.earn(retryPerAnswer)
 }
 
-// Fail notes a failed attempt. Where a streak becomes an outage, the saved attempts are lost.
-func (b *Budget) Fail() {
-	b.failures++
-	if b.failures == outageStreak {
-		b.balance = 0
+// Fail notes a failed attempt. Where a streak becomes an outage, the saved attempts
+// are lost, and those taken during the streak are paid back from the share of new requests.
+func (b *Budget) Fail(f Fault) {
+	weight := faultWeight
+	if f == FaultRefused {
+		weight = refusalWeight
 	}
+	if b.streak < outageStreak && b.streak+weight >= outageStreak {
+		b.balance = -b.spent
+	}
+	b.streak = min(b.streak+weight, outageStreak)
 }
 
-// Spend takes one attempt, or reports that none is left.
-func (b *Budget) Spend() bool {
-	if b.balance < 1 {
+// Spend takes another attempt after a fault, or reports that none is left. A refused
+// request costs the pool next to nothing, so it is free while other requests are answered.
+func (b *Budget) Spend(after Fault) bool {
+	free := after == FaultRefused && b.streak < outageStreak
+	if !free && b.balance < 1 {
 		return false
 	}
-	b.balance--
+	if !free {
+		b.balance--
+	}
+	b.spent++
 	return true
 }
 
--- a/core/route/scheduler.go
+++ b/core/route/scheduler.go
@@ -67,6 +67,17 @@
 	return Admission{Waits: true, Displaced: displaced}
 }
 
+// Check returns the refusal that w would meet now, without counting it as an arrival.
+func (s *Scheduler) Check(now time.Time, rng *rand.Rand, w *Waiter) Refusal {
+	if !s.Board.Listed() {
+		return s.refuse(rng, ReasonNoTargets)
+	}
+	if s.Board.Open(now) || !now.Add(s.wait(w)).After(w.Deadline) {
+		return Refusal{}
+	}
+	return s.refuse(rng, ReasonDeadline)
+}
+
 // Again lets a request whose attempt failed wait for another target before all others.
 func (s *Scheduler) Again(w *Waiter, failed host.ID) {
 	w.Avoid = append(w.Avoid, failed)
@@ -123,10 +134,10 @@
 		s.estimate.Observe(queue, took)
 	case FaultTimeout:
 		s.estimate.Observe(queue, took)
-		s.Budget.Fail()
+		s.Budget.Fail(a.Fault)
 	case FaultCaller:
 	default:
-		s.Budget.Fail()
+		s.Budget.Fail(a.Fault)
 	}
 }
 
--- a/io/entry/answer.go
+++ b/io/entry/answer.go
@@ -112,34 +112,48 @@
 }
 
 // pass sends a target's answer to the caller. If it turns out not to be whole, the caller's connection is aborted.
-func (s *Server) pass(w http.ResponseWriter, c call, p *pool, target route.Target, a answer, begun time.Time) {
+func (s *Server) pass(ctx context.Context, w http.ResponseWriter, c call, a answer, finish func(route.Attempt)) {
 	copyHead(w.Header(), a.response, c)
 	w.WriteHeader(a.response.StatusCode)
-	f, err := a.copyTo(w, c)
+	f, err := a.copyTo(context.WithoutCancel(ctx), w, c, finish)
 	if err == nil {
 		addTrailers(w.Header(), a.response.Trailer)
 	}
 	status := a.response.StatusCode
+	whole := a.whole
 	a.close()
-	attempt := route.Attempt{Fault: f, Sent: true}
-	p.finish(c.queue.Name, target.Host, attempt, time.Since(begun))
-	s.metrics.attempt(attempt)
+	if !whole {
+		finish(route.Attempt{Fault: f, Sent: true})
+	}
 	if err != nil {
+		c.end(ctx, route.ClaimLose)
 		s.conclude(c, route.OutcomeUnknown, "aborted: "+err.Error())
 		panic(http.ErrAbortHandler)
 	}
 	s.conclude(c, route.OutcomeAnswered, strconv.Itoa(status))
 }
 
-// copyTo writes the body to the caller.
-func (a *answer) copyTo(w http.ResponseWriter, c call) (route.Fault, error) {
+// copyTo writes the body to the caller, and to the key's claim if there is one: then the last
+// bytes are written only after the answer was kept, and the caller's leaving does not end the copy.
+// The attempt is finished, and its slot free for others, as soon as the last bytes arrived.
+func (a *answer) copyTo(ctx context.Context, w http.ResponseWriter, c call, finish func(route.Attempt)) (route.Fault, error) {
 	chunk := a.first
+	var gone error
 	for {
+		if a.whole {
+			finish(route.Attempt{Sent: true})
+		}
+		if c.keeper != nil {
+			c.keeper.add(ctx, chunk)
+			if a.whole {
+				c.keeper.finish(ctx, a.response)
+			}
+		}
 		if _, err := w.Write(chunk); err != nil && len(chunk) > 0 {
-			return route.FaultCaller, err
+			gone = err
 		}
-		if a.whole {
-			return route.FaultNone, nil
+		if gone != nil && c.keeper == nil || a.whole {
+			break
 		}
 		if a.length < 0 {
 			_ = http.NewResponseController(w).Flush()
@@ -150,6 +164,10 @@
 		}
 		chunk, a.whole = a.buffer[:n], whole
 	}
+	if gone != nil {
+		return route.FaultCaller, gone
+	}
+	return route.FaultNone, nil
 }
 
 // bodyFault tells why a body is not whole.
--- /dev/null
+++ b/io/entry/keyed_test.go
@@ -0,0 +1,223 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"siskincross/core/route"
+	"siskincross/io/platform"
+	"siskincross/io/standin"
+)
+
+// pair is two entry hosts with one store in front of one target.
+type pair struct {
+	first, second *site
+	runs          atomic.Int32
+	// release lets one run go on for each element.
+	release chan bool
+	answer  string
+}
+
+// withPair starts a pair whose target answers with answer.
+func withPair(t *testing.T, answer string) *pair {
+	t.Helper()
+	p := &pair{answer: answer, release: make(chan bool, 100)}
+	address := withTarget(t, func(w http.ResponseWriter, _ *http.Request) {
+		p.runs.Add(1)
+		<-p.release
+		w.Header().Set("Desk", "north")
+		w.WriteHeader(http.StatusCreated)
+		_, _ = io.WriteString(w, p.answer)
+	})
+	table, objects := &standin.Table{}, &memoryObjects{}
+	p.first, p.second = withSite(t, address), withSite(t, address)
+	p.second.Member = "m2"
+	for _, s := range []*site{p.first, p.second} {
+		s.table = table
+		s.Table, s.Objects = table.Service(), objects.service()
+		s.group.table = s.Table
+		ctx, cancel := context.WithCancel(context.Background())
+		done := s.Start(ctx)
+		t.Cleanup(func() {
+			cancel()
+			if err := <-done; err != nil {
+				t.Error(err)
+			}
+		})
+	}
+	return p
+}
+
+func (p *pair) hold(t *testing.T, s *site) reply {
+	t.Helper()
+	return s.call(t, "POST", testPath, "keys", headerKey, "hold-17")
+}
+
+func (p *pair) assertAnswer(t *testing.T, got reply) {
+	t.Helper()
+	is := is.New(t)
+	is.Helper()
+	assertOutcome(t, got, http.StatusCreated, route.OutcomeAnswered)
+	is.True(got.body == p.answer)             // the same whole answer
+	is.Equal(got.header.Get("Desk"), "north") // its headers
+	is.Equal(p.runs.Load(), int32(1))         // one run
+}
+
+// memoryObjects is an object store in memory.
+type memoryObjects struct {
+	mu      sync.Mutex
+	content map[string][]byte
+}
+
+func (m *memoryObjects) service() platform.Objects {
+	return platform.Objects{
+		Put: func(_ context.Context, name string, content []byte) error {
+			m.mu.Lock()
+			defer m.mu.Unlock()
+			if m.content == nil {
+				m.content = make(map[string][]byte)
+			}
+			m.content[name] = append([]byte(nil), content...)
+			return nil
+		},
+		Get: func(_ context.Context, name string) ([]byte, error) {
+			m.mu.Lock()
+			defer m.mu.Unlock()
+			if content, ok := m.content[name]; ok {
+				return content, nil
+			}
+			return nil, platform.ErrNotFound{Kind: "object", Name: name}
+		},
+	}
+}
+
+func TestKeyedRunsOnce(t *testing.T) {
+	answers := map[string]string{"short": "held", "long": strings.Repeat("paid ", 1<<17), "empty": ""}
+	for name, answer := range answers {
+		t.Run(name+" answer, arrivals at once at two entry hosts", func(t *testing.T) {
+			p := withPair(t, answer)
+			replies := make(chan reply)
+			for i := range 6 {
+				s := []*site{p.first, p.second}[i%2]
+				go func() { replies <- p.hold(t, s) }()
+			}
+			for p.runs.Load() == 0 {
+				time.Sleep(time.Millisecond)
+			}
+			p.release <- true
+			for range 6 {
+				p.assertAnswer(t, <-replies)
+			}
+			p.assertAnswer(t, p.hold(t, p.first))
+			p.assertAnswer(t, p.hold(t, p.second))
+		})
+	}
+}
+
+func TestKeyedStoreFaults(t *testing.T) {
+	faults := map[string]standin.TableFaults{
+		"lost answers": {LoseAnswers: 2},
+		"lost commits": {LoseCommits: 2},
+		"slow":         {Delay: 30 * time.Millisecond},
+	}
+	for name, f := range faults {
+		t.Run(name, func(t *testing.T) {
+			p := withPair(t, "held")
+			p.first.table.SetFaults(f)
+			p.release <- true
+			p.assertAnswer(t, p.hold(t, p.first))
+			p.assertAnswer(t, p.hold(t, p.second))
+		})
+	}
+	t.Run("down", func(t *testing.T) {
+		is := is.New(t)
+		p := withPair(t, "held")
+		p.first.table.SetFaults(standin.TableFaults{Down: true})
+		got := p.hold(t, p.first)
+		assertOutcome(t, got, http.StatusServiceUnavailable, route.OutcomeNotRun)
+		is.Equal(p.runs.Load(), int32(0)) // not run, as the caller was told
+		p.first.table.SetFaults(standin.TableFaults{})
+		p.release <- true
+		p.assertAnswer(t, p.hold(t, p.second))
+	})
+	t.Run("down during the run", func(t *testing.T) {
+		p := withPair(t, "held")
+		replies := make(chan reply)
+		go func() { replies <- p.hold(t, p.first) }()
+		for p.runs.Load() == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		p.first.table.SetFaults(standin.TableFaults{Down: true})
+		p.release <- true
+		p.assertAnswer(t, <-replies)
+		p.assertAnswer(t, p.hold(t, p.first))
+		p.first.table.SetFaults(standin.TableFaults{})
+		p.assertAnswer(t, p.hold(t, p.second))
+	})
+}
+
+func TestKeyedNotRunReleasesKey(t *testing.T) {
+	is := is.New(t)
+	p := withPair(t, "held")
+	good := p.first.snapshot.Load()
+	p.first.setTargets(2, closedAddress(t))
+	assertOutcome(t, p.hold(t, p.first), http.StatusServiceUnavailable, route.OutcomeNotRun)
+	is.Equal(p.runs.Load(), int32(0))
+	p.first.setTargets(3, good.Targets[0].Address)
+	p.release <- true
+	p.assertAnswer(t, p.hold(t, p.first))
+	p.assertAnswer(t, p.hold(t, p.second))
+}
+
+func TestKeyedLostRunStaysUnknown(t *testing.T) {
+	t.Run("answer cut", func(t *testing.T) {
+		is := is.New(t)
+		var runs atomic.Int32
+		p := withPair(t, "held")
+		p.first.setTargets(2, withRawTarget(t, &runs, func(string) string { return "" }))
+		assertOutcome(t, p.hold(t, p.first), http.StatusBadGateway, route.OutcomeUnknown)
+		assertOutcome(t, p.hold(t, p.first), http.StatusBadGateway, route.OutcomeUnknown)
+		assertOutcome(t, p.hold(t, p.second), http.StatusBadGateway, route.OutcomeUnknown)
+		is.Equal(runs.Load()+p.runs.Load(), int32(1))
+	})
+	t.Run("the holder's process was replaced", func(t *testing.T) {
+		is := is.New(t)
+		p := withPair(t, "held")
+		r, _ := http.NewRequest(http.MethodPost, "/", strings.NewReader("keys"))
+		c := call{queue: p.first.expanded.Queues[0], rawPath: "/hold"}
+		claim := route.Claim{State: route.ClaimClaimed, ID: "old", Holder: "m1", Fingerprint: fingerprint(r, c)}
+		value, _ := json.Marshal(claim)
+		is.NoErr(p.first.table.Commit(t.Context(), platform.Transaction{Writes: []platform.Write{{Key: "request/letting/hold-17", Value: value}}}))
+		assertOutcome(t, p.hold(t, p.first), http.StatusBadGateway, route.OutcomeUnknown)
+		assertOutcome(t, p.hold(t, p.second), http.StatusBadGateway, route.OutcomeUnknown)
+		is.Equal(p.runs.Load(), int32(0))
+	})
+	t.Run("a holder lapses only after its row stood still", func(t *testing.T) {
+		is := is.New(t)
+		start := time.Now()
+		h := holderWatch{self: "m1"}
+		h.observe(7, start)
+		is.True(h.alive("m2", start.Add(holderLapse-1)))
+		h.observe(8, start.Add(holderLapse))
+		is.True(h.alive("m2", start.Add(holderLapse)))
+		h.observe(8, start.Add(2*holderLapse))
+		is.True(!h.alive("m2", start.Add(2*holderLapse)))
+	})
+}
+
+func TestKeyReuseIsRefused(t *testing.T) {
+	p := withPair(t, "held")
+	p.release <- true
+	p.assertAnswer(t, p.hold(t, p.first))
+	got := p.second.call(t, "POST", testPath+"/other", "keys", headerKey, "hold-17")
+	assertOutcome(t, got, http.StatusUnprocessableEntity, route.OutcomeNotRun)
+}
--- a/io/entry/limits.go
+++ b/io/entry/limits.go
@@ -20,6 +20,8 @@
 	Deadline time.Duration
 	// IdleConnections bounds the idle connections to all targets; 1024 by default.
 	IdleConnections int
+	// ClaimCommits bounds the commits a second for claims of Idempotency-Keys, of all entry hosts together; 100 by default.
+	ClaimCommits float64
 }
 
 const (
@@ -37,6 +39,7 @@
 	setDefault(&l.Dial, time.Second)
 	setDefault(&l.Deadline, 10*time.Minute)
 	setDefault(&l.IdleConnections, 1024)
+	setDefault(&l.ClaimCommits, 100)
 	return l
 }
 
--- a/io/entry/pool.go
+++ b/io/entry/pool.go
@@ -54,6 +54,17 @@
 	return p.wait(ctx, w)
 }
 
+// check returns the refusal that w would meet now.
+func (p *pool) check(w *route.Waiter) route.Refusal {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	if !p.update(now) {
+		return p.scheduler.Refuse(p.rng, route.ReasonUnvouched)
+	}
+	return p.scheduler.Check(now, p.rng, w)
+}
+
 // again finds another target for w after its attempt at a target failed.
 func (p *pool) again(ctx context.Context, w *route.Waiter, failed host.ID) (route.Target, route.Refusal) {
 	p.mu.Lock()
@@ -62,10 +73,10 @@
 }
 
 // spend takes an attempt from the retry budget.
-func (p *pool) spend() bool {
+func (p *pool) spend(after route.Fault) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.scheduler.Budget.Spend()
+	return p.scheduler.Budget.Spend(after)
 }
 
 // finish ends an attempt at a target and lets others have its slot.
--- a/io/entry/request.go
+++ b/io/entry/request.go
@@ -42,6 +42,7 @@
 	team config.Team
 	// path is what follows the queue's name, escaped as the caller sent it.
 	path, rawPath string
+	method        string
 	key           string
 	idempotent    bool
 	urgent        bool
@@ -49,6 +50,8 @@
 	deadline      time.Time
 	// target is the host of the last attempt.
 	target string
+	// keeper holds the claim of the key while the request is run for it; else nil.
+	keeper *keeper
 }
 
 // fault is a reason to refuse a request before anything was done for it.
@@ -63,7 +66,7 @@
 
 // parse understands a request. Where it can't, the call holds at least an ID.
 func (s *Server) parse(r *http.Request) (call, *fault) {
-	c := call{id: requestID(r), received: time.Now()}
+	c := call{id: requestID(r), method: r.Method, received: time.Now()}
 	if id := r.Header.Get(headerRequestID); id != "" && id != c.id {
 		return c, badRequest("%s must be 1 to %d letters, digits, dots, hyphens or underscores", headerRequestID, maxRequestIDLength)
 	}
--- a/io/entry/serve.go
+++ b/io/entry/serve.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"siskincross/core/chart"
 	"siskincross/core/route"
 )
 
@@ -33,6 +34,10 @@
 		s.refuse(w, c, route.Refusal{Reason: prefetchReason(err)}, "the request body did not arrive whole")
 		return
 	}
+	if c.key != "" {
+		s.serveKeyed(w, r, c, b)
+		return
+	}
 	s.run(w, r, c, b)
 }
 
@@ -68,50 +73,69 @@
 	started := false
 	for {
 		if refusal.Reason != route.ReasonNone {
-			s.giveUp(w, c, started, refusal)
+			s.giveUp(ctx, w, c, started, refusal)
 			return
 		}
 		c.target = string(target.Host)
-		begun := time.Now()
+		finish := s.begin(p, c, target)
 		answer, attempt := s.attempt(ctx, r, c, b, target)
 		if attempt.Fault == route.FaultNone {
-			s.pass(w, c, p, target, answer, begun)
+			s.pass(ctx, w, c, answer, finish)
 			return
 		}
-		p.finish(c.queue.Name, target.Host, attempt, time.Since(begun))
-		s.metrics.attempt(attempt)
+		finish(attempt)
 		started = started || attempt.Started()
 		if !s.mayRetry(p, c, b, attempt) {
-			s.fail(w, c, attempt, started)
+			s.fail(ctx, w, c, attempt, started)
 			return
 		}
 		target, refusal = p.again(ctx, waiter, target.Host)
 	}
 }
 
+// begin returns the function that ends an attempt at a target.
+func (s *Server) begin(p *pool, c call, target route.Target) func(route.Attempt) {
+	begun := time.Now()
+	return func(a route.Attempt) {
+		p.finish(c.queue.Name, target.Host, a, time.Since(begun))
+		s.metrics.attempt(a)
+	}
+}
+
 func (s *Server) mayRetry(p *pool, c call, b *body, a route.Attempt) bool {
-	return a.Retriable(c.idempotent && c.key == "") && b.replayable() && p.spend()
+	return a.Retriable(c.repeatable()) && b.replayable() && p.spend(a.Fault)
 }
 
 // giveUp tells the caller that no target was found.
-func (s *Server) giveUp(w http.ResponseWriter, c call, started bool, refusal route.Refusal) {
+func (s *Server) giveUp(ctx context.Context, w http.ResponseWriter, c call, started bool, refusal route.Refusal) {
 	if started {
+		c.end(ctx, route.ClaimLose)
 		s.state(w, c, route.OutcomeUnknown, refusal.Reason, "an earlier attempt may have run the request")
 		return
 	}
+	c.end(ctx, route.ClaimProveNotRun)
 	s.refuse(w, c, refusal, "")
 }
 
 // fail tells the caller the outcome of its last attempt.
-func (s *Server) fail(w http.ResponseWriter, c call, a route.Attempt, started bool) {
+func (s *Server) fail(ctx context.Context, w http.ResponseWriter, c call, a route.Attempt, started bool) {
 	reason := reasonOf(a.Fault)
 	if a.Outcome(started) == route.OutcomeNotRun {
+		c.end(ctx, route.ClaimProveNotRun)
 		s.refuse(w, c, route.Refusal{Reason: reason, RetryAfter: time.Second}, "the target: "+a.Fault.String())
 		return
 	}
+	c.end(ctx, route.ClaimLose)
 	s.state(w, c, route.OutcomeUnknown, reason, "the target: "+a.Fault.String())
 }
 
+// end notes on the key's claim, if there is one, that the request has no answer.
+func (c call) end(ctx context.Context, e chart.Event) {
+	if c.keeper != nil {
+		c.keeper.end(context.WithoutCancel(ctx), e)
+	}
+}
+
 func reasonOf(f route.Fault) route.Reason {
 	switch f {
 	case route.FaultTimeout:
--- a/io/entry/server.go
+++ b/io/entry/server.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/uber-go/tally/v4"
+	"golang.org/x/time/rate"
 
 	"siskincross/core/config"
 	"siskincross/core/event"
@@ -46,6 +47,8 @@
 	limits     Limits
 	metrics    metrics
 	transports transports
+	group      *group
+	flights    flights
 	index      atomic.Pointer[configIndex]
 	mu         sync.RWMutex
 	pools      map[string]*pool
@@ -59,8 +62,10 @@
 	refreshInterval = 50 * time.Millisecond
 	// drainInterval is how often Drain looks for requests in progress.
 	drainInterval = 5 * time.Millisecond
-	queuesPrefix  = "/queues/"
-	jobsPrefix    = "/jobs/"
+	// drainSettle bounds how long Drain waits for the store to take the claims' last states.
+	drainSettle  = 5 * time.Second
+	queuesPrefix = "/queues/"
+	jobsPrefix   = "/jobs/"
 )
 
 // Handler returns the handler of the callers' requests.
@@ -85,7 +90,11 @@
 	s.init()
 	done := make(chan error, 1)
 	go func() {
-		s.refreshPools(ctx)
+		var loops sync.WaitGroup
+		loops.Go(func() { s.refreshPools(ctx) })
+		loops.Go(func() { s.group.run(ctx) })
+		loops.Go(func() { s.flights.run(ctx) })
+		loops.Wait()
 		s.transports.close()
 		done <- nil
 	}()
@@ -108,12 +117,14 @@
 	return p.scheduler.Board.Total(), p.scheduler.Waiting(), p.scheduler.Arrivals()
 }
 
-// Drain refuses new requests as not run and returns when those in progress have ended, or with ctx's error.
+// Drain refuses new requests as not run and returns when those in progress have ended and
+// their claims are written, or with ctx's error. Claims that the store does not take wait for drainSettle at most.
 func (s *Server) Drain(ctx context.Context) error {
 	s.draining.Store(true)
+	settled := time.Now().Add(drainSettle)
 	ticker := time.NewTicker(drainInterval)
 	defer ticker.Stop()
-	for s.requests.Load() > 0 {
+	for s.requests.Load() > 0 || s.flights.unsettled() && time.Now().Before(settled) {
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
@@ -129,6 +140,7 @@
 		s.metrics = newMetrics(s.Scope)
 		s.transports.dial = s.limits.Dial
 		s.transports.idle = s.limits.IdleConnections
+		s.group = newGroup(s.Table, s.limits.ClaimCommits)
 	})
 }
 
@@ -180,6 +192,7 @@
 		case <-ctx.Done():
 			return
 		}
+		s.group.pace.SetLimit(rate.Limit(s.limits.ClaimCommits / float64(s.members())))
 		s.mu.RLock()
 		pools := make([]*pool, 0, len(s.pools))
 		for _, p := range s.pools {
@@ -199,9 +212,8 @@
 	return max(1, s.Members())
 }
 
-func (s *Server) record(e event.Event) event.ID {
-	if s.Recorder == nil {
-		return ""
+func (s *Server) record(e event.Event) {
+	if s.Recorder != nil {
+		s.Recorder.Record(e)
 	}
-	return s.Recorder.Record(e)
 }
