Learn from a target's refusal that its slots are taken

Cause: entry hosts sent request after request to full workers, ran out of retries and gave up 4 to 12 percent of the requests at load 1 (go test -v -run TargetChoice ./core/route).

Change: a refusal counts the target as full until the peers' next figures.

--- a/core/route/board.go
+++ b/core/route/board.go
@@ -273,7 +273,10 @@
 	st.position = noPosition
 }
 
+// rest keeps requests away from a target that refused. The refusal tells that its slots are taken, which
+// stands until the peers' next figures.
 func (b *Board) rest(now time.Time, st *seat) {
+	st.peers = max(st.peers, st.target.Capacity.Slots-st.own)
 	if st.restsUntil.IsZero() {
 		b.resting = append(b.resting, st)
 	}
--- a/io/entry/keyed.go
+++ b/io/entry/keyed.go
@@ -53,7 +53,7 @@
 // claimAttempt is one try to claim a key.
 type claimAttempt struct {
 	key, mark string
-	flight     *flight
+	flight    *flight
 }
 
 // claim claims the key and runs the request, or gives the duplicate what the first run
