Test that requests are dispatched once and bad input runs nothing

Cause: net/http's transport repeats GET requests and requests with an Idempotency-Key by itself when a kept connection breaks.

Change: tests with a target that closes after the second request, with callers and targets that leave, hang or send garbage.

--- /dev/null
+++ b/io/entry/safety_test.go
@@ -0,0 +1,344 @@
+package entry
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"siskincross/core/host"
+	"siskincross/core/route"
+)
+
+// withFadingTarget starts a target that answers the first request of each connection and
+// closes the connection after it has read the second.
+func withFadingTarget(t *testing.T, runs *atomic.Int32) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go fade(c, runs)
+		}
+	}()
+	return listener.Addr().String()
+}
+
+func fade(c net.Conn, runs *atomic.Int32) {
+	defer func() { _ = c.Close() }()
+	in := bufio.NewReader(c)
+	for i := range 2 {
+		r, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, r.Body)
+		runs.Add(1)
+		if i == 0 {
+			_, _ = io.WriteString(c, head(r.Header.Get(headerRequestID), "Content-Length: 2")+"ok")
+		}
+	}
+}
+
+func TestDispatchedOnce(t *testing.T) {
+	requests := map[string]struct {
+		method, body string
+		headers      []string
+	}{
+		"POST":                            {"POST", "keys", nil},
+		"POST without a body":             {"POST", "", nil},
+		"GET declared as not idempotent":  {"GET", "", []string{headerIdempotent, "false"}},
+		"HEAD declared as not idempotent": {"HEAD", "", []string{headerIdempotent, "false"}},
+	}
+	for name, request := range requests {
+		t.Run(name+" on a connection that breaks", func(t *testing.T) {
+			is := is.New(t)
+			var runs atomic.Int32
+			s := withSite(t, withFadingTarget(t, &runs))
+			assertOutcome(t, s.call(t, "POST", testPath, ""), http.StatusOK, route.OutcomeAnswered)
+			got := s.call(t, request.method, testPath, request.body, request.headers...)
+			is.Equal(got.outcome, "unknown")
+			is.Equal(runs.Load(), int32(2)) // one run each
+		})
+	}
+	t.Run("POST with a key on a connection that breaks", func(t *testing.T) {
+		is := is.New(t)
+		var runs atomic.Int32
+		p := withPair(t, "")
+		p.first.setTargets(2, withFadingTarget(t, &runs))
+		assertOutcome(t, p.first.call(t, "POST", testPath, ""), http.StatusOK, route.OutcomeAnswered)
+		got := p.first.call(t, "POST", testPath, "", headerKey, "k")
+		is.Equal(got.outcome, "unknown")
+		is.Equal(runs.Load(), int32(2))
+	})
+}
+
+func TestIdempotentRetriesElsewhere(t *testing.T) {
+	is := is.New(t)
+	var runs, refusals atomic.Int32
+	good := withTarget(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "whole") })
+	s := withSite(t, good)
+	assertOutcome(t, s.call(t, "GET", testPath, ""), http.StatusOK, route.OutcomeAnswered)
+	s.setTargets(2, good, withRawTarget(t, &runs, func(string) string { return "" }))
+	for range 20 {
+		got := s.call(t, "PUT", testPath, "keys")
+		assertOutcome(t, got, http.StatusOK, route.OutcomeAnswered)
+		is.Equal(got.body, "whole")
+	}
+	is.True(runs.Load() > 0) // the failing target was tried
+	s.setTargets(3, good, withTarget(t, refusing(&refusals)))
+	for range 20 {
+		assertOutcome(t, s.call(t, "POST", testPath, "keys"), http.StatusOK, route.OutcomeAnswered)
+	}
+	is.True(refusals.Load() > 0) // the refusing target was tried
+}
+
+func TestDeadline(t *testing.T) {
+	t.Run("target hangs", func(t *testing.T) {
+		cancelled := make(chan bool, 1)
+		s := withSite(t, withTarget(t, func(_ http.ResponseWriter, r *http.Request) {
+			<-r.Context().Done()
+			cancelled <- true
+		}))
+		assertOutcome(t, s.call(t, "GET", testPath, "", headerTimeout, "50ms"), http.StatusGatewayTimeout, route.OutcomeUnknown)
+		<-cancelled
+		assertOutcome(t, s.call(t, "POST", testPath, "", headerTimeout, "50ms"), http.StatusGatewayTimeout, route.OutcomeUnknown)
+		<-cancelled
+	})
+	t.Run("all slots taken", func(t *testing.T) {
+		s, release := withFullSite(t)
+		defer release()
+		assertOutcome(t, s.call(t, "POST", testPath, "", headerTimeout, "50ms"), http.StatusServiceUnavailable, route.OutcomeNotRun)
+	})
+	t.Run("body does not come", func(t *testing.T) {
+		is := is.New(t)
+		s := withSite(t, withTarget(t, func(http.ResponseWriter, *http.Request) { t.Error("the target was called") }))
+		body, sender := io.Pipe()
+		go func() { _, _ = io.WriteString(sender, "ke") }()
+		got := send(t, s.url, "POST", testPath, body, headerTimeout, "50ms")
+		_ = sender.Close()
+		is.True(got.err != nil || got.outcome == "not-run")
+		inProgress, queued, _ := s.Demand(testPool)
+		is.Equal(inProgress+queued, 0) // a slow caller holds no slot
+	})
+}
+
+// withFullSite starts an entry host whose target has a request in each slot.
+func withFullSite(t *testing.T) (*site, func()) {
+	t.Helper()
+	busy, release := make(chan bool), make(chan bool)
+	s := withSite(t, withTarget(t, func(http.ResponseWriter, *http.Request) {
+		busy <- true
+		<-release
+	}))
+	for range 8 {
+		go s.call(t, "POST", testPath, "")
+		<-busy
+	}
+	return s, func() { close(release) }
+}
+
+func TestQueueIsBounded(t *testing.T) {
+	is := is.New(t)
+	s, release := withFullSite(t)
+	defer release()
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	for range s.expanded.Queues[0].MaxQueued {
+		go func() {
+			r, _ := http.NewRequestWithContext(ctx, http.MethodPost, s.url+testPath, nil)
+			if response, err := http.DefaultClient.Do(r); err == nil {
+				_ = response.Body.Close()
+			}
+		}()
+	}
+	for _, queued, _ := s.Demand(testPool); queued < 100; _, queued, _ = s.Demand(testPool) {
+		runtime.Gosched()
+	}
+	assertOutcome(t, s.call(t, "POST", testPath, ""), http.StatusServiceUnavailable, route.OutcomeNotRun)
+	cancel()
+	for _, queued, _ := s.Demand(testPool); queued > 0; _, queued, _ = s.Demand(testPool) {
+		runtime.Gosched()
+	}
+	is.Equal(s.InProgress(testPool), map[host.ID]int{s.snapshot.Load().Targets[0].Host: 8}) // callers that left hold no slot
+}
+
+func TestCallerGone(t *testing.T) {
+	for method, cancelled := range map[string]bool{"GET": true, "POST": false} {
+		t.Run(method, func(t *testing.T) {
+			is := is.New(t)
+			arrived, ended := make(chan bool), make(chan bool, 1)
+			finish := make(chan bool)
+			s := withSite(t, withTarget(t, func(_ http.ResponseWriter, r *http.Request) {
+				arrived <- true
+				select {
+				case <-r.Context().Done():
+					ended <- true
+				case <-finish:
+					ended <- false
+				}
+			}))
+			ctx, leave := context.WithCancel(t.Context())
+			r, _ := http.NewRequestWithContext(ctx, method, s.url+testPath, nil)
+			gone := make(chan error)
+			go func() {
+				_, err := http.DefaultClient.Do(r)
+				gone <- err
+			}()
+			<-arrived
+			leave()
+			is.True(<-gone != nil)
+			if !cancelled {
+				finish <- true
+			}
+			is.Equal(<-ended, cancelled) // work that may not be repeated goes on
+		})
+	}
+}
+
+func TestLeavingTarget(t *testing.T) {
+	is := is.New(t)
+	arrived, release := make(chan bool), make(chan bool)
+	leaving := withTarget(t, func(w http.ResponseWriter, _ *http.Request) {
+		arrived <- true
+		<-release
+		_, _ = io.WriteString(w, "old")
+	})
+	s := withSite(t, leaving)
+	first := make(chan reply)
+	go func() { first <- s.call(t, "POST", testPath, "") }()
+	<-arrived
+	s.setTargets(2, withTarget(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "new") }))
+	for range 20 {
+		is.Equal(s.call(t, "POST", testPath, "").body, "new") // no new work for the leaving target
+	}
+	is.Equal(s.InProgress(testPool)[host.ID("host-"+leaving)], 1) // its work is still reported
+	close(release)
+	is.Equal((<-first).body, "old") // and not cut off
+}
+
+func TestStoreOutageStopsNoUnkeyedRequest(t *testing.T) {
+	p := withPair(t, "held")
+	p.first.table.SetFaults(tableDown)
+	p.release <- true
+	assertOutcome(t, p.first.call(t, "POST", testPath, "keys"), http.StatusCreated, route.OutcomeAnswered)
+}
+
+func TestLongBodiesUseLittleMemory(t *testing.T) {
+	const length, bound = 64 << 20, 16 << 20
+	s := withSite(t, withTarget(t, func(w http.ResponseWriter, r *http.Request) {
+		_ = http.NewResponseController(w).EnableFullDuplex()
+		_, _ = io.CopyBuffer(struct{ io.Writer }{w}, struct{ io.Reader }{r.Body}, make([]byte, 32*kib))
+	}))
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	r, _ := http.NewRequest(http.MethodPost, s.url+testPath, io.LimitReader(zeros{}, length))
+	response, err := http.DefaultClient.Do(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	n, err := io.CopyBuffer(struct{ io.Writer }{io.Discard}, struct{ io.Reader }{response.Body}, make([]byte, 32*kib))
+	_ = response.Body.Close()
+	runtime.ReadMemStats(&after)
+	is := is.New(t)
+	is.NoErr(err)
+	is.Equal(n, int64(length))
+	t.Logf("allocated %d KiB for %d KiB", (after.TotalAlloc-before.TotalAlloc)/kib, length/kib)
+	is.True(after.TotalAlloc-before.TotalAlloc < bound)
+}
+
+// zeros is an endless body.
+type zeros struct{}
+
+func (zeros) Read(p []byte) (int, error) {
+	clear(p)
+	return len(p), nil
+}
+
+func TestBadInput(t *testing.T) {
+	withQuietSite := func(t *testing.T) *site {
+		return withSite(t, withTarget(t, func(http.ResponseWriter, *http.Request) { t.Error("the target was called") }))
+	}
+	long := strings.Repeat("x", 300)
+	requests := map[string]struct {
+		method, path string
+		status       int
+		headers      []string
+	}{
+		"unknown organisation": {"GET", "/queues/nobody/quotes/x", http.StatusNotFound, nil},
+		"no queue":             {"GET", "/queues/letting", http.StatusNotFound, nil},
+		"other path":           {"GET", "/admin", http.StatusNotFound, nil},
+		"unknown team":         {"GET", testPath, http.StatusBadRequest, []string{headerTeam, "west"}},
+		"foreign team":         {"GET", testPath, http.StatusBadRequest, []string{headerTeam, "other/north"}},
+		"bad timeout":          {"GET", testPath, http.StatusBadRequest, []string{headerTimeout, "soon"}},
+		"negative timeout":     {"GET", testPath, http.StatusBadRequest, []string{headerTimeout, "-1s"}},
+		"bad idempotent":       {"GET", testPath, http.StatusBadRequest, []string{headerIdempotent, "maybe"}},
+		"bad urgent":           {"GET", testPath, http.StatusBadRequest, []string{headerUrgent, "very"}},
+		"key with a space":     {"POST", testPath, http.StatusBadRequest, []string{headerKey, "a b"}},
+		"long key":             {"POST", testPath, http.StatusBadRequest, []string{headerKey, long}},
+		"two keys":             {"POST", testPath, http.StatusBadRequest, []string{headerKey, "a", headerKey, "b"}},
+		"bad request ID":       {"GET", testPath, http.StatusBadRequest, []string{headerRequestID, "a/b"}},
+		"trace":                {"TRACE", testPath, http.StatusBadRequest, nil},
+	}
+	for name, request := range requests {
+		t.Run(name, func(t *testing.T) {
+			got := withQuietSite(t).call(t, request.method, request.path, "", request.headers...)
+			assertOutcome(t, got, request.status, route.OutcomeNotRun)
+		})
+	}
+	t.Run("body over the limit", func(t *testing.T) {
+		s := withQuietSite(t)
+		s.limits.BodyBytes = 10
+		assertOutcome(t, s.call(t, "POST", testPath, "more than ten bytes"), http.StatusRequestEntityTooLarge, route.OutcomeNotRun)
+		got := send(t, s.url, "POST", testPath, struct{ io.Reader }{strings.NewReader("more than ten bytes")})
+		assertOutcome(t, got, http.StatusRequestEntityTooLarge, route.OutcomeNotRun)
+	})
+	raw := map[string]struct{ request, status string }{
+		"two lengths":      {"POST " + testPath + " HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab", "400"},
+		"negative length":  {"POST " + testPath + " HTTP/1.1\r\nHost: x\r\nContent-Length: -1\r\n\r\n", "400"},
+		"other encoding":   {"POST " + testPath + " HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: gzip\r\n\r\n", "501"},
+		"two encodings":    {"POST " + testPath + " HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: identity\r\n\r\n", "501"},
+		"oversize headers": {"GET " + testPath + " HTTP/1.1\r\nHost: x\r\nX: " + strings.Repeat("x", 80*kib) + "\r\n\r\n", "431"},
+		"broken chunk":     {"POST " + testPath + " HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", "400"},
+		"no host":          {"GET " + testPath + " HTTP/1.1\r\n\r\n", "400"},
+	}
+	for name, input := range raw {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			c, err := net.Dial("tcp", strings.TrimPrefix(withQuietSite(t).url, "http://"))
+			is.NoErr(err)
+			defer func() { _ = c.Close() }()
+			_, _ = io.WriteString(c, input.request)
+			line, err := bufio.NewReader(c).ReadString('\n')
+			is.NoErr(err)
+			is.Equal(strings.Fields(line)[1], input.status)
+		})
+	}
+}
+
+func TestSlowHeadersAreCutOff(t *testing.T) {
+	is := is.New(t)
+	s := withSite(t)
+	s.limits.ReadHeader = 50 * time.Millisecond
+	c, err := net.Dial("tcp", strings.TrimPrefix(withCallers(t, s.Server), "http://"))
+	is.NoErr(err)
+	defer func() { _ = c.Close() }()
+	_, _ = io.WriteString(c, "GET "+testPath+" HTTP/1.1\r\nHost: x\r\nX-Slow: ")
+	answer, _ := io.ReadAll(c)
+	is.True(!strings.HasPrefix(string(answer), "HTTP/1.1 200")) // ends without a run
+}
--- a/io/entry/site_test.go
+++ b/io/entry/site_test.go
@@ -192,3 +192,6 @@
 		is.Equal(got.header.Get("Content-Type"), problemType)
 	}
 }
+
+// tableDown switches the table service off.
+var tableDown = standin.TableFaults{Down: true}
