Take outlier targets out within the pool's budget and probe them back

Cause: a target that fails fast has few requests in progress and attracts most new ones.

Change: a target is compared with the median of its pool's failures and times. Outliers are ejected while the availability budget allows it, else only picked last; beyond half of the targets nothing is ejected. Repeatable requests probe them back.

--- a/core/route/board.go
+++ b/core/route/board.go
@@ -32,6 +32,7 @@
 	open []*seat
 	// resting holds the seats that refused lately.
 	resting []*seat
+	outliers
 }
 
 // seat is one target's place on the board.
@@ -46,6 +47,7 @@
 	// refusals counts the refusals since the last start; restsUntil is when the target is tried again.
 	refusals   int
 	restsUntil time.Time
+	health     health
 }
 
 const (
@@ -82,7 +84,7 @@
 func (b *Board) list(target Target) {
 	st := b.seats[target.Host]
 	if st == nil {
-		st = &seat{position: noPosition}
+		st = &seat{position: noPosition, health: health{state: TargetHealthy}}
 		b.seats[target.Host] = st
 		b.all = append(b.all, st)
 	}
@@ -109,23 +111,35 @@
 	}
 }
 
-// Acquire chooses a target with room and counts a request there. Of two targets
-// drawn at random it takes the less loaded one. Targets in avoid are taken only if no other has room.
-func (b *Board) Acquire(now time.Time, rng *rand.Rand, avoid []host.ID) (Target, bool) {
+// Acquire chooses a target with room for w and counts a request there. Of two targets drawn at
+// random it takes the less loaded one. Targets that w avoids are taken only if no other has room.
+// A target that is probed gets w first, if w may be repeated.
+func (b *Board) Acquire(now time.Time, rng *rand.Rand, w *Waiter) (Target, bool) {
 	b.wake(now)
-	if len(b.open) == 0 {
+	st := b.probe(now, w)
+	if st == nil {
+		st = b.choose(rng, w.Avoid)
+	}
+	if st == nil {
 		return Target{}, false
 	}
+	st.own++
+	b.total++
+	b.settle(st)
+	return st.target, true
+}
+
+func (b *Board) choose(rng *rand.Rand, avoid []host.ID) *seat {
+	if len(b.open) == 0 {
+		return nil
+	}
 	st := b.draw(rng, avoid)
 	for range b.draws() - 1 {
 		if other := b.draw(rng, avoid); other.load() < st.load() {
 			st = other
 		}
 	}
-	st.own++
-	b.total++
-	b.settle(st)
-	return st.target, true
+	return st
 }
 
 // Listed reports whether any target may receive new work.
@@ -139,19 +153,20 @@
 	return len(b.open) > 0
 }
 
-// Release ends a request at a target. refused tells that the target did not start it.
-func (b *Board) Release(now time.Time, id host.ID, refused bool) {
+// Release ends an attempt at a target.
+func (b *Board) Release(now time.Time, id host.ID, a Attempt, took time.Duration) {
 	st := b.seats[id]
 	if st == nil || st.own == 0 {
 		return
 	}
 	st.own--
 	b.total--
-	if refused {
+	if a.Fault == FaultRefused {
 		b.rest(now, st)
 	} else {
 		st.refusals = 0
 	}
+	b.judge(now, st, a, took)
 	b.settle(st)
 	if !st.listed && st.own == 0 {
 		b.forget()
@@ -167,6 +182,7 @@
 			continue
 		}
 		delete(b.seats, st.target.Host)
+		b.out = without(b.out, st)
 	}
 	clear(b.all[len(kept):])
 	b.all = kept
@@ -236,15 +252,18 @@
 	return false
 }
 
-// load is the share of the target's slots that is known to be taken.
+// load is the share of the target's slots that is known to be taken. A suspect counts as full.
 func (st *seat) load() float64 {
+	if st.health.suspect {
+		return 1 + float64(st.own)
+	}
 	return float64(st.own+st.peers) / float64(max(1, st.target.Capacity.Slots))
 }
 
 // room reports whether the target may get another request. An entry host may always use its
 // equal share of the slots, and beyond it those that the others were not using when last heard of.
 func (b *Board) room(st *seat) bool {
-	if !st.listed || !st.restsUntil.IsZero() || st.own >= b.Connections(st.target) {
+	if !st.listed || st.health.state != TargetHealthy || !st.restsUntil.IsZero() || st.own >= b.Connections(st.target) {
 		return false
 	}
 	if b.Room != nil {
--- a/core/route/cluster_test.go
+++ b/core/route/cluster_test.go
@@ -27,16 +27,27 @@
 	stalled func(since time.Duration) bool
 	// outage is how all workers fail every attempt; FaultNone means that they work.
 	outage Fault
+	// allowance is the number of targets that the pool's budget lets an entry host do without.
+	allowance int
 	// skew is the share of the arrivals that the first entry host gets beside its equal share.
 	skew     float64
 	start    time.Time
 	done     []result
 	attempts int
 	maxBusy  int
+	// mostOut is the highest number of targets that an entry host had taken out.
+	mostOut  int
 	refusals int
 }
 
-type worker struct{ slots, busy int }
+type worker struct {
+	slots, busy int
+	// fault is how the worker fails every attempt at once; FaultNone means that it works.
+	fault Fault
+	// slowness multiplies the running times; zero means one.
+	slowness int
+	attempts int
+}
 
 type entryHost struct {
 	scheduler *Scheduler
@@ -129,7 +140,7 @@
 		entry:   c.entries[c.balance()],
 		arrived: c.now,
 		service: time.Duration(c.rng.ExpFloat64() * float64(simulatedService)),
-		waiter:  &Waiter{Flow: Flow{"q", team}, Weight: weight, Deadline: c.now.Add(simulatedDeadline), MaxQueued: 100},
+		waiter:  &Waiter{Flow: Flow{"q", team}, Weight: weight, Repeatable: true, Deadline: c.now.Add(simulatedDeadline), MaxQueued: 100},
 	}
 	a := r.entry.scheduler.Arrive(c.now, c.rng, r.waiter)
 	if a.Displaced != nil {
@@ -173,11 +184,12 @@
 	}
 	c.at(r.waiter.Deadline, func() { finish(Attempt{Fault: FaultTimeout, Sent: true}) })
 	c.after(simulatedLag, func() {
-		if c.outage != FaultNone {
-			c.after(simulatedLag, func() { finish(Attempt{Fault: c.outage, Sent: c.outage != FaultUnreachable}) })
+		w := c.workers[t.Host]
+		w.attempts++
+		if f := max(c.outage, w.fault); f != FaultNone {
+			c.after(simulatedLag, func() { finish(Attempt{Fault: f, Sent: f != FaultUnreachable}) })
 			return
 		}
-		w := c.workers[t.Host]
 		if w.busy >= w.slots {
 			c.refusals++
 			c.after(simulatedLag, func() { finish(Attempt{Fault: FaultRefused, Sent: true}) })
@@ -185,7 +197,7 @@
 		}
 		w.busy++
 		c.maxBusy = max(c.maxBusy, w.busy)
-		c.work(r.service, func() {
+		c.work(r.service*time.Duration(max(1, w.slowness)), func() {
 			w.busy--
 			c.after(simulatedLag, func() { finish(Attempt{Sent: true}) })
 		})
@@ -234,6 +246,9 @@
 
 // reports gives every entry host the others' figures, one lag old.
 func (c *cluster) reports(end time.Time) {
+	for _, e := range c.entries {
+		c.mostOut = max(c.mostOut, len(e.scheduler.Board.out))
+	}
 	all := make([]map[host.ID]int, len(c.entries))
 	for i, e := range c.entries {
 		all[i] = e.scheduler.Board.InProgress()
@@ -249,6 +264,7 @@
 				}
 			}
 			e.scheduler.Board.SetPeers(peers)
+			e.scheduler.Board.Assess(c.now, c.allowance)
 			c.advance(e)
 		}
 	})
--- a/core/route/fair.go
+++ b/core/route/fair.go
@@ -24,6 +24,8 @@
 	Deadline time.Time
 	// MaxQueued bounds the waiting requests of the queue, MaxTeam those of the team in it; zero means no bound.
 	MaxQueued, MaxTeam int
+	// Repeatable tells that another target may be tried whatever becomes of an attempt.
+	Repeatable bool
 	// Avoid lists the targets that failed the request before.
 	Avoid []host.ID
 
--- a/core/route/outcome.go
+++ b/core/route/outcome.go
@@ -41,6 +41,8 @@
 	Fault Fault
 	// Sent tells whether a byte of the request was written to a connection to the target.
 	Sent bool
+	// Status is the HTTP status of an answer.
+	Status int
 }
 
 // Started reports whether the target may have run the request. Only a
--- a/core/route/scheduler.go
+++ b/core/route/scheduler.go
@@ -53,7 +53,7 @@
 		return Admission{Refusal: s.refuse(rng, ReasonNoTargets)}
 	}
 	if s.queue.Len() == 0 {
-		if target, ok := s.Board.Acquire(now, rng, w.Avoid); ok {
+		if target, ok := s.Board.Acquire(now, rng, w); ok {
 			return Admission{Target: target, Placed: true}
 		}
 	}
@@ -100,7 +100,7 @@
 			grants = append(grants, Grant{Waiter: w, Refusal: s.refuse(rng, ReasonDeadline)})
 			continue
 		}
-		target, _ := s.Board.Acquire(now, rng, w.Avoid)
+		target, _ := s.Board.Acquire(now, rng, w)
 		grants = append(grants, Grant{Waiter: w, Target: target})
 	}
 	return grants
@@ -127,7 +127,7 @@
 
 // Finish ends an attempt at a target that took the given time.
 func (s *Scheduler) Finish(now time.Time, queue string, id host.ID, a Attempt, took time.Duration) {
-	s.Board.Release(now, id, a.Fault == FaultRefused)
+	s.Board.Release(now, id, a, took)
 	switch a.Fault {
 	case FaultNone:
 		s.Budget.Answer()
--- a/io/entry/answer.go
+++ b/io/entry/answer.go
@@ -141,7 +141,7 @@
 	var gone error
 	for {
 		if a.whole {
-			finish(route.Attempt{Sent: true})
+			finish(route.Attempt{Sent: true, Status: a.response.StatusCode})
 		}
 		if c.keeper != nil {
 			c.keeper.add(ctx, chunk)
--- a/io/entry/lookup.go
+++ b/io/entry/lookup.go
@@ -2,9 +2,10 @@
 
 import "siskincross/core/config"
 
-// configIndex finds queues and teams of one configuration by name.
+// configIndex finds pools, queues and teams of one configuration by name.
 type configIndex struct {
 	version config.Version
+	pools   map[string]config.Pool
 	queues  map[string]config.Queue
 	teams   map[string]config.Team
 }
@@ -24,9 +25,13 @@
 func newConfigIndex(expanded config.Expanded) *configIndex {
 	index := &configIndex{
 		version: expanded.Version,
+		pools:   make(map[string]config.Pool, len(expanded.Pools)),
 		queues:  make(map[string]config.Queue, len(expanded.Queues)),
 		teams:   make(map[string]config.Team, len(expanded.Teams)),
 	}
+	for _, p := range expanded.Pools {
+		index.pools[p.Name] = p
+	}
 	for _, q := range expanded.Queues {
 		index.queues[q.Name] = q
 	}
--- a/io/entry/pool.go
+++ b/io/entry/pool.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"siskincross/core/event"
 	"siskincross/core/host"
 	"siskincross/core/route"
 )
@@ -116,7 +117,7 @@
 	delete(p.waits, w)
 	if !p.scheduler.Cancel(w) {
 		if g := <-grants; g.Refusal.Reason == route.ReasonNone {
-			p.scheduler.Board.Release(time.Now(), g.Target.Host, false)
+			p.scheduler.Board.Release(time.Now(), g.Target.Host, route.Attempt{Fault: route.FaultCaller}, 0)
 			p.advance(time.Now())
 		}
 	}
@@ -138,6 +139,8 @@
 		return true
 	}
 	p.refreshed = now
+	p.scheduler.Board.Assess(now, p.allowance(len(snapshot.Targets)))
+	p.recordHealth()
 	p.scheduler.Board.SetMembers(p.server.members())
 	if p.server.PeerLoad != nil {
 		p.scheduler.Board.SetPeers(p.server.PeerLoad(p.name))
@@ -145,6 +148,25 @@
 	return true
 }
 
+// allowance returns how many of the listed targets the pool's availability budget lets the entry host do without.
+func (p *pool) allowance(listed int) int {
+	configured, ok := p.server.lookup().pools[p.name]
+	if !ok {
+		return 0
+	}
+	return configured.MaxUnavailable - max(0, configured.Hosts-listed)
+}
+
+func (p *pool) recordHealth() {
+	for _, change := range p.scheduler.Board.HealthChanges() {
+		number := event.TargetEjected
+		if change.State == route.TargetHealthy {
+			number = event.TargetRestored
+		}
+		p.server.record(event.Event{Number: number, Pool: p.name, Host: string(change.Host), Detail: change.Why})
+	}
+}
+
 // advance ends all waits that can end now and sets the timer for the next that may.
 func (p *pool) advance(now time.Time) {
 	if !p.update(now) {
--- a/io/entry/request.go
+++ b/io/entry/request.go
@@ -214,13 +214,13 @@
 
 // waiter returns what the scheduler needs to know of the call.
 func (c call) waiter() *route.Waiter {
-	maxTeam := c.team.MaxQueued
 	return &route.Waiter{
-		Flow:      route.Flow{Queue: c.queue.Name, Team: c.team.Name},
-		Weight:    c.team.Weight,
-		Urgent:    c.urgent,
-		Deadline:  c.deadline,
-		MaxQueued: c.queue.MaxQueued,
-		MaxTeam:   maxTeam,
+		Flow:       route.Flow{Queue: c.queue.Name, Team: c.team.Name},
+		Weight:     c.team.Weight,
+		Urgent:     c.urgent,
+		Deadline:   c.deadline,
+		MaxQueued:  c.queue.MaxQueued,
+		MaxTeam:    c.team.MaxQueued,
+		Repeatable: c.repeatable(),
 	}
 }
