Move hosts between pools by learned demand

A pool is sized by replaying its last hour of demand: the fewest hosts with which no work would have waited for more than 0.8 of the deadline, and one more. A surplus moves to the spare pool only after it cost twice a move.

--- /dev/null
+++ b/core/plan/policy_test.go
@@ -0,0 +1,156 @@
+package plan_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"siskincross/core/config"
+	"siskincross/core/plan"
+)
+
+// deployment is one of the users' deployments with its weights.
+type deployment struct {
+	name     string
+	hosts    []int
+	buffer   float64
+	move     float64
+	moveTime time.Duration
+}
+
+var deployments = []deployment{
+	{name: "Mauritius", hosts: []int{8, 9, 11, 12, 8}, buffer: 1, move: 0.1, moveTime: time.Minute},
+	{name: "Finland", hosts: []int{9, 9, 11, 12, 8}, buffer: 0.1, move: 1, moveTime: time.Minute},
+}
+
+const (
+	slots = 8
+	// peakSteps is how long one queue's peak lasts; five queues take turns.
+	peakSteps = 8
+	hour      = 3600
+	coolDown  = 30 * time.Minute
+)
+
+// spareWeight is the cost of an idle host in the spare pool as a part of that elsewhere.
+func (d deployment) trace(spareWeight float64, deadline time.Duration, demand func(p, step int) float64) plan.Trace {
+	t := plan.Trace{Slots: slots, Deadline: deadline, MoveTime: d.moveTime, Demand: demand}
+	for i, n := range d.hosts {
+		spare := i == len(d.hosts)-1
+		limits := config.Pool{
+			Name: fmt.Sprintf("pool-%d", i), Hosts: n, MinHosts: 4, MaxHosts: 2 * n, MaxUnavailable: 2,
+			BufferWeight: d.buffer, MoveWeight: d.move, Spare: spare,
+		}
+		if spare {
+			limits.MaxHosts = 0
+			limits.BufferWeight *= spareWeight
+		}
+		t.Pools = append(t.Pools, limits)
+	}
+	return t
+}
+
+// inTurn is the users' demand: five times the mean for some seconds in turn,
+// more than the pool holds, and a twentieth of the mean between. The heights
+// and the lengths of the peaks vary.
+func (d deployment) inTurn(seed uint64) func(p, step int) float64 {
+	const overload = 1.1
+	return func(p, step int) float64 {
+		turn := step / peakSteps
+		random := rand.New(rand.NewPCG(seed, uint64(turn)))
+		height, cut := 0.8+0.4*random.Float64(), random.IntN(peakSteps/2)
+		mean := overload * float64(d.hosts[p]*slots) / 5
+		if turn%len(d.hosts) == p && step%peakSteps >= cut {
+			return height * 5 * mean
+		}
+		return mean / 20
+	}
+}
+
+// bound returns the least cost of a policy that answers all work in time, also
+// with one host out of service, when a move takes longer than a peak: every
+// pool then holds, at all times, the hosts that absorb its own peaks within the
+// whole deadline. What is idle of the whole fleet is the same for all policies;
+// only where it idles differs, and each host that idles elsewhere costs a move.
+func bound(trace plan.Trace, static plan.Result) float64 {
+	hours := (time.Duration(trace.Steps) * plan.DemandStep).Hours()
+	spareWeight := trace.Pools[len(trace.Pools)-1].BufferWeight
+	cost := static.Cost
+	for p, limits := range trace.Pools[:len(trace.Pools)-1] {
+		released := limits.Hosts - max(leastHosts(trace, p)+1, limits.MinHosts)
+		saving := (limits.BufferWeight-spareWeight)*hours - limits.MoveWeight
+		cost -= max(0, float64(released)) * max(0, saving)
+	}
+	return cost
+}
+
+// leastHosts returns the hosts that absorb all of a pool's work within the deadline.
+func leastHosts(trace plan.Trace, p int) int {
+	var d plan.Demand
+	least := 0
+	for step := range trace.Steps {
+		d = d.With(trace.Demand(p, step))
+		if step%hour == hour-1 {
+			least = max(least, d.Absorbing(slots, trace.Deadline))
+		}
+	}
+	return least
+}
+
+// TestPolicies logs the policies side by side on the demand of both
+// deployments. The target is 30% below the best baseline that is late no more
+// than the static policy, on the deployment's own measure, unless no policy
+// that answers in time can reach it.
+func TestPolicies(t *testing.T) {
+	const target = 0.7
+	cases := []struct {
+		deadline    time.Duration
+		spareWeight float64
+		hours       int
+	}{
+		{2 * time.Second, 1, 2},
+		{10 * time.Second, 1, 2},
+		{10 * time.Second, 0.2, 12},
+	}
+	for _, d := range deployments {
+		for _, c := range cases {
+			t.Run(fmt.Sprintf("%s, deadline %v, spare weight %g, %d hours", d.name, c.deadline, c.spareWeight, c.hours), func(t *testing.T) {
+				t.Parallel()
+				is := is.New(t)
+				trace := d.trace(c.spareWeight, c.deadline, d.inTurn(1))
+				trace.Steps = c.hours * hour
+				static := plan.Evaluate(plan.Static(), trace)
+				best := bestBaseline(t, trace, static)
+				ours := plan.Evaluate(plan.Absorbing(coolDown), trace)
+				logResult(t, ours)
+				least := bound(trace, static)
+				t.Logf("ours is %.2f of the best baseline, the bound %.2f", ours.Cost/best, least/best)
+				is.Equal(ours.Breaches, 0)
+				is.Equal(ours.Repeated, 0)
+				is.True(ours.Late <= static.Late)
+				is.True(ours.Cost <= target*best || least > target*best) // 30% below, or out of reach
+			})
+		}
+	}
+}
+
+// bestBaseline returns the least cost of the baselines that are late no more than the static one.
+func bestBaseline(t *testing.T, trace plan.Trace, static plan.Result) float64 {
+	best := static.Cost
+	logResult(t, static)
+	for _, p := range []plan.Policy{plan.Reactive(), plan.PeakSized()} {
+		r := plan.Evaluate(p, trace)
+		logResult(t, r)
+		if r.Late <= static.Late {
+			best = min(best, r.Cost)
+		}
+	}
+	return best
+}
+
+func logResult(t *testing.T, r plan.Result) {
+	t.Logf("%-10s buffer %6.1f spare %6.1f host-hours, moves %5d, late %5.2f%%, breaches %d, cost %7.1f",
+		r.Policy, r.Buffer, r.SpareBuffer, r.Moves, 100*r.Late, r.Breaches, r.Cost)
+}
--- /dev/null
+++ b/io/fleet/demand.go
@@ -0,0 +1,102 @@
+package fleet
+
+import (
+	"context"
+	"time"
+
+	"siskincross/core/config"
+	"siskincross/core/plan"
+	"siskincross/core/pool"
+)
+
+// load is the demand on one pool as this entry host estimates it. Every entry
+// host keeps it for all pools, so that the next holder of a duty knows it too.
+type load struct {
+	meter  plan.Meter
+	demand plan.Demand
+	// measured is when the load was last measured.
+	measured time.Time
+	// size and surplusSince tell since when the pool has had more hosts than it needs, at that size.
+	size         int
+	surplusSince time.Time
+}
+
+// runDemand measures the load of all pools until ctx ends.
+func (m *Manager) runDemand(ctx context.Context) error {
+	if m.Demand == nil {
+		return nil
+	}
+	return every(ctx, plan.DemandStep, nil, func(context.Context) {
+		members := len(m.view().Live)
+		for _, p := range m.Config().Pools {
+			m.measure(p.Name, members, time.Now())
+		}
+	})
+}
+
+// measure estimates the load of all entry hosts by this one's own: the
+// platform's balancer spreads callers over them.
+func (m *Manager) measure(name string, members int, now time.Time) {
+	inProgress, queued, arrivals := m.Demand(name)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	l := m.loads[name]
+	var slots float64
+	l.meter, slots = l.meter.With(inProgress, queued, arrivals, now.Sub(l.measured))
+	l.measured = now
+	l.demand = l.demand.With(slots * float64(members))
+	m.loads[name] = l
+}
+
+// poolViews returns what the policy knows of the pools of each organisation.
+// It returns false while a pool's row is not known.
+func (m *Manager) poolViews(policy plan.Policy, now time.Time) (map[string][]plan.PoolView, bool) {
+	views := make(map[string][]plan.PoolView)
+	for _, limits := range m.Config().Pools {
+		r, ok := m.rowOf(limits.Name)
+		if !ok || !r.exists {
+			return nil, false
+		}
+		views[limits.Organisation] = append(views[limits.Organisation], m.poolView(policy, r.pool, limits, now))
+	}
+	return views, true
+}
+
+func (m *Manager) poolView(policy plan.Policy, p pool.Pool, limits config.Pool, now time.Time) plan.PoolView {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	l := m.loads[limits.Name]
+	v := plan.PoolView{Pool: p, Limits: limits, Needed: limits.Hosts - policy.Reserve}
+	if l.demand.Full() {
+		v.Needed = policy.Size(l.demand, slotsOf(p), m.deadline(limits.Name))
+	}
+	if size := len(p.Hosts) - p.Outbound(); size != l.size || !policy.HasSurplus(v) {
+		l.size, l.surplusSince = size, now
+	}
+	v.Surplus = now.Sub(l.surplusSince)
+	m.loads[limits.Name] = l
+	return v
+}
+
+// slotsOf returns the mean number of slots of a pool's hosts.
+func slotsOf(p pool.Pool) int {
+	if len(p.Hosts) == 0 {
+		return 0
+	}
+	slots := 0
+	for _, h := range p.Hosts {
+		slots += h.Capacity.Slots
+	}
+	return slots / len(p.Hosts)
+}
+
+// deadline returns the shortest deadline of a pool's queues.
+func (m *Manager) deadline(name string) time.Duration {
+	var shortest time.Duration
+	for _, q := range m.Config().Queues {
+		if q.Pool == name && q.Deadline > 0 && (shortest == 0 || q.Deadline < shortest) {
+			shortest = q.Deadline
+		}
+	}
+	return shortest
+}
--- a/io/fleet/fleet_test.go
+++ b/io/fleet/fleet_test.go
@@ -116,12 +116,15 @@
 
 // cluster is a deployment of managers over one table.
 type cluster struct {
-	t        *testing.T
-	is       *is.I
-	table    *standin.Table
-	hosts    *hostsFake
-	config   config.Expanded
-	periods  fleet.Periods
+	t       *testing.T
+	is      *is.I
+	table   *standin.Table
+	hosts   *hostsFake
+	mu      sync.Mutex
+	config  config.Expanded
+	periods fleet.Periods
+	// rows holds the pools' rows that the test has read, by version.
+	rows     map[uint64]pool.Pool
 	managers []*member
 	// prepare changes a manager before it starts; nil means no change.
 	prepare func(*fleet.Manager)
@@ -144,6 +147,7 @@
 func withCluster(t *testing.T, pools, hostsPerPool, members int, test func(*cluster)) {
 	synctest.Test(t, func(t *testing.T) {
 		c := &cluster{t: t, is: is.New(t), table: &standin.Table{}, hosts: newHostsFake(pools, hostsPerPool)}
+		c.rows = make(map[uint64]pool.Pool)
 		c.config = configOf(pools, hostsPerPool)
 		defer c.stopAll()
 		for range members {
@@ -194,7 +198,7 @@
 	m.Manager = &fleet.Manager{
 		Member: name, Zone: "zone-0", PeerAddress: "127.0.0.1:1",
 		Platform: platform.Platform{Table: m.table(c.table), Hosts: c.hosts.service()},
-		Config:   func() config.Expanded { return c.config },
+		Config:   c.expanded,
 		Periods:  c.periods,
 		Recorder: &timeline.Recorder{Process: name},
 	}
@@ -208,6 +212,19 @@
 	return m
 }
 
+// expanded returns the configuration in force.
+func (c *cluster) expanded() config.Expanded {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.config
+}
+
+func (c *cluster) setPools(pools []config.Pool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.config.Pools = pools
+}
+
 // table puts the member's own faults before the table.
 func (m *member) table(t *standin.Table) platform.Table {
 	return platform.Table{
@@ -285,9 +302,14 @@
 func (c *cluster) pool(i int) pool.Pool {
 	var p pool.Pool
 	rows, err := c.table.Read(context.Background(), []string{"pool/" + poolName(i)})
-	if err == nil && len(rows) == 1 {
-		c.is.NoErr(json.Unmarshal(rows[0].Value, &p))
+	if err != nil || len(rows) == 0 {
+		return p
+	}
+	if known, ok := c.rows[rows[0].Version]; ok && known.Name == poolName(i) {
+		return known
 	}
+	c.is.NoErr(json.Unmarshal(rows[0].Value, &p))
+	c.rows[rows[0].Version] = p
 	return p
 }
 
--- a/io/fleet/hosts.go
+++ b/io/fleet/hosts.go
@@ -35,7 +35,7 @@
 	now := time.Now()
 	patience := m.Periods.patience()
 	d := decision{purpose: "hosts"}
-	after := r.pool
+	after := m.withoutStaleInbound(r.pool)
 	var events []event.Event
 	for _, h := range r.pool.Hosts {
 		next, c, ok := after.WithSight(h.ID, m.sight(h.ID, now), patience, now)
@@ -48,7 +48,7 @@
 			d.owners = append(d.owners, ownershipWrite{id: h.ID, remove: true})
 		}
 	}
-	if len(events) == 0 {
+	if len(events) == 0 && len(after.Inbound) == len(r.pool.Inbound) {
 		return
 	}
 	d.changes = []change{{before: r, after: after}}
--- a/io/fleet/manager.go
+++ b/io/fleet/manager.go
@@ -68,6 +68,7 @@
 	confirmed map[host.ID]confirmation
 	// elsewhere holds hosts of the list that have an owner which is not their home pool.
 	elsewhere map[host.ID]time.Time
+	loads     map[string]load
 	// waiting holds why planned work of a pool waits.
 	waiting map[string]string
 	// behind tells the pools that are behind their maintenance schedule.
@@ -139,6 +140,7 @@
 	group.Go(func() error { return m.runRounds(ctx) })
 	group.Go(func() error { return m.runList(ctx) })
 	group.Go(func() error { return m.runPeers(ctx) })
+	group.Go(func() error { return m.runDemand(ctx) })
 	go func() { done <- group.Wait() }()
 	return done
 }
@@ -155,6 +157,7 @@
 	m.peers = make(map[string]peerState)
 	m.confirmed = make(map[host.ID]confirmation)
 	m.elsewhere = make(map[host.ID]time.Time)
+	m.loads = make(map[string]load)
 	m.waiting = make(map[string]string)
 	m.behind = make(map[string]bool)
 	m.outSince = make(map[host.ID]uint64)
--- a/io/fleet/moves.go
+++ b/io/fleet/moves.go
@@ -4,8 +4,11 @@
 	"context"
 	"time"
 
+	"github.com/oklog/ulid/v2"
+
 	"siskincross/core/event"
 	"siskincross/core/host"
+	"siskincross/core/plan"
 	"siskincross/core/pool"
 )
 
@@ -45,3 +48,53 @@
 		Number: event.HostMoved, Pool: joined.Name, Host: string(h.ID), Detail: "from " + left.Name,
 	}})
 }
+
+// planMoves starts the moves out of the held pools that the policy asks for.
+// Every member plans by the same rows; each carries out what its duties cover.
+func (m *Manager) planMoves(ctx context.Context, now time.Time) {
+	policy := plan.Absorbing(m.Periods.CoolDown)
+	views, ok := m.poolViews(policy, now)
+	if !ok || m.pauseReason(now) != "" {
+		return
+	}
+	for _, organisation := range views {
+		for _, move := range policy.Next(organisation, now) {
+			m.startMove(ctx, move, now)
+		}
+	}
+}
+
+// startMove announces a move to both pools in one transaction and drains the host.
+func (m *Manager) startMove(ctx context.Context, move plan.Move, now time.Time) {
+	from, fromOK := m.rowOf(move.From)
+	to, toOK := m.rowOf(move.To)
+	fromLimits, _ := m.Config().Pool(move.From)
+	toLimits, _ := m.Config().Pool(move.To)
+	if !fromOK || !toOK || from.pool.Holder != m.Member {
+		return
+	}
+	left, joining, err := pool.StartMove(from.pool, to.pool, move.Host, ulid.Make().String(), fromLimits, toLimits, now)
+	if err != nil {
+		m.wait(from, err.Error())
+		return
+	}
+	d := decision{purpose: "move", changes: []change{{before: from, after: left}, {before: to, after: joining}}}
+	m.decide(ctx, d, []event.Event{{
+		Number: event.HostDraining, Pool: move.From, Host: string(move.Host), Detail: "to move to " + move.To,
+	}})
+}
+
+// withoutStaleInbound drops announcements of hosts that no longer come: their
+// pool gave the move up, or the host failed.
+func (m *Manager) withoutStaleInbound(p pool.Pool) pool.Pool {
+	for _, in := range p.Inbound {
+		from, ok := m.rowOf(in.From)
+		if !ok || !from.exists {
+			continue
+		}
+		if h, _ := from.pool.Host(in.Host); h.Work.Destination != p.Name {
+			p = p.WithoutInbound(in.Host)
+		}
+	}
+	return p
+}
--- /dev/null
+++ b/io/fleet/moves_test.go
@@ -0,0 +1,132 @@
+package fleet_test
+
+import (
+	"testing"
+	"time"
+
+	"siskincross/core/pool"
+	"siskincross/io/fleet"
+	"siskincross/io/platform"
+	"siskincross/io/standin"
+)
+
+// withMoves runs a test on a cluster whose first pool is to get one host more
+// from the last one, the spare pool.
+func withMoves(t *testing.T, test func(*cluster)) {
+	withCluster(t, 2, 6, 0, func(c *cluster) {
+		c.periods = fleet.Periods{Settle: time.Second}
+		c.config.Pools[1].Hosts = 5
+		c.config.Pools[1].MinHosts = 3
+		for range 3 {
+			c.add()
+		}
+		time.Sleep(15 * time.Second)
+		test(c)
+	})
+}
+
+// ask changes the size of the first pool, as an operator's parameters do.
+func (c *cluster) ask(hosts int) {
+	pools := append(c.config.Pools[:0:0], c.config.Pools...)
+	pools[0].Hosts = hosts
+	c.setPools(pools)
+}
+
+func (c *cluster) sizes() [2]int { return [2]int{len(c.pool(0).Hosts), len(c.pool(1).Hosts)} }
+
+func (c *cluster) assertMoved() {
+	c.t.Helper()
+	c.sleepUntil(func() bool { return c.sizes() == [2]int{7, 5} })
+	time.Sleep(10 * time.Second)
+	c.assertOnePoolEach()
+	c.is.Equal(len(c.pool(0).Inbound), 0)
+	c.is.Equal(c.sizes(), [2]int{7, 5})
+	for _, m := range c.managers {
+		if m.Member == c.pool(0).Holder {
+			c.is.Equal(c.targets(m, 0), 7) // the moved host is routed to in its new pool
+		}
+	}
+}
+
+func TestMove(t *testing.T) {
+	t.Run("drains, reboots and moves in one transaction", func(t *testing.T) {
+		withMoves(t, func(c *cluster) {
+			c.ask(7)
+			c.assertMoved()
+			c.is.Equal(len(c.hosts.reboots()), 1)
+		})
+	})
+	t.Run("lost answers", func(t *testing.T) {
+		withMoves(t, func(c *cluster) {
+			c.ask(7)
+			c.table.SetFaults(standin.TableFaults{LoseAnswers: 40})
+			c.assertMoved()
+		})
+	})
+	t.Run("store outage between drain and move", func(t *testing.T) {
+		withMoves(t, func(c *cluster) {
+			c.ask(7)
+			c.sleepUntil(func() bool { return c.pool(1).Outbound() == 1 })
+			c.table.SetFaults(standin.TableFaults{Down: true})
+			time.Sleep(time.Minute)
+			c.table.SetFaults(standin.TableFaults{})
+			c.assertMoved()
+		})
+	})
+	t.Run("holder killed between drain and move", func(t *testing.T) {
+		withMoves(t, func(c *cluster) {
+			c.ask(7)
+			c.sleepUntil(func() bool { return len(c.hosts.reboots()) == 1 })
+			c.kill(c.managerOf(c.pool(1).Holder))
+			c.assertMoved()
+			c.is.Equal(len(c.hosts.reboots()), 1)
+		})
+	})
+	t.Run("host fails on its way: the move ends and waits for the budget", func(t *testing.T) {
+		withMoves(t, func(c *cluster) {
+			c.ask(7)
+			c.sleepUntil(func() bool { return c.pool(1).Outbound() == 1 })
+			failed := c.pool(0).Inbound[0].Host
+			c.hosts.condition(failed, platform.ConditionFailed)
+			time.Sleep(30 * time.Second)
+			c.is.Equal(len(c.pool(0).Inbound), 0)
+			c.is.Equal(c.pool(1).Disruptions(), pool.Disruptions{Failed: 1})
+			c.hosts.condition(failed, platform.ConditionLive)
+			c.assertMoved()
+		})
+	})
+	t.Run("racing changes of the configuration", func(t *testing.T) {
+		withMoves(t, func(c *cluster) {
+			for n := range 40 {
+				c.ask(6 + n%3)
+				time.Sleep(time.Second)
+				c.is.True(c.pool(1).Disruptions().Total() <= 2)
+			}
+			c.ask(8)
+			time.Sleep(5 * time.Minute)
+			c.assertOnePoolEach()
+			c.is.True(c.sizes()[1] >= 3) // the spare pool keeps its least size
+		})
+	})
+}
+
+func TestDemandMovesHosts(t *testing.T) {
+	withCluster(t, 2, 6, 0, func(c *cluster) {
+		c.config.Pools[0].MinHosts, c.config.Pools[1].MinHosts = 2, 2
+		c.prepare = func(m *fleet.Manager) {
+			m.Demand = func(name string) (int, int, uint64) {
+				if name == poolName(0) {
+					return 8*8/2 - 4, 0, 0 // two members, 7 hosts' worth of slots and the reserve
+				}
+				return 1, 0, 0
+			}
+		}
+		c.add()
+		c.add()
+		time.Sleep(30 * time.Minute)
+		c.is.Equal(c.sizes(), [2]int{6, 6}) // nothing moves before an hour was seen
+		time.Sleep(40 * time.Minute)
+		c.is.Equal(c.sizes(), [2]int{8, 4})
+		c.assertOnePoolEach()
+	})
+}
--- a/io/fleet/plan.go
+++ b/io/fleet/plan.go
@@ -33,6 +33,7 @@
 		}
 		m.startMaintenance(ctx, r, limits, now)
 	}
+	m.planMoves(ctx, now)
 }
 
 // pauseReason returns why no planned work may start anywhere, or "".
--- a/io/fleet/round.go
+++ b/io/fleet/round.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"slices"
+	"strings"
 	"time"
 
 	"siskincross/core/duty"
@@ -60,9 +61,17 @@
 		return nil, err
 	}
 	m.scope().Counter("fleet-reads").Inc(int64(len(rows)))
+	m.mu.Lock()
+	ledger := m.ledger
+	m.mu.Unlock()
 	members := make([]duty.Sighting, 0, len(rows))
 	for _, r := range rows {
-		s := duty.Sighting{Version: r.Version}
+		s, ok := ledger.Member(strings.TrimPrefix(r.Key, memberPrefix))
+		if ok && s.Version == r.Version {
+			members = append(members, s)
+			continue
+		}
+		s = duty.Sighting{Version: r.Version}
 		if json.Unmarshal(r.Value, &s.Member) == nil {
 			members = append(members, s)
 		}
--- a/io/fleet/table.go
+++ b/io/fleet/table.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -176,8 +177,8 @@
 	}
 	rows := make(map[string]row, len(names))
 	for _, f := range found {
-		r := row{version: f.Version, exists: true, fresh: true}
-		if err := json.Unmarshal(f.Value, &r.pool); err != nil {
+		r, err := m.decode(f)
+		if err != nil {
 			return errors.Wrapf(err, "decode %s", f.Key)
 		}
 		rows[r.pool.Name] = r
@@ -191,6 +192,19 @@
 	return nil
 }
 
+// decode decodes a pool's row, unless it is the version that is known already.
+func (m *Manager) decode(f platform.Row) (row, error) {
+	m.mu.Lock()
+	known := m.rows[strings.TrimPrefix(f.Key, poolPrefix)]
+	m.mu.Unlock()
+	r := row{pool: known.pool, version: f.Version, exists: true, fresh: true}
+	if known.exists && known.version == f.Version {
+		return r, nil
+	}
+	r.pool = pool.Pool{}
+	return r, json.Unmarshal(f.Value, &r.pool)
+}
+
 // install puts a row that was read in force unless a newer one is, and tells peers about new routes.
 func (m *Manager) install(r row) {
 	m.mu.Lock()
--- a/io/fleet/work_test.go
+++ b/io/fleet/work_test.go
@@ -1,6 +1,7 @@
 package fleet_test
 
 import (
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -109,11 +110,17 @@
 
 func TestDrain(t *testing.T) {
 	t.Run("waits for requests in progress at every member", func(t *testing.T) {
+		var free atomic.Bool
 		busy := map[host.ID]int{}
 		prepare := func(c *cluster) {
 			c.prepare = func(m *fleet.Manager) {
 				if m.Member == "entry-2" {
-					m.InProgress = func(name string) map[host.ID]int { return busy }
+					m.InProgress = func(string) map[host.ID]int {
+						if free.Load() {
+							return nil
+						}
+						return busy
+					}
 				}
 			}
 			for h := range 8 {
@@ -126,7 +133,7 @@
 			for id := range c.hosts.reboots() {
 				c.is.Equal(busy[id], 0) // requests in progress on a host that was rebooted
 			}
-			clear(busy)
+			free.Store(true)
 			c.sleepUntil(func() bool { return c.hosts.reboots()[hostName(0, 0)] > 0 })
 		})
 	})
@@ -157,13 +164,15 @@
 				}
 			}
 			cut.setCut(true)
-			c.hosts.onReboot = func(host.ID) { c.is.Equal(c.targets(cut, 0), -1) }
+			c.hosts.set(func(f *hostsFake) {
+				f.onReboot = func(host.ID) { c.is.Equal(c.targets(cut, 0), -1) }
+			})
 			c.sleepUntil(func() bool { return len(c.hosts.reboots()) > 0 })
 		})
 	})
 	t.Run("waits for the platform's confirmation", func(t *testing.T) {
 		withWave(t, 2, nil, func(c *cluster) {
-			c.hosts.down = true
+			c.hosts.set(func(f *hostsFake) { f.down = true })
 			c.sleepUntil(func() bool { return c.pool(0).Disruptions().Planned > 0 })
 			time.Sleep(time.Minute)
 			c.is.Equal(len(c.hosts.reboots()), 0)
@@ -189,6 +198,12 @@
 	return c.managerOf(c.pool(i).Holder).Status().Pools[i].WorkWaitsFor
 }
 
+func (f *hostsFake) set(change func(*hostsFake)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	change(f)
+}
+
 func (f *hostsFake) reboots() map[host.ID]int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
