Let several entry hosts of one process have metrics of their own

Cause: tally's Prometheus configuration registers /metrics on the default mux, so a second entry host in one process panicked. The reporter is made directly. Periods of the settings follow the loops of the fleet.

--- a/io/metrics/metrics.go
+++ b/io/metrics/metrics.go
@@ -27,14 +27,11 @@
 
 // New returns the metrics of a process. Tags are added to every metric. A metric
 // whose name is in use with other tags is left out rather than ending the process.
-func New(tags map[string]string) (*Metrics, error) {
-	reporter, err := prometheus.Configuration{}.NewReporter(prometheus.ConfigurationOptions{
-		Registry: prom.NewRegistry(),
-		OnError:  func(error) {},
+func New(tags map[string]string) *Metrics {
+	reporter := prometheus.NewReporter(prometheus.Options{
+		Registerer:      prom.NewRegistry(),
+		OnRegisterError: func(error) {},
 	})
-	if err != nil {
-		return nil, errors.Wrap(err, "make the Prometheus reporter")
-	}
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
 		Prefix:          "siskincross",
 		Tags:            tags,
@@ -44,7 +41,7 @@
 
 		OmitCardinalityMetrics: true,
 	}, reportInterval)
-	return &Metrics{Scope: scope, Handler: reporter.HTTPHandler(), closer: closer}, nil
+	return &Metrics{Scope: scope, Handler: reporter.HTTPHandler(), closer: closer}
 }
 
 // Close stops reporting.
--- a/io/metrics/metrics_test.go
+++ b/io/metrics/metrics_test.go
@@ -14,8 +14,9 @@
 
 func TestHandlerServesWhatWasCounted(t *testing.T) {
 	is := is.New(t)
-	m, err := metrics.New(map[string]string{"process": "entry-1"})
-	is.NoErr(err)
+	m := metrics.New(map[string]string{"process": "entry-1"})
+	another := metrics.New(map[string]string{"process": "entry-2"})
+	is.NoErr(another.Close()) // several entry hosts may run in one process
 	m.Scope.Tagged(map[string]string{"purpose": "heartbeat"}).Counter("store-writes").Inc(3)
 	is.NoErr(m.Close()) // hands the last values to the reporter
 
--- a/io/settings/settings.go
+++ b/io/settings/settings.go
@@ -71,12 +71,19 @@
 type Periods struct {
 	// Heartbeat is the time between two renewals of the member row.
 	Heartbeat Duration `toml:"heartbeat"`
-	// Lapse is how long a member row must stay unchanged before its member counts as gone; over twice Heartbeat.
+	// Poll is the time between two looks at the members and the pools' rows.
+	Poll Duration `toml:"poll"`
+	// Lapse bounds the time from an entry host's end to the takeover of its
+	// duties; over two Heartbeats and two and a half Polls.
 	Lapse Duration `toml:"lapse"`
-	// Plan is the time between two rounds of a pool's duty holder.
+	// Plan is the time between two plans of maintenance and moves.
 	Plan Duration `toml:"plan"`
-	// TaskLease is how long a worker runs a task without a renewal.
-	TaskLease Duration `toml:"task-lease"`
+	// Vouch is how long requests go on to hosts that nobody confirmed meanwhile.
+	Vouch Duration `toml:"vouch"`
+	// Reboot is how long a host may be away for a reboot before it counts as failed.
+	Reboot Duration `toml:"reboot"`
+	// CoolDown is how long a host stays in a pool that it moved to.
+	CoolDown Duration `toml:"cool-down"`
 	// Maintenance is the time in which every host is maintained once.
 	Maintenance Duration `toml:"maintenance"`
 	// Linger is how long requests are accepted after the health check began to fail.
@@ -116,9 +123,12 @@
 	defaultBodyBytes   = 64 << 20
 	defaultMemoryBytes = 56 << 20
 	defaultHeartbeat   = 2 * time.Second
-	defaultLapse       = 5 * time.Second
-	defaultPlan        = time.Second
-	defaultTaskLease   = 15 * time.Second
+	defaultPoll        = 750 * time.Millisecond
+	defaultLapse       = 6 * time.Second
+	defaultPlan        = 2 * time.Second
+	defaultVouch       = 3 * time.Second
+	defaultReboot      = 15 * time.Minute
+	defaultCoolDown    = 30 * time.Minute
 	defaultMaintenance = 8 * 7 * 24 * time.Hour
 	defaultLinger      = 3 * time.Second
 	defaultShutdown    = 30 * time.Second
@@ -135,9 +145,12 @@
 		},
 		Periods: Periods{
 			Heartbeat:   Duration(defaultHeartbeat),
+			Poll:        Duration(defaultPoll),
 			Lapse:       Duration(defaultLapse),
 			Plan:        Duration(defaultPlan),
-			TaskLease:   Duration(defaultTaskLease),
+			Vouch:       Duration(defaultVouch),
+			Reboot:      Duration(defaultReboot),
+			CoolDown:    Duration(defaultCoolDown),
 			Maintenance: Duration(defaultMaintenance),
 			Linger:      Duration(defaultLinger),
 			Shutdown:    Duration(defaultShutdown),
--- a/io/settings/settings_test.go
+++ b/io/settings/settings_test.go
@@ -74,7 +74,7 @@
 		{"number for a duration", valid + "[periods]\nplan = 2\n", "periods.plan", `such as "2s"`},
 		{"malformed duration", valid + "[periods]\nplan = \"2 seconds\"\n", "periods.plan", `such as "2s"`},
 		{"negative duration", valid + "[periods]\nplan = \"-2s\"\n", "periods.plan", "over 0s"},
-		{"lapse within two heartbeats", valid + "[periods]\nlapse = \"4s\"\n", "periods.lapse", "over 4s"},
+		{"lapse within two heartbeats", valid + "[periods]\nlapse = \"4s\"\n", "periods.lapse", "over 5.875s"},
 		{"shutdown within linger", valid + "[periods]\nshutdown = \"1s\"\n", "periods.shutdown", "over 3s"},
 		{"limit too low", valid + "[limits]\nheader-bytes = 10\n", "limits.header-bytes", "at least 1024"},
 		{"limit too high", valid + "[limits]\nheader-bytes = 10000000\n", "limits.header-bytes", "at most 1048576"},
--- a/io/settings/validate.go
+++ b/io/settings/validate.go
@@ -15,8 +15,10 @@
 	minHeaderBytes = 1 << 10
 	maxHeaderBytes = 1 << 20
 	minMemoryBytes = 32 << 20
-	// lapseHeartbeats is how many heartbeats must fit into a lapse, so that one lost renewal is no lapse.
+	// lapseHeartbeats and lapseHalfPolls must fit into a lapse, so that one lost
+	// renewal is no lapse.
 	lapseHeartbeats = 2
+	lapseHalfPolls  = 5
 	anyPort         = 0
 )
 
@@ -144,8 +146,11 @@
 
 func (s Settings) validatePeriods(r *report) {
 	r.positive("periods.heartbeat", s.Periods.Heartbeat)
+	r.positive("periods.poll", s.Periods.Poll)
 	r.positive("periods.plan", s.Periods.Plan)
-	r.positive("periods.task-lease", s.Periods.TaskLease)
+	r.positive("periods.vouch", s.Periods.Vouch)
+	r.positive("periods.reboot", s.Periods.Reboot)
+	r.positive("periods.cool-down", s.Periods.CoolDown)
 	r.positive("periods.maintenance", s.Periods.Maintenance)
 	r.positive("periods.linger", s.Periods.Linger)
 	if s.Periods.Shutdown <= s.Periods.Linger {
@@ -153,10 +158,10 @@
 			fmt.Sprintf("has the value %q", time.Duration(s.Periods.Shutdown)),
 			fmt.Sprintf("over %s, periods.linger", time.Duration(s.Periods.Linger)))
 	}
-	if s.Periods.Lapse <= lapseHeartbeats*s.Periods.Heartbeat {
+	if low := lapseHeartbeats*s.Periods.Heartbeat + lapseHalfPolls*s.Periods.Poll/2; s.Periods.Lapse <= low {
 		r.add("periods.lapse",
 			fmt.Sprintf("has the value %q", time.Duration(s.Periods.Lapse)),
-			fmt.Sprintf("over %s, twice periods.heartbeat", time.Duration(lapseHeartbeats*s.Periods.Heartbeat)))
+			fmt.Sprintf("over %s, two times periods.heartbeat and two and a half times periods.poll", time.Duration(low)))
 	}
 }
 
