--- a/core/event/number_enumer.go
+++ b/core/event/number_enumer.go
@@ -10,8 +10,8 @@
 const (
 	_NumberName_0      = "process-startedprocess-servingprocess-stoppingprocess-stopped"
 	_NumberLowerName_0 = "process-startedprocess-servingprocess-stoppingprocess-stopped"
-	_NumberName_1      = "request-answeredrequest-not-runrequest-unknown"
-	_NumberLowerName_1 = "request-answeredrequest-not-runrequest-unknown"
+	_NumberName_1      = "request-answeredrequest-not-runrequest-unknownrequest-retriedrequest-replayedclaim-losttarget-ejectedtarget-restored"
+	_NumberLowerName_1 = "request-answeredrequest-not-runrequest-unknownrequest-retriedrequest-replayedclaim-losttarget-ejectedtarget-restored"
 	_NumberName_2      = "member-joinedmember-lapsedduty-takenduty-releasedhost-adoptedhost-draininghost-drainedhost-rebootinghost-readyhost-servinghost-failedhost-leavinghost-forgottenhost-movedwork-refusedwork-resumeddrain-overduemaintenance-behindlist-doubtedlist-trustedroutes-silencedroutes-vouchedduty-conflict"
 	_NumberLowerName_2 = "member-joinedmember-lapsedduty-takenduty-releasedhost-adoptedhost-draininghost-drainedhost-rebootinghost-readyhost-servinghost-failedhost-leavinghost-forgottenhost-movedwork-refusedwork-resumeddrain-overduemaintenance-behindlist-doubtedlist-trustedroutes-silencedroutes-vouchedduty-conflict"
 	_NumberName_3      = "job-acceptedjob-cancel-requestedjob-releasedjob-startedjob-finishedjob-requeuedjob-failedjob-parkedjob-unknownjob-cancelledjob-late-attemptjob-lapsedjob-leavingworker-suspectedworker-clearedjob-duty-takenjob-duty-lostjob-commit-failed"
@@ -26,7 +26,7 @@
 
 var (
 	_NumberIndex_0 = [...]uint8{0, 15, 30, 46, 61}
-	_NumberIndex_1 = [...]uint8{0, 16, 31, 46}
+	_NumberIndex_1 = [...]uint8{0, 16, 31, 46, 61, 77, 87, 101, 116}
 	_NumberIndex_2 = [...]uint16{0, 13, 26, 36, 49, 61, 74, 86, 100, 110, 122, 133, 145, 159, 169, 181, 193, 206, 224, 236, 248, 263, 277, 290}
 	_NumberIndex_3 = [...]uint8{0, 12, 32, 44, 55, 67, 79, 89, 99, 110, 123, 139, 149, 160, 176, 190, 204, 217, 234}
 	_NumberIndex_4 = [...]uint8{0, 15, 30}
@@ -39,7 +39,7 @@
 	case 100 <= i && i <= 103:
 		i -= 100
 		return _NumberName_0[_NumberIndex_0[i]:_NumberIndex_0[i+1]]
-	case 200 <= i && i <= 202:
+	case 200 <= i && i <= 207:
 		i -= 200
 		return _NumberName_1[_NumberIndex_1[i]:_NumberIndex_1[i+1]]
 	case 300 <= i && i <= 322:
@@ -73,6 +73,11 @@
 	_ = x[RequestAnswered-(200)]
 	_ = x[RequestNotRun-(201)]
 	_ = x[RequestUnknown-(202)]
+	_ = x[RequestRetried-(203)]
+	_ = x[RequestReplayed-(204)]
+	_ = x[ClaimLost-(205)]
+	_ = x[TargetEjected-(206)]
+	_ = x[TargetRestored-(207)]
 	_ = x[MemberJoined-(300)]
 	_ = x[MemberLapsed-(301)]
 	_ = x[DutyTaken-(302)]
@@ -123,7 +128,7 @@
 	_ = x[CommitOutcomeResolved-(702)]
 }
 
-var _NumberValues = []Number{ProcessStarted, ProcessServing, ProcessStopping, ProcessStopped, RequestAnswered, RequestNotRun, RequestUnknown, MemberJoined, MemberLapsed, DutyTaken, DutyReleased, HostAdopted, HostDraining, HostDrained, HostRebooting, HostReady, HostServing, HostFailed, HostLeaving, HostForgotten, HostMoved, WorkRefused, WorkResumed, DrainOverdue, MaintenanceBehind, ListDoubted, ListTrusted, RoutesSilenced, RoutesVouched, DutyConflict, JobAccepted, JobCancelRequested, JobReleased, JobStarted, JobFinished, JobRequeued, JobFailed, JobParked, JobUnknown, JobCancelled, JobLateAttempt, JobLapsed, JobLeaving, WorkerSuspected, WorkerCleared, JobDutyTaken, JobDutyLost, JobCommitFailed, ConfigAccepted, ConfigInForce, PeerConnected, PeerLost, StoreUnavailable, StoreRecovered, CommitOutcomeResolved}
+var _NumberValues = []Number{ProcessStarted, ProcessServing, ProcessStopping, ProcessStopped, RequestAnswered, RequestNotRun, RequestUnknown, RequestRetried, RequestReplayed, ClaimLost, TargetEjected, TargetRestored, MemberJoined, MemberLapsed, DutyTaken, DutyReleased, HostAdopted, HostDraining, HostDrained, HostRebooting, HostReady, HostServing, HostFailed, HostLeaving, HostForgotten, HostMoved, WorkRefused, WorkResumed, DrainOverdue, MaintenanceBehind, ListDoubted, ListTrusted, RoutesSilenced, RoutesVouched, DutyConflict, JobAccepted, JobCancelRequested, JobReleased, JobStarted, JobFinished, JobRequeued, JobFailed, JobParked, JobUnknown, JobCancelled, JobLateAttempt, JobLapsed, JobLeaving, WorkerSuspected, WorkerCleared, JobDutyTaken, JobDutyLost, JobCommitFailed, ConfigAccepted, ConfigInForce, PeerConnected, PeerLost, StoreUnavailable, StoreRecovered, CommitOutcomeResolved}
 
 var _NumberNameToValueMap = map[string]Number{
 	_NumberName_0[0:15]:    ProcessStarted,
@@ -133,6 +138,11 @@
 	_NumberName_1[0:16]:    RequestAnswered,
 	_NumberName_1[16:31]:   RequestNotRun,
 	_NumberName_1[31:46]:   RequestUnknown,
+	_NumberName_1[46:61]:   RequestRetried,
+	_NumberName_1[61:77]:   RequestReplayed,
+	_NumberName_1[77:87]:   ClaimLost,
+	_NumberName_1[87:101]:  TargetEjected,
+	_NumberName_1[101:116]: TargetRestored,
 	_NumberName_2[0:13]:    MemberJoined,
 	_NumberName_2[13:26]:   MemberLapsed,
 	_NumberName_2[26:36]:   DutyTaken,
@@ -191,6 +201,11 @@
 	_NumberLowerName_1[0:16]:    RequestAnswered,
 	_NumberLowerName_1[16:31]:   RequestNotRun,
 	_NumberLowerName_1[31:46]:   RequestUnknown,
+	_NumberLowerName_1[46:61]:   RequestRetried,
+	_NumberLowerName_1[61:77]:   RequestReplayed,
+	_NumberLowerName_1[77:87]:   ClaimLost,
+	_NumberLowerName_1[87:101]:  TargetEjected,
+	_NumberLowerName_1[101:116]: TargetRestored,
 	_NumberLowerName_2[0:13]:    MemberJoined,
 	_NumberLowerName_2[13:26]:   MemberLapsed,
 	_NumberLowerName_2[26:36]:   DutyTaken,
@@ -249,6 +264,11 @@
 	_NumberName_1[0:16],
 	_NumberName_1[16:31],
 	_NumberName_1[31:46],
+	_NumberName_1[46:61],
+	_NumberName_1[61:77],
+	_NumberName_1[77:87],
+	_NumberName_1[87:101],
+	_NumberName_1[101:116],
 	_NumberName_2[0:13],
 	_NumberName_2[13:26],
 	_NumberName_2[26:36],
