--- a/core/route/fair.go
+++ b/core/route/fair.go
@@ -24,6 +24,8 @@
 	Deadline time.Time
 	// MaxQueued bounds the waiting requests of the queue, MaxTeam those of the team in it; zero means no bound.
 	MaxQueued, MaxTeam int
+	// Repeatable tells that another target may be tried whatever becomes of an attempt.
+	Repeatable bool
 	// Avoid lists the targets that failed the request before.
 	Avoid []host.ID
 
@@ -163,12 +165,15 @@
 // displace removes the newest waiter of the queue's flow with the most waiting per weight, if that is above claim.
 func (q *FairQueue) displace(queue string, claim float64) *Waiter {
 	var heaviest *flow
+	var team string
 	for name, f := range q.flows {
-		if name.Queue != queue || float64(len(f.waiting))/f.weight <= claim {
+		share := float64(len(f.waiting)) / f.weight
+		if name.Queue != queue || share < claim || heaviest == nil && share == claim {
 			continue
 		}
-		heaviest = f
-		claim = float64(len(f.waiting)) / f.weight
+		if share > claim || name.Team < team {
+			heaviest, team, claim = f, name.Team, share
+		}
 	}
 	if heaviest == nil {
 		return nil
--- a/io/entry/pool.go
+++ b/io/entry/pool.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"siskincross/core/event"
 	"siskincross/core/host"
 	"siskincross/core/route"
 )
@@ -54,6 +55,17 @@
 	return p.wait(ctx, w)
 }
 
+// check returns the refusal that w would meet now.
+func (p *pool) check(w *route.Waiter) route.Refusal {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	if !p.update(now) {
+		return p.scheduler.Refuse(p.rng, route.ReasonUnvouched)
+	}
+	return p.scheduler.Check(now, p.rng, w)
+}
+
 // again finds another target for w after its attempt at a target failed.
 func (p *pool) again(ctx context.Context, w *route.Waiter, failed host.ID) (route.Target, route.Refusal) {
 	p.mu.Lock()
@@ -62,10 +74,10 @@
 }
 
 // spend takes an attempt from the retry budget.
-func (p *pool) spend() bool {
+func (p *pool) spend(after route.Fault) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.scheduler.Budget.Spend()
+	return p.scheduler.Budget.Spend(after)
 }
 
 // finish ends an attempt at a target and lets others have its slot.
@@ -105,7 +117,7 @@
 	delete(p.waits, w)
 	if !p.scheduler.Cancel(w) {
 		if g := <-grants; g.Refusal.Reason == route.ReasonNone {
-			p.scheduler.Board.Release(time.Now(), g.Target.Host, false)
+			p.scheduler.Board.Release(time.Now(), g.Target.Host, route.Attempt{Fault: route.FaultCaller}, 0)
 			p.advance(time.Now())
 		}
 	}
@@ -127,6 +139,8 @@
 		return true
 	}
 	p.refreshed = now
+	p.scheduler.Board.Assess(now, p.allowance(len(snapshot.Targets)))
+	p.recordHealth()
 	p.scheduler.Board.SetMembers(p.server.members())
 	if p.server.PeerLoad != nil {
 		p.scheduler.Board.SetPeers(p.server.PeerLoad(p.name))
@@ -134,6 +148,25 @@
 	return true
 }
 
+// allowance returns how many of the listed targets the pool's availability budget lets the entry host do without.
+func (p *pool) allowance(listed int) int {
+	configured, ok := p.server.lookup().pools[p.name]
+	if !ok {
+		return 0
+	}
+	return configured.MaxUnavailable - max(0, configured.Hosts-listed)
+}
+
+func (p *pool) recordHealth() {
+	for _, change := range p.scheduler.Board.HealthChanges() {
+		number := event.TargetEjected
+		if change.State == route.TargetHealthy {
+			number = event.TargetRestored
+		}
+		p.server.record(event.Event{Number: number, Pool: p.name, Host: string(change.Host), Detail: change.Why})
+	}
+}
+
 // advance ends all waits that can end now and sets the timer for the next that may.
 func (p *pool) advance(now time.Time) {
 	if !p.update(now) {
