--- a/core/event/number_enumer.go
+++ b/core/event/number_enumer.go
@@ -10,12 +10,12 @@
 const (
 	_NumberName_0      = "process-startedprocess-servingprocess-stoppingprocess-stopped"
 	_NumberLowerName_0 = "process-startedprocess-servingprocess-stoppingprocess-stopped"
-	_NumberName_1      = "request-answeredrequest-not-runrequest-unknown"
-	_NumberLowerName_1 = "request-answeredrequest-not-runrequest-unknown"
-	_NumberName_2      = "member-joinedmember-lapsedduty-takenduty-released"
-	_NumberLowerName_2 = "member-joinedmember-lapsedduty-takenduty-released"
-	_NumberName_3      = "job-accepted"
-	_NumberLowerName_3 = "job-accepted"
+	_NumberName_1      = "request-answeredrequest-not-runrequest-unknownrequest-retriedrequest-replayedclaim-losttarget-ejectedtarget-restored"
+	_NumberLowerName_1 = "request-answeredrequest-not-runrequest-unknownrequest-retriedrequest-replayedclaim-losttarget-ejectedtarget-restored"
+	_NumberName_2      = "member-joinedmember-lapsedduty-takenduty-releasedhost-adoptedhost-draininghost-drainedhost-rebootinghost-readyhost-servinghost-failedhost-leavinghost-forgottenhost-movedwork-refusedwork-resumeddrain-overduemaintenance-behindlist-doubtedlist-trustedroutes-silencedroutes-vouchedduty-conflict"
+	_NumberLowerName_2 = "member-joinedmember-lapsedduty-takenduty-releasedhost-adoptedhost-draininghost-drainedhost-rebootinghost-readyhost-servinghost-failedhost-leavinghost-forgottenhost-movedwork-refusedwork-resumeddrain-overduemaintenance-behindlist-doubtedlist-trustedroutes-silencedroutes-vouchedduty-conflict"
+	_NumberName_3      = "job-acceptedjob-cancel-requestedjob-releasedjob-startedjob-finishedjob-requeuedjob-failedjob-parkedjob-unknownjob-cancelledjob-late-attemptjob-lapsedjob-leavingworker-suspectedworker-clearedjob-duty-takenjob-duty-lostjob-commit-failed"
+	_NumberLowerName_3 = "job-acceptedjob-cancel-requestedjob-releasedjob-startedjob-finishedjob-requeuedjob-failedjob-parkedjob-unknownjob-cancelledjob-late-attemptjob-lapsedjob-leavingworker-suspectedworker-clearedjob-duty-takenjob-duty-lostjob-commit-failed"
 	_NumberName_4      = "config-acceptedconfig-in-forceconfig-refusedconfig-adoptedconfig-proved"
 	_NumberLowerName_4 = "config-acceptedconfig-in-forceconfig-refusedconfig-adoptedconfig-proved"
 	_NumberName_5      = "peer-connectedpeer-lostpeer-refused"
@@ -26,9 +26,9 @@
 
 var (
 	_NumberIndex_0 = [...]uint8{0, 15, 30, 46, 61}
-	_NumberIndex_1 = [...]uint8{0, 16, 31, 46}
-	_NumberIndex_2 = [...]uint8{0, 13, 26, 36, 49}
-	_NumberIndex_3 = [...]uint8{0, 12}
+	_NumberIndex_1 = [...]uint8{0, 16, 31, 46, 61, 77, 87, 101, 116}
+	_NumberIndex_2 = [...]uint16{0, 13, 26, 36, 49, 61, 74, 86, 100, 110, 122, 133, 145, 159, 169, 181, 193, 206, 224, 236, 248, 263, 277, 290}
+	_NumberIndex_3 = [...]uint8{0, 12, 32, 44, 55, 67, 79, 89, 99, 110, 123, 139, 149, 160, 176, 190, 204, 217, 234}
 	_NumberIndex_4 = [...]uint8{0, 15, 30, 44, 58, 71}
 	_NumberIndex_5 = [...]uint8{0, 14, 23, 35}
 	_NumberIndex_6 = [...]uint8{0, 17, 32, 55}
@@ -39,14 +39,15 @@
 	case 100 <= i && i <= 103:
 		i -= 100
 		return _NumberName_0[_NumberIndex_0[i]:_NumberIndex_0[i+1]]
-	case 200 <= i && i <= 202:
+	case 200 <= i && i <= 207:
 		i -= 200
 		return _NumberName_1[_NumberIndex_1[i]:_NumberIndex_1[i+1]]
-	case 300 <= i && i <= 303:
+	case 300 <= i && i <= 322:
 		i -= 300
 		return _NumberName_2[_NumberIndex_2[i]:_NumberIndex_2[i+1]]
-	case i == 400:
-		return _NumberName_3
+	case 400 <= i && i <= 417:
+		i -= 400
+		return _NumberName_3[_NumberIndex_3[i]:_NumberIndex_3[i+1]]
 	case 500 <= i && i <= 504:
 		i -= 500
 		return _NumberName_4[_NumberIndex_4[i]:_NumberIndex_4[i+1]]
@@ -72,11 +73,52 @@
 	_ = x[RequestAnswered-(200)]
 	_ = x[RequestNotRun-(201)]
 	_ = x[RequestUnknown-(202)]
+	_ = x[RequestRetried-(203)]
+	_ = x[RequestReplayed-(204)]
+	_ = x[ClaimLost-(205)]
+	_ = x[TargetEjected-(206)]
+	_ = x[TargetRestored-(207)]
 	_ = x[MemberJoined-(300)]
 	_ = x[MemberLapsed-(301)]
 	_ = x[DutyTaken-(302)]
 	_ = x[DutyReleased-(303)]
+	_ = x[HostAdopted-(304)]
+	_ = x[HostDraining-(305)]
+	_ = x[HostDrained-(306)]
+	_ = x[HostRebooting-(307)]
+	_ = x[HostReady-(308)]
+	_ = x[HostServing-(309)]
+	_ = x[HostFailed-(310)]
+	_ = x[HostLeaving-(311)]
+	_ = x[HostForgotten-(312)]
+	_ = x[HostMoved-(313)]
+	_ = x[WorkRefused-(314)]
+	_ = x[WorkResumed-(315)]
+	_ = x[DrainOverdue-(316)]
+	_ = x[MaintenanceBehind-(317)]
+	_ = x[ListDoubted-(318)]
+	_ = x[ListTrusted-(319)]
+	_ = x[RoutesSilenced-(320)]
+	_ = x[RoutesVouched-(321)]
+	_ = x[DutyConflict-(322)]
 	_ = x[JobAccepted-(400)]
+	_ = x[JobCancelRequested-(401)]
+	_ = x[JobReleased-(402)]
+	_ = x[JobStarted-(403)]
+	_ = x[JobFinished-(404)]
+	_ = x[JobRequeued-(405)]
+	_ = x[JobFailed-(406)]
+	_ = x[JobParked-(407)]
+	_ = x[JobUnknown-(408)]
+	_ = x[JobCancelled-(409)]
+	_ = x[JobLateAttempt-(410)]
+	_ = x[JobLapsed-(411)]
+	_ = x[JobLeaving-(412)]
+	_ = x[WorkerSuspected-(413)]
+	_ = x[WorkerCleared-(414)]
+	_ = x[JobDutyTaken-(415)]
+	_ = x[JobDutyLost-(416)]
+	_ = x[JobCommitFailed-(417)]
 	_ = x[ConfigAccepted-(500)]
 	_ = x[ConfigInForce-(501)]
 	_ = x[ConfigRefused-(502)]
@@ -90,58 +132,140 @@
 	_ = x[CommitOutcomeResolved-(702)]
 }
 
-var _NumberValues = []Number{ProcessStarted, ProcessServing, ProcessStopping, ProcessStopped, RequestAnswered, RequestNotRun, RequestUnknown, MemberJoined, MemberLapsed, DutyTaken, DutyReleased, JobAccepted, ConfigAccepted, ConfigInForce, ConfigRefused, ConfigAdopted, ConfigProved, PeerConnected, PeerLost, PeerRefused, StoreUnavailable, StoreRecovered, CommitOutcomeResolved}
+var _NumberValues = []Number{ProcessStarted, ProcessServing, ProcessStopping, ProcessStopped, RequestAnswered, RequestNotRun, RequestUnknown, RequestRetried, RequestReplayed, ClaimLost, TargetEjected, TargetRestored, MemberJoined, MemberLapsed, DutyTaken, DutyReleased, HostAdopted, HostDraining, HostDrained, HostRebooting, HostReady, HostServing, HostFailed, HostLeaving, HostForgotten, HostMoved, WorkRefused, WorkResumed, DrainOverdue, MaintenanceBehind, ListDoubted, ListTrusted, RoutesSilenced, RoutesVouched, DutyConflict, JobAccepted, JobCancelRequested, JobReleased, JobStarted, JobFinished, JobRequeued, JobFailed, JobParked, JobUnknown, JobCancelled, JobLateAttempt, JobLapsed, JobLeaving, WorkerSuspected, WorkerCleared, JobDutyTaken, JobDutyLost, JobCommitFailed, ConfigAccepted, ConfigInForce, ConfigRefused, ConfigAdopted, ConfigProved, PeerConnected, PeerLost, PeerRefused, StoreUnavailable, StoreRecovered, CommitOutcomeResolved}
 
 var _NumberNameToValueMap = map[string]Number{
-	_NumberName_0[0:15]:  ProcessStarted,
-	_NumberName_0[15:30]: ProcessServing,
-	_NumberName_0[30:46]: ProcessStopping,
-	_NumberName_0[46:61]: ProcessStopped,
-	_NumberName_1[0:16]:  RequestAnswered,
-	_NumberName_1[16:31]: RequestNotRun,
-	_NumberName_1[31:46]: RequestUnknown,
-	_NumberName_2[0:13]:  MemberJoined,
-	_NumberName_2[13:26]: MemberLapsed,
-	_NumberName_2[26:36]: DutyTaken,
-	_NumberName_2[36:49]: DutyReleased,
-	_NumberName_3[0:12]:  JobAccepted,
-	_NumberName_4[0:15]:  ConfigAccepted,
-	_NumberName_4[15:30]: ConfigInForce,
-	_NumberName_4[30:44]: ConfigRefused,
-	_NumberName_4[44:58]: ConfigAdopted,
-	_NumberName_4[58:71]: ConfigProved,
-	_NumberName_5[0:14]:  PeerConnected,
-	_NumberName_5[14:23]: PeerLost,
-	_NumberName_5[23:35]: PeerRefused,
-	_NumberName_6[0:17]:  StoreUnavailable,
-	_NumberName_6[17:32]: StoreRecovered,
-	_NumberName_6[32:55]: CommitOutcomeResolved,
+	_NumberName_0[0:15]:    ProcessStarted,
+	_NumberName_0[15:30]:   ProcessServing,
+	_NumberName_0[30:46]:   ProcessStopping,
+	_NumberName_0[46:61]:   ProcessStopped,
+	_NumberName_1[0:16]:    RequestAnswered,
+	_NumberName_1[16:31]:   RequestNotRun,
+	_NumberName_1[31:46]:   RequestUnknown,
+	_NumberName_1[46:61]:   RequestRetried,
+	_NumberName_1[61:77]:   RequestReplayed,
+	_NumberName_1[77:87]:   ClaimLost,
+	_NumberName_1[87:101]:  TargetEjected,
+	_NumberName_1[101:116]: TargetRestored,
+	_NumberName_2[0:13]:    MemberJoined,
+	_NumberName_2[13:26]:   MemberLapsed,
+	_NumberName_2[26:36]:   DutyTaken,
+	_NumberName_2[36:49]:   DutyReleased,
+	_NumberName_2[49:61]:   HostAdopted,
+	_NumberName_2[61:74]:   HostDraining,
+	_NumberName_2[74:86]:   HostDrained,
+	_NumberName_2[86:100]:  HostRebooting,
+	_NumberName_2[100:110]: HostReady,
+	_NumberName_2[110:122]: HostServing,
+	_NumberName_2[122:133]: HostFailed,
+	_NumberName_2[133:145]: HostLeaving,
+	_NumberName_2[145:159]: HostForgotten,
+	_NumberName_2[159:169]: HostMoved,
+	_NumberName_2[169:181]: WorkRefused,
+	_NumberName_2[181:193]: WorkResumed,
+	_NumberName_2[193:206]: DrainOverdue,
+	_NumberName_2[206:224]: MaintenanceBehind,
+	_NumberName_2[224:236]: ListDoubted,
+	_NumberName_2[236:248]: ListTrusted,
+	_NumberName_2[248:263]: RoutesSilenced,
+	_NumberName_2[263:277]: RoutesVouched,
+	_NumberName_2[277:290]: DutyConflict,
+	_NumberName_3[0:12]:    JobAccepted,
+	_NumberName_3[12:32]:   JobCancelRequested,
+	_NumberName_3[32:44]:   JobReleased,
+	_NumberName_3[44:55]:   JobStarted,
+	_NumberName_3[55:67]:   JobFinished,
+	_NumberName_3[67:79]:   JobRequeued,
+	_NumberName_3[79:89]:   JobFailed,
+	_NumberName_3[89:99]:   JobParked,
+	_NumberName_3[99:110]:  JobUnknown,
+	_NumberName_3[110:123]: JobCancelled,
+	_NumberName_3[123:139]: JobLateAttempt,
+	_NumberName_3[139:149]: JobLapsed,
+	_NumberName_3[149:160]: JobLeaving,
+	_NumberName_3[160:176]: WorkerSuspected,
+	_NumberName_3[176:190]: WorkerCleared,
+	_NumberName_3[190:204]: JobDutyTaken,
+	_NumberName_3[204:217]: JobDutyLost,
+	_NumberName_3[217:234]: JobCommitFailed,
+	_NumberName_4[0:15]:    ConfigAccepted,
+	_NumberName_4[15:30]:   ConfigInForce,
+	_NumberName_4[30:44]:   ConfigRefused,
+	_NumberName_4[44:58]:   ConfigAdopted,
+	_NumberName_4[58:71]:   ConfigProved,
+	_NumberName_5[0:14]:    PeerConnected,
+	_NumberName_5[14:23]:   PeerLost,
+	_NumberName_5[23:35]:   PeerRefused,
+	_NumberName_6[0:17]:    StoreUnavailable,
+	_NumberName_6[17:32]:   StoreRecovered,
+	_NumberName_6[32:55]:   CommitOutcomeResolved,
 }
 
 var _NumberLowerNameToValueMap = map[string]Number{
-	_NumberLowerName_0[0:15]:  ProcessStarted,
-	_NumberLowerName_0[15:30]: ProcessServing,
-	_NumberLowerName_0[30:46]: ProcessStopping,
-	_NumberLowerName_0[46:61]: ProcessStopped,
-	_NumberLowerName_1[0:16]:  RequestAnswered,
-	_NumberLowerName_1[16:31]: RequestNotRun,
-	_NumberLowerName_1[31:46]: RequestUnknown,
-	_NumberLowerName_2[0:13]:  MemberJoined,
-	_NumberLowerName_2[13:26]: MemberLapsed,
-	_NumberLowerName_2[26:36]: DutyTaken,
-	_NumberLowerName_2[36:49]: DutyReleased,
-	_NumberLowerName_3[0:12]:  JobAccepted,
-	_NumberLowerName_4[0:15]:  ConfigAccepted,
-	_NumberLowerName_4[15:30]: ConfigInForce,
-	_NumberLowerName_4[30:44]: ConfigRefused,
-	_NumberLowerName_4[44:58]: ConfigAdopted,
-	_NumberLowerName_4[58:71]: ConfigProved,
-	_NumberLowerName_5[0:14]:  PeerConnected,
-	_NumberLowerName_5[14:23]: PeerLost,
-	_NumberLowerName_5[23:35]: PeerRefused,
-	_NumberLowerName_6[0:17]:  StoreUnavailable,
-	_NumberLowerName_6[17:32]: StoreRecovered,
-	_NumberLowerName_6[32:55]: CommitOutcomeResolved,
+	_NumberLowerName_0[0:15]:    ProcessStarted,
+	_NumberLowerName_0[15:30]:   ProcessServing,
+	_NumberLowerName_0[30:46]:   ProcessStopping,
+	_NumberLowerName_0[46:61]:   ProcessStopped,
+	_NumberLowerName_1[0:16]:    RequestAnswered,
+	_NumberLowerName_1[16:31]:   RequestNotRun,
+	_NumberLowerName_1[31:46]:   RequestUnknown,
+	_NumberLowerName_1[46:61]:   RequestRetried,
+	_NumberLowerName_1[61:77]:   RequestReplayed,
+	_NumberLowerName_1[77:87]:   ClaimLost,
+	_NumberLowerName_1[87:101]:  TargetEjected,
+	_NumberLowerName_1[101:116]: TargetRestored,
+	_NumberLowerName_2[0:13]:    MemberJoined,
+	_NumberLowerName_2[13:26]:   MemberLapsed,
+	_NumberLowerName_2[26:36]:   DutyTaken,
+	_NumberLowerName_2[36:49]:   DutyReleased,
+	_NumberLowerName_2[49:61]:   HostAdopted,
+	_NumberLowerName_2[61:74]:   HostDraining,
+	_NumberLowerName_2[74:86]:   HostDrained,
+	_NumberLowerName_2[86:100]:  HostRebooting,
+	_NumberLowerName_2[100:110]: HostReady,
+	_NumberLowerName_2[110:122]: HostServing,
+	_NumberLowerName_2[122:133]: HostFailed,
+	_NumberLowerName_2[133:145]: HostLeaving,
+	_NumberLowerName_2[145:159]: HostForgotten,
+	_NumberLowerName_2[159:169]: HostMoved,
+	_NumberLowerName_2[169:181]: WorkRefused,
+	_NumberLowerName_2[181:193]: WorkResumed,
+	_NumberLowerName_2[193:206]: DrainOverdue,
+	_NumberLowerName_2[206:224]: MaintenanceBehind,
+	_NumberLowerName_2[224:236]: ListDoubted,
+	_NumberLowerName_2[236:248]: ListTrusted,
+	_NumberLowerName_2[248:263]: RoutesSilenced,
+	_NumberLowerName_2[263:277]: RoutesVouched,
+	_NumberLowerName_2[277:290]: DutyConflict,
+	_NumberLowerName_3[0:12]:    JobAccepted,
+	_NumberLowerName_3[12:32]:   JobCancelRequested,
+	_NumberLowerName_3[32:44]:   JobReleased,
+	_NumberLowerName_3[44:55]:   JobStarted,
+	_NumberLowerName_3[55:67]:   JobFinished,
+	_NumberLowerName_3[67:79]:   JobRequeued,
+	_NumberLowerName_3[79:89]:   JobFailed,
+	_NumberLowerName_3[89:99]:   JobParked,
+	_NumberLowerName_3[99:110]:  JobUnknown,
+	_NumberLowerName_3[110:123]: JobCancelled,
+	_NumberLowerName_3[123:139]: JobLateAttempt,
+	_NumberLowerName_3[139:149]: JobLapsed,
+	_NumberLowerName_3[149:160]: JobLeaving,
+	_NumberLowerName_3[160:176]: WorkerSuspected,
+	_NumberLowerName_3[176:190]: WorkerCleared,
+	_NumberLowerName_3[190:204]: JobDutyTaken,
+	_NumberLowerName_3[204:217]: JobDutyLost,
+	_NumberLowerName_3[217:234]: JobCommitFailed,
+	_NumberLowerName_4[0:15]:    ConfigAccepted,
+	_NumberLowerName_4[15:30]:   ConfigInForce,
+	_NumberLowerName_4[30:44]:   ConfigRefused,
+	_NumberLowerName_4[44:58]:   ConfigAdopted,
+	_NumberLowerName_4[58:71]:   ConfigProved,
+	_NumberLowerName_5[0:14]:    PeerConnected,
+	_NumberLowerName_5[14:23]:   PeerLost,
+	_NumberLowerName_5[23:35]:   PeerRefused,
+	_NumberLowerName_6[0:17]:    StoreUnavailable,
+	_NumberLowerName_6[17:32]:   StoreRecovered,
+	_NumberLowerName_6[32:55]:   CommitOutcomeResolved,
 }
 
 var _NumberNames = []string{
@@ -152,11 +276,52 @@
 	_NumberName_1[0:16],
 	_NumberName_1[16:31],
 	_NumberName_1[31:46],
+	_NumberName_1[46:61],
+	_NumberName_1[61:77],
+	_NumberName_1[77:87],
+	_NumberName_1[87:101],
+	_NumberName_1[101:116],
 	_NumberName_2[0:13],
 	_NumberName_2[13:26],
 	_NumberName_2[26:36],
 	_NumberName_2[36:49],
+	_NumberName_2[49:61],
+	_NumberName_2[61:74],
+	_NumberName_2[74:86],
+	_NumberName_2[86:100],
+	_NumberName_2[100:110],
+	_NumberName_2[110:122],
+	_NumberName_2[122:133],
+	_NumberName_2[133:145],
+	_NumberName_2[145:159],
+	_NumberName_2[159:169],
+	_NumberName_2[169:181],
+	_NumberName_2[181:193],
+	_NumberName_2[193:206],
+	_NumberName_2[206:224],
+	_NumberName_2[224:236],
+	_NumberName_2[236:248],
+	_NumberName_2[248:263],
+	_NumberName_2[263:277],
+	_NumberName_2[277:290],
 	_NumberName_3[0:12],
+	_NumberName_3[12:32],
+	_NumberName_3[32:44],
+	_NumberName_3[44:55],
+	_NumberName_3[55:67],
+	_NumberName_3[67:79],
+	_NumberName_3[79:89],
+	_NumberName_3[89:99],
+	_NumberName_3[99:110],
+	_NumberName_3[110:123],
+	_NumberName_3[123:139],
+	_NumberName_3[139:149],
+	_NumberName_3[149:160],
+	_NumberName_3[160:176],
+	_NumberName_3[176:190],
+	_NumberName_3[190:204],
+	_NumberName_3[204:217],
+	_NumberName_3[217:234],
 	_NumberName_4[0:15],
 	_NumberName_4[15:30],
 	_NumberName_4[30:44],
