--- a/io/peer/link_test.go
+++ b/io/peer/link_test.go
@@ -170,7 +170,9 @@
 		a.SetPeers(map[string]string{"b": b.Address()})
 		until(t, func() bool { return connected(a, "b") })
 		cancel()
-		_ = <-done
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
 		until(t, func() bool { return count(a, event.PeerLost) > 0 && !connected(a, "b") })
 		until(t, func() bool { return len(a.Peers()) == 1 && !a.Peers()[0].LastHeard.IsZero() })
 	})
