--- /dev/null
+++ b/core/config/organisation.go
@@ -0,0 +1,44 @@
+package config
+
+import "sort"
+
+// WithVersion returns e as that version.
+func (e Expanded) WithVersion(v Version) Expanded {
+	e.Version = v
+	return e
+}
+
+// Organisation returns the part of e that belongs to one organisation.
+func (e Expanded) Organisation(name string) Expanded {
+	return Expanded{
+		Version: e.Version,
+		Pools:   keep(e.Pools, func(p Pool) bool { return p.Organisation == name }),
+		Queues:  keep(e.Queues, func(q Queue) bool { return q.Organisation == name }),
+		Teams:   keep(e.Teams, func(t Team) bool { return t.Organisation == name }),
+	}
+}
+
+// WithOrganisation returns e with one organisation's part replaced, ordered by name.
+func (e Expanded) WithOrganisation(name string, part Expanded) Expanded {
+	replaced := Expanded{
+		Version: e.Version,
+		Pools:   append(keep(e.Pools, func(p Pool) bool { return p.Organisation != name }), part.Pools...),
+		Queues:  append(keep(e.Queues, func(q Queue) bool { return q.Organisation != name }), part.Queues...),
+		Teams:   append(keep(e.Teams, func(t Team) bool { return t.Organisation != name }), part.Teams...),
+	}
+	sort.Slice(replaced.Pools, func(i, j int) bool { return replaced.Pools[i].Name < replaced.Pools[j].Name })
+	sort.Slice(replaced.Queues, func(i, j int) bool { return replaced.Queues[i].Name < replaced.Queues[j].Name })
+	sort.Slice(replaced.Teams, func(i, j int) bool { return replaced.Teams[i].Name < replaced.Teams[j].Name })
+	return replaced
+}
+
+// keep returns the items that satisfy condition, in a new slice.
+func keep[T any](items []T, condition func(T) bool) []T {
+	kept := make([]T, 0, len(items))
+	for _, item := range items {
+		if condition(item) {
+			kept = append(kept, item)
+		}
+	}
+	return kept
+}
