--- a/io/entry/duplicate.go
+++ b/io/entry/duplicate.go
@@ -58,6 +58,7 @@
 	member := "member/" + last.Holder
 	rows, err := s.Table.Read(ctx, []string{key, member})
 	if err != nil {
+		watch.pause(time.Now())
 		return last, true
 	}
 	var found *platform.Row
@@ -95,6 +96,13 @@
 	}
 }
 
+// pause begins the lapse anew: while the own reads fail, the holder may fail to write for the same reason.
+func (h *holderWatch) pause(now time.Time) {
+	if !h.since.IsZero() {
+		h.since = now
+	}
+}
+
 // alive reports false once the row has stood still for a whole lapse on the own clock. A claim of
 // this entry host itself is no longer held: else a flight would have been found.
 func (h *holderWatch) alive(holder string, now time.Time) bool {
--- a/io/entry/keyed_test.go
+++ b/io/entry/keyed_test.go
@@ -211,6 +211,8 @@
 		is.True(h.alive("m2", start.Add(holderLapse)))
 		h.observe(8, start.Add(2*holderLapse))
 		is.True(!h.alive("m2", start.Add(2*holderLapse)))
+		h.pause(start.Add(2 * holderLapse)) // the own reads failed
+		is.True(h.alive("m2", start.Add(3*holderLapse-1)))
 	})
 }
 
--- a/io/entry/limits.go
+++ b/io/entry/limits.go
@@ -18,7 +18,7 @@
 	Dial time.Duration
 	// Deadline bounds the time that a caller may ask for; 10 min by default.
 	Deadline time.Duration
-	// IdleConnections bounds the idle connections to all targets; 1024 by default.
+	// IdleConnections bounds the idle connections to all targets; 3072 by default.
 	IdleConnections int
 	// ClaimCommits bounds the commits a second for claims of Idempotency-Keys, of all entry hosts together; 100 by default.
 	ClaimCommits float64
@@ -38,7 +38,7 @@
 	setDefault(&l.Idle, time.Minute)
 	setDefault(&l.Dial, time.Second)
 	setDefault(&l.Deadline, 10*time.Minute)
-	setDefault(&l.IdleConnections, 1024)
+	setDefault(&l.IdleConnections, 3072)
 	setDefault(&l.ClaimCommits, 100)
 	return l
 }
--- a/io/entry/transport.go
+++ b/io/entry/transport.go
@@ -12,6 +12,8 @@
 	maxAnswerHeaderBytes = 64 * kib
 	idleConnection       = 30 * time.Second
 	keepAlive            = 15 * time.Second
+	// targetBufferBytes is the size of each connection's two buffers. They are small, as most connections are idle.
+	targetBufferBytes = 2 * kib
 )
 
 // transports holds one transport for each bound of connections to a target. A target's
@@ -62,6 +64,8 @@
 		MaxIdleConns:           t.idle,
 		IdleConnTimeout:        idleConnection,
 		MaxResponseHeaderBytes: maxAnswerHeaderBytes,
+		ReadBufferSize:         targetBufferBytes,
+		WriteBufferSize:        targetBufferBytes,
 	}
 }
 
--- /dev/null
+++ b/io/load/load_test.go
@@ -0,0 +1,97 @@
+package load_test
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"siskincross/io/load"
+)
+
+func withServer(t *testing.T, handle http.HandlerFunc) string {
+	t.Helper()
+	server := httptest.NewServer(handle)
+	t.Cleanup(server.Close)
+	return server.URL
+}
+
+func plan(url string) load.Plan {
+	return load.Plan{URLs: []string{url}, Phases: []load.Phase{{Rate: 500, Length: 200 * time.Millisecond}}, Seed: 1}
+}
+
+func TestClasses(t *testing.T) {
+	var n atomic.Int32
+	url := withServer(t, func(w http.ResponseWriter, _ *http.Request) {
+		switch n.Add(1) % 4 {
+		case 0:
+			w.Header().Set("Siskincross-Outcome", "not-run")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		case 1:
+			w.Header().Set("Siskincross-Outcome", "unknown")
+		case 2:
+			w.Header().Set("Content-Length", "10")
+			_, _ = w.Write([]byte("cut"))
+		}
+	})
+	is := is.New(t)
+	report, err := load.Run(t.Context(), plan(url))
+	is.NoErr(err)
+	is.Equal(report.Total(), int64(n.Load())) // every request is counted
+	for _, c := range []load.Class{load.ClassAnswered, load.ClassNotRun, load.ClassUnknown, load.ClassBroken} {
+		is.True(report.Count(c) >= report.Total()/4-1)
+	}
+	var text strings.Builder
+	is.NoErr(report.Print(&text))
+	is.True(strings.Contains(text.String(), "not-run"))
+}
+
+func TestCoordinatedOmission(t *testing.T) {
+	const pause = 300 * time.Millisecond
+	var once sync.Once
+	var mu sync.Mutex
+	url := withServer(t, func(http.ResponseWriter, *http.Request) {
+		mu.Lock()
+		defer mu.Unlock()
+		once.Do(func() { time.Sleep(pause) })
+	})
+	p := plan(url)
+	p.Phases = []load.Phase{{Rate: 500, Length: pause}}
+	report, err := load.Run(t.Context(), p)
+	is := is.New(t)
+	is.NoErr(err)
+	// One request paused the server; all that were due meanwhile waited, half of them for half of the pause.
+	is.True(report.Latency(load.ClassAnswered, 0.5) >= pause/4)
+}
+
+func TestOverrun(t *testing.T) {
+	release := make(chan bool)
+	url := withServer(t, func(http.ResponseWriter, *http.Request) { <-release })
+	time.AfterFunc(400*time.Millisecond, func() { close(release) })
+	p := plan(url)
+	p.MaxOutstanding = 5
+	is := is.New(t)
+	report, err := load.Run(t.Context(), p)
+	is.NoErr(err)
+	is.Equal(report.Count(load.ClassAnswered), int64(5))
+	is.Equal(report.Count(load.ClassOverrun), report.Total()-5)
+}
+
+func TestEnds(t *testing.T) {
+	is := is.New(t)
+	_, err := load.Run(t.Context(), load.Plan{})
+	is.True(errors.As(err, &load.ErrPlan{}))
+	ctx, cancel := context.WithCancel(t.Context())
+	url := withServer(t, func(http.ResponseWriter, *http.Request) { cancel() })
+	p := plan(url)
+	p.Phases[0].Length = time.Hour
+	_, err = load.Run(ctx, p)
+	is.Equal(err, context.Canceled)
+}
