Search the interleavings of two holders over pools and hosts

Two faults were found and are mended. A host that came back from a failure counted as planned work. A host could return from a recorded reboot that had not been ordered yet and be restarted in service by the late order of a paused holder; it now stays out of service until the platform confirmed the order. Orders to drain that take effect late are taken back by who gave them.

--- a/core/pool/budget.go
+++ b/core/pool/budget.go
@@ -10,8 +10,10 @@
 
 // Disruptions counts the hosts of a pool that are out of service, by cause.
 type Disruptions struct {
+	// Failed hosts failed, or are coming back without planned work.
 	Failed  int `json:"failed"`
 	Leaving int `json:"leaving"`
+	// Planned hosts are out of service for maintenance or a move.
 	Planned int `json:"planned"`
 }
 
@@ -23,12 +25,12 @@
 func (p Pool) Disruptions() Disruptions {
 	var d Disruptions
 	for _, h := range p.Hosts {
-		switch h.State {
-		case host.Serving:
-		case host.Failed:
-			d.Failed++
-		case host.Leaving:
+		switch {
+		case h.State == host.Serving:
+		case h.State == host.Leaving:
 			d.Leaving++
+		case h.Work.Purpose == PurposeNone:
+			d.Failed++
 		default:
 			d.Planned++
 		}
--- a/core/pool/observe.go
+++ b/core/pool/observe.go
@@ -15,6 +15,10 @@
 	Live, Leaving, Failed bool
 	// Boot counts the host's starts.
 	Boot int
+	// Ordered tells that the platform confirmed the reboot of a rebooting host to
+	// the observer. Until then a late order of an earlier holder could still
+	// restart the host, so that it must not serve.
+	Ordered bool
 	// Unchanged is how long the list has told the same of the host.
 	Unchanged time.Duration
 }
@@ -95,6 +99,9 @@
 }
 
 func (h Host) judgeRebooting(s Sight, patience Patience, now time.Time) (Change, bool) {
+	if !s.Ordered {
+		return Change{}, false
+	}
 	if s.Live && s.Boot > h.Boot {
 		return Change{host.Return, "the host came back from its reboot"}, true
 	}
--- /dev/null
+++ b/core/pool/property_test.go
@@ -0,0 +1,204 @@
+package pool_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"siskincross/core/pool"
+)
+
+// action is one step of a model.
+type action struct {
+	name string
+	// by is the holder that acts; -1 is the platform.
+	by int
+	do func(*model)
+}
+
+// actions returns every step that a model can take.
+func actions() []action {
+	var all []action
+	add := func(by int, do func(*model), format string, args ...any) {
+		all = append(all, action{name: fmt.Sprintf(format, args...), by: by, do: do})
+	}
+	for n := range modelHosts {
+		add(-1, func(m *model) { m.strike(n) }, "strike host %d", n)
+	}
+	for by := range modelHolders {
+		add(by, func(m *model) { m.read(by) }, "%d reads", by)
+		add(by, func(m *model) { m.crash(by) }, "%d crashes", by)
+		for i := range modelPools {
+			add(by, func(m *model) { m.take(by, i, false) }, "%d takes %d", by, i)
+			for n := range modelHosts {
+				add(by, func(m *model) { m.advance(by, i, n, false) }, "%d advances %d/%d", by, i, n)
+				add(by, func(m *model) { m.advance(by, i, n, true) }, "%d advances %d/%d, commit lost", by, i, n)
+				add(by, func(m *model) { m.startMove(by, i, n, false) }, "%d starts move of %d/%d", by, i, n)
+				add(by, func(m *model) { m.observe(by, i, n, false) }, "%d observes %d/%d", by, i, n)
+			}
+		}
+	}
+	return all
+}
+
+// TestInvariants takes random steps of two holders that lose commits and
+// answers, pause, crash and take duties from each other while hosts fail.
+func TestInvariants(t *testing.T) {
+	const steps = 400
+	all := actions()
+	moved, restarted := 0, 0
+	rapid.Check(t, func(t *rapid.T) {
+		m := newModel()
+		for range steps {
+			a := rapid.SampledFrom(all).Draw(t, "action")
+			a.do(&m)
+			if m.breach != "" {
+				t.Fatalf("after %q: %s", a.name, m.breach)
+			}
+			if a.by >= 0 && rapid.IntRange(0, 3).Draw(t, "pause") > 0 {
+				m.read(a.by)
+			}
+		}
+		moved += m.moved()
+		restarted += m.restarted()
+	})
+	is := is.New(t)
+	is.True(moved > 0)     // some runs finish moves
+	is.True(restarted > 0) // some runs finish reboots
+}
+
+func (m model) moved() int {
+	n := 0
+	for _, o := range m.owners {
+		n += int(o.Generation) - 1
+	}
+	return n
+}
+
+func (m model) restarted() int {
+	n := 0
+	for _, p := range m.platform {
+		n += len(strings.Fields(p.done))
+	}
+	return n
+}
+
+// TestAllInterleavings takes every sequence of steps up to a depth, from
+// states in which each holder has one duty and planned work is under way.
+func TestAllInterleavings(t *testing.T) {
+	t.Run("from a host drained for a move", func(t *testing.T) {
+		m := heldModel()
+		m.startMove(0, 0, 0, false)
+		m.read(0)
+		assertAllInterleavings(t, m, 5)
+	})
+	t.Run("from a recorded reboot whose holder is paused", func(t *testing.T) {
+		m := heldModel()
+		for range 3 {
+			m.advance(0, 0, 0, false)
+			m.read(0)
+		}
+		m.read(1)
+		m.take(1, 0, false)
+		m.read(1)
+		assertAllInterleavings(t, m, 6)
+	})
+	t.Run("from a host that is ready to move", func(t *testing.T) {
+		m := heldModel()
+		m.startMove(0, 0, 0, false)
+		for range 3 {
+			m.read(0)
+			m.advance(0, 0, 0, false)
+		}
+		m.strike(0)
+		m.observe(0, 0, 0, false)
+		m.read(0)
+		m.read(1)
+		assertAllInterleavings(t, m, 5)
+	})
+}
+
+// heldModel returns a model in which each holder has read all rows and holds one duty.
+func heldModel() model {
+	m := newModel()
+	for by := range modelHolders {
+		m.read(by)
+		m.take(by, by, false)
+	}
+	for by := range modelHolders {
+		m.read(by)
+	}
+	return m
+}
+
+func assertAllInterleavings(t *testing.T, start model, depth int) {
+	t.Helper()
+	all := actions()
+	frontier := []model{start}
+	seen := map[string]bool{start.key(): true}
+	for range depth {
+		var next []model
+		for _, m := range frontier {
+			for _, a := range all {
+				to := m.clone()
+				a.do(&to)
+				if to.breach != "" {
+					t.Fatalf("after %q: %s", a.name, to.breach)
+				}
+				if key := to.key(); !seen[key] {
+					seen[key] = true
+					next = append(next, to)
+				}
+			}
+		}
+		frontier = next
+	}
+	t.Logf("%d states within %d steps", len(seen), depth)
+}
+
+// key names what matters of a model: operations are numbered by their first
+// appearance, and versions only count as current or not.
+func (m model) key() string {
+	var b strings.Builder
+	operations := map[string]int{"": 0}
+	number := func(operation string) int {
+		if _, ok := operations[operation]; !ok {
+			operations[operation] = len(operations)
+		}
+		return operations[operation]
+	}
+	writePool := func(p pool.Pool) {
+		fmt.Fprintf(&b, "%s%d", p.Holder, p.Epoch)
+		for _, h := range p.Hosts {
+			fmt.Fprintf(&b, "%s%s%d%d%d", h.ID, h.State, h.Work.Purpose, number(h.Work.Operation), h.Boot)
+		}
+		fmt.Fprint(&b, p.Inbound, "|")
+	}
+	for _, r := range m.rows {
+		writePool(r.pool)
+	}
+	for _, h := range m.holders {
+		for i, seen := range h.seen {
+			if seen.version == m.rows[i].version {
+				fmt.Fprint(&b, "current", h.stale[i])
+				continue
+			}
+			fmt.Fprint(&b, seen.version > 0, h.stale[i])
+			writePool(seen.pool)
+		}
+		for _, operation := range h.ordered {
+			fmt.Fprint(&b, number(operation), ",")
+		}
+	}
+	for n := range modelHosts {
+		p := m.platform[modelHost(n)]
+		fmt.Fprint(&b, p.failed, p.rebooting, p.boot)
+		for _, operation := range strings.Fields(p.done) {
+			fmt.Fprint(&b, number(operation), ";")
+		}
+	}
+	return b.String()
+}
--- a/io/fleet/hosts.go
+++ b/io/fleet/hosts.go
@@ -38,7 +38,9 @@
 	after := m.withoutStaleInbound(r.pool)
 	var events []event.Event
 	for _, h := range r.pool.Hosts {
-		next, c, ok := after.WithSight(h.ID, m.sight(h.ID, now), patience, now)
+		sight := m.sight(h.ID, now)
+		sight.Ordered = m.isConfirmed(h)
+		next, c, ok := after.WithSight(h.ID, sight, patience, now)
 		if !ok {
 			continue
 		}
--- a/io/fleet/work.go
+++ b/io/fleet/work.go
@@ -32,9 +32,38 @@
 		m.advancePool(ctx, r)
 	}
 	m.finishMoves(ctx)
+	m.repairDrains(ctx)
 	m.planWork(ctx)
 }
 
+// repairDrains takes back orders to drain that took effect late: this member
+// was paused while it gave them, and another holder put the host into service
+// meanwhile.
+func (m *Manager) repairDrains(ctx context.Context) {
+	for _, id := range m.lateDrains() {
+		err := m.confirm(ctx, pool.Host{ID: id, State: host.Serving}, func(ctx context.Context) error {
+			return m.Platform.Hosts.Undrain(ctx, id)
+		})
+		if err == nil {
+			m.record(event.Event{Number: event.HostServing, Host: string(id), Detail: "a late order to drain was taken back"})
+		}
+	}
+}
+
+func (m *Manager) lateDrains() []host.ID {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var late []host.ID
+	for _, r := range m.rows {
+		for _, h := range r.pool.Hosts {
+			if h.State == host.Serving && r.fresh && m.confirmed[h.ID].state == host.Draining {
+				late = append(late, h.ID)
+			}
+		}
+	}
+	return late
+}
+
 // operate gives the platform the orders that the states of a pool's hosts call
 // for. The states were committed before, so that another holder repeats the
 // same orders; all of them are idempotent.
