--- a/core/plan/policy_test.go
+++ b/core/plan/policy_test.go
@@ -154,3 +154,51 @@
 	t.Logf("%-10s buffer %6.1f spare %6.1f host-hours, moves %5d, late %5.2f%%, breaches %d, cost %7.1f",
 		r.Policy, r.Buffer, r.SpareBuffer, r.Moves, 100*r.Late, r.Breaches, r.Cost)
 }
+
+// TestPoliciesUnderFaults checks that the policy neither thrashes nor empties the spare pool.
+func TestPoliciesUnderFaults(t *testing.T) {
+	const hours = 4
+	d := deployments[0]
+	together := func(p, step int) float64 {
+		if step/peakSteps%30 == 0 {
+			return 2 * float64(d.hosts[p]*slots)
+		}
+		return 1
+	}
+	// shifting demand proves every forecast wrong: each hour another pool asks for more than it holds.
+	shifting := func(p, step int) float64 {
+		if step/hour%len(d.hosts) == p {
+			return 1.5 * float64(d.hosts[p]*slots)
+		}
+		return 1
+	}
+	zone := func(p, step int) int {
+		if step > 2*hour && step < 2*hour+600 {
+			return d.hosts[p] / 4
+		}
+		return 0
+	}
+	tests := []struct {
+		name   string
+		demand func(p, step int) float64
+		failed func(p, step int) int
+	}{
+		{"peaks together", together, nil},
+		{"wrong forecasts", shifting, nil},
+		{"zone lost in a peak", d.inTurn(2), zone},
+		{"zone lost with wrong forecasts", shifting, zone},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			trace := d.trace(0.2, 10*time.Second, tt.demand)
+			trace.Failed, trace.Steps = tt.failed, hours*hour
+			r := plan.Evaluate(plan.Absorbing(coolDown), trace)
+			logResult(t, r)
+			is.Equal(r.Breaches, 0)
+			is.Equal(r.Repeated, 0)
+			is.True(r.LeastSpare >= 4) // the spare pool keeps its least size
+		})
+	}
+}
--- a/io/fleet/demand.go
+++ b/io/fleet/demand.go
@@ -16,6 +16,9 @@
 	demand plan.Demand
 	// measured is when the load was last measured.
 	measured time.Time
+	// needed is the number of hosts that the policy last gave the pool, and sized when it did.
+	needed int
+	sized  time.Time
 	// size and surplusSince tell since when the pool has had more hosts than it needs, at that size.
 	size         int
 	surplusSince time.Time
@@ -48,6 +51,40 @@
 	m.loads[name] = l
 }
 
+// maxSizings bounds the pools that are sized anew in one round of planning, so
+// that the cost of a round does not grow with the number of pools.
+const maxSizings = 4
+
+// sizePools sizes the pools whose sizes are the oldest by their learned demand.
+func (m *Manager) sizePools(policy plan.Policy, now time.Time) {
+	for range maxSizings {
+		name, ok := m.oldestSize(now)
+		if !ok {
+			return
+		}
+		r, _ := m.rowOf(name)
+		deadline := m.deadline(name)
+		m.mu.Lock()
+		l := m.loads[name]
+		l.needed, l.sized = policy.Size(l.demand, slotsOf(r.pool), deadline), now
+		m.loads[name] = l
+		m.mu.Unlock()
+	}
+}
+
+// oldestSize returns the pool whose size is the oldest, among those whose demand is known.
+func (m *Manager) oldestSize(now time.Time) (string, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	oldest, found := "", false
+	for name, l := range m.loads {
+		if l.demand.Full() && l.sized.Before(now) && (!found || l.sized.Before(m.loads[oldest].sized)) {
+			oldest, found = name, true
+		}
+	}
+	return oldest, found
+}
+
 // poolViews returns what the policy knows of the pools of each organisation.
 // It returns false while a pool's row is not known.
 func (m *Manager) poolViews(policy plan.Policy, now time.Time) (map[string][]plan.PoolView, bool) {
@@ -67,8 +104,8 @@
 	defer m.mu.Unlock()
 	l := m.loads[limits.Name]
 	v := plan.PoolView{Pool: p, Limits: limits, Needed: limits.Hosts - policy.Reserve}
-	if l.demand.Full() {
-		v.Needed = policy.Size(l.demand, slotsOf(p), m.deadline(limits.Name))
+	if !l.sized.IsZero() {
+		v.Needed = l.needed
 	}
 	if size := len(p.Hosts) - p.Outbound(); size != l.size || !policy.HasSurplus(v) {
 		l.size, l.surplusSince = size, now
--- a/io/fleet/moves.go
+++ b/io/fleet/moves.go
@@ -53,6 +53,7 @@
 // Every member plans by the same rows; each carries out what its duties cover.
 func (m *Manager) planMoves(ctx context.Context, now time.Time) {
 	policy := plan.Absorbing(m.Periods.CoolDown)
+	m.sizePools(policy, now)
 	views, ok := m.poolViews(policy, now)
 	if !ok || m.pauseReason(now) != "" {
 		return
