--- a/core/event/number_enumer.go
+++ b/core/event/number_enumer.go
@@ -16,10 +16,10 @@
 	_NumberLowerName_2 = "member-joinedmember-lapsedduty-takenduty-releasedhost-adoptedhost-draininghost-drainedhost-rebootinghost-readyhost-servinghost-failedhost-leavinghost-forgottenhost-movedwork-refusedwork-resumeddrain-overduemaintenance-behindlist-doubtedlist-trustedroutes-silencedroutes-vouchedduty-conflict"
 	_NumberName_3      = "job-acceptedjob-cancel-requestedjob-releasedjob-startedjob-finishedjob-requeuedjob-failedjob-parkedjob-unknownjob-cancelledjob-late-attemptjob-lapsedjob-leavingworker-suspectedworker-clearedjob-duty-takenjob-duty-lostjob-commit-failed"
 	_NumberLowerName_3 = "job-acceptedjob-cancel-requestedjob-releasedjob-startedjob-finishedjob-requeuedjob-failedjob-parkedjob-unknownjob-cancelledjob-late-attemptjob-lapsedjob-leavingworker-suspectedworker-clearedjob-duty-takenjob-duty-lostjob-commit-failed"
-	_NumberName_4      = "config-acceptedconfig-in-force"
-	_NumberLowerName_4 = "config-acceptedconfig-in-force"
-	_NumberName_5      = "peer-connectedpeer-lost"
-	_NumberLowerName_5 = "peer-connectedpeer-lost"
+	_NumberName_4      = "config-acceptedconfig-in-forceconfig-refusedconfig-adoptedconfig-proved"
+	_NumberLowerName_4 = "config-acceptedconfig-in-forceconfig-refusedconfig-adoptedconfig-proved"
+	_NumberName_5      = "peer-connectedpeer-lostpeer-refused"
+	_NumberLowerName_5 = "peer-connectedpeer-lostpeer-refused"
 	_NumberName_6      = "store-unavailablestore-recoveredcommit-outcome-resolved"
 	_NumberLowerName_6 = "store-unavailablestore-recoveredcommit-outcome-resolved"
 )
@@ -29,8 +29,8 @@
 	_NumberIndex_1 = [...]uint8{0, 16, 31, 46, 61, 77, 87, 101, 116}
 	_NumberIndex_2 = [...]uint16{0, 13, 26, 36, 49, 61, 74, 86, 100, 110, 122, 133, 145, 159, 169, 181, 193, 206, 224, 236, 248, 263, 277, 290}
 	_NumberIndex_3 = [...]uint8{0, 12, 32, 44, 55, 67, 79, 89, 99, 110, 123, 139, 149, 160, 176, 190, 204, 217, 234}
-	_NumberIndex_4 = [...]uint8{0, 15, 30}
-	_NumberIndex_5 = [...]uint8{0, 14, 23}
+	_NumberIndex_4 = [...]uint8{0, 15, 30, 44, 58, 71}
+	_NumberIndex_5 = [...]uint8{0, 14, 23, 35}
 	_NumberIndex_6 = [...]uint8{0, 17, 32, 55}
 )
 
@@ -48,10 +48,10 @@
 	case 400 <= i && i <= 417:
 		i -= 400
 		return _NumberName_3[_NumberIndex_3[i]:_NumberIndex_3[i+1]]
-	case 500 <= i && i <= 501:
+	case 500 <= i && i <= 504:
 		i -= 500
 		return _NumberName_4[_NumberIndex_4[i]:_NumberIndex_4[i+1]]
-	case 600 <= i && i <= 601:
+	case 600 <= i && i <= 602:
 		i -= 600
 		return _NumberName_5[_NumberIndex_5[i]:_NumberIndex_5[i+1]]
 	case 700 <= i && i <= 702:
@@ -121,14 +121,18 @@
 	_ = x[JobCommitFailed-(417)]
 	_ = x[ConfigAccepted-(500)]
 	_ = x[ConfigInForce-(501)]
+	_ = x[ConfigRefused-(502)]
+	_ = x[ConfigAdopted-(503)]
+	_ = x[ConfigProved-(504)]
 	_ = x[PeerConnected-(600)]
 	_ = x[PeerLost-(601)]
+	_ = x[PeerRefused-(602)]
 	_ = x[StoreUnavailable-(700)]
 	_ = x[StoreRecovered-(701)]
 	_ = x[CommitOutcomeResolved-(702)]
 }
 
-var _NumberValues = []Number{ProcessStarted, ProcessServing, ProcessStopping, ProcessStopped, RequestAnswered, RequestNotRun, RequestUnknown, RequestRetried, RequestReplayed, ClaimLost, TargetEjected, TargetRestored, MemberJoined, MemberLapsed, DutyTaken, DutyReleased, HostAdopted, HostDraining, HostDrained, HostRebooting, HostReady, HostServing, HostFailed, HostLeaving, HostForgotten, HostMoved, WorkRefused, WorkResumed, DrainOverdue, MaintenanceBehind, ListDoubted, ListTrusted, RoutesSilenced, RoutesVouched, DutyConflict, JobAccepted, JobCancelRequested, JobReleased, JobStarted, JobFinished, JobRequeued, JobFailed, JobParked, JobUnknown, JobCancelled, JobLateAttempt, JobLapsed, JobLeaving, WorkerSuspected, WorkerCleared, JobDutyTaken, JobDutyLost, JobCommitFailed, ConfigAccepted, ConfigInForce, PeerConnected, PeerLost, StoreUnavailable, StoreRecovered, CommitOutcomeResolved}
+var _NumberValues = []Number{ProcessStarted, ProcessServing, ProcessStopping, ProcessStopped, RequestAnswered, RequestNotRun, RequestUnknown, RequestRetried, RequestReplayed, ClaimLost, TargetEjected, TargetRestored, MemberJoined, MemberLapsed, DutyTaken, DutyReleased, HostAdopted, HostDraining, HostDrained, HostRebooting, HostReady, HostServing, HostFailed, HostLeaving, HostForgotten, HostMoved, WorkRefused, WorkResumed, DrainOverdue, MaintenanceBehind, ListDoubted, ListTrusted, RoutesSilenced, RoutesVouched, DutyConflict, JobAccepted, JobCancelRequested, JobReleased, JobStarted, JobFinished, JobRequeued, JobFailed, JobParked, JobUnknown, JobCancelled, JobLateAttempt, JobLapsed, JobLeaving, WorkerSuspected, WorkerCleared, JobDutyTaken, JobDutyLost, JobCommitFailed, ConfigAccepted, ConfigInForce, ConfigRefused, ConfigAdopted, ConfigProved, PeerConnected, PeerLost, PeerRefused, StoreUnavailable, StoreRecovered, CommitOutcomeResolved}
 
 var _NumberNameToValueMap = map[string]Number{
 	_NumberName_0[0:15]:    ProcessStarted,
@@ -186,8 +190,12 @@
 	_NumberName_3[217:234]: JobCommitFailed,
 	_NumberName_4[0:15]:    ConfigAccepted,
 	_NumberName_4[15:30]:   ConfigInForce,
+	_NumberName_4[30:44]:   ConfigRefused,
+	_NumberName_4[44:58]:   ConfigAdopted,
+	_NumberName_4[58:71]:   ConfigProved,
 	_NumberName_5[0:14]:    PeerConnected,
 	_NumberName_5[14:23]:   PeerLost,
+	_NumberName_5[23:35]:   PeerRefused,
 	_NumberName_6[0:17]:    StoreUnavailable,
 	_NumberName_6[17:32]:   StoreRecovered,
 	_NumberName_6[32:55]:   CommitOutcomeResolved,
@@ -249,8 +257,12 @@
 	_NumberLowerName_3[217:234]: JobCommitFailed,
 	_NumberLowerName_4[0:15]:    ConfigAccepted,
 	_NumberLowerName_4[15:30]:   ConfigInForce,
+	_NumberLowerName_4[30:44]:   ConfigRefused,
+	_NumberLowerName_4[44:58]:   ConfigAdopted,
+	_NumberLowerName_4[58:71]:   ConfigProved,
 	_NumberLowerName_5[0:14]:    PeerConnected,
 	_NumberLowerName_5[14:23]:   PeerLost,
+	_NumberLowerName_5[23:35]:   PeerRefused,
 	_NumberLowerName_6[0:17]:    StoreUnavailable,
 	_NumberLowerName_6[17:32]:   StoreRecovered,
 	_NumberLowerName_6[32:55]:   CommitOutcomeResolved,
@@ -312,8 +324,12 @@
 	_NumberName_3[217:234],
 	_NumberName_4[0:15],
 	_NumberName_4[15:30],
+	_NumberName_4[30:44],
+	_NumberName_4[44:58],
+	_NumberName_4[58:71],
 	_NumberName_5[0:14],
 	_NumberName_5[14:23],
+	_NumberName_5[23:35],
 	_NumberName_6[0:17],
 	_NumberName_6[17:32],
 	_NumberName_6[32:55],
--- a/core/job/backlog.go
+++ b/core/job/backlog.go
@@ -1,16 +1,24 @@
 package job
 
-import "siskincross/core/config"
+import (
+	"time"
+
+	"siskincross/core/config"
+)
 
 // entry is a job in the scheduler's memory.
 type entry struct {
 	job Job
 	// task is set exactly while the job is running or cancelling.
 	task *task
+	// claim is the room that is being made for a waiting urgent job.
+	claim claim
 	// base is the commit ID of the row as it was last known.
 	base string
 	// dirty is true exactly while the row is behind the memory.
 	dirty bool
+	// floor is the least memory that the job's next attempt is expected to use.
+	floor int64
 	// queued is true exactly while the entry is in a lane and waiting.
 	queued bool
 	// ticket grows each time the entry is put into a lane; older places in a lane are void.
@@ -69,6 +77,8 @@
 	// running counts the team's tasks in the pool, without those that must leave.
 	running int
 	waiting int
+	// blocked is since when the team waits below its guarantee; zero if it does not.
+	blocked time.Time
 	urgent  lane
 	// failed holds jobs that failed on at least two workers, retries other jobs that ran before; they go first.
 	failed  lane
--- a/core/job/policy.go
+++ b/core/job/policy.go
@@ -36,7 +36,7 @@
 	MaxTries int
 	// Exposure bounds the tasks that an unproved worker may hold and fail.
 	Exposure int
-	// ProofAge is how long a task runs before it proves its worker.
+	// ProofAge is how long a task runs before it proves its worker, if no bad worker was slower to fail.
 	ProofAge time.Duration
 	// ProbeAfter is the wait before the first probe of a suspected worker; each further wait doubles.
 	ProbeAfter time.Duration
@@ -46,6 +46,8 @@
 	CheckpointWait time.Duration
 	// UrgentCheckpointWait replaces CheckpointWait when urgent work waits.
 	UrgentCheckpointWait time.Duration
+	// UsageLag is how late reports of usage are.
+	UsageLag time.Duration
 	// ThrottleAt, CheckpointAt and StopAt are shares of a worker's memory in use.
 	ThrottleAt, CheckpointAt, StopAt float64
 	// ThrottleShare is the share of its cores that a throttled task keeps.
@@ -63,11 +65,12 @@
 		LeaseMargin:          5 * time.Second,
 		MaxTries:             3,
 		Exposure:             3,
-		ProofAge:             time.Minute,
+		ProofAge:             10 * time.Second,
 		ProbeAfter:           2 * time.Minute,
 		MaxProbes:            2,
 		CheckpointWait:       10 * time.Second,
 		UrgentCheckpointWait: 1500 * time.Millisecond,
+		UsageLag:             6 * time.Second,
 		ThrottleAt:           0.88,
 		CheckpointAt:         0.92,
 		StopAt:               0.96,
@@ -91,6 +94,7 @@
 	p.MaxProbes = orDefault(p.MaxProbes, d.MaxProbes)
 	p.CheckpointWait = orDefault(p.CheckpointWait, d.CheckpointWait)
 	p.UrgentCheckpointWait = orDefault(p.UrgentCheckpointWait, d.UrgentCheckpointWait)
+	p.UsageLag = orDefault(p.UsageLag, d.UsageLag)
 	p.ThrottleAt = orDefault(p.ThrottleAt, d.ThrottleAt)
 	p.CheckpointAt = orDefault(p.CheckpointAt, d.CheckpointAt)
 	p.StopAt = orDefault(p.StopAt, d.StopAt)
