--- a/core/job/placement.go
+++ b/core/job/placement.go
@@ -30,7 +30,12 @@
 		return 0
 	}
 	placed := s.placeUrgent(now, limit)
-	return placed + s.placeTeams(now, limit-placed, workLanes)
+	if s.backlog.urgent > 0 {
+		s.makeRoom(now)
+	}
+	placed += s.placeTeams(now, limit-placed, workLanes)
+	s.takeBack(now)
+	return placed
 }
 
 func urgentLanes(t *team) []*lane { return []*lane{&t.urgent} }
@@ -54,13 +59,24 @@
 		}
 		if s.placeOne(p, lanes(t)) {
 			placed++
-		} else {
-			p.skip[t] = true
+			t.blocked = time.Time{}
+			continue
 		}
+		p.skip[t] = true
+		t.block(now)
 	}
 	return placed
 }
 
+// block notes that a team found no room.
+func (t *team) block(now time.Time) {
+	if !t.below() {
+		t.blocked = time.Time{}
+	} else if t.blocked.IsZero() {
+		t.blocked = now
+	}
+}
+
 func (s *Scheduler) placeOne(p pass, lanes []*lane) bool {
 	for _, l := range lanes {
 		for _, e := range l.first(lookahead) {
@@ -76,12 +92,12 @@
 }
 
 func (s *Scheduler) placeEntry(p pass, e *entry) bool {
-	fresh := len(e.job.Failures) == 0
+	fresh := len(e.job.Failures) == 0 && e.floor == 0
 	group := e.job.Spec.Group()
 	if fresh && p.unfit[group] {
 		return false
 	}
-	d := s.demand(e.job.Spec)
+	d := s.demand(e)
 	w := s.choose(e, d, p.now)
 	if w == nil {
 		p.unfit[group] = p.unfit[group] || fresh
@@ -98,13 +114,14 @@
 
 // demand returns what a job is expected to use, at most what the largest
 // worker gives to tasks: a declared size that fits nowhere is tried there.
-func (s *Scheduler) demand(spec Spec) Demand {
+func (s *Scheduler) demand(e *entry) Demand {
+	spec := e.job.Spec
 	if s.policy.Method != MethodLearned {
 		return Demand{Cores: float64(spec.Cores), MemoryBytes: spec.MemoryBytes, Learnt: true}
 	}
 	d := s.usage.Estimate(spec)
 	d.Cores = math.Min(d.Cores, s.largest.Cores)
-	d.MemoryBytes = min(d.MemoryBytes, s.largest.MemoryBytes)
+	d.MemoryBytes = min(max(d.MemoryBytes, e.floor), s.largest.MemoryBytes)
 	return d
 }
 
@@ -114,7 +131,7 @@
 	var bestScore float64
 	group := e.job.Spec.Group()
 	for _, w := range s.order {
-		if !s.fits(w, d) || now.Before(w.backoff) || !s.suspicion.allows(w, e, now) {
+		if !s.fits(w, d, e) || now.Before(w.backoff) || !s.suspicion.allows(w, e, now) {
 			continue
 		}
 		if s.policy.Method == MethodFirstFit {
@@ -128,17 +145,27 @@
 	return best
 }
 
-// fits reports whether a worker has room for a demand. Of tasks whose group is
-// not known yet, a worker holds at most one.
-func (s *Scheduler) fits(w *worker, d Demand) bool {
-	if !w.open || w.draining || len(w.tasks) >= s.slots(w) {
+// maxUnlearnt bounds the tasks of a worker whose usage is a guess, but for urgent ones.
+const maxUnlearnt = 2
+
+// fits reports whether a worker has room for a job, beside what others have claimed.
+func (s *Scheduler) fits(w *worker, d Demand, e *entry) bool {
+	claims, claimed := w.claims, w.claimed
+	if e.claim.worker == w {
+		claims--
+		claimed.Cores -= e.claim.demand.Cores
+		claimed.MemoryBytes -= e.claim.demand.MemoryBytes
+	}
+	if !w.open || w.draining || len(w.tasks)+claims >= s.slots(w) {
 		return false
 	}
 	room := s.room(w)
-	if w.demand.Cores+d.Cores > room.Cores || w.demand.MemoryBytes+d.MemoryBytes > room.MemoryBytes {
+	cores := w.demand.Cores + claimed.Cores + d.Cores
+	memory := w.demand.MemoryBytes + claimed.MemoryBytes + d.MemoryBytes
+	if cores > room.Cores || memory > room.MemoryBytes {
 		return false
 	}
-	return d.Learnt || !w.unlearnt()
+	return d.Learnt || e.job.Spec.Urgent || w.unlearnt() < maxUnlearnt
 }
 
 // room is what a worker gives to all its tasks together.
@@ -157,13 +184,15 @@
 	return max(0, w.capacity.Slots-s.policy.RequestSlots)
 }
 
-func (w *worker) unlearnt() bool {
+// unlearnt counts the tasks whose demand rests on the declared size.
+func (w *worker) unlearnt() int {
+	n := 0
 	for _, t := range w.tasks {
 		if !t.demand.Learnt {
-			return true
+			n++
 		}
 	}
-	return false
+	return n
 }
 
 const (
@@ -201,7 +230,8 @@
 	}
 	s.suspicion.probe(w, now)
 	s.backlog.remove(e)
+	e.claim.drop()
 	e.job = next
-	s.attach(e, w, &task{state: attemptChart.Initial, since: now, demand: d})
+	s.attach(e, w, &task{state: attemptChart.Initial, since: now, demand: d, estimate: d.MemoryBytes})
 	s.write(e)
 }
--- a/core/job/relief.go
+++ b/core/job/relief.go
@@ -45,6 +45,9 @@
 	if t.leave != leaveNone && !now.Add(wait).Before(t.leaveAt) {
 		return
 	}
+	if t.leave == leaveNone {
+		s.backlog.team(t.job.job.Spec.Team).running--
+	}
 	t.leave = why
 	t.leaveAt = now.Add(wait)
 	t.newProgress = false
@@ -122,32 +125,6 @@
 	return c, true
 }
 
-// pressure relieves a worker whose memory fills: the youngest movable task is
-// throttled, then checkpointed and stopped, then stopped at once.
-func (s *Scheduler) pressure(w *worker, now time.Time) {
-	if s.policy.Method != MethodLearned || w.capacity.MemoryBytes == 0 {
-		return
-	}
-	used := float64(w.usedMemory()) / float64(w.capacity.MemoryBytes)
-	if used < s.policy.ThrottleAt {
-		return
-	}
-	victims := w.victims()
-	if len(victims) == 0 {
-		return
-	}
-	v := victims[0]
-	switch {
-	case used >= s.policy.StopAt:
-		s.leave(v, leaveMemory, now)
-		v.leaveAt, v.asked = now, true
-	case used >= s.policy.CheckpointAt:
-		s.leave(v, leaveMemory, now)
-	default:
-		s.throttle(v)
-	}
-}
-
 // throttle lets a task use only a part of its cores.
 func (s *Scheduler) throttle(t *task) {
 	if t.throttled {
@@ -170,11 +147,15 @@
 			list = append(list, t)
 		}
 	}
+	sortYoungest(list)
+	return list
+}
+
+func sortYoungest(list []*task) {
 	sort.Slice(list, func(i, j int) bool {
 		if list[i].since.Equal(list[j].since) {
 			return list[i].job.job.ID > list[j].job.job.ID
 		}
 		return list[i].since.After(list[j].since)
 	})
-	return list
 }
--- a/core/job/scheduler.go
+++ b/core/job/scheduler.go
@@ -41,6 +41,8 @@
 	// largest is the most that one open worker gives to tasks.
 	largest Demand
 	notices []Notice
+	// tookBack is when slots were last taken back.
+	tookBack time.Time
 }
 
 func (s *Scheduler) init() {
@@ -127,11 +129,19 @@
 	}
 }
 
-// resume attaches a job whose attempt may be on its worker.
+// resume attaches a job whose attempt may be on its worker. The worker counts as
+// proved, so that a takeover does not keep new work from it.
 func (s *Scheduler) resume(e *entry, dispatched bool, now time.Time) {
 	w := s.worker(e.job.Host, now)
-	t := &task{state: attemptChart.Initial, since: now, demand: s.demand(e.job.Spec), dispatched: dispatched, resumed: true}
+	d := s.demand(e)
+	t := &task{
+		state: attemptChart.Initial, since: now, demand: d, estimate: d.MemoryBytes,
+		dispatched: dispatched, resumed: true,
+	}
 	s.attach(e, w, t)
+	if len(w.record.evidence) == 0 {
+		w.record.prove(now)
+	}
 	if e.job.State == StateCancelling {
 		s.leave(t, leaveCancel, now)
 	}
@@ -140,6 +150,7 @@
 // release detaches an entry from its worker and from the backlog.
 func (s *Scheduler) release(e *entry) {
 	s.backlog.remove(e)
+	e.claim.drop()
 	if e.task != nil {
 		s.detach(e.task)
 	}
@@ -162,7 +173,9 @@
 	s.free += s.occupied(t.worker)
 	t.worker.remove(t)
 	delete(s.leaving, t.job.job.ID)
-	s.backlog.team(t.job.job.Spec.Team).running--
+	if t.leave == leaveNone {
+		s.backlog.team(t.job.job.Spec.Team).running--
+	}
 	s.countSpread(t, -1)
 	t.job.task = nil
 }
