--- /dev/null
+++ b/io/rollout/apply.go
@@ -0,0 +1,145 @@
+package rollout
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/oklog/ulid/v2"
+
+	"siskincross/core/config"
+)
+
+// Change replaces the configuration of one organisation.
+type Change struct {
+	// ID makes the change recognisable when it is applied again after a lost answer. Empty means a new one.
+	ID           string `json:"id,omitempty"`
+	Organisation string `json:"organisation"`
+	// Template and Parameters are TOML texts.
+	Template   string `json:"template"`
+	Parameters string `json:"parameters"`
+	// From is the organisation's version that the change was made from; zero for a new organisation.
+	From config.Version `json:"from"`
+	// Restores is the version whose source a rollback takes; zero for other changes.
+	Restores config.Version `json:"restores,omitempty"`
+}
+
+func (c Change) source() config.Source {
+	return config.Source{Organisation: c.Organisation, Template: c.Template, Parameters: c.Parameters}
+}
+
+// Accepted tells the version of a change whose commit is known.
+type Accepted struct {
+	Version config.Version `json:"version"`
+	Change  string         `json:"change"`
+}
+
+// request is a change on its way through the committer.
+type request struct {
+	ctx    context.Context
+	change Change
+	// part is the organisation's configuration that the change expands to.
+	part     config.Expanded
+	received time.Time
+	// uncertain tells that a commit of the change has an unknown outcome.
+	uncertain bool
+	result    chan result
+}
+
+type result struct {
+	accepted Accepted
+	err      error
+}
+
+// Apply validates a change and commits it. It returns only when the commit is
+// known, or an error: config.ErrInvalid, ErrConflict, ErrNotAccepted, or
+// ErrOutcomeUnknown when ctx ended too early to know.
+func (m *Manager) Apply(ctx context.Context, change Change) (Accepted, error) {
+	m.init()
+	received := time.Now()
+	part, err := change.source().Expand()
+	if err != nil {
+		return Accepted{}, err
+	}
+	if change.ID == "" {
+		change.ID = ulid.Make().String()
+	}
+	if err := m.putSource(ctx, change); err != nil {
+		return Accepted{}, err
+	}
+	r := &request{ctx: ctx, change: change, part: part, received: received, result: make(chan result, 1)}
+	m.enqueue(r)
+	select {
+	case got := <-r.result:
+		return got.accepted, got.err
+	case <-ctx.Done():
+		return m.abandon(r)
+	}
+}
+
+// putSource stores the texts under the change's ID, before any row refers to them.
+func (m *Manager) putSource(ctx context.Context, change Change) error {
+	content, err := pack(change.source())
+	if err != nil {
+		return err
+	}
+	err = m.retry(ctx, func(ctx context.Context) error {
+		return m.Objects.Put(ctx, sourcePrefix+change.ID, content)
+	})
+	if err != nil {
+		return ErrNotAccepted{Change: change.ID, Reason: errors.Wrap(err, "store the source").Error()}
+	}
+	return nil
+}
+
+func (m *Manager) enqueue(r *request) {
+	m.mu.Lock()
+	m.pending = append(m.pending, r)
+	m.mu.Unlock()
+	m.signal()
+}
+
+func (m *Manager) signal() {
+	select {
+	case m.wake <- struct{}{}:
+	default:
+	}
+}
+
+// abandon takes back a change whose caller gave up. Only one that the committer
+// has not taken up is known not to be accepted.
+func (m *Manager) abandon(r *request) (Accepted, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for i, p := range m.pending {
+		if p == r {
+			m.pending = append(m.pending[:i:i], m.pending[i+1:]...)
+			return Accepted{}, ErrNotAccepted{Change: r.change.ID, Reason: context.Cause(r.ctx).Error()}
+		}
+	}
+	select {
+	case got := <-r.result:
+		return got.accepted, got.err
+	default:
+		return Accepted{}, ErrOutcomeUnknown{Change: r.change.ID}
+	}
+}
+
+// takePending returns the first pending change of each organisation. Later ones
+// wait, because their conflict is with the first only if that gets accepted.
+func (m *Manager) takePending() []*request {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	taken := make(map[string]bool)
+	var batch, rest []*request
+	for _, r := range m.pending {
+		if taken[r.change.Organisation] {
+			rest = append(rest, r)
+			continue
+		}
+		taken[r.change.Organisation] = true
+		batch = append(batch, r)
+	}
+	m.pending = rest
+	return batch
+}
