Bound the cost of placement and keep what was learnt over takeovers

Cause: a placement compared all workers, a takeover held all rows in memory at once, and a new holder neither knew usage nor bad workers.

Change: a placement compares at most 64 workers with room; rows are adopted page by page; the row job-learnt/<pool> keeps usage by group and the evidence against workers; the tables of names and groups are bounded; unchanged inputs are taken in once a second only.

--- a/core/job/placement.go
+++ b/core/job/placement.go
@@ -33,7 +33,11 @@
 	if s.backlog.urgent > 0 {
 		s.makeRoom(now)
 	}
-	placed += s.placeTeams(now, limit-placed, workLanes)
+	if s.free > s.reserved() {
+		placed += s.placeTeams(now, limit-placed, workLanes)
+	} else {
+		s.blockAll(now)
+	}
 	s.takeBack(now)
 	return placed
 }
@@ -68,6 +72,15 @@
 	return placed
 }
 
+// blockAll notes that no team finds room.
+func (s *Scheduler) blockAll(now time.Time) {
+	for _, t := range s.backlog.teams {
+		if t.waiting > 0 {
+			t.block(now)
+		}
+	}
+}
+
 // block notes that a team found no room.
 func (t *team) block(now time.Time) {
 	if !t.below() {
@@ -125,22 +138,40 @@
 	return d
 }
 
-// choose returns the best worker for a job, or nil.
+// maxCandidates bounds the workers with room that are compared for one job, so
+// that the cost of a placement does not grow with the pool.
+const maxCandidates = 64
+
+// choose returns the best worker for a job, or nil. Each search begins where the last ended.
 func (s *Scheduler) choose(e *entry, d Demand, now time.Time) *worker {
 	var best *worker
 	var bestScore float64
 	group := e.job.Spec.Group()
-	for _, w := range s.order {
+	candidates := 0
+	if s.policy.Method != MethodLearned {
+		s.cursor = 0
+	}
+	for range s.order {
+		w := s.order[s.cursor%len(s.order)]
+		s.cursor = (s.cursor + 1) % len(s.order)
 		if !s.fits(w, d, e) || now.Before(w.backoff) || !s.suspicion.allows(w, e, now) {
 			continue
 		}
 		if s.policy.Method == MethodFirstFit {
 			return w
 		}
-		score := s.score(w, e, d, group)
+		score := s.score(w, d, group)
+		if e.careful() && !w.reliable() {
+			score -= scoreTrust
+		} else {
+			candidates++
+		}
 		if best == nil || score > bestScore {
 			best, bestScore = w, score
 		}
+		if candidates >= maxCandidates {
+			return best
+		}
 	}
 	return best
 }
@@ -196,8 +227,8 @@
 }
 
 const (
-	// scoreTrust puts jobs that failed, and those that run only once, on proved workers.
-	scoreTrust = 1000
+	// scoreTrust is lost where a careful job meets a worker that is not reliable; it outweighs all else.
+	scoreTrust = 1e6
 	// scoreZone and scoreRack are lost for each task of the group in the same failure domain.
 	scoreZone = 10
 	scoreRack = 3
@@ -205,7 +236,7 @@
 
 // score rates a worker for a job; the highest is chosen. Failure domains
 // without the group's tasks come first, then the fullest worker.
-func (s *Scheduler) score(w *worker, e *entry, d Demand, group string) float64 {
+func (s *Scheduler) score(w *worker, d Demand, group string) float64 {
 	room := s.room(w)
 	cores := (w.demand.Cores + d.Cores) / room.Cores
 	memory := float64(w.demand.MemoryBytes+d.MemoryBytes) / float64(room.MemoryBytes)
@@ -215,13 +246,19 @@
 	}
 	score -= scoreZone * float64(s.spread[spreadKey{group, w.place.Zone}])
 	score -= scoreRack * float64(s.spread[spreadKey{group, w.place.Rack}])
-	careful := len(e.job.Failures) > 0 || !e.job.Spec.Idempotent
-	if careful && (w.record.proved.IsZero() || len(w.record.evidence) > 0) {
-		score -= scoreTrust
-	}
 	return score
 }
 
+// careful reports whether a job failed before, or must not run twice.
+func (e *entry) careful() bool {
+	return len(e.job.Failures) > 0 || !e.job.Spec.Idempotent
+}
+
+// reliable reports whether a worker ran a job well and failed none since.
+func (w *worker) reliable() bool {
+	return !w.record.proved.IsZero() && len(w.record.evidence) == 0
+}
+
 // start commits a job to a worker. The attempt is written before the worker hears of it.
 func (s *Scheduler) start(e *entry, w *worker, d Demand, now time.Time) {
 	next, err := e.job.WithStart(w.id, s.epoch)
--- /dev/null
+++ b/core/job/scale_test.go
@@ -0,0 +1,70 @@
+package job
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"siskincross/core/host"
+)
+
+// scaled returns a pool with a backlog, and time to spend.
+func scaled(tb testing.TB, workers, backlog, teams int) *bench {
+	tb.Helper()
+	b := newBench(&testing.T{}, workers)
+	b.truth = func(host.ID, Job) truth { return truth{duration: time.Hour, cores: 1, memory: gigabyte} }
+	b.s.SetTeams(quotaTeams(teams, workers*6/teams), 1)
+	for i := range 12 {
+		for range learntTasks {
+			b.s.usage.Observe(fmt.Sprintf("kunta/template-%d", i), 1, gigabyte)
+		}
+	}
+	for _, w := range b.s.order {
+		w.record.proved = b.now.Add(time.Hour)
+	}
+	for i := range backlog {
+		b.submit(1, benchSpec(fmt.Sprintf("team-%03d", i%teams), fmt.Sprintf("template-%d", i%12)))
+	}
+	return b
+}
+
+var scales = []int{55, 270, 900, 2700}
+
+// BenchmarkPlacement fills an empty pool from a backlog of 100,000 jobs.
+func BenchmarkPlacement(b *testing.B) {
+	for _, workers := range scales {
+		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
+			placed := 0
+			for b.Loop() {
+				b.StopTimer()
+				pool := scaled(b, workers, 100_000, 110)
+				b.StartTimer()
+				placed += pool.s.Place(pool.now, 1_000_000)
+			}
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(placed), "ns/placement")
+			b.ReportMetric(float64(placed)/float64(b.N), "placements")
+		})
+	}
+}
+
+// BenchmarkRound is one round of decisions about a full pool with a backlog.
+func BenchmarkRound(b *testing.B) {
+	for _, workers := range scales {
+		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
+			pool := scaled(b, workers, 100_000*workers/2700, 110)
+			pool.s.Place(pool.now, 1_000_000)
+			pool.commit()
+			teams := quotaTeams(110, workers*6/110)
+			for b.Loop() {
+				pool.now = pool.now.Add(time.Millisecond)
+				pool.s.SetWorkers(pool.targets, pool.now)
+				pool.s.SetDraining(nil, pool.now)
+				pool.s.SetTeams(teams, 1)
+				pool.s.Lapse(pool.now)
+				pool.s.Place(pool.now, 256)
+				pool.s.Commands(pool.now)
+				pool.commit()
+			}
+		})
+	}
+}
--- a/core/job/scheduler.go
+++ b/core/job/scheduler.go
@@ -32,6 +32,8 @@
 	ledger    ledger
 	// order holds the workers by ID, so that equal choices fall the same way.
 	order []*worker
+	// cursor is where in order the next search begins.
+	cursor int
 	// spread counts the tasks of a group by rack and by availability zone.
 	spread map[spreadKey]int
 	// leaving holds the tasks that must go.
@@ -41,6 +43,7 @@
 	// largest is the most that one open worker gives to tasks.
 	largest Demand
 	notices []Notice
+	names   interner
 	// tookBack is when slots were last taken back.
 	tookBack time.Time
 }
@@ -52,6 +55,7 @@
 	s.policy = s.Policy.withDefaults()
 	s.epoch = s.Epoch
 	s.jobs = make(map[ID]*entry)
+	s.names = make(interner)
 	s.workers = make(map[host.ID]*worker)
 	s.spread = make(map[spreadKey]int)
 	s.leaving = make(map[ID]*task)
@@ -111,6 +115,7 @@
 	if e == nil {
 		e = &entry{}
 	}
+	s.names.spec(&j.Spec)
 	dispatched := e.task == nil || e.task.dispatched
 	s.release(e)
 	e.job = j
@@ -158,6 +163,7 @@
 
 func (s *Scheduler) forget(e *entry) {
 	delete(s.jobs, e.job.ID)
+	delete(s.suspicion.failed, e.job.ID)
 }
 
 func (s *Scheduler) attach(e *entry, w *worker, t *task) {
--- a/core/job/suspicion.go
+++ b/core/job/suspicion.go
@@ -165,6 +165,9 @@
 	}
 	g := s.groups[group]
 	if g == nil {
+		if len(s.groups) >= maxGroups {
+			clear(s.groups)
+		}
 		g = &groupRecord{proved: make(map[host.ID]bool)}
 		s.groups[group] = g
 	}
--- a/core/job/usage.go
+++ b/core/job/usage.go
@@ -12,6 +12,8 @@
 	coreDeviations   = 1
 	// unlearntFactor multiplies the declared memory while a group's usage is not known.
 	unlearntFactor = 3
+	// maxGroups bounds the groups that are remembered.
+	maxGroups = 1024
 	// peakDecay is what remains of a group's highest memory after each task.
 	peakDecay = 0.98
 )
@@ -27,6 +29,8 @@
 // Usage learns the usage of groups of jobs. The zero value knows nothing.
 type Usage struct {
 	groups map[string]*groupUsage
+	// observed counts all tasks.
+	observed uint64
 }
 
 // groupUsage holds the moments of the peaks of a group's tasks.
@@ -36,6 +40,8 @@
 	memory moments
 	// peak is the highest memory of a task, decaying with each further task.
 	peak float64
+	// last is Usage.observed when the group's last task was learnt.
+	last uint64
 }
 
 // moments is an exponentially weighted mean and variance.
@@ -62,14 +68,31 @@
 	g := u.groups[group]
 	if g == nil {
 		g = &groupUsage{}
+		u.forgetOldest()
 		u.groups[group] = g
 	}
+	u.observed++
+	g.last = u.observed
 	g.tasks++
 	g.cores.add(cores, g.tasks)
 	g.memory.add(float64(memoryBytes), g.tasks)
 	g.peak = math.Max(g.peak*peakDecay, float64(memoryBytes))
 }
 
+// forgetOldest drops the group that was learnt longest ago, if there are too many.
+func (u *Usage) forgetOldest() {
+	if len(u.groups) < maxGroups {
+		return
+	}
+	oldest := ""
+	for name, g := range u.groups {
+		if oldest == "" || g.last < u.groups[oldest].last {
+			oldest = name
+		}
+	}
+	delete(u.groups, oldest)
+}
+
 // Estimate returns the demand of a job. Declared sizes count only while little
 // is known of the job's group; memory then counts several times, because
 // memory that was declared too small can't be taken back.
--- a/io/jobs/holder.go
+++ b/io/jobs/holder.go
@@ -46,6 +46,8 @@
 	// fence is the version of the fence row.
 	fence    uint64
 	fenceDue time.Time
+	taken    taken
+	learnt   learntRow
 
 	commit    retry
 	flushing  bool
@@ -162,6 +164,7 @@
 	}
 	h.send(ctx, h.scheduler.Commands(now))
 	h.flush(ctx)
+	h.saveLearnt(ctx, now)
 	h.tell()
 }
 
@@ -170,9 +173,7 @@
 	snapshot route.Snapshot
 	known    bool
 	draining []host.ID
-	teams    []config.Team
-	// share is the pool's part of its organisation's hosts.
-	share float64
+	expanded config.Expanded
 }
 
 func (m *Manager) inputs(pool string) inputs {
@@ -181,7 +182,7 @@
 	if m.Draining != nil {
 		in.draining = m.Draining(pool)
 	}
-	in.teams, in.share = teamsOf(m.Config(), pool)
+	in.expanded = m.Config()
 	return in
 }
 
@@ -206,13 +207,33 @@
 	return teams, float64(pool.Hosts) / float64(max(hosts, 1))
 }
 
-// take gives the scheduler what other parts know.
+// takeEvery is the time after which unchanged inputs are taken in again.
+const takeEvery = time.Second
+
+// taken tells which inputs the scheduler has.
+type taken struct {
+	snapshot route.Snapshot
+	config   config.Version
+	at       time.Time
+}
+
+// take gives the scheduler what other parts know, if it changed or some time has passed.
 func (h *holder) take(in inputs, now time.Time) {
-	if in.known {
+	last := h.taken
+	due := now.Sub(last.at) >= takeEvery
+	newer := in.snapshot.Newer(last.snapshot) || len(in.snapshot.Targets) != len(last.snapshot.Targets)
+	if in.known && (due || newer) {
 		h.scheduler.SetWorkers(in.snapshot.Targets, now)
+		h.taken.snapshot = in.snapshot
+	}
+	if due || in.expanded.Version != last.config {
+		h.scheduler.SetTeams(teamsOf(in.expanded, h.pool))
+		h.taken.config = in.expanded.Version
+	}
+	if due {
+		h.taken.at = now
 	}
 	h.scheduler.SetDraining(in.draining, now)
-	h.scheduler.SetTeams(in.teams, in.share)
 }
 
 // checkFence ends the loop of an entry host that is said to have lost the duty, once another has taken it.
--- a/io/jobs/recovery_test.go
+++ b/io/jobs/recovery_test.go
@@ -213,3 +213,60 @@
 		})
 	})
 }
+
+func TestBadWorkerStaysKnownOverTakeover(t *testing.T) {
+	withFixture(t, 6, func(f *fixture) {
+		bad := f.targets[2].Host
+		lost := 0
+		f.workers.behave = func(id host.ID, _ platform.TaskSpec) behaviour {
+			if id == bad {
+				lost++
+				return behaviour{duration: time.Second, failure: "no scratch space", cores: 1, memory: gigabyte}
+			}
+			return behaviour{duration: 10 * time.Second, cores: 1, memory: gigabyte}
+		}
+		a, crash := f.manager("a")
+		b, stop := f.manager("b")
+		defer stop()
+		f.awaitAll(f.submitMany(a, submission(), 60), 5*time.Minute)
+		f.is.Equal(a.Status().Pools[0].Suspected, []host.ID{bad})
+		time.Sleep(learntEvery)
+		before := lost
+		crash()
+		f.hold("b")
+		ids := f.submitMany(b, submission(), 60)
+		f.awaitAll(ids, 5*time.Minute)
+		f.is.Equal(b.Status().Pools[0].Suspected, []host.ID{bad})
+		f.is.True(lost <= before+1)
+		f.is.True(lost <= 5)
+	})
+}
+
+func TestDrainMovesTasks(t *testing.T) {
+	withFixture(t, 4, func(f *fixture) {
+		f.workers.behave = longTask
+		m, stop := f.manager("a")
+		defer stop()
+		moving := f.submitMany(m, submission(), 4)
+		staying := f.submitMany(m, once(), 2)
+		time.Sleep(30 * time.Second)
+		left := f.targets[0].Host
+		kept := 0
+		for _, id := range staying {
+			if f.row(id).Host == left {
+				kept++
+			}
+		}
+		f.is.True(m.TasksOn(left) > kept)
+		f.drain = []host.ID{left}
+		time.Sleep(15 * time.Second)
+		f.is.Equal(m.TasksOn(left), kept)
+		f.awaitAll(append(moving, staying...), time.Hour)
+		f.assertOnce(staying)
+		for _, start := range f.workers.log {
+			if start.spec.Task == start.spec.Job+".2" {
+				f.is.True(start.spec.Checkpoint != "")
+			}
+		}
+	})
+}
--- /dev/null
+++ b/io/jobs/scale_test.go
@@ -0,0 +1,145 @@
+package jobs
+
+import (
+	"context"
+	"fmt"
+	"runtime"
+	"sort"
+	"strings"
+	"testing"
+	"time"
+
+	"siskincross/core/config"
+	"siskincross/core/job"
+	"siskincross/core/route"
+	"siskincross/io/platform"
+	"siskincross/io/standin"
+)
+
+const (
+	scaleWorkers = 2700
+	scaleBacklog = 100_000
+	scaleRunning = 16_200
+	// scaleJobRate is the jobs a second that end on 21,600 slots if each takes ten minutes.
+	scaleJobRate = 21_600.0 / 600
+	// storeWrites and storeReads are what the table service handles a second.
+	storeWrites = 300.0
+	storeReads  = 2000.0
+)
+
+// scaleTable holds the rows of a large pool in order, behind the fence rows of a stand-in.
+func scaleTable(running, queued int) platform.Table {
+	rows := make([]platform.Row, 0, running+queued)
+	for i := range running + queued {
+		j := job.Job{
+			ID: job.ID(fmt.Sprintf("lessons-%026d", i)), State: job.StateQueued, Commit: "caller-00VHNCZB0MS599R25S48CWMWAE",
+			AcceptedMillis: int64(946684800000 + i),
+			Spec: job.Spec{
+				Organisation: "kunta", Queue: "kunta/render", Team: fmt.Sprintf("kunta/team-%03d", i%110), Program: "render --lesson lifting",
+				Cores: 4, MemoryBytes: 4 * gigabyte, Idempotent: true, Template: fmt.Sprintf("template-%d", i%12),
+			},
+		}
+		if i < running {
+			j.State, j.Attempt, j.Host, j.Epoch = job.StateRunning, 1, testTarget(i%scaleWorkers).Host, 1
+		}
+		rows = append(rows, platform.Row{Key: jobKey(testPool, j.ID), Version: uint64(i + 1), Value: encode(j)})
+	}
+	small := &standin.Table{}
+	table := small.Service()
+	table.Scan = func(_ context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+		if prefix != jobPrefix+testPool+"/" {
+			return nil, nil
+		}
+		from := sort.Search(len(rows), func(i int) bool { return rows[i].Key > after })
+		return rows[from:min(from+limit, len(rows))], nil
+	}
+	return table
+}
+
+func scaleManager(table platform.Table) *Manager {
+	var targets []route.Target
+	for i := range scaleWorkers {
+		targets = append(targets, testTarget(i))
+	}
+	m := &Manager{
+		Platform: platform.Platform{Table: table},
+		Config:   func() config.Expanded { return config.Expanded{Version: 1} },
+		Snapshot: func(string) (route.Snapshot, bool) { return route.Snapshot{Targets: targets}, true },
+		Member:   "a",
+	}
+	m.init()
+	return m
+}
+
+// BenchmarkTakeover rebuilds the state of one pool of 2,700 workers from 116,200 rows.
+func BenchmarkTakeover(b *testing.B) {
+	table := scaleTable(scaleRunning, scaleBacklog)
+	m := scaleManager(table)
+	for b.Loop() {
+		h := newHolder(m, testPool, 1)
+		if err := h.rebuild(b.Context()); err != nil {
+			b.Fatal(err)
+		}
+		if counts := h.scheduler.Counts(); counts.States[job.StateQueued] != scaleBacklog {
+			b.Fatalf("%d jobs wait", counts.States[job.StateQueued])
+		}
+	}
+}
+
+// BenchmarkMemory reports the heap that a waiting job takes after a takeover.
+func BenchmarkMemory(b *testing.B) {
+	m := scaleManager(scaleTable(0, scaleBacklog))
+	for b.Loop() {
+		before := heap()
+		h := newHolder(m, testPool, 1)
+		if err := h.rebuild(b.Context()); err != nil {
+			b.Fatal(err)
+		}
+		b.ReportMetric(float64(heap()-before)/scaleBacklog, "heap-bytes/job")
+		runtime.KeepAlive(h)
+	}
+}
+
+func heap() int64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return int64(stats.HeapAlloc)
+}
+
+// TestStoreOperations logs what a job costs the table service, from its
+// submission to its end, with jobs that arrive one by one at two entry hosts.
+func TestStoreOperations(t *testing.T) {
+	withFixture(t, 20, func(f *fixture) {
+		a, stopA := f.manager("a")
+		defer stopA()
+		b, stopB := f.manager("b")
+		defer stopB()
+		time.Sleep(time.Second)
+		before := f.table.Counts()
+		begin := time.Now()
+		var ids []job.ID
+		for i := range 600 {
+			ids = append(ids, f.submit([]*Manager{a, b}[i%2], submission(), "").ID)
+			time.Sleep(200 * time.Millisecond)
+		}
+		f.awaitAll(ids, time.Minute)
+		after := f.table.Counts()
+		n := float64(len(ids))
+		writes := float64(after.Writes-before.Writes) / n
+		reads := float64(after.Reads-before.Reads-len(ids)) / n
+		t.Logf("600 jobs in %v: %.2f commits, %.2f rows written and %.2f read a job; by purpose %v", time.Since(begin),
+			float64(after.Commits-before.Commits)/n, writes, reads, purposes(after, before))
+		f.is.True(writes <= storeWrites/scaleJobRate)
+		f.is.True(reads <= storeReads/scaleJobRate)
+	})
+}
+
+func purposes(after, before standin.TableCounts) string {
+	var parts []string
+	for purpose, n := range after.Purposes {
+		parts = append(parts, fmt.Sprintf("%s %d", purpose, n-before.Purposes[purpose]))
+	}
+	sort.Strings(parts)
+	return strings.Join(parts, ", ")
+}
--- a/io/jobs/store.go
+++ b/io/jobs/store.go
@@ -81,18 +81,19 @@
 	return rows, err
 }
 
-// scanAll returns all rows whose keys begin with prefix.
-func (m *Manager) scanAll(ctx context.Context, prefix string) ([]platform.Row, error) {
-	var all []platform.Row
+// scanPages calls visit with all rows whose keys begin with prefix, page by page.
+func (m *Manager) scanPages(ctx context.Context, prefix string, visit func(rows []platform.Row) error) error {
 	after := ""
 	for {
 		rows, err := m.scan(ctx, prefix, after, scanPage)
 		if err != nil {
-			return nil, err
+			return err
+		}
+		if err := visit(rows); err != nil {
+			return err
 		}
-		all = append(all, rows...)
 		if len(rows) < scanPage {
-			return all, nil
+			return nil
 		}
 		after = rows[len(rows)-1].Key
 	}
--- a/io/jobs/takeover.go
+++ b/io/jobs/takeover.go
@@ -38,28 +38,49 @@
 	}
 }
 
+// rebuild fences earlier holders and reads all rows. Notices are listed before
+// the jobs are scanned: the scan finds all jobs that they name.
 func (h *holder) rebuild(ctx context.Context) error {
 	if err := h.raiseFence(ctx); err != nil {
 		return err
 	}
-	// Notices are listed before the jobs are scanned: the scan finds all jobs that they name.
-	spent, err := h.m.scanAll(ctx, noticePrefix+h.pool+"/")
+	in := h.m.inputs(h.pool)
+	h.locked(func() { h.forget(in) })
+	if err := h.restoreLearnt(ctx); err != nil {
+		return err
+	}
+	err := h.m.scanPages(ctx, noticePrefix+h.pool+"/", func(rows []platform.Row) error {
+		for _, row := range rows {
+			h.notices.spend(row.Key)
+		}
+		return nil
+	})
 	if err != nil {
 		return err
 	}
-	rows, err := h.m.scanAll(ctx, jobPrefix+h.pool+"/")
+	err = h.m.scanPages(ctx, jobPrefix+h.pool+"/", func(rows []platform.Row) (err error) {
+		h.locked(func() { err = h.adoptAll(rows) })
+		return err
+	})
 	if err != nil {
 		return err
 	}
-	in := h.m.inputs(h.pool)
-	h.locked(func() { err = h.adoptAll(in, rows, spent) })
-	return err
+	h.locked(func() { h.rebuilt = true })
+	return nil
 }
 
-func (h *holder) adoptAll(in inputs, rows, spent []platform.Row) error {
-	now := time.Now()
+// forget begins anew with an empty memory.
+func (h *holder) forget(in inputs) {
 	h.scheduler = &job.Scheduler{Pool: h.pool, Epoch: h.epoch, Policy: h.m.Policy}
-	h.take(in, now)
+	h.retention = retention{}
+	h.notices.spent = nil
+	h.taken = taken{}
+	h.take(in, time.Now())
+}
+
+// adoptAll takes in a page of job rows.
+func (h *holder) adoptAll(rows []platform.Row) error {
+	now := time.Now()
 	for _, row := range rows {
 		j, err := decodeJob(row)
 		if err != nil {
@@ -71,10 +92,6 @@
 		}
 		h.scheduler.Put(j, now)
 	}
-	for _, row := range spent {
-		h.notices.spend(row.Key)
-	}
-	h.rebuilt = true
 	return nil
 }
 
