Take a group of claims only when it may be committed

Cause: a group was taken and then waited for its turn, so that what came meanwhile waited twice.

Change: the turn comes first.

--- a/io/entry/group.go
+++ b/io/entry/group.go
@@ -126,12 +126,19 @@
 		case <-ctx.Done():
 			return
 		}
-		for batch := g.take(); len(batch) > 0; batch = g.take() {
-			g.commit(ctx, batch)
+		for g.waiting() && g.pace.Wait(ctx) == nil {
+			g.commit(ctx, g.take())
 		}
 	}
 }
 
+func (g *group) waiting() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return len(g.pending) > 0
+}
+
+// take returns the next batch. It is taken only when it may be committed at once, so that it holds all that came meanwhile.
 func (g *group) take() []*rowChange {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -148,8 +155,8 @@
 // commit makes all changes of a batch, in as many rounds as others' writes of the same rows require.
 func (g *group) commit(ctx context.Context, batch []*rowChange) {
 	err := error(platform.ErrUnavailable{Service: "table", Reason: "others kept writing the same rows"})
-	for range maxRounds {
-		if waitErr := g.pace.Wait(ctx); waitErr != nil {
+	for round := range maxRounds {
+		if round > 0 && g.pace.Wait(ctx) != nil {
 			break
 		}
 		if readErr := g.look(ctx, batch); readErr != nil {
