--- a/io/entry/limits.go
+++ b/io/entry/limits.go
@@ -22,6 +22,8 @@
 	IdleConnections int
 	// ClaimCommits bounds the commits a second for claims of Idempotency-Keys, of all entry hosts together; 100 by default.
 	ClaimCommits float64
+	// KeyRetention is how long an Idempotency-Key and its answer are kept; 24 h by default. Afterwards it may run again.
+	KeyRetention time.Duration
 }
 
 const (
@@ -40,6 +42,7 @@
 	setDefault(&l.Deadline, 10*time.Minute)
 	setDefault(&l.IdleConnections, 3072)
 	setDefault(&l.ClaimCommits, 100)
+	setDefault(&l.KeyRetention, 24*time.Hour)
 	return l
 }
 
--- a/io/entry/serve.go
+++ b/io/entry/serve.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"siskincross/core/chart"
+	"siskincross/core/event"
 	"siskincross/core/route"
 )
 
@@ -89,6 +90,7 @@
 			s.fail(ctx, w, c, attempt, started)
 			return
 		}
+		s.record(event.Event{Number: event.RequestRetried, Pool: c.queue.Pool, Host: c.target, Request: c.id, Detail: attempt.Fault.String()})
 		target, refusal = p.again(ctx, waiter, target.Host)
 	}
 }
--- a/io/entry/server.go
+++ b/io/entry/server.go
@@ -94,6 +94,8 @@
 		loops.Go(func() { s.refreshPools(ctx) })
 		loops.Go(func() { s.group.run(ctx) })
 		loops.Go(func() { s.flights.run(ctx) })
+		sweep := sweeper{table: s.Table, objects: s.Objects, retention: s.limits.KeyRetention}
+		loops.Go(func() { sweep.run(ctx, s.members) })
 		loops.Wait()
 		s.transports.close()
 		done <- nil
--- /dev/null
+++ b/io/entry/sweep_test.go
@@ -0,0 +1,48 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"siskincross/core/route"
+	"siskincross/io/platform"
+	"siskincross/io/standin"
+)
+
+func TestSweepRemovesOldClaims(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	table, objects := &standin.Table{}, &memoryObjects{}
+	is.NoErr(objects.service().Put(t.Context(), "part", []byte("held")))
+	var tx platform.Transaction
+	for i := range 2*sweepRows + 1 {
+		claim := route.Claim{State: route.ClaimClaimed, ID: fmt.Sprint(i), ClaimedMillis: now.Add(-time.Duration(i%2+1) * time.Hour).UnixMilli()}
+		claim, err := claim.WithAnswer(route.KeptAnswer{Parts: []string{"part"}})
+		is.NoErr(err)
+		value, err := json.Marshal(claim)
+		is.NoErr(err)
+		tx.Writes = append(tx.Writes, platform.Write{Key: fmt.Sprintf("request/letting/%04d", i), Value: value})
+	}
+	tx.Writes = append(tx.Writes, platform.Write{Key: "requests", Value: []byte("{}")})
+	is.NoErr(table.Commit(t.Context(), tx))
+	removed := map[string]bool{}
+	service := objects.service()
+	service.Delete = func(_ context.Context, name string) error {
+		removed[name] = true
+		return nil
+	}
+	s := sweeper{table: table.Service(), objects: service, retention: 90 * time.Minute}
+	for range 3 {
+		s.sweep(t.Context(), now)
+	}
+	rows, err := table.Scan(t.Context(), "", "", 10*sweepRows)
+	is.NoErr(err)
+	is.Equal(len(rows), sweepRows+2) // the younger half and the row that is no claim
+	is.True(removed["part"])
+	is.Equal(s.after, "") // the next pass begins anew
+}
