Bound the request bodies that are kept for another attempt

Cause: a thousand waiting requests with bodies of 64 KiB took all of a node's memory, and queues without a stated bound had none.

Change: kept bodies share 8 MiB, beyond which bodies are streamed only; a queue has a bound of 200 by default; a target's own Siskincross headers do not reach callers. A test has the store fail right after a claim whose answer was lost: the claim is given back.

--- a/io/entry/answer.go
+++ b/io/entry/answer.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -186,11 +187,12 @@
 func copyHead(h http.Header, response *http.Response, c call) {
 	dropHopHeaders(response.Header)
 	for name, values := range response.Header {
-		h[name] = values
+		if !strings.HasPrefix(name, headerPrefix) {
+			h[name] = values
+		}
 	}
 	h.Set(headerOutcome, route.OutcomeAnswered.String())
 	h.Set(headerRequestID, c.id)
-	h.Del(headerRefused)
 }
 
 func addTrailers(h, trailers http.Header) {
--- a/io/entry/body.go
+++ b/io/entry/body.go
@@ -29,8 +29,8 @@
 	attempt int
 }
 
-func newBody(r *http.Request, limits Limits) *body {
-	b := &body{source: r.Body, length: r.ContentLength, limit: limits.ReplayBytes}
+func newBody(r *http.Request, limit int) *body {
+	b := &body{source: r.Body, length: r.ContentLength, limit: limit}
 	if r.Body == nil || r.Body == http.NoBody {
 		b.end = io.EOF
 		b.length = 0
@@ -38,6 +38,23 @@
 	return b
 }
 
+// reserve returns how many bytes of a request's body may be kept. The caller gives them back with release.
+func (s *Server) reserve(length int64) int {
+	want := int64(s.limits.ReplayBytes)
+	if length >= 0 {
+		want = min(want, length)
+	}
+	if s.kept.Add(want) > s.limits.KeptBytes {
+		s.kept.Add(-want)
+		return 0
+	}
+	return int(want)
+}
+
+func (s *Server) release(kept int) {
+	s.kept.Add(-int64(kept))
+}
+
 // prefetch reads the first bytes, so that a slow caller with a short body holds no target.
 func (b *body) prefetch() error {
 	if b.end != nil {
@@ -46,7 +63,7 @@
 	var kept bytes.Buffer
 	_, err := io.CopyN(&kept, b.source, int64(b.limit))
 	b.kept = kept.Bytes()
-	if errors.Is(err, io.EOF) {
+	if errors.Is(err, io.EOF) || err == nil && int64(len(b.kept)) == b.length {
 		b.end = io.EOF
 		b.length = int64(len(b.kept))
 		return nil
--- a/io/entry/keeper.go
+++ b/io/entry/keeper.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"strings"
 	"time"
 
 	"siskincross/core/chart"
@@ -129,7 +130,7 @@
 func keptHeader(h http.Header) map[string][]string {
 	kept := make(map[string][]string, len(h))
 	for name, values := range h {
-		if name != headerRequestID && name != headerOutcome && name != "Date" {
+		if !strings.HasPrefix(name, headerPrefix) && name != "Date" {
 			kept[name] = values
 		}
 	}
--- a/io/entry/keyed.go
+++ b/io/entry/keyed.go
@@ -87,7 +87,7 @@
 		s.refuse(w, c, route.Refusal{Reason: route.ReasonStoreUnavailable, RetryAfter: storeRetryAfter}, "")
 	default:
 		// The claim may stand, but nothing was dispatched for it: it is released when the store is back.
-		s.release(k)
+		s.giveBack(k)
 		s.refuse(w, c, route.Refusal{Reason: route.ReasonStoreUnavailable, RetryAfter: storeRetryAfter}, "")
 	}
 	return false
@@ -104,8 +104,8 @@
 	return s.group.write(ctx, &rowChange{key: key, claim: claim.ID, insert: true, value: value})
 }
 
-// release gives up a claim that may stand in the store and was not used.
-func (s *Server) release(k *keeper) {
+// giveBack gives up a claim that may stand in the store and was not used.
+func (s *Server) giveBack(k *keeper) {
 	if claim, err := k.claim.With(route.ClaimProveNotRun); err == nil {
 		k.ended = true
 		k.claim = claim
--- a/io/entry/keyed_test.go
+++ b/io/entry/keyed_test.go
@@ -149,6 +149,25 @@
 		p.release <- true
 		p.assertAnswer(t, p.hold(t, p.second))
 	})
+	t.Run("down after the claim's answer was lost", func(t *testing.T) {
+		is := is.New(t)
+		p := withPair(t, "held")
+		var once sync.Once
+		p.first.group.table.Commit = func(ctx context.Context, tx platform.Transaction) error {
+			err := p.first.table.Commit(ctx, tx)
+			once.Do(func() {
+				p.first.table.SetFaults(tableDown)
+				err = platform.ErrOutcomeUnknown{Service: "table"}
+			})
+			return err
+		}
+		assertOutcome(t, p.hold(t, p.first), http.StatusServiceUnavailable, route.OutcomeNotRun)
+		is.Equal(p.runs.Load(), int32(0)) // not run, as the caller was told
+		p.first.table.SetFaults(standin.TableFaults{})
+		p.release <- true
+		p.assertAnswer(t, p.hold(t, p.second)) // the claim was given back
+		p.assertAnswer(t, p.hold(t, p.first))
+	})
 	t.Run("down during the run", func(t *testing.T) {
 		p := withPair(t, "held")
 		replies := make(chan reply)
--- a/io/entry/limits.go
+++ b/io/entry/limits.go
@@ -10,6 +10,9 @@
 	BodyBytes int64
 	// ReplayBytes bounds the part of a request body that is kept for another attempt; 64 KiB by default.
 	ReplayBytes int
+	// KeptBytes bounds these parts of all requests together; 8 MiB by default. Beyond it bodies are
+	// streamed without being kept.
+	KeptBytes int64
 	// ReadHeader bounds the time in which a caller sends its headers; 5 s by default.
 	ReadHeader time.Duration
 	// Idle bounds how long a caller's connection is kept without a request; 60 s by default.
@@ -28,6 +31,7 @@
 
 const (
 	kib = 1 << 10
+	mib = 1 << 20
 	gib = 1 << 30
 )
 
@@ -36,6 +40,7 @@
 	setDefault(&l.HeaderBytes, 32*kib)
 	setDefault(&l.BodyBytes, gib)
 	setDefault(&l.ReplayBytes, 64*kib)
+	setDefault(&l.KeptBytes, 8*mib)
 	setDefault(&l.ReadHeader, 5*time.Second)
 	setDefault(&l.Idle, time.Minute)
 	setDefault(&l.Dial, time.Second)
--- a/io/entry/request.go
+++ b/io/entry/request.go
@@ -32,6 +32,8 @@
 const (
 	maxRequestIDLength = 128
 	maxKeyLength       = 255
+	// defaultMaxQueued bounds the waiting requests of a queue whose template states no bound.
+	defaultMaxQueued = 200
 )
 
 // call is one request of a caller, as it was understood.
@@ -214,12 +216,16 @@
 
 // waiter returns what the scheduler needs to know of the call.
 func (c call) waiter() *route.Waiter {
+	maxQueued := c.queue.MaxQueued
+	if maxQueued == 0 {
+		maxQueued = defaultMaxQueued
+	}
 	return &route.Waiter{
 		Flow:       route.Flow{Queue: c.queue.Name, Team: c.team.Name},
 		Weight:     c.team.Weight,
 		Urgent:     c.urgent,
 		Deadline:   c.deadline,
-		MaxQueued:  c.queue.MaxQueued,
+		MaxQueued:  maxQueued,
 		MaxTeam:    c.team.MaxQueued,
 		Repeatable: c.repeatable(),
 	}
--- a/io/entry/safety_test.go
+++ b/io/entry/safety_test.go
@@ -262,6 +262,18 @@
 	is.True(after.TotalAlloc-before.TotalAlloc < bound)
 }
 
+func TestKeptBodiesAreBounded(t *testing.T) {
+	is := is.New(t)
+	s := withSite(t, withTarget(t, func(w http.ResponseWriter, r *http.Request) { _, _ = io.Copy(w, r.Body) }))
+	s.limits.KeptBytes = 10
+	assertOutcome(t, s.call(t, "PUT", testPath, "ten bytes!"), http.StatusOK, route.OutcomeAnswered)
+	is.Equal(s.reserve(11), 0) // beyond the bound nothing is kept
+	got := s.call(t, "PUT", testPath, "eleven bytes")
+	assertOutcome(t, got, http.StatusOK, route.OutcomeAnswered)
+	is.Equal(got.body, "eleven bytes") // but the body is whole
+	is.Equal(s.kept.Load(), int64(0))  // and all is given back
+}
+
 // zeros is an endless body.
 type zeros struct{}
 
--- a/io/entry/serve.go
+++ b/io/entry/serve.go
@@ -30,7 +30,9 @@
 	}
 	defer bound(w, r, c.deadline)()
 	r.Body = http.MaxBytesReader(w, r.Body, s.limits.BodyBytes)
-	b := newBody(r, s.limits)
+	kept := s.reserve(r.ContentLength)
+	defer s.release(kept)
+	b := newBody(r, kept)
 	if err := b.prefetch(); err != nil {
 		s.refuse(w, c, route.Refusal{Reason: prefetchReason(err)}, "the request body did not arrive whole")
 		return
--- a/io/entry/server.go
+++ b/io/entry/server.go
@@ -55,6 +55,8 @@
 	// requests counts the requests in progress; draining refuses new ones.
 	requests atomic.Int64
 	draining atomic.Bool
+	// kept is the number of bytes of request bodies that may be kept by the requests in progress.
+	kept atomic.Int64
 }
 
 const (
