--- /dev/null
+++ b/io/replay/fleet.go
@@ -0,0 +1,78 @@
+package replay
+
+import (
+	"fmt"
+	"strings"
+
+	"siskincross/core/host"
+	"siskincross/io/standin"
+)
+
+// Delays of the platform for traces that state none.
+const (
+	defaultCores  = 64
+	defaultMemory = 128 * gibibyte
+)
+
+// fleet returns the stand-in's fleet that the trace describes.
+func (t Trace) fleet(seed uint64) standin.Fleet {
+	fleet := standin.Fleet{Seed: seed}
+	for _, e := range t.of(KindPlatform) {
+		fleet.ListLag, fleet.UsageLag, fleet.RebootTime = e.ListLag, e.UsageLag, e.Reboot
+	}
+	for _, e := range t.of(KindHosts) {
+		fleet.Hosts = append(fleet.Hosts, e.hosts()...)
+	}
+	return fleet
+}
+
+// hosts returns the hosts of one event of kind hosts. Whole racks go to the zones in turn.
+func (e Event) hosts() []standin.HostSpec {
+	_, name, _ := strings.Cut(e.Pool, "/")
+	specs := make([]standin.HostSpec, 0, e.Count)
+	for i := range e.Count {
+		rack := i / max(1, e.RackSize)
+		specs = append(specs, standin.HostSpec{
+			ID:       host.ID(fmt.Sprintf("%s-%02d", name, i+1)),
+			Place:    host.Place{Zone: e.Zones[rack%len(e.Zones)], Rack: fmt.Sprintf("%s-rack-%d", name, rack+1)},
+			Capacity: e.capacity(),
+			HomePool: e.Pool,
+		})
+	}
+	return specs
+}
+
+func (e Event) capacity() host.Capacity {
+	c := host.Capacity{Slots: e.Slots, Connections: e.Connections, Cores: e.Cores, MemoryBytes: e.MemoryBytes}
+	if c.Cores == 0 {
+		c.Cores = defaultCores
+	}
+	if c.MemoryBytes == 0 {
+		c.MemoryBytes = defaultMemory
+	}
+	return c
+}
+
+// budgets returns the stated availability budget of each pool.
+func (t Trace) budgets() map[string]int {
+	budgets := make(map[string]int)
+	for _, e := range t.of(KindHosts) {
+		budgets[e.Pool] = e.Budget
+	}
+	return budgets
+}
+
+// selected returns the hosts that an event names by host, rack, zone or pool.
+func (e Event) selected(fleet standin.Fleet) []host.ID {
+	var ids []host.ID
+	for _, spec := range fleet.Hosts {
+		matches := e.Host == "" || e.Host == string(spec.ID)
+		matches = matches && (e.Rack == "" || e.Rack == spec.Place.Rack)
+		matches = matches && (e.Zone == "" || e.Zone == spec.Place.Zone)
+		matches = matches && (e.Pool == "" || e.Pool == spec.HomePool)
+		if matches {
+			ids = append(ids, spec.ID)
+		}
+	}
+	return ids
+}
--- a/io/standin/table.go
+++ b/io/standin/table.go
@@ -31,6 +31,8 @@
 	serial uint64
 	faults TableFaults
 	counts TableCounts
+	// observe receives every transaction that takes effect.
+	observe func(at time.Time, tx platform.Transaction)
 }
 
 // TableCounts counts the calls that a table has answered.
@@ -46,6 +48,14 @@
 	return platform.Table{Commit: t.Commit, Read: t.Read, Scan: t.Scan}
 }
 
+// Observe makes the table call observe with every transaction that takes effect, in
+// their order. The call holds the table's lock.
+func (t *Table) Observe(observe func(at time.Time, tx platform.Transaction)) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.observe = observe
+}
+
 // SetFaults replaces the fault switches.
 func (t *Table) SetFaults(f TableFaults) {
 	t.mu.Lock()
@@ -176,4 +186,7 @@
 	t.counts.Commits++
 	t.counts.Writes += len(tx.Writes)
 	t.counts.Purposes[tx.Purpose] += len(tx.Writes)
+	if t.observe != nil {
+		t.observe(time.Now(), tx)
+	}
 }
