--- a/io/replay/replay.go
+++ b/io/replay/replay.go
@@ -62,19 +62,10 @@
 	if o.EntryHosts == 0 {
 		o.EntryHosts = defaultEntryHosts
 	}
-	if o.StartEntryHost == nil {
-		o.StartEntryHost = startNode
-	}
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: maxCallers}}
-	if o.Operator.Apply == nil {
-		o.Operator = newOperatorClient(client)
-	}
 	if o.Jobs.Submit == nil {
 		o.Jobs = newJobClient(client)
 	}
-	if o.Queues == nil {
-		o.Queues = queuesOf
-	}
 	return o
 }
 
--- /dev/null
+++ b/io/replay/thin_test.go
@@ -0,0 +1,178 @@
+package replay
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"siskincross/core/config"
+	"siskincross/core/host"
+	"siskincross/io/entry"
+	"siskincross/io/fleet"
+	"siskincross/io/platform"
+)
+
+// thin is a deployment of entry hosts made of the fleet's and the callers'
+// parts, connected by the table service alone. One configuration holds for all.
+type thin struct {
+	config  atomic.Pointer[config.Expanded]
+	periods fleet.Periods
+	// The seams of tests that break a part; nil means that it is whole.
+	breakPlatform func(platform.Platform) platform.Platform
+	breakManager  func(*fleet.Manager)
+	breakServer   func(*entry.Server)
+	breakHandler  func(http.Handler) http.Handler
+}
+
+// newThin returns a deployment with the pools and queues of thinTrace.
+func newThin() *thin {
+	d := &thin{periods: fleet.Periods{
+		Heartbeat: 500 * time.Millisecond, Lapse: 3 * time.Second, Poll: 200 * time.Millisecond, List: 200 * time.Millisecond,
+		Plan: 300 * time.Millisecond, Maintenance: 5 * time.Second, MoveTime: time.Second, Wave: time.Second,
+		Acknowledge: 100 * time.Millisecond,
+	}}
+	d.config.Store(&config.Expanded{Version: 1, Pools: []config.Pool{thinPool("o/a"), thinPool("o/b")}, Queues: []config.Queue{
+		thinQueue("o/deposits", "o/a"), thinQueue("o/quotes", "o/b"),
+	}})
+	return d
+}
+
+func thinPool(name string) config.Pool {
+	return config.Pool{Name: name, Organisation: "o", Hosts: 8, MinHosts: 6, MaxUnavailable: 2}
+}
+
+func thinQueue(name, pool string) config.Queue {
+	return config.Queue{Name: name, Organisation: "o", Pool: pool, MaxQueued: 100, Deadline: 2 * time.Second}
+}
+
+// operator returns operators who change the one configuration. Their parameters hold the name of the queue to add.
+func (d *thin) operator() OperatorClient {
+	return OperatorClient{
+		Head: func(context.Context, string) (uint64, error) { return uint64(d.config.Load().Version), nil },
+		Apply: func(_ context.Context, _ string, base uint64, _, parameters []byte) Applied {
+			current := d.config.Load()
+			next := *current
+			next.Version++
+			if len(parameters) > 0 {
+				next.Queues = append(slices.Clone(current.Queues), thinQueue(string(parameters), "o/b"))
+			}
+			if uint64(current.Version) != base || !d.config.CompareAndSwap(current, &next) {
+				return Applied{Conflict: true}
+			}
+			return Applied{Accepted: true}
+		},
+	}
+}
+
+func (d *thin) start(ctx context.Context, spec EntryHostSpec) (EntryHost, error) {
+	ctx, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	p := platform.NewHTTP(spec.Platform, nil)
+	if d.breakPlatform != nil {
+		p = d.breakPlatform(p)
+	}
+	manager, server := d.parts(spec, p)
+	ends := []<-chan error{manager.Start(ctx), server.Start(ctx)}
+	var stopping atomic.Bool
+	mux := http.NewServeMux()
+	mux.HandleFunc("/health", func(w http.ResponseWriter, _ *http.Request) {
+		if stopping.Load() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	handler := server.Handler()
+	if d.breakHandler != nil {
+		handler = d.breakHandler(handler)
+	}
+	mux.Handle("/", handler)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		cancel()
+		return EntryHost{}, err
+	}
+	httpServer := &http.Server{Handler: mux}
+	go func() { _ = httpServer.Serve(listener) }()
+	return EntryHost{
+		Callers: listener.Addr().String(), Operators: spec.Zone, Peers: "127.0.0.1:1",
+		Stop: func(ctx context.Context) error {
+			stopping.Store(true)
+			time.Sleep(500 * time.Millisecond)
+			err := server.Drain(ctx)
+			_ = manager.HandOver(ctx)
+			_ = httpServer.Close()
+			cancel()
+			for _, end := range ends {
+				<-end
+			}
+			return err
+		},
+		Kill: func() {
+			cancel()
+			_ = httpServer.Close()
+		},
+	}, nil
+}
+
+// parts returns the fleet's and the callers' part of an entry host.
+func (d *thin) parts(spec EntryHostSpec, p platform.Platform) (*fleet.Manager, *entry.Server) {
+	member := fmt.Sprintf("entry-%d-%d", spec.Index, spec.Incarnation)
+	current := func() config.Expanded { return *d.config.Load() }
+	server := &entry.Server{Config: current, Table: p.Table, Objects: p.Objects, Member: member}
+	manager := &fleet.Manager{
+		Member: member, Zone: spec.Zone, PeerAddress: "127.0.0.1:1", Platform: p, Config: current, Periods: d.periods,
+		InProgress: func(pool string) map[host.ID]int { return server.InProgress(pool) },
+		Demand:     func(pool string) (int, int, uint64) { return server.Demand(pool) },
+	}
+	server.Snapshot = manager.Snapshot
+	server.Members = func() int { return max(1, len(manager.Members())) }
+	server.PeerLoad = manager.PeerLoad
+	if d.breakManager != nil {
+		d.breakManager(manager)
+	}
+	if d.breakServer != nil {
+		d.breakServer(server)
+	}
+	return manager, server
+}
+
+const thinTrace = `0s platform list-lag=200ms usage-lag=1s reboot=300ms
+0s hosts pool=o/a count=8 zones=north,south slots=8 connections=64 rack-size=4 budget=2
+0s hosts pool=o/b count=8 zones=north,south slots=8 connections=64 rack-size=4 budget=2
+0s demand queue=o/deposits rate=60 work=100ms for=6s idempotent=false stream=0.3
+0s demand queue=o/quotes rate=60 work=20ms for=6s idempotent stream=0.3
+500ms apply parameters=late-quotes marker=o/late-quotes rival=early-quotes rival-marker=o/early-quotes
+1s answers pool=o/a cut=1
+1s answers pool=o/b cross=1
+2s entry index=1 replace
+7s end answered=0.8
+`
+
+// play replays thinTrace against the deployment.
+func (d *thin) play(t *testing.T) Report {
+	t.Helper()
+	is := is.New(t)
+	directory := t.TempDir()
+	for name, content := range map[string]string{
+		traceFile: thinTrace, templateFile: "", parametersFile: "",
+		"late-quotes": "o/late-quotes", "early-quotes": "o/early-quotes",
+	} {
+		is.NoErr(os.WriteFile(filepath.Join(directory, name), []byte(content), 0o600))
+	}
+	report, err := Run(t.Context(), Options{
+		Directory: directory, StartEntryHost: d.start, Operator: d.operator(),
+		Queues: func(_, _ []byte) (map[string]string, error) {
+			return map[string]string{"o/deposits": "o/a", "o/quotes": "o/b"}, nil
+		},
+	})
+	is.NoErr(err)
+	t.Log("\n" + report.String())
+	return report
+}
