--- a/core/route/board.go
+++ b/core/route/board.go
@@ -13,17 +13,26 @@
 //
 // The zero value knows no target. A Board is not safe for concurrent use.
 type Board struct {
+	// Room decides whether a target may get another request beside the own and the peers' requests
+	// in progress there; nil means the equal share, and beyond it what the peers leave idle.
+	Room func(t Target, own, peers int) bool
+	// Draws is the number of targets that the least loaded is taken of; zero means 2.
+	Draws int
+
 	// members is the number of entry hosts that share the targets; less than one means one.
 	members int
 
 	epoch, version uint64
 	seats          map[host.ID]*seat
+	// all holds the seats in the order in which they were first listed, so that decisions are repeatable.
+	all []*seat
 	// listed is the number of targets in the newest snapshot, total the own requests in progress.
 	listed, total int
 	// open holds the seats that may get another request, in no order.
 	open []*seat
 	// resting holds the seats that refused lately.
 	resting []*seat
+	outliers
 }
 
 // seat is one target's place on the board.
@@ -38,6 +47,7 @@
 	// refusals counts the refusals since the last start; restsUntil is when the target is tried again.
 	refusals   int
 	restsUntil time.Time
+	health     health
 }
 
 const (
@@ -59,25 +69,24 @@
 	}
 	b.epoch, b.version = s.Epoch, s.Version
 	b.listed = len(s.Targets)
-	for _, st := range b.seats {
+	for _, st := range b.all {
 		st.listed = false
 	}
 	for _, target := range s.Targets {
 		b.list(target)
 	}
-	for id, st := range b.seats {
+	for _, st := range b.all {
 		b.settle(st)
-		if !st.listed && st.own == 0 {
-			delete(b.seats, id)
-		}
 	}
+	b.forget()
 }
 
 func (b *Board) list(target Target) {
 	st := b.seats[target.Host]
 	if st == nil {
-		st = &seat{position: noPosition}
+		st = &seat{position: noPosition, health: health{state: TargetHealthy}}
 		b.seats[target.Host] = st
+		b.all = append(b.all, st)
 	}
 	st.target = target
 	st.listed = true
@@ -85,8 +94,8 @@
 
 // SetPeers replaces the requests that the other entry hosts have in progress, by host.
 func (b *Board) SetPeers(inProgress map[host.ID]int) {
-	for id, st := range b.seats {
-		st.peers = inProgress[id]
+	for _, st := range b.all {
+		st.peers = inProgress[st.target.Host]
 		b.settle(st)
 	}
 }
@@ -97,21 +106,22 @@
 		return
 	}
 	b.members = members
-	for _, st := range b.seats {
+	for _, st := range b.all {
 		b.settle(st)
 	}
 }
 
-// Acquire chooses a target with room and counts a request there. Of two targets
-// drawn at random it takes the less loaded one. Targets in avoid are taken only if no other has room.
-func (b *Board) Acquire(now time.Time, rng *rand.Rand, avoid []host.ID) (Target, bool) {
+// Acquire chooses a target with room for w and counts a request there. Of two targets drawn at
+// random it takes the less loaded one. Targets that w avoids are taken only if no other has room.
+// A target that is probed gets w first, if w may be repeated.
+func (b *Board) Acquire(now time.Time, rng *rand.Rand, w *Waiter) (Target, bool) {
 	b.wake(now)
-	if len(b.open) == 0 {
-		return Target{}, false
+	st := b.probe(now, w)
+	if st == nil {
+		st = b.choose(rng, w.Avoid)
 	}
-	st := b.draw(rng, avoid)
-	if other := b.draw(rng, avoid); other.load() < st.load() {
-		st = other
+	if st == nil {
+		return Target{}, false
 	}
 	st.own++
 	b.total++
@@ -119,6 +129,19 @@
 	return st.target, true
 }
 
+func (b *Board) choose(rng *rand.Rand, avoid []host.ID) *seat {
+	if len(b.open) == 0 {
+		return nil
+	}
+	st := b.draw(rng, avoid)
+	for range b.draws() - 1 {
+		if other := b.draw(rng, avoid); other.load() < st.load() {
+			st = other
+		}
+	}
+	return st
+}
+
 // Listed reports whether any target may receive new work.
 func (b *Board) Listed() bool {
 	return b.listed > 0
@@ -130,23 +153,39 @@
 	return len(b.open) > 0
 }
 
-// Release ends a request at a target. refused tells that the target did not start it.
-func (b *Board) Release(now time.Time, id host.ID, refused bool) {
+// Release ends an attempt at a target.
+func (b *Board) Release(now time.Time, id host.ID, a Attempt, took time.Duration) {
 	st := b.seats[id]
 	if st == nil || st.own == 0 {
 		return
 	}
 	st.own--
 	b.total--
-	if refused {
+	if a.Fault == FaultRefused {
 		b.rest(now, st)
 	} else {
 		st.refusals = 0
 	}
+	b.judge(now, st, a, took)
 	b.settle(st)
 	if !st.listed && st.own == 0 {
-		delete(b.seats, id)
+		b.forget()
+	}
+}
+
+// forget drops the seats that are neither listed nor in use.
+func (b *Board) forget() {
+	kept := b.all[:0]
+	for _, st := range b.all {
+		if st.listed || st.own > 0 {
+			kept = append(kept, st)
+			continue
+		}
+		delete(b.seats, st.target.Host)
+		b.out = without(b.out, st)
 	}
+	clear(b.all[len(kept):])
+	b.all = kept
 }
 
 // InProgress returns the own requests in progress by host, also on hosts outside the snapshot.
@@ -181,6 +220,13 @@
 	return max(1, t.Capacity.Connections/max(1, b.members))
 }
 
+func (b *Board) draws() int {
+	if b.Draws == 0 {
+		return 2
+	}
+	return b.Draws
+}
+
 func (b *Board) draw(rng *rand.Rand, avoid []host.ID) *seat {
 	st := b.open[rng.IntN(len(b.open))]
 	for range drawsToAvoid {
@@ -206,17 +252,23 @@
 	return false
 }
 
-// load is the share of the target's slots that is known to be taken.
+// load is the share of the target's slots that is known to be taken. A suspect counts as full.
 func (st *seat) load() float64 {
+	if st.health.suspect {
+		return 1 + float64(st.own)
+	}
 	return float64(st.own+st.peers) / float64(max(1, st.target.Capacity.Slots))
 }
 
 // room reports whether the target may get another request. An entry host may always use its
 // equal share of the slots, and beyond it those that the others were not using when last heard of.
 func (b *Board) room(st *seat) bool {
-	if !st.listed || !st.restsUntil.IsZero() || st.own >= b.Connections(st.target) {
+	if !st.listed || st.health.state != TargetHealthy || !st.restsUntil.IsZero() || st.own >= b.Connections(st.target) {
 		return false
 	}
+	if b.Room != nil {
+		return b.Room(st.target, st.own, st.peers)
+	}
 	slots := st.target.Capacity.Slots
 	share := max(1, slots/max(1, b.members))
 	return st.own < min(share, slots) || st.own+st.peers < slots
@@ -240,7 +292,10 @@
 	st.position = noPosition
 }
 
+// rest keeps requests away from a target that refused. The refusal tells that its slots are taken, which
+// stands until the peers' next figures.
 func (b *Board) rest(now time.Time, st *seat) {
+	st.peers = max(st.peers, st.target.Capacity.Slots-st.own)
 	if st.restsUntil.IsZero() {
 		b.resting = append(b.resting, st)
 	}
--- a/core/route/scheduler.go
+++ b/core/route/scheduler.go
@@ -53,7 +53,7 @@
 		return Admission{Refusal: s.refuse(rng, ReasonNoTargets)}
 	}
 	if s.queue.Len() == 0 {
-		if target, ok := s.Board.Acquire(now, rng, w.Avoid); ok {
+		if target, ok := s.Board.Acquire(now, rng, w); ok {
 			return Admission{Target: target, Placed: true}
 		}
 	}
@@ -67,6 +67,17 @@
 	return Admission{Waits: true, Displaced: displaced}
 }
 
+// Check returns the refusal that w would meet now, without counting it as an arrival.
+func (s *Scheduler) Check(now time.Time, rng *rand.Rand, w *Waiter) Refusal {
+	if !s.Board.Listed() {
+		return s.refuse(rng, ReasonNoTargets)
+	}
+	if s.Board.Open(now) || !now.Add(s.wait(w)).After(w.Deadline) {
+		return Refusal{}
+	}
+	return s.refuse(rng, ReasonDeadline)
+}
+
 // Again lets a request whose attempt failed wait for another target before all others.
 func (s *Scheduler) Again(w *Waiter, failed host.ID) {
 	w.Avoid = append(w.Avoid, failed)
@@ -89,7 +100,7 @@
 			grants = append(grants, Grant{Waiter: w, Refusal: s.refuse(rng, ReasonDeadline)})
 			continue
 		}
-		target, _ := s.Board.Acquire(now, rng, w.Avoid)
+		target, _ := s.Board.Acquire(now, rng, w)
 		grants = append(grants, Grant{Waiter: w, Target: target})
 	}
 	return grants
@@ -116,17 +127,17 @@
 
 // Finish ends an attempt at a target that took the given time.
 func (s *Scheduler) Finish(now time.Time, queue string, id host.ID, a Attempt, took time.Duration) {
-	s.Board.Release(now, id, a.Fault == FaultRefused)
+	s.Board.Release(now, id, a, took)
 	switch a.Fault {
 	case FaultNone:
 		s.Budget.Answer()
 		s.estimate.Observe(queue, took)
 	case FaultTimeout:
 		s.estimate.Observe(queue, took)
-		s.Budget.Fail()
+		s.Budget.Fail(a.Fault, s.Board.Total())
 	case FaultCaller:
 	default:
-		s.Budget.Fail()
+		s.Budget.Fail(a.Fault, s.Board.Total())
 	}
 }
 
