Ask for requests in progress without the fleet's lock

Under the race detector the two waited for each other for ever (io/replay, TestBrokenOnPurpose). Change: read the requests in progress before the lock is taken.

--- a/io/fleet/beat.go
+++ b/io/fleet/beat.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"maps"
+	"slices"
 	"time"
 
 	"siskincross/core/duty"
@@ -25,9 +26,10 @@
 // beat writes the member row once. The row has one writer, so it needs no
 // precondition, and a lost answer is settled by the next beat.
 func (m *Manager) beat(ctx context.Context, count uint64) {
+	own := m.ownRequests()
 	m.mu.Lock()
 	left := m.left
-	member := m.describe(time.Now())
+	member := m.describe(time.Now(), own)
 	m.mu.Unlock()
 	if left {
 		return
@@ -61,7 +63,7 @@
 const touchedTime = time.Minute
 
 // describe returns the member row. The caller holds the lock.
-func (m *Manager) describe(now time.Time) duty.Member {
+func (m *Manager) describe(now time.Time, own ownRequests) duty.Member {
 	member := duty.Member{
 		Name:    m.Member,
 		Zone:    m.Zone,
@@ -80,14 +82,14 @@
 			member.Rows[name] = max(member.Rows[name], r.version)
 		}
 	}
-	member.Routes, member.Busy = m.acknowledge(now)
+	member.Routes, member.Busy = m.acknowledge(now, own)
 	return member
 }
 
 // acknowledge returns the versions that this entry host has gone by for long
 // enough, for the pools with hosts out of service, and its requests in
 // progress on those hosts. The caller holds the lock.
-func (m *Manager) acknowledge(now time.Time) (map[string]uint64, map[host.ID]int) {
+func (m *Manager) acknowledge(now time.Time, own ownRequests) (map[string]uint64, map[host.ID]int) {
 	versions := make(map[string]uint64)
 	busy := make(map[host.ID]int)
 	for name, r := range m.rows {
@@ -97,18 +99,36 @@
 			continue
 		}
 		versions[name] = current.snapshot.Version
-		maps.Copy(busy, m.busyOutside(name, current))
+		maps.Copy(busy, own.outside(name, current))
 	}
 	return versions, busy
 }
 
-// busyOutside returns the requests in progress on hosts that a snapshot does not have.
-func (m *Manager) busyOutside(name string, current routes) map[host.ID]int {
-	busy := make(map[host.ID]int)
+// ownRequests holds this entry host's own requests in progress, by pool and host.
+type ownRequests map[string]map[host.ID]int
+
+// ownRequests asks for the requests in progress of all pools. It calls InProgress
+// without the lock, for the callers' side holds its own lock when it asks for a
+// snapshot. A request that is in progress before an acknowledgement is found: a
+// version is acknowledged only when it was gone by for a while.
+func (m *Manager) ownRequests() ownRequests {
 	if m.InProgress == nil {
-		return busy
+		return nil
+	}
+	m.mu.Lock()
+	names := slices.Collect(maps.Keys(m.rows))
+	m.mu.Unlock()
+	own := make(ownRequests, len(names))
+	for _, name := range names {
+		own[name] = m.InProgress(name)
 	}
-	for id, n := range m.InProgress(name) {
+	return own
+}
+
+// outside returns the requests in progress on hosts that a snapshot does not have.
+func (o ownRequests) outside(name string, current routes) map[host.ID]int {
+	busy := make(map[host.ID]int)
+	for id, n := range o[name] {
 		if n > 0 && !hasTarget(current.snapshot, id) {
 			busy[id] = n
 		}
--- a/io/fleet/peers.go
+++ b/io/fleet/peers.go
@@ -77,8 +77,9 @@
 
 // tellReports acknowledges the routes of pools with hosts out of service.
 func (m *Manager) tellReports() {
+	own := m.ownRequests()
 	m.mu.Lock()
-	versions, busy := m.acknowledge(time.Now())
+	versions, busy := m.acknowledge(time.Now(), own)
 	m.mu.Unlock()
 	for name, version := range versions {
 		report := &peerpb.RouteReport{Pool: name, Version: version, InProgress: counts(busy)}
