--- a/io/replay/broken_test.go
+++ b/io/replay/broken_test.go
@@ -43,6 +43,7 @@
 }
 
 func TestBrokenOnPurpose(t *testing.T) {
+	t.Parallel()
 	t.Run("skip the budget check", func(t *testing.T) {
 		assertBreaks(t, "availability-budget", func(d *thin) { d.breakManager = skipBudget })
 	})
--- a/io/replay/jobclient.go
+++ b/io/replay/jobclient.go
@@ -57,7 +57,7 @@
 			return JobStatus{State: reply.State, Final: jobFinals[reply.State], Finished: reply.State == jobFinished}, err
 		},
 		Result: func(ctx context.Context, address, organisation, id string) ([]byte, error) {
-			_, content, err := sendJob(ctx, client, http.MethodGet, jobURL(address, organisation, id)+"/result", nil, "")
+			content, err := sendJob(ctx, client, http.MethodGet, jobURL(address, organisation, id)+"/result", nil, "")
 			return content, err
 		},
 		Cancel: func(ctx context.Context, address, organisation, id string) error {
@@ -75,7 +75,7 @@
 	if err != nil {
 		return "", false, err
 	}
-	_, content, err := sendJob(ctx, client, http.MethodPost, jobURL(address, organisationOf(spec.Queue), ""), body, spec.Key)
+	content, err := sendJob(ctx, client, http.MethodPost, jobURL(address, organisationOf(spec.Queue), ""), body, spec.Key)
 	if err != nil {
 		return "", false, err
 	}
@@ -86,7 +86,7 @@
 
 func askJob(ctx context.Context, client *http.Client, method, address, organisation, id string) (jobReply, error) {
 	var reply jobReply
-	_, content, err := sendJob(ctx, client, method, jobURL(address, organisation, id), nil, "")
+	content, err := sendJob(ctx, client, method, jobURL(address, organisation, id), nil, "")
 	if err != nil {
 		return reply, err
 	}
@@ -102,17 +102,17 @@
 }
 
 // sendJob sends one request and reads the whole answer.
-func sendJob(ctx context.Context, client *http.Client, method, url string, body []byte, key string) (int, []byte, error) {
+func sendJob(ctx context.Context, client *http.Client, method, url string, body []byte, key string) ([]byte, error) {
 	request, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
 	if err != nil {
-		return 0, nil, err
+		return nil, err
 	}
 	if key != "" {
 		request.Header[headerKey] = []string{key}
 	}
 	response, err := client.Do(request)
 	if err != nil {
-		return 0, nil, err
+		return nil, err
 	}
 	defer func() { _ = response.Body.Close() }()
 	content, err := io.ReadAll(response.Body)
@@ -121,7 +121,7 @@
 		_ = json.Unmarshal(content, &reply)
 		err = errRefusedJob{status: response.StatusCode, detail: reply.Detail}
 	}
-	return response.StatusCode, content, err
+	return content, err
 }
 
 // wrongResult tells in what a result differs from the job's own, or "".
--- a/io/replay/thin_test.go
+++ b/io/replay/thin_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -110,7 +111,7 @@
 			_ = httpServer.Close()
 			cancel()
 			for _, end := range ends {
-				<-end
+				err = errors.Join(err, <-end)
 			}
 			return err
 		},
@@ -146,7 +147,7 @@
 const thinTrace = `0s platform list-lag=200ms usage-lag=1s reboot=300ms
 0s hosts pool=o/a count=8 zones=north,south slots=8 connections=64 rack-size=4 budget=2
 0s hosts pool=o/b count=8 zones=north,south slots=8 connections=64 rack-size=4 budget=2
-0s demand queue=o/deposits rate=60 work=100ms for=6s idempotent=false stream=0.3
+0s demand queue=o/deposits rate=60 work=400ms for=6s idempotent=false stream=0.3
 0s demand queue=o/quotes rate=60 work=20ms for=6s idempotent stream=0.3
 500ms apply parameters=late-quotes marker=o/late-quotes rival=early-quotes rival-marker=o/early-quotes
 1s answers pool=o/a cut=1
