Let the first live entry host commit the changes of all

Changes are now handed to the first live member, which commits those that wait together; any member still may commit, as each commit is conditional.

--- a/io/peer/kind.go
+++ b/io/peer/kind.go
@@ -21,6 +21,8 @@
 	KindLoadReport
 	KindVouch
 	KindAcknowledgement
+	KindConfigChange
+	KindConfigOutcome
 )
 
 // KindOf returns the kind of the envelope's body.
@@ -46,6 +48,10 @@
 		return KindVouch
 	case *peerpb.Envelope_Acknowledgement:
 		return KindAcknowledgement
+	case *peerpb.Envelope_ConfigChange:
+		return KindConfigChange
+	case *peerpb.Envelope_ConfigOutcome:
+		return KindConfigOutcome
 	default:
 		return KindUnknown
 	}
--- a/io/peer/kind_enumer.go
+++ b/io/peer/kind_enumer.go
@@ -8,11 +8,11 @@
 	"strings"
 )
 
-const _KindName = "unknownhelloroutesroute-reportconfig-headconfig-reporttimeline-requesttimeline-replyload-reportvouchacknowledgement"
+const _KindName = "unknownhelloroutesroute-reportconfig-headconfig-reporttimeline-requesttimeline-replyload-reportvouchacknowledgementconfig-changeconfig-outcome"
 
-var _KindIndex = [...]uint8{0, 7, 12, 18, 30, 41, 54, 70, 84, 95, 100, 115}
+var _KindIndex = [...]uint8{0, 7, 12, 18, 30, 41, 54, 70, 84, 95, 100, 115, 128, 142}
 
-const _KindLowerName = "unknownhelloroutesroute-reportconfig-headconfig-reporttimeline-requesttimeline-replyload-reportvouchacknowledgement"
+const _KindLowerName = "unknownhelloroutesroute-reportconfig-headconfig-reporttimeline-requesttimeline-replyload-reportvouchacknowledgementconfig-changeconfig-outcome"
 
 func (i Kind) String() string {
 	if i < 0 || i >= Kind(len(_KindIndex)-1) {
@@ -36,9 +36,11 @@
 	_ = x[KindLoadReport-(8)]
 	_ = x[KindVouch-(9)]
 	_ = x[KindAcknowledgement-(10)]
+	_ = x[KindConfigChange-(11)]
+	_ = x[KindConfigOutcome-(12)]
 }
 
-var _KindValues = []Kind{KindUnknown, KindHello, KindRoutes, KindRouteReport, KindConfigHead, KindConfigReport, KindTimelineRequest, KindTimelineReply, KindLoadReport, KindVouch, KindAcknowledgement}
+var _KindValues = []Kind{KindUnknown, KindHello, KindRoutes, KindRouteReport, KindConfigHead, KindConfigReport, KindTimelineRequest, KindTimelineReply, KindLoadReport, KindVouch, KindAcknowledgement, KindConfigChange, KindConfigOutcome}
 
 var _KindNameToValueMap = map[string]Kind{
 	_KindName[0:7]:     KindUnknown,
@@ -52,6 +54,8 @@
 	_KindName[84:95]:   KindLoadReport,
 	_KindName[95:100]:  KindVouch,
 	_KindName[100:115]: KindAcknowledgement,
+	_KindName[115:128]: KindConfigChange,
+	_KindName[128:142]: KindConfigOutcome,
 }
 
 var _KindLowerNameToValueMap = map[string]Kind{
@@ -66,6 +70,8 @@
 	_KindLowerName[84:95]:   KindLoadReport,
 	_KindLowerName[95:100]:  KindVouch,
 	_KindLowerName[100:115]: KindAcknowledgement,
+	_KindLowerName[115:128]: KindConfigChange,
+	_KindLowerName[128:142]: KindConfigOutcome,
 }
 
 var _KindNames = []string{
@@ -80,6 +86,8 @@
 	_KindName[84:95],
 	_KindName[95:100],
 	_KindName[100:115],
+	_KindName[115:128],
+	_KindName[128:142],
 }
 
 // KindString retrieves an enum value from the enum constants string name.
--- a/io/peer/session.go
+++ b/io/peer/session.go
@@ -130,8 +130,11 @@
 
 // call sends one envelope on a stream of its own and returns the answer.
 func (s *session) call(ctx context.Context, e *peerpb.Envelope) (*peerpb.Envelope, error) {
-	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
-	defer cancel()
+	if _, ok := ctx.Deadline(); !ok {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, exchangeTimeout)
+		defer cancel()
+	}
 	stream, err := s.mux.OpenStream()
 	if err != nil {
 		return nil, errors.Wrapf(err, "open a stream to %s", s.member)
--- a/io/rollout/apply.go
+++ b/io/rollout/apply.go
@@ -34,6 +34,8 @@
 	Change  string         `json:"change"`
 }
 
+var errEnded = errors.New("the entry host is stopping")
+
 // request is a change on its way through the committer.
 type request struct {
 	ctx    context.Context
@@ -67,13 +69,32 @@
 	if err := m.putSource(ctx, change); err != nil {
 		return Accepted{}, err
 	}
-	r := &request{ctx: ctx, change: change, part: part, received: received, result: make(chan result, 1)}
+	r := newRequest(ctx, change, part)
+	r.received = received
+	version, sent := m.forward(ctx, change)
+	if version != 0 {
+		m.noteAccepted(r, version)
+		m.checkRollouts()
+		return Accepted{Version: version, Change: change.ID}, nil
+	}
+	r.uncertain = sent
+	return m.submit(ctx, r)
+}
+
+func newRequest(ctx context.Context, change Change, part config.Expanded) *request {
+	return &request{ctx: ctx, change: change, part: part, received: time.Now(), result: make(chan result, 1)}
+}
+
+// submit hands a change to the committing goroutine and waits for its result.
+func (m *Manager) submit(ctx context.Context, r *request) (Accepted, error) {
 	m.enqueue(r)
 	select {
 	case got := <-r.result:
 		return got.accepted, got.err
 	case <-ctx.Done():
-		return m.abandon(r)
+		return m.abandon(r, context.Cause(ctx))
+	case <-m.ended:
+		return m.abandon(r, errEnded)
 	}
 }
 
@@ -108,13 +129,13 @@
 
 // abandon takes back a change whose caller gave up. Only one that the committer
 // has not taken up is known not to be accepted.
-func (m *Manager) abandon(r *request) (Accepted, error) {
+func (m *Manager) abandon(r *request, cause error) (Accepted, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for i, p := range m.pending {
 		if p == r {
 			m.pending = append(m.pending[:i:i], m.pending[i+1:]...)
-			return Accepted{}, ErrNotAccepted{Change: r.change.ID, Reason: context.Cause(r.ctx).Error()}
+			return Accepted{}, r.givenUp(cause)
 		}
 	}
 	select {
@@ -125,6 +146,14 @@
 	}
 }
 
+// givenUp is the error of a change that gets no further attempt.
+func (r *request) givenUp(cause error) error {
+	if r.uncertain {
+		return ErrOutcomeUnknown{Change: r.change.ID}
+	}
+	return ErrNotAccepted{Change: r.change.ID, Reason: cause.Error()}
+}
+
 // takePending returns the first pending change of each organisation. Later ones
 // wait, because their conflict is with the first only if that gets accepted.
 func (m *Manager) takePending() []*request {
--- a/io/rollout/apply_test.go
+++ b/io/rollout/apply_test.go
@@ -22,9 +22,9 @@
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		c := newCluster(t, members...)
+		defer c.stopAll()
 		synctest.Wait()
 		test(t, c)
-		c.stopAll()
 	})
 }
 
@@ -133,6 +133,17 @@
 			assertCommitted(t, c, 2)
 		})
 	})
+	t.Run("a stale read of the head is no conflict", func(t *testing.T) {
+		withCluster(t, three, func(t *testing.T, c *cluster) {
+			first := c.mustApply("a", c.change(9, 0))
+			second := c.mustApply("a", c.change(10, first.Version))
+			time.Sleep(100 * time.Millisecond)
+			c.start("d", func(m *Manager) { m.Table.Read = staleOnce(m.Table.Read) })
+			time.Sleep(3 * time.Second)
+			c.assertVersion(second.Version, "d")
+			c.mustApply("d", c.change(11, second.Version))
+		})
+	})
 	t.Run("the same change applied again after a lost answer is the same version", func(t *testing.T) {
 		withCluster(t, three, func(t *testing.T, c *cluster) {
 			is := is.New(t)
@@ -164,6 +175,18 @@
 	})
 }
 
+// staleOnce answers every read of the head after three seconds with no row, once.
+func staleOnce(read func(context.Context, []string) ([]platform.Row, error)) func(context.Context, []string) ([]platform.Row, error) {
+	begun, stale := time.Now(), false
+	return func(ctx context.Context, keys []string) ([]platform.Row, error) {
+		if !stale && time.Since(begun) >= 3*time.Second && keys[0] == headKey {
+			stale = true
+			return nil, nil
+		}
+		return read(ctx, keys)
+	}
+}
+
 // lateCommits makes the first commit of a manager look lost and take effect half a second later.
 func lateCommits(c *cluster) func(*Manager) {
 	return func(m *Manager) {
@@ -200,6 +223,7 @@
 			shown, err := c.node("c").Show(t.Context(), back.Version)
 			is.NoErr(err)
 			is.Equal(shown.Source.Parameters, c.change(9, 0).Parameters)
+			time.Sleep(100 * time.Millisecond)
 			pool, _ := c.node("b").Current().Pool(org + "/port-louis")
 			is.Equal(pool.Hosts, 9)
 		})
--- a/io/rollout/cluster_test.go
+++ b/io/rollout/cluster_test.go
@@ -40,8 +40,6 @@
 	handlers map[peer.Kind]peer.Handler
 	cancel   context.CancelFunc
 	done     <-chan error
-	// tables replaces the cluster's table when a test needs faults of one member only.
-	observed []config.Version
 }
 
 func newCluster(t testing.TB, members ...string) *cluster {
--- a/io/rollout/commit.go
+++ b/io/rollout/commit.go
@@ -84,14 +84,11 @@
 		if cause == nil {
 			cause = context.Cause(ctx)
 		}
-		switch {
-		case cause == nil:
+		if cause == nil {
 			rest = append(rest, r)
-		case r.uncertain:
-			r.result <- result{err: ErrOutcomeUnknown{Change: r.change.ID}}
-		default:
-			r.result <- result{err: ErrNotAccepted{Change: r.change.ID, Reason: cause.Error()}}
+			continue
 		}
+		r.result <- result{err: r.givenUp(cause)}
 	}
 	return rest
 }
--- a/io/rollout/manager.go
+++ b/io/rollout/manager.go
@@ -84,6 +84,8 @@
 	// pending are the changes that wait for the committer.
 	pending []*request
 	wake    chan struct{}
+	// ended is closed when the manager has ended.
+	ended chan struct{}
 	// lagging receives the members that need the configuration pushed.
 	lagging chan string
 	// ahead receives the members that hold a higher version.
@@ -106,6 +108,7 @@
 		m.reports = make(map[string]report)
 		m.rollouts = make(map[config.Version]*tracked)
 		m.wake = make(chan struct{}, 1)
+		m.ended = make(chan struct{})
 		m.lagging = make(chan string, exchangeQueue)
 		m.ahead = make(chan string, exchangeQueue)
 	})
@@ -117,10 +120,12 @@
 	if m.Link.Handle != nil {
 		m.Link.Handle(peer.KindConfigHead, m.handleHead)
 		m.Link.Handle(peer.KindConfigReport, m.handleReport)
+		m.Link.Handle(peer.KindConfigChange, m.handleChange)
 	}
 	done := make(chan error, 1)
 	go func() {
 		defer close(done)
+		defer close(m.ended)
 		group, ctx := errgroup.WithContext(ctx)
 		group.Go(func() error { return m.prove(ctx) })
 		group.Go(func() error { return m.follow(ctx) })
@@ -159,12 +164,6 @@
 	return m.current, m.content
 }
 
-func (m *Manager) isProved() bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.proved
-}
-
 // adopt replaces the configuration by a higher version and acknowledges it to all peers.
 func (m *Manager) adopt(e config.Expanded, content []byte, origin string) {
 	m.mu.Lock()
