Put an entry host together, with its operators' API and command line

Cause: the parts need one owner that starts them, connects them and ends them in order. A state chart in a file drives the process: serving, leaving (the health check fails, requests are still accepted), draining, handing over.

--- a/core/job/state.go
+++ b/core/job/state.go
@@ -73,3 +73,8 @@
 func OnWorker(s chart.State) bool {
 	return s == StateRunning || s == StateCancelling
 }
+
+// Charts returns the state charts of jobs and of attempts.
+func Charts() []chart.Chart {
+	return []chart.Chart{jobChart, attemptChart}
+}
--- a/io/cli/cli.go
+++ b/io/cli/cli.go
@@ -44,6 +44,15 @@
 		Suggest:               true,
 		ExitErrHandler:        func(context.Context, *cli.Command, error) {},
 		Commands: []*cli.Command{
+			serveCommand(),
+			checkCommand(),
+			configCommand(),
+			poolsCommand(),
+			hostsCommand(),
+			explainCommand(),
+			timelineCommand(),
+			jobCommand(),
+			loadCommand(),
 			documentsCommand(),
 		},
 	}
--- /dev/null
+++ b/io/cli/configuration.go
@@ -0,0 +1,271 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"siskincross/core/config"
+	"siskincross/io/operator"
+)
+
+// progressInterval is how often apply --wait asks for the roll-out's progress.
+const progressInterval = 200 * time.Millisecond
+
+func configCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "config",
+		Usage: "plans, applies and shows templates and parameters",
+		Commands: []*cli.Command{
+			planCommand(), applyCommand(), rollbackCommand(), historyCommand(), showCommand(), progressCommand(),
+		},
+	}
+}
+
+func changeFlags(more ...cli.Flag) []cli.Flag {
+	return operatorFlags(append([]cli.Flag{
+		&cli.StringFlag{Name: "template", Usage: "the organisation's template, a TOML `FILE`", Required: true, TakesFile: true},
+		&cli.StringFlag{Name: "parameters", Usage: "the organisation's parameters, a TOML `FILE`", Required: true, TakesFile: true},
+		fromFlag(),
+	}, more...)...)
+}
+
+func fromFlag() cli.Flag {
+	return &cli.Int64Flag{
+		Name:  "from",
+		Usage: "the `VERSION` that the change was made from",
+		Value: -1, DefaultText: "the organisation's newest",
+	}
+}
+
+func waitFlag() cli.Flag {
+	return &cli.BoolFlag{Name: "wait", Usage: "show the progress until the version is in force everywhere"}
+}
+
+func planCommand() *cli.Command {
+	return &cli.Command{
+		Name: "plan", Usage: "shows what a change would do, and changes nothing", ArgsUsage: "ORGANISATION",
+		Flags: changeFlags(),
+		Action: func(ctx context.Context, cmd *cli.Command) error {
+			change, err := readChange(ctx, cmd)
+			if err != nil {
+				return err
+			}
+			plan, err := operatorClient(cmd).Plan(ctx, change)
+			if err != nil {
+				return operatorFailure(err)
+			}
+			return show(cmd, plan, func(w io.Writer) error { return writePlan(w, plan) })
+		},
+	}
+}
+
+func writePlan(w io.Writer, plan operator.Plan) error {
+	if len(plan.Differences) == 0 {
+		_, err := fmt.Fprintf(w, "no difference to version %d\n", plan.From)
+		return err
+	}
+	fmt.Fprintf(w, "compared with version %d:\n  %s\n", plan.From, strings.Join(plan.Differences, "\n  "))
+	fmt.Fprintf(w, "%d hosts would change pools\n", plan.Moves)
+	for _, effect := range plan.Effects {
+		fmt.Fprintf(w, "  %s\n", effect)
+	}
+	return nil
+}
+
+func applyCommand() *cli.Command {
+	return &cli.Command{
+		Name: "apply", Usage: "commits a change", ArgsUsage: "ORGANISATION",
+		Description: "A change names the version that it was made from. If another change was accepted since then, this one is\n" +
+			"refused and the differences are shown.",
+		Flags: changeFlags(waitFlag()),
+		Action: func(ctx context.Context, cmd *cli.Command) error {
+			change, err := readChange(ctx, cmd)
+			if err != nil {
+				return err
+			}
+			accepted, err := operatorClient(cmd).Apply(ctx, change)
+			return finishChange(ctx, cmd, accepted, err)
+		},
+	}
+}
+
+func rollbackCommand() *cli.Command {
+	return &cli.Command{
+		Name: "rollback", Usage: "commits the text of an earlier version as a new one", ArgsUsage: "ORGANISATION VERSION",
+		Flags: operatorFlags(fromFlag(), waitFlag()),
+		Action: func(ctx context.Context, cmd *cli.Command) error {
+			to, err := parseVersion(cmd.Args().Get(1))
+			if err != nil {
+				return err
+			}
+			organisation := cmd.Args().First()
+			from, err := fromVersion(ctx, cmd, organisation)
+			if err != nil {
+				return err
+			}
+			r := operator.Rollback{Organisation: organisation, To: to, From: from}
+			accepted, err := operatorClient(cmd).Rollback(ctx, r)
+			return finishChange(ctx, cmd, accepted, err)
+		},
+	}
+}
+
+// finishChange reports an accepted change and, if asked to, waits until it is in force.
+func finishChange(ctx context.Context, cmd *cli.Command, accepted operator.Accepted, err error) error {
+	if err != nil {
+		return operatorFailure(err)
+	}
+	if !cmd.Bool("wait") {
+		return show(cmd, accepted, func(w io.Writer) error {
+			_, err := fmt.Fprintf(w, "accepted as version %d\n", accepted.Version)
+			return err
+		})
+	}
+	progress, err := awaitProgress(ctx, cmd, accepted.Version)
+	if err != nil {
+		return err
+	}
+	return show(cmd, progress, func(w io.Writer) error { return writeProgress(w, progress) })
+}
+
+func awaitProgress(ctx context.Context, cmd *cli.Command, version config.Version) (operator.Progress, error) {
+	for {
+		progress, err := operatorClient(cmd).Progress(ctx, version)
+		if err != nil {
+			return progress, operatorFailure(err)
+		}
+		if progress.InForce {
+			return progress, nil
+		}
+		fmt.Fprintf(cmd.Root().ErrWriter, "version %d waits for %s\n", version, strings.Join(progress.Waiting, ", "))
+		select {
+		case <-time.After(progressInterval):
+		case <-ctx.Done():
+			return progress, failed(ExitFailure, "stopped waiting: %w", ctx.Err())
+		}
+	}
+}
+
+func writeProgress(w io.Writer, p operator.Progress) error {
+	if !p.InForce {
+		_, err := fmt.Fprintf(w, "version %d waits for %s\n", p.Version, strings.Join(p.Waiting, ", "))
+		return err
+	}
+	_, err := fmt.Fprintf(w, "version %d is in force at %d entry hosts; roll-out time %s\n",
+		p.Version, len(p.Acknowledged), time.Duration(p.RollOutMillis)*time.Millisecond)
+	return err
+}
+
+func historyCommand() *cli.Command {
+	return &cli.Command{
+		Name: "history", Usage: "lists the accepted changes, newest first", ArgsUsage: "[ORGANISATION]",
+		Flags: operatorFlags(),
+		Action: func(ctx context.Context, cmd *cli.Command) error {
+			history, err := operatorClient(cmd).History(ctx, cmd.Args().First())
+			if err != nil {
+				return operatorFailure(err)
+			}
+			return show(cmd, history, func(w io.Writer) error { return writeHistory(w, history) })
+		},
+	}
+}
+
+func writeHistory(w io.Writer, history []operator.Entry) error {
+	t := newTable(w, "version", "organisation", "made from", "accepted (UTC)", "by entry host")
+	for _, e := range history {
+		t.AppendRow([]any{e.Version, e.Organisation, e.From, time.UnixMilli(e.AcceptedMillis).UTC().Format(time.RFC3339), e.Member})
+	}
+	t.Render()
+	return nil
+}
+
+func showCommand() *cli.Command {
+	return &cli.Command{
+		Name: "show", Usage: "prints the template and parameters of a version", ArgsUsage: "VERSION",
+		Flags: operatorFlags(),
+		Action: func(ctx context.Context, cmd *cli.Command) error {
+			version, err := parseVersion(cmd.Args().First())
+			if err != nil {
+				return err
+			}
+			source, err := operatorClient(cmd).Show(ctx, version)
+			if err != nil {
+				return operatorFailure(err)
+			}
+			return show(cmd, source, func(w io.Writer) error { return writeSource(w, source) })
+		},
+	}
+}
+
+func writeSource(w io.Writer, s operator.Source) error {
+	_, err := fmt.Fprintf(w, "# version %d of %s: template\n%s\n# parameters\n%s", s.Version, s.Organisation, s.Template, s.Parameters)
+	return err
+}
+
+func progressCommand() *cli.Command {
+	return &cli.Command{
+		Name: "progress", Usage: "shows which entry hosts a version is in force at", ArgsUsage: "VERSION",
+		Flags: operatorFlags(),
+		Action: func(ctx context.Context, cmd *cli.Command) error {
+			version, err := parseVersion(cmd.Args().First())
+			if err != nil {
+				return err
+			}
+			progress, err := operatorClient(cmd).Progress(ctx, version)
+			if err != nil {
+				return operatorFailure(err)
+			}
+			return show(cmd, progress, func(w io.Writer) error { return writeProgress(w, progress) })
+		},
+	}
+}
+
+func parseVersion(text string) (config.Version, error) {
+	version, err := strconv.ParseUint(text, 10, 64)
+	if err != nil || version == 0 {
+		return 0, failed(ExitUsage, "VERSION must be a whole number from 1, not %q", text)
+	}
+	return config.Version(version), nil
+}
+
+func readChange(ctx context.Context, cmd *cli.Command) (operator.Change, error) {
+	organisation := cmd.Args().First()
+	template, err := os.ReadFile(cmd.String("template"))
+	if err != nil {
+		return operator.Change{}, failed(ExitUsage, "read the template: %w", err)
+	}
+	parameters, err := os.ReadFile(cmd.String("parameters"))
+	if err != nil {
+		return operator.Change{}, failed(ExitUsage, "read the parameters: %w", err)
+	}
+	from, err := fromVersion(ctx, cmd, organisation)
+	return operator.Change{
+		Organisation: organisation,
+		Template:     string(template),
+		Parameters:   string(parameters),
+		From:         from,
+	}, err
+}
+
+// fromVersion returns the version that a change was made from: the one that was
+// stated, else the organisation's newest.
+func fromVersion(ctx context.Context, cmd *cli.Command, organisation string) (config.Version, error) {
+	if organisation == "" {
+		return 0, failed(ExitUsage, "%s needs an ORGANISATION", cmd.Name)
+	}
+	if stated := cmd.Int64("from"); stated >= 0 {
+		return config.Version(stated), nil
+	}
+	history, err := operatorClient(cmd).History(ctx, organisation)
+	if err != nil || len(history) == 0 {
+		return 0, operatorFailure(err)
+	}
+	return history[0].Version, nil
+}
--- a/io/cli/documents.go
+++ b/io/cli/documents.go
@@ -10,7 +10,11 @@
 
 	"github.com/urfave/cli/v3"
 
+	"siskincross/core/chart"
 	"siskincross/core/event"
+	"siskincross/core/host"
+	"siskincross/core/job"
+	"siskincross/io/node"
 )
 
 const (
@@ -70,7 +74,19 @@
 
 // documents returns all generated pages.
 func documents(root *cli.Command) []document {
-	return append(usageDocuments(root), document{path: "EVENTS.md", content: eventsDocument()})
+	return append(usageDocuments(root),
+		document{path: "EVENTS.md", content: eventsDocument()},
+		document{path: "CHARTS.md", content: chartsDocument()},
+	)
+}
+
+func chartsDocument() []byte {
+	var b bytes.Buffer
+	b.WriteString("# State charts\n\nThe program interprets these charts; they are rendered from the same files.\n\n")
+	for _, c := range append([]chart.Chart{host.Chart, node.Chart}, job.Charts()...) {
+		b.WriteString(c.Markdown())
+	}
+	return b.Bytes()
 }
 
 func eventsDocument() []byte {
--- /dev/null
+++ b/io/cli/explain.go
@@ -0,0 +1,125 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"siskincross/core/event"
+	"siskincross/io/fleet"
+	"siskincross/io/timeline"
+)
+
+// Explanation tells why a host or pool is as it is.
+type Explanation struct {
+	// Facts are sentences about the present.
+	Facts []string `json:"facts"`
+	// Events led there, oldest first.
+	Events []event.Event `json:"events"`
+}
+
+func explainCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "explain",
+		Usage: "tells why a host or pool is as it is, from events",
+		Commands: []*cli.Command{
+			{
+				Name:      "host",
+				Usage:     "tells why a host is where it is and what it waits for",
+				ArgsUsage: "HOST",
+				Flags:     operatorFlags(),
+				Action:    explain(explainHost, func(name string) timeline.Filter { return timeline.Filter{Host: name} }),
+			},
+			{
+				Name:      "pool",
+				Usage:     "tells which budget holds a pool's planned work back",
+				ArgsUsage: "ORGANISATION/POOL",
+				Flags:     operatorFlags(),
+				Action:    explain(explainPool, func(name string) timeline.Filter { return timeline.Filter{Pool: name} }),
+			},
+		},
+	}
+}
+
+func explain(facts func(fleet.Status, string) ([]string, error), filter func(string) timeline.Filter) cli.ActionFunc {
+	return func(ctx context.Context, cmd *cli.Command) error {
+		name := cmd.Args().First()
+		if name == "" {
+			return failed(ExitUsage, "explain %s needs a name", cmd.Name)
+		}
+		client := operatorClient(cmd)
+		status, err := client.Fleet(ctx)
+		if err != nil {
+			return operatorFailure(err)
+		}
+		var explanation Explanation
+		if explanation.Facts, err = facts(status, name); err != nil {
+			return err
+		}
+		if explanation.Events, err = client.Timeline(ctx, filter(name)); err != nil {
+			return operatorFailure(err)
+		}
+		return show(cmd, explanation, func(w io.Writer) error { return writeExplanation(w, explanation) })
+	}
+}
+
+func explainHost(s fleet.Status, name string) ([]string, error) {
+	for _, p := range s.Pools {
+		for _, h := range p.Hosts {
+			if string(h.ID) == name {
+				return append(hostFacts(p, h), poolFacts(p)...), nil
+			}
+		}
+	}
+	return nil, failed(ExitFailure, "no pool has a host %q", name)
+}
+
+func hostFacts(p fleet.PoolStatus, h fleet.HostStatus) []string {
+	facts := []string{
+		fmt.Sprintf("%s is in pool %s, its pool number %d, and is %s.", h.ID, p.Name, h.Generation, h.State),
+		fmt.Sprintf("It stands in zone %s, rack %s.", h.Place.Zone, h.Place.Rack),
+	}
+	if h.Reason != "" {
+		facts = append(facts, "Reason: "+h.Reason+".")
+	}
+	if h.WaitsFor != "" {
+		facts = append(facts, "It waits for: "+h.WaitsFor+".")
+	}
+	return append(facts, "Its next maintenance may start at "+h.MaintenanceDue.UTC().Format(time.RFC3339)+".")
+}
+
+func explainPool(s fleet.Status, name string) ([]string, error) {
+	for _, p := range s.Pools {
+		if p.Name == name {
+			return poolFacts(p), nil
+		}
+	}
+	return nil, failed(ExitFailure, "there is no pool %q", name)
+}
+
+func poolFacts(p fleet.PoolStatus) []string {
+	d := p.Disruptions
+	facts := []string{
+		fmt.Sprintf("Pool %s has %d hosts; %d of a budget of %d are unavailable: %d failed, %d leaving, %d planned.",
+			p.Name, len(p.Hosts), d.Total(), p.Limits.MaxUnavailable, d.Failed, d.Leaving, d.Planned),
+		fmt.Sprintf("Its duty is held by %s in epoch %d.", p.Holder, p.Epoch),
+	}
+	if p.WorkWaitsFor != "" {
+		facts = append(facts, "Planned work waits for: "+p.WorkWaitsFor+".")
+	}
+	if p.Behind {
+		facts = append(facts, "Its maintenance is forecast to miss its deadline.")
+	}
+	return facts
+}
+
+func writeExplanation(w io.Writer, e Explanation) error {
+	for _, fact := range e.Facts {
+		fmt.Fprintln(w, fact)
+	}
+	fmt.Fprintln(w)
+	return writeEvents(w, e.Events)
+}
--- /dev/null
+++ b/io/cli/serve.go
@@ -0,0 +1,75 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"siskincross/io/node"
+	"siskincross/io/platform"
+	"siskincross/io/settings"
+)
+
+// platformTimeout bounds one call to the platform.
+const platformTimeout = 10 * time.Second
+
+func settingsFlag() cli.Flag {
+	return &cli.StringFlag{
+		Name:      "settings",
+		Aliases:   []string{"s"},
+		Usage:     "read the entry host's settings from this TOML `FILE`",
+		Required:  true,
+		TakesFile: true,
+		Sources:   cli.EnvVars("SISKINCROSS_SETTINGS"),
+	}
+}
+
+func serveCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "serve",
+		Usage: "runs one entry host until SIGTERM or SIGINT",
+		Description: "On SIGTERM the health check fails first, then new requests are answered not-run, requests in\n" +
+			"progress are finished and the duties are handed over. A second signal ends the process at once.",
+		Flags:  []cli.Flag{settingsFlag()},
+		Action: runServe,
+	}
+}
+
+func runServe(ctx context.Context, cmd *cli.Command) error {
+	s, err := settings.Load(cmd.String("settings"))
+	if err != nil {
+		return failed(ExitUsage, "%w", err)
+	}
+	debug.SetMemoryLimit(s.Limits.MemoryBytes)
+	n := node.New(s, platform.NewHTTP(s.Platform.Address, &http.Client{Timeout: platformTimeout}))
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	context.AfterFunc(ctx, stop) // a second signal then ends the process
+	if err := <-n.Start(ctx); err != nil {
+		return failed(ExitFailure, "the entry host ended: %w", err)
+	}
+	return nil
+}
+
+func checkCommand() *cli.Command {
+	return &cli.Command{
+		Name:   "check",
+		Usage:  "validates an entry host's settings without starting it",
+		Flags:  []cli.Flag{settingsFlag()},
+		Action: runCheck,
+	}
+}
+
+func runCheck(_ context.Context, cmd *cli.Command) error {
+	s, err := settings.Load(cmd.String("settings"))
+	if err != nil {
+		return failed(ExitUsage, "%w", err)
+	}
+	_, err = fmt.Fprintf(cmd.Root().Writer, "settings of entry host %s of deployment %s are valid\n", s.Name, s.Deployment)
+	return err
+}
--- /dev/null
+++ b/io/cli/timeline.go
@@ -0,0 +1,71 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"siskincross/core/event"
+	"siskincross/io/timeline"
+)
+
+const eventTimeLayout = "15:04:05.000"
+
+func timelineCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "timeline",
+		Usage: "shows the events of all entry hosts in one order",
+		Flags: operatorFlags(
+			&cli.StringFlag{Name: "host", Usage: "only events of this `HOST`"},
+			&cli.StringFlag{Name: "pool", Usage: "only events of this `ORGANISATION/POOL`"},
+			&cli.StringFlag{Name: "job", Usage: "only events of this `JOB`"},
+			&cli.StringFlag{Name: "request", Usage: "only events of this `REQUEST`"},
+			&cli.StringFlag{Name: "html", Usage: "write a page with a lane for each process to this `FILE`", TakesFile: true},
+		),
+		Action: runTimeline,
+	}
+}
+
+func runTimeline(ctx context.Context, cmd *cli.Command) error {
+	events, err := operatorClient(cmd).Timeline(ctx, timeline.Filter{
+		Host:    cmd.String("host"),
+		Pool:    cmd.String("pool"),
+		Job:     cmd.String("job"),
+		Request: cmd.String("request"),
+	})
+	if err != nil {
+		return operatorFailure(err)
+	}
+	if path := cmd.String("html"); path != "" {
+		return writePage(path, events)
+	}
+	return show(cmd, events, func(w io.Writer) error { return writeEvents(w, events) })
+}
+
+func writePage(path string, events []event.Event) error {
+	file, err := os.Create(path)
+	if err != nil {
+		return failed(ExitFailure, "create the page: %w", err)
+	}
+	if err := timeline.WriteHTML(file, events); err != nil {
+		return failed(ExitFailure, "%w", err)
+	}
+	if err := file.Close(); err != nil {
+		return failed(ExitFailure, "close the page: %w", err)
+	}
+	return nil
+}
+
+func writeEvents(w io.Writer, events []event.Event) error {
+	t := newTable(w, "time (UTC)", "process", "event", "about", "detail")
+	for _, e := range events {
+		at := time.UnixMilli(e.Time.WallMillis).UTC().Format(eventTimeLayout)
+		t.AppendRow([]any{at, e.Process, fmt.Sprintf("%d %s", int(e.Number), e.Number), timeline.Subject(e), e.Detail})
+	}
+	t.Render()
+	return nil
+}
--- /dev/null
+++ b/io/measure/cluster.go
@@ -0,0 +1,175 @@
+package measure
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"siskincross/core/host"
+	"siskincross/io/node"
+	"siskincross/io/operator"
+	"siskincross/io/settings"
+	"siskincross/io/standin"
+)
+
+const (
+	// entryHosts is the number of entry hosts measured together.
+	entryHosts = 7
+	// designHosts and designPools are the sizes of the fleet designed for. Smaller fleets have pools in proportion.
+	designHosts = 2700
+	designPools = 49
+	// designTeams is the number of teams at the size designed for.
+	designTeams = 110
+	rackSize    = 4
+	zones       = 7
+
+	hostSlots       = 8
+	hostConnections = 64
+	hostCores       = 32
+	hostMemoryBytes = 64 << 30
+
+	organisation = "measured"
+	readyTimeout = 30 * time.Second
+)
+
+// cluster is a set of entry hosts in this process over one stand-in, without a
+// wire to it, so that what is measured is the entry hosts' own.
+type cluster struct {
+	platform *standin.Platform
+	nodes    []*node.Node
+	ends     []<-chan error
+	stop     context.CancelFunc
+}
+
+// startCluster returns when all entry hosts serve a configuration of size hosts.
+func startCluster(ctx context.Context, size int) (*cluster, error) {
+	ctx, stop := context.WithCancel(ctx)
+	c := &cluster{platform: standin.New(fleetOf(size)), stop: stop}
+	for i := range entryHosts {
+		if err := c.add(ctx, i); err != nil {
+			return nil, errors.Join(err, c.end())
+		}
+	}
+	if err := c.configure(ctx, size); err != nil {
+		return nil, errors.Join(err, c.end())
+	}
+	return c, nil
+}
+
+func (c *cluster) add(ctx context.Context, index int) error {
+	s, err := settings.Parse("measure", settingsText(index))
+	if err != nil {
+		return err
+	}
+	for _, n := range c.nodes {
+		s.Peers.Seeds = append(s.Peers.Seeds, n.Addresses().Peers)
+	}
+	n := node.New(s, c.platform.Services())
+	end := n.Start(ctx)
+	c.nodes = append(c.nodes, n)
+	c.ends = append(c.ends, end)
+	select {
+	case <-n.Listening():
+		return nil
+	case <-time.After(readyTimeout):
+		return errors.Newf("entry host %d does not listen", index)
+	}
+}
+
+// configure applies the configuration and waits until every entry host serves it.
+func (c *cluster) configure(ctx context.Context, size int) error {
+	client := operator.Client{Address: c.nodes[0].Addresses().Operators}
+	_, err := client.Apply(ctx, operator.Change{
+		Organisation: organisation,
+		Template:     templateText(size),
+		Parameters:   fmt.Sprintf("organisation = %q\ntemplate = \"measured\"\n", organisation),
+	})
+	if err != nil {
+		return errors.Wrap(err, "apply the configuration")
+	}
+	for i, n := range c.nodes {
+		select {
+		case <-n.Ready():
+		case <-time.After(readyTimeout):
+			return errors.Newf("entry host %d does not serve", i)
+		}
+	}
+	return nil
+}
+
+// end kills the entry hosts; their graceful shutdown is not what is measured.
+func (c *cluster) end() error {
+	for _, n := range c.nodes {
+		n.Kill()
+	}
+	c.stop()
+	var problems []error
+	for _, end := range c.ends {
+		problems = append(problems, <-end)
+	}
+	return errors.Join(problems...)
+}
+
+func settingsText(index int) string {
+	return fmt.Sprintf(`
+deployment = "measured"
+name = "entry-%d"
+zone = "zone-%d"
+callers.listen = "127.0.0.1:0"
+operators.listen = "127.0.0.1:0"
+peers.listen = "127.0.0.1:0"
+platform.address = "127.0.0.1:1"
+logs.level = "error"
+`, index+1, index%zones+1)
+}
+
+// poolsOf returns the number of pools of a fleet of size hosts.
+func poolsOf(size int) int {
+	return max(1, size*designPools/designHosts)
+}
+
+func teamsOf(size int) int {
+	return max(1, size*designTeams/designHosts)
+}
+
+func poolName(index int) string { return fmt.Sprintf("pool-%02d", index+1) }
+
+func fleetOf(size int) standin.Fleet {
+	pools := poolsOf(size)
+	hosts := make([]standin.HostSpec, size)
+	for i := range hosts {
+		rack := i / rackSize
+		hosts[i] = standin.HostSpec{
+			ID:    host.ID(fmt.Sprintf("host-%04d", i+1)),
+			Place: host.Place{Zone: fmt.Sprintf("zone-%d", rack%zones+1), Rack: fmt.Sprintf("rack-%03d", rack+1)},
+			Capacity: host.Capacity{
+				Slots: hostSlots, Connections: hostConnections, Cores: hostCores, MemoryBytes: hostMemoryBytes,
+			},
+			HomePool: organisation + "/" + poolName(rack%pools),
+		}
+	}
+	return standin.Fleet{Hosts: hosts, ListLag: time.Second, UsageLag: time.Second}
+}
+
+// templateText describes the pools, queues and teams of a fleet of size hosts.
+func templateText(size int) string {
+	var b strings.Builder
+	b.WriteString("name = \"measured\"\nslots-per-host = 8\n")
+	pools := poolsOf(size)
+	for i := range pools {
+		hosts := size / pools
+		fmt.Fprintf(&b, "[pools.%s]\nhosts = %d\nmin-hosts = %d\nmax-unavailable = 3\n", poolName(i), hosts, hosts/2)
+		fmt.Fprintf(&b, "buffer-weight = 1.0\nmove-weight = 1.0\n")
+		if i == 0 {
+			b.WriteString("spare = true\n")
+		}
+		fmt.Fprintf(&b, "[queues.queue-%02d]\npool = %q\nmax-queued = 200\ndeadline = \"2s\"\n", i+1, poolName(i))
+	}
+	for i := range teamsOf(size) {
+		fmt.Fprintf(&b, "[teams.team-%03d]\nweight = 1\nslots = 4\n", i+1)
+	}
+	return b.String()
+}
--- /dev/null
+++ b/io/measure/footprint.go
@@ -0,0 +1,166 @@
+package measure
+
+import (
+	"bufio"
+	"context"
+	"net/http"
+	"runtime"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	// settleTime is how long a cluster runs before it is measured, so that the
+	// hosts are adopted and the duties are spread.
+	settleTime = 15 * time.Second
+	// windowTime is how long a cluster is measured.
+	windowTime = 20 * time.Second
+	percent    = 100
+)
+
+// footprint is what one entry host of a cluster without callers' work takes.
+type footprint struct {
+	// processor is processor time in percent of a core.
+	processor float64
+	// memory is the live heap in bytes.
+	memory float64
+	// sent is the bytes a second sent to peers.
+	sent float64
+	// writes and reads are rows a second of all entry hosts together.
+	writes, reads float64
+}
+
+// Footprints measures a cluster once for each size and keeps the result. The zero value works.
+type Footprints struct {
+	bySize map[int]footprint
+}
+
+// Measurements returns the series of entry hosts without callers' work.
+func (f *Footprints) Measurements(sizes []int) []Measurement {
+	series := []struct {
+		name, unit, meaning string
+		value               func(footprint) float64
+	}{
+		{"control-processor", "% of a core", "Processor time of one entry host.", func(p footprint) float64 { return p.processor }},
+		{"control-memory", "bytes", "Live heap of one entry host.", func(p footprint) float64 { return p.memory }},
+		{"control-sent", "bytes/s", "What one entry host sends to its peers.", func(p footprint) float64 { return p.sent }},
+		{"store-writes", "rows/s", "Rows that all entry hosts write.", func(p footprint) float64 { return p.writes }},
+		{"store-reads", "rows/s", "Rows that all entry hosts read.", func(p footprint) float64 { return p.reads }},
+	}
+	measurements := make([]Measurement, len(series))
+	for i, s := range series {
+		measurements[i] = Measurement{
+			Name: s.name, Unit: s.unit, Meaning: s.meaning, Sizes: sizes,
+			Run: func(ctx context.Context, size int) (float64, error) {
+				p, err := f.at(ctx, size)
+				return s.value(p), err
+			},
+		}
+	}
+	return measurements
+}
+
+func (f *Footprints) at(ctx context.Context, size int) (footprint, error) {
+	if p, ok := f.bySize[size]; ok {
+		return p, nil
+	}
+	p, err := measureFootprint(ctx, size)
+	if err != nil {
+		return p, err
+	}
+	if f.bySize == nil {
+		f.bySize = make(map[int]footprint)
+	}
+	f.bySize[size] = p
+	return p, nil
+}
+
+// reading is the state of all counters at one time.
+type reading struct {
+	at            time.Time
+	processor     time.Duration
+	sent          float64
+	writes, reads float64
+}
+
+func measureFootprint(ctx context.Context, size int) (footprint, error) {
+	before := liveHeap()
+	c, err := startCluster(ctx, size)
+	if err != nil {
+		return footprint{}, err
+	}
+	time.Sleep(settleTime)
+	first, err := c.read(ctx)
+	if err != nil {
+		return footprint{}, errors.Join(err, c.end())
+	}
+	time.Sleep(windowTime)
+	second, err := c.read(ctx)
+	if err != nil {
+		return footprint{}, errors.Join(err, c.end())
+	}
+	memory := (liveHeap() - before) / entryHosts
+	p := difference(first, second)
+	p.memory = memory
+	return p, c.end()
+}
+
+func difference(first, second reading) footprint {
+	seconds := second.at.Sub(first.at).Seconds()
+	return footprint{
+		processor: (second.processor - first.processor).Seconds() / seconds / entryHosts * percent,
+		sent:      (second.sent - first.sent) / seconds / entryHosts,
+		writes:    (second.writes - first.writes) / seconds,
+		reads:     (second.reads - first.reads) / seconds,
+	}
+}
+
+func (c *cluster) read(ctx context.Context) (reading, error) {
+	r := reading{at: time.Now()}
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		return r, errors.Wrap(err, "read the processor time")
+	}
+	r.processor = time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+	counts := c.platform.Table.Counts()
+	r.writes, r.reads = float64(counts.Writes), float64(counts.Reads)
+	for _, n := range c.nodes {
+		sent, err := metric(ctx, n.Addresses().Operators, "siskincross_peer_sent_bytes")
+		if err != nil {
+			return r, err
+		}
+		r.sent += sent
+	}
+	return r, nil
+}
+
+// metric returns the value of a metric without tags of its own.
+func metric(ctx context.Context, address, name string) (float64, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/metrics", nil)
+	if err != nil {
+		return 0, errors.Wrap(err, "make the request")
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return 0, errors.Wrap(err, "read the metrics")
+	}
+	defer func() { _ = response.Body.Close() }()
+	lines := bufio.NewScanner(response.Body)
+	for lines.Scan() {
+		if fields := strings.Fields(lines.Text()); len(fields) > 1 && strings.HasPrefix(fields[0], name+"{") {
+			return strconv.ParseFloat(fields[len(fields)-1], 64)
+		}
+	}
+	return 0, errors.Newf("there is no metric %s", name)
+}
+
+func liveHeap() float64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return float64(stats.HeapAlloc)
+}
--- /dev/null
+++ b/io/node/observe.go
@@ -0,0 +1,85 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"sync"
+
+	"github.com/uber-go/tally/v4"
+
+	"siskincross/core/event"
+	"siskincross/io/platform"
+	"siskincross/io/timeline"
+)
+
+// storeWatch records when the table service stops answering and when it answers again.
+type storeWatch struct {
+	recorder *timeline.Recorder
+
+	mu sync.Mutex
+	// outage is the event of the current outage; empty while the service answers.
+	outage event.ID
+}
+
+// observe returns p with its table's calls counted by purpose and its outages recorded.
+func observe(p platform.Platform, scope tally.Scope, recorder *timeline.Recorder) platform.Platform {
+	watch := &storeWatch{recorder: recorder}
+	store := scope.SubScope("store")
+	table := p.Table
+	p.Table = platform.Table{
+		Commit: func(ctx context.Context, tx platform.Transaction) error {
+			store.Tagged(map[string]string{"purpose": tx.Purpose}).Counter("writes").Inc(int64(len(tx.Writes)))
+			err := table.Commit(ctx, tx)
+			watch.see(err)
+			return err
+		},
+		Read: func(ctx context.Context, keys []string) ([]platform.Row, error) {
+			rows, err := table.Read(ctx, keys)
+			store.Counter("reads").Inc(int64(len(keys)))
+			watch.see(err)
+			return rows, err
+		},
+		Scan: func(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+			rows, err := table.Scan(ctx, prefix, after, limit)
+			store.Counter("reads").Inc(int64(len(rows)))
+			watch.see(err)
+			return rows, err
+		},
+	}
+	return p
+}
+
+// see notes the result of one call. A conflict or a lost answer is no outage.
+func (w *storeWatch) see(err error) {
+	var unavailable platform.ErrUnavailable
+	down := errors.As(err, &unavailable)
+	if down {
+		w.begin(unavailable)
+		return
+	}
+	if err == nil {
+		w.end()
+	}
+}
+
+func (w *storeWatch) begin(cause platform.ErrUnavailable) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.outage == "" {
+		w.outage = w.recorder.Record(event.Event{Number: event.StoreUnavailable, Detail: cause.Reason})
+	}
+}
+
+func (w *storeWatch) end() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.outage != "" {
+		w.recorder.Record(event.Event{Number: event.StoreRecovered, Cause: w.outage})
+		w.outage = ""
+	}
+}
+
+// countEvent counts e by its kind.
+func countEvent(scope tally.Scope, e event.Event) {
+	scope.Tagged(map[string]string{"event": e.Number.String()}).Counter("events").Inc(1)
+}
--- /dev/null
+++ b/io/node/parts.go
@@ -0,0 +1,137 @@
+package node
+
+import (
+	"context"
+
+	"siskincross/core/event"
+	"siskincross/core/host"
+	"siskincross/io/entry"
+	"siskincross/io/fleet"
+	"siskincross/io/jobs"
+	"siskincross/io/operator"
+	"siskincross/io/peer"
+	"siskincross/io/peer/peerpb"
+	"siskincross/io/rollout"
+)
+
+// assemble makes the parts and connects them by function fields.
+func (n *Node) assemble() {
+	n.link = newLink(n)
+	n.rollout = newRollout(n)
+	n.fleet = newFleet(n)
+	n.jobs = newJobs(n)
+	n.entry = newEntry(n)
+	n.operator = newOperator(n)
+	n.callers = listener{handler: n.callersHandler(), maxHeaderBytes: n.settings.Limits.HeaderBytes}
+	n.operators = listener{handler: n.operator.Handler(), maxHeaderBytes: n.settings.Limits.HeaderBytes}
+	n.link.Handle(peer.KindTimelineRequest, n.answerTimeline)
+}
+
+// startParts starts everything but the callers' listener.
+func (n *Node) startParts() error {
+	n.recorder.Record(event.Event{Number: event.ProcessStarted, Detail: n.member})
+	n.start("peer link", n.link.Start)
+	n.fleet.PeerAddress = n.link.Address()
+	n.start("roll-out", n.rollout.Start)
+	n.start("fleet", n.fleet.Start)
+	n.start("jobs", n.jobs.Start)
+	n.start("entry", n.entry.Start)
+	return n.listen(&n.operators, "operators' listener", n.settings.Operators.Listen)
+}
+
+func (n *Node) start(name string, start func(context.Context) <-chan error) {
+	n.parts = append(n.parts, part{name: name, done: start(n.killed)})
+}
+
+func newLink(n *Node) *peer.Link {
+	return &peer.Link{
+		Deployment: n.settings.Deployment,
+		Member:     n.member,
+		Zone:       n.settings.Zone,
+		Listen:     n.settings.Peers.Listen,
+		Seeds:      n.settings.Peers.Seeds,
+		Recorder:   n.recorder,
+		TLS:        mutualTLS(n.settings.Peers),
+		Scope:      n.metrics.Scope.SubScope("peer"),
+	}
+}
+
+func newRollout(n *Node) *rollout.Manager {
+	return &rollout.Manager{
+		Table:    n.platform.Table,
+		Objects:  n.platform.Objects,
+		Link:     rollout.Link{Broadcast: n.link.Broadcast, Call: n.link.Call, Handle: n.link.Handle},
+		Members:  func() []string { return n.fleet.Members() },
+		Member:   n.member,
+		Recorder: n.recorder,
+		Scope:    n.metrics.Scope.SubScope("config"),
+	}
+}
+
+func newFleet(n *Node) *fleet.Manager {
+	return &fleet.Manager{
+		Member:     n.member,
+		Zone:       n.settings.Zone,
+		Platform:   n.platform,
+		Config:     n.rollout.Current,
+		Link:       fleetLink(n.link),
+		Recorder:   n.recorder,
+		InProgress: func(pool string) map[host.ID]int { return n.entry.InProgress(pool) },
+		Demand:     func(pool string) (int, int, uint64) { return n.entry.Demand(pool) },
+		TasksOn:    func(id host.ID) int { return n.jobs.TasksOn(id) },
+		Periods:    fleetPeriods(n.settings.Periods),
+		Scope:      n.metrics.Scope.SubScope("fleet"),
+	}
+}
+
+func newJobs(n *Node) *jobs.Manager {
+	return &jobs.Manager{
+		Platform: n.platform,
+		Config:   n.rollout.Current,
+		Snapshot: n.fleet.Snapshot,
+		Holds:    n.fleet.Holds,
+		Draining: n.fleet.Draining,
+		Recorder: n.recorder,
+		Member:   n.member,
+		Scope:    n.metrics.Scope.SubScope("job"),
+	}
+}
+
+func newEntry(n *Node) *entry.Server {
+	return &entry.Server{
+		Config:   n.rollout.Current,
+		Snapshot: n.fleet.Snapshot,
+		Table:    n.platform.Table,
+		Objects:  n.platform.Objects,
+		Recorder: n.recorder,
+		Jobs:     n.jobs.Handler(),
+		Members:  func() int { return max(1, len(n.fleet.Members())) },
+		PeerLoad: n.fleet.PeerLoad,
+		Scope:    n.metrics.Scope.SubScope("entry"),
+		Limits:   entryLimits(n.settings.Limits),
+		Member:   n.member,
+	}
+}
+
+func newOperator(n *Node) *operator.Server {
+	return &operator.Server{
+		Rollout:  n.rollout,
+		Fleet:    n.fleet.Status,
+		Jobs:     n.jobs.Status,
+		Peers:    n.link.Peers,
+		Timeline: n.timeline,
+		Token:    n.settings.Operators.Token,
+		Metrics:  n.metrics.Handler,
+		Recorder: n.recorder,
+	}
+}
+
+func fleetLink(l *peer.Link) fleet.Link {
+	return fleet.Link{
+		Broadcast: l.Broadcast,
+		Handle: func(kind peer.Kind, handle func(context.Context, string, *peerpb.Envelope) *peerpb.Envelope) {
+			l.Handle(kind, handle)
+		},
+		SetPeers: l.SetPeers,
+	}
+}
--- /dev/null
+++ b/io/node/periods.go
@@ -0,0 +1,26 @@
+package node
+
+import (
+	"time"
+
+	"siskincross/io/entry"
+	"siskincross/io/fleet"
+	"siskincross/io/settings"
+)
+
+func fleetPeriods(p settings.Periods) fleet.Periods {
+	return fleet.Periods{
+		Heartbeat:   time.Duration(p.Heartbeat),
+		Poll:        time.Duration(p.Poll),
+		Lapse:       time.Duration(p.Lapse),
+		Plan:        time.Duration(p.Plan),
+		Vouch:       time.Duration(p.Vouch),
+		Reboot:      time.Duration(p.Reboot),
+		CoolDown:    time.Duration(p.CoolDown),
+		Maintenance: time.Duration(p.Maintenance),
+	}
+}
+
+func entryLimits(l settings.Limits) entry.Limits {
+	return entry.Limits{HeaderBytes: l.HeaderBytes, BodyBytes: l.BodyBytes}
+}
--- /dev/null
+++ b/io/operator/credential.go
@@ -0,0 +1,40 @@
+package operator
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"net/http"
+	"strings"
+)
+
+const bearerPrefix = "Bearer "
+
+// authenticated asks for the token, as a bearer token or as the password of
+// basic authentication, which browsers know how to ask for.
+func (s *Server) authenticated(next http.Handler) http.Handler {
+	if s.Token == "" {
+		return next
+	}
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if !equal(credential(r), s.Token) {
+			w.Header().Set("WWW-Authenticate", `Basic realm="siskincross operators"`)
+			writeProblem(w, http.StatusUnauthorized, "the operators' token is missing or wrong")
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+func credential(r *http.Request) string {
+	if _, password, ok := r.BasicAuth(); ok {
+		return password
+	}
+	token, _ := strings.CutPrefix(r.Header.Get("Authorization"), bearerPrefix)
+	return token
+}
+
+// equal compares in a time that tells nothing of where the texts differ or how long they are.
+func equal(a, b string) bool {
+	digestA, digestB := sha256.Sum256([]byte(a)), sha256.Sum256([]byte(b))
+	return subtle.ConstantTimeCompare(digestA[:], digestB[:]) == 1
+}
--- /dev/null
+++ b/io/operator/page.go
@@ -0,0 +1,156 @@
+package operator
+
+import (
+	"bytes"
+	_ "embed"
+	"html/template"
+	"net/http"
+	"time"
+
+	"github.com/kataras/iris/v12"
+
+	"siskincross/core/chart"
+	"siskincross/core/config"
+	"siskincross/core/event"
+	"siskincross/core/host"
+	"siskincross/io/fleet"
+	"siskincross/io/jobs"
+	"siskincross/io/peer"
+	"siskincross/io/timeline"
+)
+
+//go:embed page.html
+var pageText string
+
+var pageTemplate = template.Must(template.New("status").Parse(pageText))
+
+// pageEvents is the number of newest events that the status page shows.
+const pageEvents = 60
+
+// statusPage is what the template shows.
+type statusPage struct {
+	Member   string
+	Members  []string
+	Doubt    string
+	Version  config.Version
+	Progress Progress
+	Pools    []poolRow
+	Hosts    []hostRow
+	Jobs     []jobs.PoolStatus
+	Peers    []peer.Peer
+	Events   []eventRow
+}
+
+// poolRow is one pool against its budget.
+type poolRow struct {
+	fleet.PoolStatus
+	States []stateCount
+	// Used is the part of the budget in use, in percent, at most 100.
+	Used int
+	// Over is set when failures took more than the budget.
+	Over bool
+}
+
+type stateCount struct {
+	State chart.State
+	Count int
+}
+
+// hostRow is one host that is out of service.
+type hostRow struct {
+	Pool string
+	fleet.HostStatus
+}
+
+type eventRow struct {
+	Time    string
+	Process string
+	Name    string
+	Level   event.Level
+	Subject string
+	Detail  string
+}
+
+const percent = 100
+
+func (s *Server) serveStatusPage(c iris.Context) {
+	var page bytes.Buffer
+	if err := pageTemplate.Execute(&page, s.newStatusPage(c.Request())); err != nil {
+		fail(c, err)
+		return
+	}
+	c.ResponseWriter().Header().Set("Content-Type", "text/html; charset=utf-8")
+	_, _ = c.ResponseWriter().Write(page.Bytes())
+}
+
+func (s *Server) newStatusPage(r *http.Request) statusPage {
+	status := s.Fleet()
+	version := s.Rollout.Current().Version
+	page := statusPage{
+		Member:   status.Member,
+		Members:  status.Members,
+		Doubt:    status.ListDoubt,
+		Version:  version,
+		Progress: progressOf(s.Rollout.InForce(version)),
+		Jobs:     s.Jobs().Pools,
+		Peers:    s.Peers(),
+		Events:   newestEvents(s.Timeline(r.Context(), timeline.Filter{})),
+	}
+	for _, p := range status.Pools {
+		page.Pools = append(page.Pools, newPoolRow(p))
+		page.Hosts = append(page.Hosts, outOfService(p)...)
+	}
+	return page
+}
+
+func newPoolRow(p fleet.PoolStatus) poolRow {
+	row := poolRow{PoolStatus: p, States: countStates(p.Hosts)}
+	total, budget := p.Disruptions.Total(), p.Limits.MaxUnavailable
+	row.Over = total > budget
+	row.Used = min(percent, total*percent/max(1, budget))
+	return row
+}
+
+func countStates(hosts []fleet.HostStatus) []stateCount {
+	counts := make(map[chart.State]int)
+	for _, h := range hosts {
+		counts[h.State]++
+	}
+	var states []stateCount
+	for _, state := range host.Chart.States() {
+		if counts[state] > 0 {
+			states = append(states, stateCount{State: state, Count: counts[state]})
+		}
+	}
+	return states
+}
+
+func outOfService(p fleet.PoolStatus) []hostRow {
+	var rows []hostRow
+	for _, h := range p.Hosts {
+		if h.State != host.Serving {
+			rows = append(rows, hostRow{Pool: p.Name, HostStatus: h})
+		}
+	}
+	return rows
+}
+
+// newestEvents returns the last events, newest first, without those of single requests.
+func newestEvents(events []event.Event) []eventRow {
+	var rows []eventRow
+	for i := len(events) - 1; i >= 0 && len(rows) < pageEvents; i-- {
+		e := events[i]
+		if e.Number.Level() == event.LevelDebug {
+			continue
+		}
+		rows = append(rows, eventRow{
+			Time:    time.UnixMilli(e.Time.WallMillis).UTC().Format("15:04:05.000"),
+			Process: e.Process,
+			Name:    e.Number.String(),
+			Level:   e.Number.Level(),
+			Subject: timeline.Subject(e),
+			Detail:  e.Detail,
+		})
+	}
+	return rows
+}
