--- a/io/entry/limits.go
+++ b/io/entry/limits.go
@@ -10,6 +10,9 @@
 	BodyBytes int64
 	// ReplayBytes bounds the part of a request body that is kept for another attempt; 64 KiB by default.
 	ReplayBytes int
+	// KeptBytes bounds these parts of all requests together; 8 MiB by default. Beyond it bodies are
+	// streamed without being kept.
+	KeptBytes int64
 	// ReadHeader bounds the time in which a caller sends its headers; 5 s by default.
 	ReadHeader time.Duration
 	// Idle bounds how long a caller's connection is kept without a request; 60 s by default.
@@ -22,10 +25,13 @@
 	IdleConnections int
 	// ClaimCommits bounds the commits a second for claims of Idempotency-Keys, of all entry hosts together; 100 by default.
 	ClaimCommits float64
+	// KeyRetention is how long an Idempotency-Key and its answer are kept; 24 h by default. Afterwards it may run again.
+	KeyRetention time.Duration
 }
 
 const (
 	kib = 1 << 10
+	mib = 1 << 20
 	gib = 1 << 30
 )
 
@@ -34,12 +40,14 @@
 	setDefault(&l.HeaderBytes, 32*kib)
 	setDefault(&l.BodyBytes, gib)
 	setDefault(&l.ReplayBytes, 64*kib)
+	setDefault(&l.KeptBytes, 8*mib)
 	setDefault(&l.ReadHeader, 5*time.Second)
 	setDefault(&l.Idle, time.Minute)
 	setDefault(&l.Dial, time.Second)
 	setDefault(&l.Deadline, 10*time.Minute)
 	setDefault(&l.IdleConnections, 3072)
 	setDefault(&l.ClaimCommits, 100)
+	setDefault(&l.KeyRetention, 24*time.Hour)
 	return l
 }
 
