--- a/io/rollout/apply.go
+++ b/io/rollout/apply.go
@@ -45,6 +45,8 @@
 	received time.Time
 	// uncertain tells that a commit of the change has an unknown outcome.
 	uncertain bool
+	// forwarded changes were received by another entry host, which times their roll-out.
+	forwarded bool
 	result    chan result
 }
 
@@ -73,7 +75,7 @@
 	r.received = received
 	version, sent := m.forward(ctx, change)
 	if version != 0 {
-		m.noteAccepted(r, version)
+		m.track(version, &tracked{organisation: change.Organisation, received: received})
 		m.checkRollouts()
 		return Accepted{Version: version, Change: change.ID}, nil
 	}
--- a/io/rollout/apply_test.go
+++ b/io/rollout/apply_test.go
@@ -238,6 +238,24 @@
 			is.Equal(err, ErrNoVersion{Version: 99})
 		})
 	})
+	t.Run("old versions are removed, but never an organisation's newest", func(t *testing.T) {
+		withCluster(t, []string{"a"}, func(t *testing.T, c *cluster) {
+			is := is.New(t)
+			quiet := c.mustApply("a", c.changeOf("kuntavoima"))
+			first := c.mustApply("a", c.change(9, 0))
+			second := c.mustApply("a", c.change(10, first.Version))
+			c.skipVersions(keptVersions)
+			is.NoErr(c.node("a").prune(t.Context()))
+			_, err := c.node("a").Show(t.Context(), first.Version)
+			is.Equal(err, ErrNoVersion{Version: first.Version})
+			for _, kept := range []Accepted{quiet, second} {
+				_, err := c.node("a").Show(t.Context(), kept.Version)
+				is.NoErr(err)
+			}
+			_, err = c.objects.Get(t.Context(), sourcePrefix+first.Change)
+			is.True(errors.As(err, &platform.ErrNotFound{}))
+		})
+	})
 	t.Run("a plan tells and changes nothing", func(t *testing.T) {
 		withCluster(t, three, func(t *testing.T, c *cluster) {
 			is := is.New(t)
--- a/io/rollout/cluster_test.go
+++ b/io/rollout/cluster_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"sort"
 	"strings"
@@ -13,6 +14,7 @@
 	"siskincross/core/event"
 	"siskincross/io/peer"
 	"siskincross/io/peer/peerpb"
+	"siskincross/io/platform"
 	"siskincross/io/standin"
 	"siskincross/io/timeline"
 )
@@ -165,6 +167,28 @@
 	return change
 }
 
+// skipVersions raises the head's version as if that many changes had been made.
+func (c *cluster) skipVersions(n config.Version) {
+	c.t.Helper()
+	rows, err := c.table.Read(context.Background(), []string{headKey})
+	if err != nil || len(rows) != 1 {
+		c.t.Fatalf("read the head: %v", err)
+	}
+	var h head
+	if err := json.Unmarshal(rows[0].Value, &h); err != nil {
+		c.t.Fatal(err)
+	}
+	h.Version += n
+	value, err := json.Marshal(h)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	tx := platform.Transaction{Writes: []platform.Write{{Key: headKey, Value: value}}}
+	if err := c.table.Commit(context.Background(), tx); err != nil {
+		c.t.Fatal(err)
+	}
+}
+
 // node returns the running manager of a member.
 func (c *cluster) node(member string) *node {
 	c.mu.Lock()
--- a/io/rollout/commit.go
+++ b/io/rollout/commit.go
@@ -211,11 +211,14 @@
 	}
 }
 
-// noteAccepted records a change whose commit is known and begins to time its roll-out.
+// noteAccepted records a change whose commit is known and begins to time the
+// roll-out of one that was received here.
 func (m *Manager) noteAccepted(r *request, v config.Version) {
 	id := m.record(event.Event{
 		Number: event.ConfigAccepted, Organisation: r.change.Organisation,
 		Detail: fmt.Sprintf("version %d, change %s", v, r.change.ID),
 	})
-	m.track(v, &tracked{organisation: r.change.Organisation, received: r.received, cause: id})
+	if !r.forwarded {
+		m.track(v, &tracked{organisation: r.change.Organisation, received: r.received, cause: id})
+	}
 }
--- a/io/rollout/forward.go
+++ b/io/rollout/forward.go
@@ -76,7 +76,9 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
 	defer cancel()
-	accepted, _ := m.submit(ctx, newRequest(ctx, change, part))
+	r := newRequest(ctx, change, part)
+	r.forwarded = true
+	accepted, _ := m.submit(ctx, r)
 	return &peerpb.Envelope{Body: &peerpb.Envelope_ConfigOutcome{
 		ConfigOutcome: &peerpb.ConfigOutcome{Version: uint64(accepted.Version)},
 	}}
--- a/io/rollout/manager.go
+++ b/io/rollout/manager.go
@@ -132,6 +132,7 @@
 		group.Go(func() error { return m.announceAll(ctx) })
 		group.Go(func() error { return m.commitAll(ctx) })
 		group.Go(func() error { return m.exchange(ctx) })
+		group.Go(func() error { return m.pruneAll(ctx) })
 		done <- group.Wait()
 	}()
 	return done
