Tell operators each fault's place and never double a change

The operators' API gave faults of templates as one text, took a token-less listener on any address and had no tests but that of its routes. A change whose answer was lost was the operator's to find out.

Problems carry file, line, key and remedy; without a token only requests that arrive on the loopback network are served; the client names each change and sends it again under the same ID until it is answered. The OpenAPI file is checked against the types as well as the routes.

--- a/io/operator/answer.go
+++ b/io/operator/answer.go
@@ -30,6 +30,10 @@
 	Head config.Version `json:"head,omitempty"`
 	// Differences tell what changed since the version that a change was made from.
 	Differences []string `json:"differences,omitempty"`
+	// Problems are the faults of a template or of parameters that can't be expanded.
+	Problems []config.Problem `json:"problems,omitempty"`
+	// Change is the ID of a change whose outcome is unknown.
+	Change string `json:"change,omitempty"`
 }
 
 func answer(c iris.Context, body any, err error) {
@@ -95,12 +99,14 @@
 		p.Differences = texts(conflict.Differences)
 	case errors.As(err, &invalid):
 		p.Status = http.StatusUnprocessableEntity
+		p.Problems = invalid.Problems
 	case errors.As(err, &malformed):
 		p.Status = http.StatusBadRequest
 	case errors.As(err, &missing):
 		p.Status = http.StatusNotFound
 	case errors.As(err, &unknown):
 		p.Status = http.StatusGatewayTimeout
+		p.Change = unknown.Change
 	case errors.As(err, &notAccepted), errors.As(err, &notReady), errors.As(err, &unavailable):
 		p.Status = http.StatusServiceUnavailable
 	}
--- a/io/operator/client.go
+++ b/io/operator/client.go
@@ -11,7 +11,9 @@
 	"strconv"
 	"strings"
 
+	"github.com/cenkalti/backoff/v5"
 	"github.com/cockroachdb/errors"
+	"github.com/oklog/ulid/v2"
 
 	"siskincross/core/config"
 	"siskincross/core/event"
@@ -21,6 +23,9 @@
 	"siskincross/io/timeline"
 )
 
+// maxApplyTries bounds how often a change without an answer is sent.
+const maxApplyTries = 4
+
 // Client calls the operators' API of one entry host. A zero Client with Address set works.
 type Client struct {
 	// Address is "ip:port" of an entry host's operators' listener.
@@ -96,10 +101,31 @@
 	return plan, c.post(ctx, pathPlan, change, &plan)
 }
 
-// Apply commits a change. It returns ErrProblem with a conflict when the change was made from an old version.
+// Apply commits a change. It returns ErrProblem with a conflict when the change
+// was made from an old version. A change without an answer is sent again under
+// the same ID, which never commits it twice.
 func (c Client) Apply(ctx context.Context, change Change) (Accepted, error) {
-	var accepted Accepted
-	return accepted, c.post(ctx, pathApply, change, &accepted)
+	if change.ID == "" {
+		change.ID = ulid.Make().String()
+	}
+	return backoff.Retry(ctx, func() (Accepted, error) {
+		var accepted Accepted
+		err := c.post(ctx, pathApply, change, &accepted)
+		if err != nil && !isUnanswered(err) {
+			return accepted, backoff.Permanent(err)
+		}
+		return accepted, err
+	}, backoff.WithMaxTries(maxApplyTries))
+}
+
+// isUnanswered reports whether the outcome of a change is unknown.
+func isUnanswered(err error) bool {
+	var unreachable ErrUnreachable
+	var problem ErrProblem
+	if errors.As(err, &problem) {
+		return problem.Problem.Status == http.StatusGatewayTimeout
+	}
+	return errors.As(err, &unreachable)
 }
 
 // Rollback commits the text of an earlier version as a new one.
--- a/io/operator/credential.go
+++ b/io/operator/credential.go
@@ -3,7 +3,9 @@
 import (
 	"crypto/sha256"
 	"crypto/subtle"
+	"net"
 	"net/http"
+	"net/netip"
 	"strings"
 )
 
@@ -13,7 +15,7 @@
 // basic authentication, which browsers know how to ask for.
 func (s *Server) authenticated(next http.Handler) http.Handler {
 	if s.Token == "" {
-		return next
+		return loopbackOnly(next)
 	}
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if !equal(credential(r), s.Token) {
@@ -25,6 +27,26 @@
 	})
 }
 
+// loopbackOnly refuses requests that arrived at an address that other hosts reach.
+func loopbackOnly(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if !arrivedOnLoopback(r) {
+			writeProblem(w, http.StatusForbidden, "the operators' listener needs a token, except on the loopback network")
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+func arrivedOnLoopback(r *http.Request) bool {
+	address, ok := r.Context().Value(http.LocalAddrContextKey).(net.Addr)
+	if !ok {
+		return false
+	}
+	parsed, err := netip.ParseAddrPort(address.String())
+	return err == nil && parsed.Addr().Unmap().IsLoopback()
+}
+
 func credential(r *http.Request) string {
 	if _, password, ok := r.BasicAuth(); ok {
 		return password
--- a/io/operator/openapi_test.go
+++ b/io/operator/openapi_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"net/http"
 	"os"
+	"reflect"
 	"sort"
 	"strings"
 	"testing"
@@ -40,3 +41,38 @@
 	sort.Strings(routes)
 	is.Equal(routes, documentedRoutes(t))
 }
+
+// fieldsOf returns the JSON keys of a struct type, sorted.
+func fieldsOf(structure reflect.Type) []string {
+	var keys []string
+	for field := range structure.Fields() {
+		key, _, _ := strings.Cut(field.Tag.Get("json"), ",")
+		keys = append(keys, key)
+	}
+	sort.Strings(keys)
+	return keys
+}
+
+func TestDocumentNamesEveryField(t *testing.T) {
+	is := is.New(t)
+	text, err := os.ReadFile("../../docs/openapi.json")
+	is.NoErr(err)
+	var document struct {
+		Components struct {
+			Schemas map[string]struct {
+				Properties map[string]json.RawMessage
+			}
+		}
+	}
+	is.NoErr(json.Unmarshal(text, &document))
+	for name, structure := range map[string]reflect.Type{
+		"Change": reflect.TypeFor[Change](), "Rollback": reflect.TypeFor[Rollback](), "Problem": reflect.TypeFor[Problem](),
+	} {
+		var documented []string
+		for key := range document.Components.Schemas[name].Properties {
+			documented = append(documented, key)
+		}
+		sort.Strings(documented)
+		is.Equal(documented, fieldsOf(structure))
+	}
+}
--- a/io/operator/server.go
+++ b/io/operator/server.go
@@ -25,7 +25,7 @@
 	Peers func() []peer.Peer
 	// Timeline returns the matching events of all reachable entry hosts in order.
 	Timeline func(ctx context.Context, f timeline.Filter) []event.Event
-	// Token is the credential of operators. Empty means that none is asked for.
+	// Token is the credential of operators. Empty is allowed on the loopback network only.
 	Token string
 	// Metrics serves the metrics in the Prometheus text form.
 	Metrics http.Handler
