--- a/io/cli/cli.go
+++ b/io/cli/cli.go
@@ -45,6 +45,7 @@
 		ExitErrHandler:        func(context.Context, *cli.Command, error) {},
 		Commands: []*cli.Command{
 			serveCommand(),
+			replayCommand(),
 			checkCommand(),
 			configCommand(),
 			poolsCommand(),
@@ -53,6 +54,7 @@
 			timelineCommand(),
 			jobCommand(),
 			loadCommand(),
+			measureCommand(),
 			documentsCommand(),
 		},
 	}
--- /dev/null
+++ b/io/cli/measure.go
@@ -0,0 +1,59 @@
+package cli
+
+import (
+	"context"
+	"encoding/json"
+	"os"
+	"path/filepath"
+
+	"github.com/urfave/cli/v3"
+
+	"siskincross/io/measure"
+)
+
+// resultFile is the name of the file that holds a measurement's rows and fits.
+const resultFile = "measure.json"
+
+func measureCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "measure",
+		Usage: "measures the figures that the documentation quotes",
+		Description: "Runs entry hosts of the real code in this process over stand-ins of several sizes, prints each row, and\n" +
+			"writes the rows, the fitted lines and plots.",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "out", Usage: "write measure.json and the plots into this `DIRECTORY`", Value: "out"},
+			&cli.StringSliceFlag{Name: "only", Usage: "measure only this `SERIES`; may be repeated"},
+			&cli.BoolFlag{Name: "short", Usage: "measure small fleets only, to see that it works"},
+		},
+		Action: runMeasure,
+	}
+}
+
+func runMeasure(ctx context.Context, cmd *cli.Command) error {
+	sizes := measure.Sizes
+	if cmd.Bool("short") {
+		sizes = measure.ShortSizes
+	}
+	result, err := measure.Run(ctx, measure.Select(measure.All(sizes), cmd.StringSlice("only")), cmd.Root().Writer)
+	if err != nil {
+		return failed(ExitFailure, "%w", err)
+	}
+	return writeResult(cmd.String("out"), result)
+}
+
+func writeResult(directory string, result measure.Result) error {
+	if err := os.MkdirAll(directory, documentDirectoryMode); err != nil {
+		return failed(ExitFailure, "create %s: %w", directory, err)
+	}
+	encoded, err := json.MarshalIndent(result, "", "  ")
+	if err != nil {
+		return failed(ExitFailure, "encode the result: %w", err)
+	}
+	if err := os.WriteFile(filepath.Join(directory, resultFile), encoded, documentFileMode); err != nil {
+		return failed(ExitFailure, "write the result: %w", err)
+	}
+	if err := measure.WritePlots(result, directory); err != nil {
+		return failed(ExitFailure, "%w", err)
+	}
+	return nil
+}
--- a/io/measure/cluster.go
+++ b/io/measure/cluster.go
@@ -85,7 +85,7 @@
 	_, err := client.Apply(ctx, operator.Change{
 		Organisation: organisation,
 		Template:     templateText(size),
-		Parameters:   fmt.Sprintf("organisation = %q\ntemplate = \"measured\"\n", organisation),
+		Parameters:   parametersText(),
 	})
 	if err != nil {
 		return errors.Wrap(err, "apply the configuration")
