--- /dev/null
+++ b/core/job/placement_test.go
@@ -0,0 +1,118 @@
+package job
+
+import (
+	"testing"
+	"time"
+
+	"siskincross/core/host"
+)
+
+// assertBalanced asserts that counts differ by no more than allowed.
+func assertBalanced[K comparable](b *bench, what string, counts map[K]int, groups, allowed int) {
+	b.t.Helper()
+	least, most := 0, 0
+	for _, n := range counts {
+		most = max(most, n)
+	}
+	least = most
+	for _, n := range counts {
+		least = min(least, n)
+	}
+	if len(counts) < groups {
+		least = 0
+	}
+	if most-least > allowed {
+		b.t.Errorf("tasks by %s: from %d to %d: %v", what, least, most, counts)
+	}
+}
+
+func TestTasksSpreadOverFailureDomains(t *testing.T) {
+	b := newBench(t, 24)
+	b.truth = func(host.ID, Job) truth { return truth{duration: time.Hour, cores: 1, memory: gigabyte} }
+	b.submit(18, benchSpec("video", "certificates"))
+	b.submit(18, benchSpec("video", "lessons"))
+	b.run(30 * time.Second)
+	for _, group := range []string{"kunta/certificates", "kunta/lessons"} {
+		zones, racks := make(map[string]int), make(map[string]int)
+		for _, w := range b.s.order {
+			for _, task := range w.tasks {
+				if task.job.job.Spec.Group() == group {
+					zones[w.place.Zone]++
+					racks[w.place.Rack]++
+				}
+			}
+		}
+		assertBalanced(b, "zone", zones, 3, 1)
+		assertBalanced(b, "rack", racks, 6, 1)
+	}
+}
+
+func TestSlotsStayFree(t *testing.T) {
+	b := newBench(t, 10)
+	b.truth = func(host.ID, Job) truth { return truth{duration: time.Hour, cores: 1, memory: gigabyte} }
+	b.submit(200, benchSpec("video", "video"))
+	b.run(5 * time.Minute)
+	counts := b.s.Counts()
+	t.Run("for requests on every worker", func(t *testing.T) {
+		for _, w := range b.s.order {
+			if len(w.tasks) > w.capacity.Slots-DefaultPolicy().RequestSlots {
+				t.Errorf("worker %s holds %d tasks", w.id, len(w.tasks))
+			}
+		}
+	})
+	t.Run("for urgent jobs in the pool, and no more", func(t *testing.T) {
+		b.is.Equal(counts.Slots, 60)
+		b.is.Equal(counts.FreeSlots, 3)
+	})
+	t.Run("urgent jobs take them at once, without a stop", func(t *testing.T) {
+		spec := benchSpec("marking", "marking")
+		spec.Urgent = true
+		b.submit(3, spec)
+		b.run(b.step)
+		b.is.Equal(b.s.Counts().FreeSlots, 0)
+		b.is.Equal(b.commands[ActionStop], 0)
+	})
+}
+
+func TestDeclaredSizeThatFitsNowhereIsTried(t *testing.T) {
+	b := newBench(t, 4)
+	spec := benchSpec("video", "video")
+	spec.Cores, spec.MemoryBytes = 400, 4000*gigabyte
+	ids := b.submit(3, spec)
+	b.run(5 * time.Minute)
+	b.is.Equal(b.count(ids, "finished"), 3)
+}
+
+func TestUrgentJobThrottlesBeforeItStops(t *testing.T) {
+	b := newBench(t, 1)
+	b.truth = func(_ host.ID, j Job) truth {
+		return truth{duration: time.Hour, cores: float64(j.Spec.Cores), memory: gigabyte}
+	}
+	spec := benchSpec("video", "video")
+	spec.Cores = 16
+	b.submit(2, spec)
+	b.run(time.Minute)
+	b.is.Equal(b.s.Counts().FreeSlots, 4)
+	urgent := benchSpec("marking", "marking")
+	urgent.Urgent, urgent.Cores = true, 8
+	b.submit(1, urgent)
+	b.run(5 * time.Second)
+	b.is.Equal(b.s.Counts().FreeSlots, 3)
+	b.is.True(b.commands[ActionThrottle] > 0)
+	b.is.Equal(b.commands[ActionStop], 0)
+}
+
+func TestRefusedTaskRunsElsewhere(t *testing.T) {
+	b := newBench(t, 2)
+	spec := benchSpec("video", "video")
+	spec.Idempotent = false
+	id := b.submit(1, spec)[0]
+	b.s.Place(b.now, 1)
+	rows := b.s.Pending(1)
+	b.is.Equal(len(rows), 1)
+	b.is.Equal(len(b.s.Committed(rows)), 1)
+	b.s.Started(id, 1, StartRefused, b.now)
+	b.run(30 * time.Second)
+	b.is.Equal(b.ended[id].State, StateFinished)
+	b.is.Equal(b.ended[id].Attempt, 2)
+}
--- a/io/jobs/cancel_test.go
+++ b/io/jobs/cancel_test.go
@@ -122,9 +122,9 @@
 		cancelled, err := m.cancel(f.ctx, "kunta", j.ID)
 		f.is.NoErr(err)
 		f.is.Equal(cancelled.State, job.StateCancelled)
-		f.targets = append(f.targets, testTarget(1))
+		f.set(func() { f.targets = append(f.targets, testTarget(1)) })
 		time.Sleep(10 * time.Second)
-		f.is.Equal(len(f.workers.log), 0)
+		f.is.Equal(len(f.workers.started()), 0)
 		f.is.Equal(f.row(j.ID).State, job.StateCancelled)
 	})
 }
--- a/io/jobs/fixture_test.go
+++ b/io/jobs/fixture_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -31,6 +32,9 @@
 	ctx     context.Context
 	table   *standin.Table
 	workers *fakeWorkers
+
+	// mu guards what entry hosts read while a test changes it; see set.
+	mu      sync.Mutex
 	targets []route.Target
 	teams   []config.Team
 	// holder and epoch tell which entry host holds the pool's duty; change them with hold.
@@ -48,7 +52,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
 		f := &fixture{t: t, is: is.New(t), ctx: ctx, table: &standin.Table{}, workers: &fakeWorkers{}}
-		f.teams = []config.Team{{Name: "kunta/video", Organisation: "kunta", Weight: 1, Slots: 10}}
+		f.teams = testTeams()
 		for i := range hosts {
 			f.targets = append(f.targets, testTarget(i))
 		}
@@ -57,6 +61,10 @@
 	})
 }
 
+func testTeams() []config.Team {
+	return []config.Team{{Name: "kunta/video", Organisation: "kunta", Weight: 1, Slots: 10}}
+}
+
 func testTarget(i int) route.Target {
 	return route.Target{
 		Host:     host.ID(fmt.Sprintf("host-%03d", i)),
@@ -67,8 +75,7 @@
 
 // hold gives the duty to an entry host, with the next epoch.
 func (f *fixture) hold(member string) {
-	f.holder = member
-	f.epoch++
+	f.set(func() { f.holder, f.epoch = member, f.epoch+1 })
 	value := encode(poolRow{Holder: member, Epoch: f.epoch})
 	faults := f.table.Faults()
 	f.table.SetFaults(standin.TableFaults{})
@@ -77,7 +84,16 @@
 	f.is.NoErr(err)
 }
 
+// set changes what entry hosts read.
+func (f *fixture) set(change func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	change()
+}
+
 func (f *fixture) config() config.Expanded {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	return config.Expanded{
 		Version: 1,
 		Pools:   []config.Pool{{Name: testPool, Organisation: "kunta", Hosts: len(f.targets)}},
@@ -91,14 +107,24 @@
 	m := &Manager{
 		Platform: platform.Platform{Table: f.table.Service(), Workers: f.workers.platform(), Objects: f.workers.objectStore()},
 		Config:   f.config,
-		Snapshot: func(string) (route.Snapshot, bool) { return route.Snapshot{Targets: f.targets}, true },
+		Snapshot: func(string) (route.Snapshot, bool) {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			return route.Snapshot{Targets: f.targets}, true
+		},
 		Holds: func(pool string) (uint64, bool) {
+			f.mu.Lock()
+			defer f.mu.Unlock()
 			if epoch, ok := f.stale[member]; ok {
 				return epoch, pool == testPool
 			}
 			return f.epoch, f.holder == member && pool == testPool
 		},
-		Draining: func(string) []host.ID { return f.drain },
+		Draining: func(string) []host.ID {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			return f.drain
+		},
 		Recorder: &timeline.Recorder{Process: member},
 		Member:   member,
 	}
--- a/io/jobs/manager_test.go
+++ b/io/jobs/manager_test.go
@@ -19,7 +19,7 @@
 			content, _, err := m.result(f.ctx, "kunta", j.ID)
 			f.is.NoErr(err)
 			f.is.Equal(string(content), "result of "+string(j.ID))
-			f.is.Equal(f.workers.starts[string(j.ID)], 1)
+			f.is.Equal(f.workers.startsOf(j.ID), 1)
 		})
 	})
 	t.Run("a damaged result is not passed on", func(t *testing.T) {
@@ -28,7 +28,7 @@
 			defer stop()
 			j := f.submit(m, submission(), "")
 			done := f.await(j.ID, job.StateFinished, 20*time.Second)
-			f.workers.objects[done.Result] = []byte("result of")
+			f.workers.set(func() { f.workers.objects[done.Result] = []byte("result of") })
 			_, _, err := m.result(f.ctx, "kunta", j.ID)
 			f.is.True(errors.As(err, &ErrDamaged{}))
 		})
@@ -59,7 +59,7 @@
 		_, err := b.submit(f.ctx, "kunta", other, "order-1")
 		f.is.True(errors.As(err, &ErrKeyReused{}))
 		f.await(first.ID, job.StateFinished, 20*time.Second)
-		f.is.Equal(f.workers.starts[string(first.ID)], 1)
+		f.is.Equal(f.workers.startsOf(first.ID), 1)
 	})
 }
 
--- a/io/jobs/recovery_test.go
+++ b/io/jobs/recovery_test.go
@@ -37,7 +37,7 @@
 func (f *fixture) assertOnce(ids []job.ID) {
 	f.t.Helper()
 	for _, id := range ids {
-		if n := f.workers.starts[string(id)]; n > 1 {
+		if n := f.workers.startsOf(id); n > 1 {
 			f.t.Errorf("job %s was started %d times", id, n)
 		}
 	}
@@ -64,7 +64,7 @@
 			withFixture(t, 4, func(f *fixture) {
 				m, stop := f.manager("a")
 				defer stop()
-				f.workers.loseStarts = 3
+				f.workers.set(func() { f.workers.loseStarts = 3 })
 				s := submission()
 				s.Idempotent = idempotent
 				ids := f.submitMany(m, s, 3)
@@ -102,13 +102,13 @@
 		_, stopB := f.manager("b")
 		defer stopB()
 		f.await(f.submit(a, once(), "").ID, job.StateFinished, time.Minute)
-		f.stale = map[string]uint64{"a": f.epoch}
+		f.set(func() { f.stale = map[string]uint64{"a": f.epoch} })
 		f.hold("b")
 		time.Sleep(time.Second)
 		ids := f.submitMany(a, once(), 20)
 		f.awaitAll(ids, 2*time.Minute)
 		f.assertOnce(ids)
-		for _, start := range f.workers.log[1:] {
+		for _, start := range f.workers.started()[1:] {
 			f.is.Equal(start.spec.Epoch, f.epoch)
 		}
 	})
@@ -116,7 +116,7 @@
 
 func TestSilentWorker(t *testing.T) {
 	silence := func(f *fixture, id job.ID, silent bool) {
-		f.workers.host(f.row(id).Host).silent = silent
+		f.workers.silence(f.row(id).Host, silent)
 	}
 	long := func(f *fixture) {
 		f.workers.behave = longTask
@@ -152,9 +152,10 @@
 			second := f.row(id)
 			f.is.Equal(second.Attempt, 2)
 			f.is.True(second.Host != first.Host)
-			resumed := f.workers.log[len(f.workers.log)-1].spec
+			starts := f.workers.started()
+			resumed := starts[len(starts)-1].spec
 			f.is.True(resumed.Checkpoint != "")
-			f.workers.host(first.Host).silent = false
+			f.workers.silence(first.Host, false)
 			j := f.await(id, job.StateFinished, 20*time.Minute)
 			f.is.Equal(j.Attempt, 2)
 		})
@@ -231,17 +232,24 @@
 		f.awaitAll(f.submitMany(a, submission(), 60), 5*time.Minute)
 		f.is.Equal(a.Status().Pools[0].Suspected, []host.ID{bad})
 		time.Sleep(learntEvery)
-		before := lost
+		before := f.lostBy(&lost)
 		crash()
 		f.hold("b")
 		ids := f.submitMany(b, submission(), 60)
 		f.awaitAll(ids, 5*time.Minute)
 		f.is.Equal(b.Status().Pools[0].Suspected, []host.ID{bad})
-		f.is.True(lost <= before+1)
-		f.is.True(lost <= 5)
+		f.is.True(f.lostBy(&lost) <= before+1)
+		f.is.True(f.lostBy(&lost) <= 5)
 	})
 }
 
+// lostBy reads a count that the workers' behaviour writes.
+func (f *fixture) lostBy(count *int) int {
+	f.workers.mu.Lock()
+	defer f.workers.mu.Unlock()
+	return *count
+}
+
 func TestDrainMovesTasks(t *testing.T) {
 	withFixture(t, 4, func(f *fixture) {
 		f.workers.behave = longTask
@@ -258,12 +266,12 @@
 			}
 		}
 		f.is.True(m.TasksOn(left) > kept)
-		f.drain = []host.ID{left}
+		f.set(func() { f.drain = []host.ID{left} })
 		time.Sleep(15 * time.Second)
 		f.is.Equal(m.TasksOn(left), kept)
 		f.awaitAll(append(moving, staying...), time.Hour)
 		f.assertOnce(staying)
-		for _, start := range f.workers.log {
+		for _, start := range f.workers.started() {
 			if start.spec.Task == start.spec.Job+".2" {
 				f.is.True(start.spec.Checkpoint != "")
 			}
--- a/io/jobs/urgency_test.go
+++ b/io/jobs/urgency_test.go
@@ -47,7 +47,7 @@
 	time.Sleep(2 * urgentLimit)
 	histogram := hdrhistogram.New(1, time.Minute.Milliseconds(), 3)
 	starts := make(map[string]time.Time)
-	for _, s := range f.workers.log {
+	for _, s := range f.workers.started() {
 		if starts[s.spec.Job].IsZero() {
 			starts[s.spec.Job] = s.at
 		}
--- a/io/jobs/workers_test.go
+++ b/io/jobs/workers_test.go
@@ -240,3 +240,29 @@
 	}
 	return n
 }
+
+// set changes how the workers behave.
+func (f *fakeWorkers) set(change func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	change()
+}
+
+// silence makes a host answer nothing, or answer again.
+func (f *fakeWorkers) silence(id host.ID, silent bool) {
+	f.set(func() { f.host(id).silent = silent })
+}
+
+// started returns all starts so far, in order.
+func (f *fakeWorkers) started() []fakeStart {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return append([]fakeStart(nil), f.log...)
+}
+
+// startsOf counts the starts of a job.
+func (f *fakeWorkers) startsOf(id job.ID) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.starts[string(id)]
+}
