--- a/core/job/job_test.go
+++ b/core/job/job_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -84,3 +85,28 @@
 		is.Equal(merged.State, StateCancelled)
 	})
 }
+
+func TestReportOfOlderAttemptOnTheSameWorker(t *testing.T) {
+	reports := map[string]Report{
+		"finish": {Event: AttemptFinish, Result: "late", ResultDigest: "digest"},
+		"fail":   {Event: AttemptFail, Failure: "exit status 1"},
+		"stop":   {Event: AttemptEnd},
+	}
+	for name, r := range reports {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t, 1)
+			id := b.submit(1, benchSpec("video", "video"))[0]
+			b.run(time.Second)
+			old := b.s.jobs[id].job.Task()
+			b.s.lapse(b.s.jobs[id].task, "test")
+			b.run(time.Second)
+			r.Task = old
+			newest := Report{Task: b.s.jobs[id].job.Task(), Event: AttemptSeen}
+			b.s.Report(b.targets[0].Host, []Report{r, newest}, b.now, b.now)
+			j, ok := b.s.Job(id)
+			b.is.True(ok)
+			b.is.Equal(j.State, StateRunning)
+			b.is.Equal(j.Attempt, 2)
+		})
+	}
+}
--- a/core/job/pressure.go
+++ b/core/job/pressure.go
@@ -9,7 +9,11 @@
 	if s.policy.Method != MethodLearned || w.capacity.MemoryBytes == 0 {
 		return
 	}
-	used := w.expectedMemory(s.policy.UsageLag) / float64(w.capacity.MemoryBytes)
+	all, staying := w.expectedMemory(s.policy.UsageLag)
+	if all/float64(w.capacity.MemoryBytes) >= s.policy.StopAt {
+		defer w.hasten(now)
+	}
+	used := staying / float64(w.capacity.MemoryBytes)
 	if used < s.policy.ThrottleAt {
 		if used < s.policy.MemoryShare {
 			s.unthrottle(w)
@@ -25,9 +29,6 @@
 		return
 	}
 	s.leave(victims[0], leaveMemory, now)
-	if used >= s.policy.StopAt {
-		victims[0].leaveAt, victims[0].asked = now, true
-	}
 	s.throttleFirst(victims[1:])
 }
 
@@ -41,23 +42,31 @@
 	}
 }
 
-// expectedMemory is what the tasks that stay use by now. Reports are late, so
+// hasten stops the tasks that are leaving without waiting for their progress.
+func (w *worker) hasten(now time.Time) {
+	for _, t := range w.tasks {
+		if t.leave != leaveNone && t.leaveAt.After(now) {
+			t.leaveAt, t.asked = now, true
+		}
+	}
+}
+
+// expectedMemory is what all tasks, and those that stay, use by now. Reports are late, so
 // a task is expected to have grown on as it did between the last two, up to its
 // estimate, or beyond if it has passed that.
-func (w *worker) expectedMemory(lag time.Duration) float64 {
-	var sum float64
+func (w *worker) expectedMemory(lag time.Duration) (all, staying float64) {
 	for _, t := range w.tasks {
-		if t.leave != leaveNone {
-			continue
-		}
 		used := float64(t.usedMemory)
 		grown := used + t.growth*lag.Seconds()
 		if estimate := float64(t.estimate); used < estimate {
 			grown = min(grown, estimate)
 		}
-		sum += grown
+		all += grown
+		if t.leave == leaveNone {
+			staying += grown
+		}
 	}
-	return sum
+	return all, staying
 }
 
 // measure takes in a task's memory by a report.
--- a/core/job/suspicion_test.go
+++ b/core/job/suspicion_test.go
@@ -131,3 +131,37 @@
 	assertSuspects(b, b.targets[0].Host, b.targets[1].Host, b.targets[2].Host)
 	assertLost(b, bad)
 }
+
+func TestWorkersThatTurnBadParkNothing(t *testing.T) {
+	b := newBench(t, 8)
+	bad := make(map[host.ID]bool)
+	b.truth = failing(bad, nil, time.Second)
+	ids := b.submit(100, benchSpec("video", "video"))
+	b.run(90 * time.Second)
+	for _, i := range []int{0, 2, 4, 6} {
+		bad[b.targets[i].Host] = true
+	}
+	ids = append(ids, b.submit(100, benchSpec("video", "video"))...)
+	b.run(30 * time.Minute)
+	b.is.True(len(b.seen[NoticeReleased]) > 0)
+	b.is.Equal(b.count(ids, "finished"), 200)
+	assertNeverSuspected(b, bad)
+}
+
+func TestJobThatRunsOnceGetsAProvedWorker(t *testing.T) {
+	b := newBench(t, 6)
+	b.submit(1, benchSpec("video", "video"))
+	b.run(30 * time.Second)
+	var proved host.ID
+	for _, w := range b.s.order {
+		if !w.record.proved.IsZero() {
+			proved = w.id
+		}
+	}
+	spec := benchSpec("video", "video")
+	spec.Idempotent = false
+	id := b.submit(1, spec)[0]
+	b.run(time.Second)
+	j, _ := b.s.Job(id)
+	b.is.Equal(j.Host, proved)
+}
--- a/io/jobs/manager_test.go
+++ b/io/jobs/manager_test.go
@@ -63,6 +63,17 @@
 	})
 }
 
+func TestKeyHoldsWhenTheQueueMoves(t *testing.T) {
+	withFixture(t, 1, func(f *fixture) {
+		m, stop := f.manager("a")
+		defer stop()
+		first := f.submit(m, submission(), "order-1")
+		f.set(func() { f.moved = "kunta/spare" })
+		again := f.submit(m, submission(), "order-1")
+		f.is.Equal(first.ID, again.ID)
+	})
+}
+
 func TestSubmitTellsTheOutcome(t *testing.T) {
 	cases := []struct {
 		name   string
