--- a/io/entry/serve.go
+++ b/io/entry/serve.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"siskincross/core/chart"
+	"siskincross/core/event"
 	"siskincross/core/route"
 )
 
@@ -29,7 +30,9 @@
 	}
 	defer bound(w, r, c.deadline)()
 	r.Body = http.MaxBytesReader(w, r.Body, s.limits.BodyBytes)
-	b := newBody(r, s.limits)
+	kept := s.reserve(r.ContentLength)
+	defer s.release(kept)
+	b := newBody(r, kept)
 	if err := b.prefetch(); err != nil {
 		s.refuse(w, c, route.Refusal{Reason: prefetchReason(err)}, "the request body did not arrive whole")
 		return
@@ -89,6 +92,7 @@
 			s.fail(ctx, w, c, attempt, started)
 			return
 		}
+		s.record(event.Event{Number: event.RequestRetried, Pool: c.queue.Pool, Host: c.target, Request: c.id, Detail: attempt.Fault.String()})
 		target, refusal = p.again(ctx, waiter, target.Host)
 	}
 }
--- a/io/entry/server.go
+++ b/io/entry/server.go
@@ -55,6 +55,8 @@
 	// requests counts the requests in progress; draining refuses new ones.
 	requests atomic.Int64
 	draining atomic.Bool
+	// kept is the number of bytes of request bodies that may be kept by the requests in progress.
+	kept atomic.Int64
 }
 
 const (
@@ -94,6 +96,8 @@
 		loops.Go(func() { s.refreshPools(ctx) })
 		loops.Go(func() { s.group.run(ctx) })
 		loops.Go(func() { s.flights.run(ctx) })
+		sweep := sweeper{table: s.Table, objects: s.Objects, retention: s.limits.KeyRetention}
+		loops.Go(func() { sweep.run(ctx, s.members) })
 		loops.Wait()
 		s.transports.close()
 		done <- nil
