--- a/core/job/scheduler.go
+++ b/core/job/scheduler.go
@@ -71,6 +71,7 @@
 	}
 	for _, target := range targets {
 		w := s.worker(target.Host, now)
+		w.returns(now)
 		w.update(target)
 		w.listed = now
 	}
@@ -78,8 +79,20 @@
 	s.count()
 }
 
-// forgetWorker is how long the failures of a worker that left are kept.
-const forgetWorker = 10 * time.Minute
+const (
+	// forgetWorker is how long the failures of a worker that left are kept.
+	forgetWorker = 10 * time.Minute
+	// rebootAbsence is how long a worker stays away when it is rebooted or repaired, and not only missing in a list.
+	rebootAbsence = 20 * time.Second
+)
+
+// returns gives a suspected worker new probes if it was away for a while.
+func (w *worker) returns(now time.Time) {
+	if !w.listed.IsZero() && now.Sub(w.listed) >= rebootAbsence {
+		w.record.probes = 0
+		w.record.nextProbe = now
+	}
+}
 
 // dropWorker forgets a worker that left, and reports whether it did.
 func (s *Scheduler) dropWorker(w *worker, now time.Time) bool {
--- a/core/job/suspicion_test.go
+++ b/core/job/suspicion_test.go
@@ -165,3 +165,23 @@
 	j, _ := b.s.Job(id)
 	b.is.Equal(j.Host, proved)
 }
+
+func TestRebootedWorkerIsProbedAgain(t *testing.T) {
+	b := newBench(t, 6)
+	worker := b.targets[0]
+	bad := map[host.ID]bool{worker.Host: true}
+	b.truth = failing(bad, nil, time.Second)
+	b.submit(6000, benchSpec("video", "video"))
+	b.run(20 * time.Minute)
+	assertSuspects(b, worker.Host)
+	assertLost(b, bad)
+	lost := b.failed[worker.Host]
+	b.run(20 * time.Minute)
+	b.is.Equal(b.failed[worker.Host], lost)
+	delete(bad, worker.Host)
+	b.s.SetWorkers(b.targets[1:], b.now)
+	b.run(2 * rebootAbsence)
+	b.s.SetWorkers(b.targets, b.now)
+	b.run(2 * time.Minute)
+	assertSuspects(b)
+}
