Park jobs that every worker refuses

Cause: a job with a program that workers refuse went from worker to worker for ever, two rows written each time; and the late end of an older attempt was noticed at every look at its worker.

Change: refused jobs wait before their next try and are parked after twelve refusals for the same reason while others start, or after five minutes. A late end is noticed once. Jobs without a team are accepted.

Figures: go test ./core/job -run Refuse: at most 24 tries a job.

--- a/core/job/backlog.go
+++ b/core/job/backlog.go
@@ -16,7 +16,10 @@
 	// base is the commit ID of the row as it was last known.
 	base string
 	// dirty is true exactly while the row is behind the memory.
-	dirty bool
+	dirty    bool
+	refusals refusals
+	// late is the newest attempt whose late end was noticed.
+	late int
 	// floor is the least memory that the job's next attempt is expected to use.
 	floor int64
 	// queued is true exactly while the entry is in a lane and waiting.
--- a/core/job/fixture_test.go
+++ b/core/job/fixture_test.go
@@ -49,6 +49,9 @@
 	targets []route.Target
 	tasks   map[host.ID]map[string]*benchTask
 	truth   func(h host.ID, j Job) truth
+	// refuses holds the jobs that every worker refuses; refused counts their starts.
+	refuses map[ID]bool
+	refused int
 	killed  int
 	stops   int
 	// commands counts what the workers were told.
@@ -140,11 +143,16 @@
 			}
 		}
 		for _, l := range b.s.Committed(rows) {
+			if b.refuses[l.Job.ID] {
+				b.refused++
+				b.s.Started(l.Job.ID, l.Job.Attempt, StartRefused, "unknown program", b.now)
+				continue
+			}
 			b.tasks[l.Host][l.Job.Task()] = &benchTask{job: l.Job, truth: b.truth(l.Host, l.Job), start: b.now, share: 1, state: "running"}
 			if l.Job.Attempt == 1 {
 				b.waits = append(b.waits, b.now.Sub(b.arrived[l.Job.ID]))
 			}
-			b.s.Started(l.Job.ID, l.Job.Attempt, StartAccepted, b.now)
+			b.s.Started(l.Job.ID, l.Job.Attempt, StartAccepted, "", b.now)
 		}
 	}
 }
--- a/core/job/job_test.go
+++ b/core/job/job_test.go
@@ -103,6 +103,8 @@
 			r.Task = old
 			newest := Report{Task: b.s.jobs[id].job.Task(), Event: AttemptSeen}
 			b.s.Report(b.targets[0].Host, []Report{r, newest}, b.now, b.now)
+			b.s.Report(b.targets[0].Host, []Report{r, newest}, b.now, b.now)
+			b.is.True(len(b.s.Notices()) <= 2)
 			j, ok := b.s.Job(id)
 			b.is.True(ok)
 			b.is.Equal(j.State, StateRunning)
--- a/core/job/lease.go
+++ b/core/job/lease.go
@@ -7,8 +7,8 @@
 	"siskincross/core/host"
 )
 
-// Started takes in the worker's answer to the start of a task.
-func (s *Scheduler) Started(id ID, attempt int, answer StartAnswer, now time.Time) {
+// Started takes in the worker's answer to the start of a task, and the reason of a refusal.
+func (s *Scheduler) Started(id ID, attempt int, answer StartAnswer, reason string, now time.Time) {
 	e := s.jobs[id]
 	if e == nil || e.task == nil || e.job.Attempt != attempt {
 		return
@@ -17,10 +17,12 @@
 	switch answer {
 	case StartAccepted:
 		t.worker.answered(now)
+		s.started++
+		e.refusals = refusals{}
 		t.started = now
 		t.follow(AttemptSeen)
 	case StartRefused:
-		s.refused(t, now)
+		s.refused(t, reason, now)
 	case StartUnknown:
 		t.worker.putOff(now)
 		if e.job.Spec.Idempotent {
@@ -32,20 +34,20 @@
 const (
 	// refuseWait is how long a worker that refused a task or did not answer gets no other. It doubles each time.
 	refuseWait = 2 * time.Second
-	// maxRefusals bounds the doublings.
-	maxRefusals = 5
+	// maxPutOffs bounds the doublings.
+	maxPutOffs = 5
 )
 
 // putOff keeps new work from a worker for a while.
 func (w *worker) putOff(now time.Time) {
-	w.backoff = now.Add(refuseWait << min(w.refusals, maxRefusals))
-	w.refusals++
+	w.backoff = now.Add(refuseWait << min(w.putOffs, maxPutOffs))
+	w.putOffs++
 }
 
 // answered notes that a worker answered.
 func (w *worker) answered(now time.Time) {
 	w.contact = now
-	w.refusals = 0
+	w.putOffs = 0
 }
 
 // Unanswered notes that a worker did not answer.
@@ -55,16 +57,6 @@
 	}
 }
 
-func (s *Scheduler) refused(t *task, now time.Time) {
-	if !t.follow(AttemptRefuse) {
-		return
-	}
-	t.worker.putOff(now)
-	j := t.job.job
-	next, err := j.WithRequeue(j.Attempt, "", "worker "+string(t.worker.id)+" refused the task")
-	s.settle(t, next, err)
-}
-
 // StartAnswer is what is known after a worker was told to start a task.
 type StartAnswer int
 
--- a/core/job/placement.go
+++ b/core/job/placement.go
@@ -26,6 +26,7 @@
 // placed. Their attempts are pending writes until Committed.
 func (s *Scheduler) Place(now time.Time, limit int) int {
 	s.init()
+	s.takeUp(now)
 	if s.backlog.waiting == 0 || s.open == 0 {
 		return 0
 	}
--- a/core/job/placement_test.go
+++ b/core/job/placement_test.go
@@ -1,6 +1,7 @@
 package job
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -111,8 +112,25 @@
 	rows := b.s.Pending(1)
 	b.is.Equal(len(rows), 1)
 	b.is.Equal(len(b.s.Committed(rows)), 1)
-	b.s.Started(id, 1, StartRefused, b.now)
+	b.s.Started(id, 1, StartRefused, "all slots are in use", b.now)
 	b.run(30 * time.Second)
 	b.is.Equal(b.ended[id].State, StateFinished)
 	b.is.Equal(b.ended[id].Attempt, 2)
 }
+
+func TestJobThatAllWorkersRefuseIsParked(t *testing.T) {
+	for name, others := range map[string]int{"among others": 100, "alone": 0} {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t, 6)
+			ids := b.submit(others, benchSpec("video", "video"))
+			bad := b.submit(3, benchSpec("video", "broken"))
+			b.refuses = map[ID]bool{bad[0]: true, bad[1]: true, bad[2]: true}
+			b.run(20 * time.Minute)
+			b.is.Equal(b.count(bad, "parked"), len(bad))
+			b.is.Equal(b.count(ids, "finished"), others)
+			b.is.True(strings.Contains(b.ended[bad[0]].Reason, "unknown program"))
+			b.is.True(b.refused <= 2*maxRefusals*len(bad))
+			assertSuspects(b)
+		})
+	}
+}
--- a/core/job/relief.go
+++ b/core/job/relief.go
@@ -95,7 +95,7 @@
 	s.ledger.commands = nil
 	for _, t := range s.leaving {
 		if !t.dispatched {
-			s.refused(t, now)
+			s.refused(t, "not sent", now)
 			continue
 		}
 		if c, ok := t.command(now); ok {
--- a/core/job/report.go
+++ b/core/job/report.go
@@ -92,7 +92,8 @@
 	if e.task != nil && e.task.worker == w && e.job.Attempt == attempt {
 		return e.task
 	}
-	if r.Event == AttemptFinish {
+	if r.Event == AttemptFinish && attempt > e.late {
+		e.late = attempt
 		s.notice(NoticeLate, id, w.id, ErrLateAttempt{Job: id, Attempt: attempt, Newest: e.job.Attempt}.Error())
 	}
 	return nil
--- a/core/job/scheduler.go
+++ b/core/job/scheduler.go
@@ -44,6 +44,10 @@
 	largest Demand
 	notices []Notice
 	names   interner
+	// delayed holds refused jobs that wait for their next try.
+	delayed []delay
+	// started counts the tasks that workers accepted.
+	started int
 	// tookBack is when slots were last taken back.
 	tookBack time.Time
 }
--- a/core/job/worker.go
+++ b/core/job/worker.go
@@ -23,9 +23,9 @@
 	listed time.Time
 	// backoff is when the host may be tried again after it refused a task or did not answer.
 	backoff time.Time
-	// refusals counts what led to backoff since the host last answered.
-	refusals int
-	tasks    map[ID]*task
+	// putOffs counts what led to backoff since the host last answered.
+	putOffs int
+	tasks   map[ID]*task
 	// demand is the sum over tasks of task.demand.
 	demand Demand
 	// claims counts the urgent jobs that room is being made for; claimed is the sum of their demands.
--- a/io/jobs/dispatch.go
+++ b/io/jobs/dispatch.go
@@ -72,7 +72,7 @@
 	case errors.As(err, &refused):
 		answer = job.StartRefused
 	}
-	h.scheduler.Started(l.Job.ID, l.Job.Attempt, answer, time.Now())
+	h.scheduler.Started(l.Job.ID, l.Job.Attempt, answer, refused.Reason, time.Now())
 }
 
 // poll looks at the workers with tasks that are due, and renews their leases.
--- a/io/jobs/request.go
+++ b/io/jobs/request.go
@@ -27,7 +27,8 @@
 
 // Submission is the body of a submitted job.
 type Submission struct {
-	// Queue and Team are names within the organisation, or full names.
+	// Queue and Team are names within the organisation, or full names. Jobs
+	// without a team share what the teams leave.
 	Queue   string `json:"queue"`
 	Team    string `json:"team"`
 	Program string `json:"program"`
@@ -106,8 +107,11 @@
 	if !ok || queue.Organisation != organisation {
 		return job.Spec{}, "", ErrInvalid{Reason: fmt.Sprintf("there is no queue %q", s.Queue)}
 	}
-	team, ok := expanded.Team(fullName(organisation, s.Team))
-	if !ok || team.Organisation != organisation {
+	team := ""
+	if s.Team != "" {
+		team = fullName(organisation, s.Team)
+	}
+	if known, ok := expanded.Team(team); team != "" && (!ok || known.Organisation != organisation) {
 		return job.Spec{}, "", ErrInvalid{Reason: fmt.Sprintf("there is no team %q", s.Team)}
 	}
 	switch {
@@ -119,7 +123,7 @@
 		return job.Spec{}, "", ErrInvalid{Reason: fmt.Sprintf("the template's name is longer than %d bytes", maxNameBytes)}
 	}
 	return job.Spec{
-		Organisation: organisation, Queue: queue.Name, Team: team.Name, Program: s.Program,
+		Organisation: organisation, Queue: queue.Name, Team: team, Program: s.Program,
 		Cores: s.Cores, MemoryBytes: s.MemoryBytes, Idempotent: s.Idempotent,
 		Urgent: s.Urgent || queue.Urgent, Template: s.Template,
 	}, queue.Pool, nil
