Replay both deployments with entry hosts of the real code

Operators edit the template and the parameters of the directory, so that a change adds a queue that callers can look for.

--- a/io/replay/callers.go
+++ b/io/replay/callers.go
@@ -143,7 +143,7 @@
 		record.Outcome, record.Error = OutcomeNotSent, err.Error()
 	} else {
 		record.Process = p.name
-		c.exchange(ctx, p.Callers, e, stream, &record)
+		c.exchange(ctx, p.callers, e, stream, &record)
 	}
 	record.Ended = time.Now()
 	c.mu.Lock()
--- a/io/replay/changes.go
+++ b/io/replay/changes.go
@@ -3,19 +3,18 @@
 import (
 	"context"
 	"net/http"
-	"os"
-	"path/filepath"
 	"sync"
 	"time"
+
+	"github.com/oklog/ulid/v2"
 )
 
 // Change is an operator's own record of one change of the configuration.
 type Change struct {
-	// Marker is a queue that only this change adds.
-	Marker     string    `json:"marker"`
-	Parameters string    `json:"parameters"`
-	Begun      time.Time `json:"begun"`
-	Ended      time.Time `json:"ended"`
+	// Marker is the full name of a queue that only this change adds.
+	Marker string    `json:"marker"`
+	Begun  time.Time `json:"begun"`
+	Ended  time.Time `json:"ended"`
 	// Race tells that a second operator applied another change made from the same version.
 	Race bool `json:"race,omitempty"`
 	Applied
@@ -37,32 +36,44 @@
 	Known   bool      `json:"known"`
 }
 
+// Proposal is a change as an operator sends it.
+type Proposal struct {
+	// ID makes the change recognisable when it is sent again after a lost answer.
+	ID string
+	// Base is the organisation's version that the change was made from; zero for the first.
+	Base         uint64
+	Organisation string
+	// Template and Parameters are TOML texts.
+	Template, Parameters string
+}
+
 // OperatorClient is how the replay's operators reach an entry host.
 type OperatorClient struct {
-	// Head returns the version in force; zero means none.
-	Head func(ctx context.Context, address string) (uint64, error)
-	// Apply proposes a template and parameters made from the version base.
-	Apply func(ctx context.Context, address string, base uint64, template, parameters []byte) Applied
+	// Head returns the organisation's version in force; zero means none.
+	Head  func(ctx context.Context, address, organisation string) (uint64, error)
+	Apply func(ctx context.Context, address string, proposal Proposal) Applied
 }
 
 const (
-	templateFile   = "template.toml"
-	parametersFile = "parameters.toml"
 	// probeInterval is the period of looking at each entry host for each change.
 	probeInterval = 200 * time.Millisecond
 	probeTimeout  = time.Second
 	// applyTimeout bounds one change.
 	applyTimeout = 20 * time.Second
+	// applyTries bounds the proposals of a change while entry hosts or the platform are unavailable.
+	applyTries = 8
+	applyPause = 500 * time.Millisecond
 )
 
 // operators make the changes of a trace and look for them at all entry hosts.
 type operators struct {
-	directory string
-	cluster   *cluster
-	client    OperatorClient
-	http      *http.Client
+	cluster *cluster
+	client  OperatorClient
+	http    *http.Client
 
-	mu      sync.Mutex
+	mu sync.Mutex
+	// texts is the configuration that was accepted last.
+	texts   texts
 	changes []Change
 	probes  []Probe
 	markers []string
@@ -72,53 +83,73 @@
 func (o *operators) apply(ctx context.Context, e Event) error {
 	ctx, cancel := context.WithTimeout(ctx, applyTimeout)
 	defer cancel()
-	p, err := o.cluster.pick()
-	if err != nil {
-		return err
-	}
-	base, err := o.client.Head(ctx, p.Operators)
+	o.mu.Lock()
+	texts := o.texts
+	o.mu.Unlock()
+	base, err := o.head(ctx, texts.organisation)
 	if err != nil {
 		return err
 	}
-	race := e.Rival != ""
+	race := e.RivalMarker != ""
 	var group sync.WaitGroup
-	group.Go(func() { o.change(ctx, base, Change{Marker: e.Marker, Parameters: e.Parameters, Race: race}) })
+	group.Go(func() {
+		o.change(ctx, base, texts.with(e.Marker, e.Pool, e.Values), Change{Marker: texts.full(e.Marker), Race: race})
+	})
 	if race {
-		group.Go(func() { o.change(ctx, base, Change{Marker: e.RivalMarker, Parameters: e.Rival, Race: race}) })
+		group.Go(func() {
+			o.change(ctx, base, texts.with(e.RivalMarker, e.Pool, e.RivalValues), Change{Marker: texts.full(e.RivalMarker), Race: race})
+		})
 	}
 	group.Wait()
 	return nil
 }
 
+// head asks entry hosts in turn for the version in force.
+func (o *operators) head(ctx context.Context, organisation string) (version uint64, err error) {
+	for range applyTries {
+		var p *process
+		if p, err = o.cluster.pick(); err == nil {
+			version, err = o.client.Head(ctx, p.Operators, organisation)
+		}
+		if err == nil || !sleep(ctx, applyPause) {
+			break
+		}
+	}
+	return version, err
+}
+
 // change applies one change at the next entry host and records it.
-func (o *operators) change(ctx context.Context, base uint64, c Change) {
+func (o *operators) change(ctx context.Context, base uint64, next texts, c Change) {
 	c.Begun = time.Now()
 	o.mu.Lock()
 	o.markers = append(o.markers, c.Marker)
 	o.mu.Unlock()
-	template, parameters, err := o.read(c.Parameters)
-	if err == nil {
-		var p *process
-		if p, err = o.cluster.pick(); err == nil {
-			c.Applied = o.client.Apply(ctx, p.Operators, base, template, parameters)
-		}
-	}
-	if err != nil {
-		c.Error = err.Error()
-	}
+	c.Applied = o.propose(ctx, Proposal{
+		ID: ulid.Make().String(), Base: base, Organisation: next.organisation, Template: next.template, Parameters: next.parameters,
+	})
 	c.Ended = time.Now()
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.changes = append(o.changes, c)
+	if c.Accepted {
+		o.texts = next
+	}
 }
 
-func (o *operators) read(name string) (template, parameters []byte, err error) {
-	template, err = os.ReadFile(filepath.Join(o.directory, templateFile))
-	if err != nil {
-		return nil, nil, err
+// propose sends a change until it was accepted or lost its race.
+func (o *operators) propose(ctx context.Context, proposal Proposal) (applied Applied) {
+	for range applyTries {
+		p, err := o.cluster.pick()
+		if err != nil {
+			applied.Error = err.Error()
+		} else {
+			applied = o.client.Apply(ctx, p.Operators, proposal)
+		}
+		if applied.Accepted || applied.Conflict || !sleep(ctx, applyPause) {
+			break
+		}
 	}
-	parameters, err = os.ReadFile(filepath.Join(o.directory, name))
-	return template, parameters, err
+	return applied
 }
 
 // probe looks at all entry hosts for all changes until ctx ends.
@@ -135,7 +166,7 @@
 		markers := append([]string(nil), o.markers...)
 		o.mu.Unlock()
 		var group sync.WaitGroup
-		for _, p := range o.cluster.running() {
+		for _, p := range o.cluster.accepting() {
 			for _, marker := range markers {
 				group.Go(func() { o.look(ctx, p, marker) })
 			}
@@ -150,7 +181,7 @@
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	at := time.Now()
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+p.Callers+"/queues/"+marker+"/probe", nil)
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+p.callers+"/queues/"+marker+"/probe", nil)
 	if err != nil {
 		return
 	}
--- a/io/replay/entryhost.go
+++ b/io/replay/entryhost.go
@@ -27,14 +27,14 @@
 
 // EntryHost is one running entry host.
 type EntryHost struct {
-	// Callers, Operators and Peers are "ip:port".
-	Callers, Operators, Peers string
+	// Operators and Peers are "ip:port".
+	Operators, Peers string
+	// Ready waits until callers are accepted and returns their address, "ip:port".
+	Ready func(ctx context.Context) (string, error)
 	// Stop is the graceful shutdown. It returns when it is over.
 	Stop func(ctx context.Context) error
 	// Kill ends the entry host at once.
 	Kill func()
-	// Ended yields the entry host's end; nil if that is not watched.
-	Ended <-chan error
 }
 
 // process is an entry host in the cluster and its life as the platform's balancer sees it.
@@ -42,6 +42,8 @@
 	EntryHost
 	name  string
 	index int
+	// callers is where callers are accepted; empty before the entry host is ready.
+	callers string
 	// stopping and dead are set by the replay, healthy by the balancer's checks.
 	stopping bool
 	dead     bool
@@ -78,6 +80,8 @@
 	checkTimeout = 500 * time.Millisecond
 	// stopTimeout bounds a planned stop of an entry host.
 	stopTimeout = 30 * time.Second
+	// readyTimeout bounds the time from the start of an entry host until it accepts callers.
+	readyTimeout = 20 * time.Second
 )
 
 // errNoEntryHost is returned to callers while no entry host is healthy.
@@ -85,6 +89,29 @@
 
 // add starts an entry host and waits until it is ready.
 func (c *cluster) add(ctx context.Context, index int, zone string) error {
+	p, err := c.launch(ctx, index, zone)
+	if err != nil {
+		return err
+	}
+	return c.await(ctx, p)
+}
+
+// await waits until an entry host accepts callers.
+func (c *cluster) await(ctx context.Context, p *process) error {
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	callers, err := p.Ready(ctx)
+	if err != nil {
+		return fmt.Errorf("%s is not ready: %w", p.name, err)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p.callers, p.healthy = callers, true
+	return nil
+}
+
+// launch starts an entry host.
+func (c *cluster) launch(ctx context.Context, index int, zone string) (*process, error) {
 	c.mu.Lock()
 	if c.counts == nil {
 		c.counts = make(map[int]int)
@@ -101,14 +128,13 @@
 	}
 	started, err := c.start(ctx, spec)
 	if err != nil {
-		return fmt.Errorf("start entry host %d: %w", index, err)
+		return nil, fmt.Errorf("start entry host %d: %w", index, err)
 	}
+	p := &process{EntryHost: started, index: index, name: fmt.Sprintf("entry-%d.%d", index, spec.Incarnation)}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.processes = append(c.processes, &process{
-		EntryHost: started, index: index, name: fmt.Sprintf("entry-%d.%d", index, spec.Incarnation), healthy: true,
-	})
-	return nil
+	c.processes = append(c.processes, p)
+	return p, nil
 }
 
 // seeds returns the peer addresses of the entry hosts that run. The caller holds c.mu.
@@ -194,6 +220,14 @@
 	return running
 }
 
+// accepting returns the entry hosts that run, are not stopping and accept callers.
+func (c *cluster) accepting() []*process {
+	running := c.running()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return ready(running)
+}
+
 // pick returns the entry host for the next caller, in turn over the healthy ones.
 func (c *cluster) pick() (*process, error) {
 	c.mu.Lock()
@@ -220,11 +254,11 @@
 		}
 		var group sync.WaitGroup
 		c.mu.Lock()
-		processes := append([]*process(nil), c.processes...)
+		processes := ready(c.processes)
 		c.mu.Unlock()
 		for _, p := range processes {
 			group.Go(func() {
-				healthy := isHealthy(ctx, p.Callers)
+				healthy := isHealthy(ctx, p.callers)
 				c.mu.Lock()
 				p.healthy = healthy
 				c.mu.Unlock()
@@ -234,6 +268,17 @@
 	}
 }
 
+// ready returns the entry hosts that have begun to accept callers.
+func ready(processes []*process) []*process {
+	var accepting []*process
+	for _, p := range processes {
+		if p.callers != "" {
+			accepting = append(accepting, p)
+		}
+	}
+	return accepting
+}
+
 // healthClient opens a connection for each check.
 var healthClient = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 
--- a/io/replay/jobs.go
+++ b/io/replay/jobs.go
@@ -124,7 +124,7 @@
 	for range submitTries {
 		var p *process
 		if p, err = s.cluster.pick(); err == nil {
-			id, accepted, err = s.submitAt(ctx, p.Callers, spec)
+			id, accepted, err = s.submitAt(ctx, p.callers, spec)
 		}
 		if err == nil || !sleep(ctx, jobInterval) {
 			break
@@ -148,13 +148,13 @@
 		return false
 	}
 	organisation, _, _ := strings.Cut(spec.Queue, "/")
-	status, err := s.client.Status(ctx, p.Callers, organisation, job.ID)
+	status, err := s.client.Status(ctx, p.callers, organisation, job.ID)
 	if err != nil {
 		return false
 	}
 	fault := ""
 	if status.Finished {
-		content, err := s.client.Result(ctx, p.Callers, organisation, job.ID)
+		content, err := s.client.Result(ctx, p.callers, organisation, job.ID)
 		if err != nil {
 			return false
 		}
@@ -190,7 +190,7 @@
 	ctx, cancel := context.WithTimeout(ctx, jobTimeout)
 	defer cancel()
 	if p, err := s.cluster.pick(); err == nil {
-		_ = s.client.Cancel(ctx, p.Callers, organisation, id)
+		_ = s.client.Cancel(ctx, p.callers, organisation, id)
 	}
 }
 
--- a/io/replay/replay.go
+++ b/io/replay/replay.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"log"
 	"math/rand/v2"
 	"net/http"
 	"strings"
@@ -35,7 +36,7 @@
 	// Jobs is how callers reach the job API; the zero value means its HTTP API.
 	Jobs JobClient
 	// Queues returns the pool of each queue of a template with parameters; nil means what the real code expands.
-	Queues func(template, parameters []byte) (map[string]string, error)
+	Queues func(organisation, template, parameters string) (map[string]string, error)
 }
 
 const (
@@ -63,6 +64,15 @@
 		o.EntryHosts = defaultEntryHosts
 	}
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: maxCallers}}
+	if o.StartEntryHost == nil {
+		o.StartEntryHost = startNode
+	}
+	if o.Operator.Apply == nil {
+		o.Operator = newOperatorClient(client)
+	}
+	if o.Queues == nil {
+		o.Queues = queuesOf
+	}
 	if o.Jobs.Submit == nil {
 		o.Jobs = newJobClient(client)
 	}
@@ -92,11 +102,16 @@
 // replay could not be carried out; broken properties are in the report.
 func Run(ctx context.Context, options Options) (Report, error) {
 	options = options.withDefaults()
+	defer silence()()
 	trace, err := Load(options.Directory)
 	if err != nil {
 		return Report{}, err
 	}
-	s := newStage(options, trace)
+	texts, err := loadTexts(options.Directory)
+	if err != nil {
+		return Report{}, err
+	}
+	s := newStage(options, trace, texts)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	ended := s.platform.Start(ctx)
@@ -115,7 +130,14 @@
 	return newReport(evidence, options), nil
 }
 
-func newStage(options Options, trace Trace) *stage {
+// silence keeps what net/http says of spoilt answers away from the progress, until the returned function is called.
+func silence() (restore func()) {
+	previous := log.Writer()
+	log.SetOutput(io.Discard)
+	return func() { log.SetOutput(previous) }
+}
+
+func newStage(options Options, trace Trace, texts texts) *stage {
 	fleet := trace.fleet(options.Seed)
 	homes := make(map[host.ID]string)
 	zones := make(map[string]bool)
@@ -137,7 +159,7 @@
 	s.callers = newCallers(s.cluster, prefix)
 	s.submitters = &submitters{cluster: s.cluster, client: options.Jobs, prefix: prefix}
 	s.operators = &operators{
-		directory: options.Directory, cluster: s.cluster, client: options.Operator,
+		cluster: s.cluster, client: options.Operator, texts: texts,
 		http: &http.Client{Transport: &http.Transport{}},
 	}
 	return s
@@ -178,13 +200,18 @@
 // setUp starts the entry hosts, applies the first configuration and waits until all hosts are adopted.
 func (s *stage) setUp(ctx context.Context) error {
 	for index := range s.options.EntryHosts {
-		if err := s.cluster.add(ctx, index, ""); err != nil {
+		if _, err := s.cluster.launch(ctx, index, ""); err != nil {
 			return err
 		}
 	}
 	if err := s.configure(ctx); err != nil {
 		return err
 	}
+	for _, p := range s.cluster.running() {
+		if err := s.cluster.await(ctx, p); err != nil {
+			return err
+		}
+	}
 	ctx, cancel := context.WithTimeout(ctx, adoptTimeout)
 	defer cancel()
 	for s.ownership.adopted() < len(s.fleet.Hosts) {
@@ -197,21 +224,12 @@
 
 // configure applies the first configuration.
 func (s *stage) configure(ctx context.Context) error {
-	template, parameters, err := s.operators.read(parametersFile)
-	if err != nil {
-		return err
-	}
-	p, err := s.cluster.pick()
-	if err != nil {
-		return err
-	}
 	ctx, cancel := context.WithTimeout(ctx, applyTimeout)
 	defer cancel()
-	base, err := s.options.Operator.Head(ctx, p.Operators)
-	if err != nil {
-		return err
-	}
-	applied := s.options.Operator.Apply(ctx, p.Operators, base, template, parameters)
+	first := s.operators.texts
+	applied := s.options.Operator.Apply(ctx, s.cluster.running()[0].Operators, Proposal{
+		Organisation: first.organisation, Template: first.template, Parameters: first.parameters,
+	})
 	if !applied.Accepted {
 		return fmt.Errorf("the first configuration was not accepted: %s", applied.Error)
 	}
@@ -237,33 +255,11 @@
 	e.Stops, e.Killed = s.cluster.records()
 	e.Records = s.platform.Records()
 	var err error
-	e.pools, err = s.queues()
+	last := s.operators.texts
+	e.pools, err = s.options.Queues(last.organisation, last.template, last.parameters)
 	return e, errors.Join(s.failure, err)
 }
 
-// queues returns the pool of each queue over all parameters of the trace.
-func (s *stage) queues() (map[string]string, error) {
-	files := []string{parametersFile}
-	for _, e := range s.trace.of(KindApply) {
-		files = append(files, e.Parameters)
-	}
-	pools := make(map[string]string)
-	for _, file := range files {
-		template, parameters, err := s.operators.read(file)
-		if err != nil {
-			return nil, err
-		}
-		queues, err := s.options.Queues(template, parameters)
-		if err != nil {
-			return nil, fmt.Errorf("expand %s: %w", file, err)
-		}
-		for queue, pool := range queues {
-			pools[queue] = pool
-		}
-	}
-	return pools, nil
-}
-
 // report writes a line a second.
 func (s *stage) report(ctx context.Context) {
 	for sleep(ctx, progressInterval) {
--- a/io/replay/thin_test.go
+++ b/io/replay/thin_test.go
@@ -9,6 +9,7 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -55,18 +56,22 @@
 	return config.Queue{Name: name, Organisation: "o", Pool: pool, MaxQueued: 100, Deadline: 2 * time.Second}
 }
 
-// operator returns operators who change the one configuration. Their parameters hold the name of the queue to add.
+// operator returns operators who change the one configuration.
 func (d *thin) operator() OperatorClient {
 	return OperatorClient{
-		Head: func(context.Context, string) (uint64, error) { return uint64(d.config.Load().Version), nil },
-		Apply: func(_ context.Context, _ string, base uint64, _, parameters []byte) Applied {
+		Head: func(context.Context, string, string) (uint64, error) { return uint64(d.config.Load().Version), nil },
+		Apply: func(_ context.Context, _ string, proposal Proposal) Applied {
 			current := d.config.Load()
+			if uint64(current.Version) != proposal.Base && proposal.Base != 0 {
+				return Applied{Conflict: true}
+			}
 			next := *current
 			next.Version++
-			if len(parameters) > 0 {
-				next.Queues = append(slices.Clone(current.Queues), thinQueue(string(parameters), "o/b"))
+			if _, added, ok := strings.Cut(proposal.Template, "[queues."); ok {
+				name, _, _ := strings.Cut(added, "]")
+				next.Queues = append(slices.Clone(current.Queues), thinQueue("o/"+name, "o/b"))
 			}
-			if uint64(current.Version) != base || !d.config.CompareAndSwap(current, &next) {
+			if !d.config.CompareAndSwap(current, &next) {
 				return Applied{Conflict: true}
 			}
 			return Applied{Accepted: true}
@@ -102,7 +107,8 @@
 	httpServer := &http.Server{Handler: mux}
 	go func() { _ = httpServer.Serve(listener) }()
 	return EntryHost{
-		Callers: listener.Addr().String(), Operators: spec.Zone, Peers: "127.0.0.1:1",
+		Operators: spec.Zone, Peers: "127.0.0.1:1",
+		Ready: func(context.Context) (string, error) { return listener.Addr().String(), nil },
 		Stop: func(ctx context.Context) error {
 			stopping.Store(true)
 			time.Sleep(500 * time.Millisecond)
@@ -149,7 +155,7 @@
 0s hosts pool=o/b count=8 zones=north,south slots=8 connections=64 rack-size=4 budget=2
 0s demand queue=o/deposits rate=60 work=400ms for=6s idempotent=false stream=0.3
 0s demand queue=o/quotes rate=60 work=20ms for=6s idempotent stream=0.3
-500ms apply parameters=late-quotes marker=o/late-quotes rival=early-quotes rival-marker=o/early-quotes
+500ms apply pool=b marker=late-quotes rival-marker=early-quotes
 1s answers pool=o/a cut=1
 1s answers pool=o/b cross=1
 2s entry index=1 replace
@@ -162,14 +168,13 @@
 	is := is.New(t)
 	directory := t.TempDir()
 	for name, content := range map[string]string{
-		traceFile: thinTrace, templateFile: "", parametersFile: "",
-		"late-quotes": "o/late-quotes", "early-quotes": "o/early-quotes",
+		traceFile: thinTrace, templateFile: "", parametersFile: `organisation = "o"`,
 	} {
 		is.NoErr(os.WriteFile(filepath.Join(directory, name), []byte(content), 0o600))
 	}
 	report, err := Run(t.Context(), Options{
 		Directory: directory, StartEntryHost: d.start, Operator: d.operator(),
-		Queues: func(_, _ []byte) (map[string]string, error) {
+		Queues: func(string, string, string) (map[string]string, error) {
 			return map[string]string{"o/deposits": "o/a", "o/quotes": "o/b"}, nil
 		},
 	})
--- a/io/replay/trace.go
+++ b/io/replay/trace.go
@@ -76,7 +76,7 @@
 	Cores, Slots, Connections, RackSize, Budget int
 	MemoryBytes                                 int64
 	// Of settings.
-	Heartbeat, Lapse, Plan, TaskLease, Maintenance, Linger time.Duration
+	Heartbeat, Poll, Lapse, Plan, Vouch, Maintenance, CoolDown, Linger time.Duration
 	// Of entry. Index names the entry host, from 0.
 	Index                      int
 	Start, Stop, Kill, Replace bool
@@ -107,9 +107,11 @@
 	Empty                    bool
 	Flap                     float64
 
-	// Of apply. Marker is a queue that only this change adds. Rival and RivalMarker are those of a
-	// second operator who applies another change at the same time, made from the same version.
-	Parameters, Marker, Rival, RivalMarker string
+	// Of apply. Marker is a queue that only this change adds, to the pool Pool; Values are the parameters that it
+	// sets, NAME:VALUE. RivalMarker and RivalValues are those of a second operator who applies another change at the
+	// same time, made from the same version.
+	Marker, RivalMarker string
+	Values, RivalValues []string
 	// Of end. Answered is the least share of requests that must be answered.
 	Answered float64
 }
