Tell a change that was given up apart from one that may be committed

With the store down an operator who gave up was told an unknown outcome even where no commit had been sent. A change is now claimed by each attempt; one that no attempt holds is taken back for certain, also at the entry host that it was handed to. The API gives up after 30 s instead of waiting with the store.

--- a/io/operator/configuration.go
+++ b/io/operator/configuration.go
@@ -1,6 +1,7 @@
 package operator
 
 import (
+	"context"
 	"strconv"
 	"time"
 
@@ -10,6 +11,9 @@
 	"siskincross/io/rollout"
 )
 
+// applyTimeout is how long a change waits for a store that does not answer.
+const applyTimeout = 30 * time.Second
+
 // Change is an organisation's template and parameters, made from a version.
 type Change struct {
 	// ID makes a change recognisable that is sent again after a lost answer; empty means a new one.
@@ -91,7 +95,9 @@
 		fail(c, err)
 		return
 	}
-	accepted, err := s.Rollout.Apply(c.Request().Context(), change.rollout())
+	ctx, cancel := context.WithTimeout(c.Request().Context(), applyTimeout)
+	defer cancel()
+	accepted, err := s.Rollout.Apply(ctx, change.rollout())
 	answer(c, Accepted{Version: accepted.Version, Change: accepted.Change}, err)
 }
 
@@ -101,7 +107,9 @@
 		fail(c, err)
 		return
 	}
-	accepted, err := s.Rollout.Rollback(c.Request().Context(), r.Organisation, r.To, r.From)
+	ctx, cancel := context.WithTimeout(c.Request().Context(), applyTimeout)
+	defer cancel()
+	accepted, err := s.Rollout.Rollback(ctx, r.Organisation, r.To, r.From)
 	answer(c, Accepted{Version: accepted.Version, Change: accepted.Change}, err)
 }
 
--- a/io/rollout/apply.go
+++ b/io/rollout/apply.go
@@ -43,8 +43,13 @@
 	// part is the organisation's configuration that the change expands to.
 	part     config.Expanded
 	received time.Time
+	// The manager's lock protects uncertain, claimed and abandoned.
 	// uncertain tells that a commit of the change has an unknown outcome.
 	uncertain bool
+	// claimed changes are part of an attempt that may commit them.
+	claimed bool
+	// abandoned changes were told not accepted, so no attempt may claim them.
+	abandoned bool
 	// forwarded changes were received by another entry host, which times their roll-out.
 	forwarded bool
 	result    chan result
@@ -73,13 +78,13 @@
 	}
 	r := newRequest(ctx, change, part)
 	r.received = received
-	version, sent := m.forward(ctx, change)
+	version, open := m.forward(ctx, change)
 	if version != 0 {
 		m.track(version, &tracked{organisation: change.Organisation, received: received})
 		m.checkRollouts()
 		return Accepted{Version: version, Change: change.ID}, nil
 	}
-	r.uncertain = sent
+	r.uncertain = open
 	return m.submit(ctx, r)
 }
 
@@ -129,23 +134,44 @@
 	}
 }
 
-// abandon takes back a change whose caller gave up. Only one that the committer
-// has not taken up is known not to be accepted.
+// abandon takes back a change whose caller gave up, unless an attempt may be committing it.
 func (m *Manager) abandon(r *request, cause error) (Accepted, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	for i, p := range m.pending {
-		if p == r {
-			m.pending = append(m.pending[:i:i], m.pending[i+1:]...)
-			return Accepted{}, r.givenUp(cause)
-		}
-	}
 	select {
 	case got := <-r.result:
 		return got.accepted, got.err
 	default:
+	}
+	if r.claimed {
 		return Accepted{}, ErrOutcomeUnknown{Change: r.change.ID}
 	}
+	r.abandoned = true
+	return Accepted{}, r.givenUp(cause)
+}
+
+// claim takes the changes into an attempt and returns those that were not abandoned.
+func (m *Manager) claim(batch []*request) []*request {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var claimed []*request
+	for _, r := range batch {
+		if !r.abandoned {
+			r.claimed = true
+			claimed = append(claimed, r)
+		}
+	}
+	return claimed
+}
+
+// release ends an attempt that failed. Uncertain tells that it may have taken effect.
+func (m *Manager) release(batch []*request, uncertain bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, r := range batch {
+		r.claimed = false
+		r.uncertain = r.uncertain || uncertain
+	}
 }
 
 // givenUp is the error of a change that gets no further attempt.
@@ -164,6 +190,9 @@
 	taken := make(map[string]bool)
 	var batch, rest []*request
 	for _, r := range m.pending {
+		if r.abandoned {
+			continue
+		}
 		if taken[r.change.Organisation] {
 			rest = append(rest, r)
 			continue
--- a/io/rollout/commit.go
+++ b/io/rollout/commit.go
@@ -76,19 +76,19 @@
 	}
 }
 
-// dropAbandoned answers the changes whose caller gave up, or all when the manager ends.
+// dropAbandoned returns the changes whose callers still wait, or none when the
+// manager ends: then the callers abandon their changes themselves.
 func (m *Manager) dropAbandoned(ctx context.Context, batch []*request) []*request {
+	if ctx.Err() != nil {
+		return nil
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	var rest []*request
 	for _, r := range batch {
-		cause := context.Cause(r.ctx)
-		if cause == nil {
-			cause = context.Cause(ctx)
-		}
-		if cause == nil {
+		if !r.abandoned {
 			rest = append(rest, r)
-			continue
 		}
-		r.result <- result{err: r.givenUp(cause)}
 	}
 	return rest
 }
@@ -111,24 +111,24 @@
 	if err != nil {
 		return batch, err
 	}
+	batch = m.claim(batch)
+	if len(batch) == 0 {
+		return nil, nil
+	}
 	next, err := m.prepare(h, base, batch)
+	if err == nil {
+		err = m.putExpanded(ctx, next)
+	}
 	if err != nil {
+		m.release(batch, false)
 		return batch, err
 	}
-	if err := m.putExpanded(ctx, next); err != nil {
+	if err := m.commit(ctx, next, rowVersion); err != nil {
+		m.release(batch, !isDefinite(err))
 		return batch, err
 	}
-	err = m.commit(ctx, next, rowVersion)
-	if err == nil {
-		m.accept(next, batch)
-		return nil, nil
-	}
-	if !isDefinite(err) {
-		for _, r := range batch {
-			r.uncertain = true
-		}
-	}
-	return batch, err
+	m.accept(next, batch)
+	return nil, nil
 }
 
 // isDefinite reports whether a failed commit is known to have had no effect.
--- a/io/rollout/forward.go
+++ b/io/rollout/forward.go
@@ -4,7 +4,10 @@
 	"context"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"siskincross/core/config"
+	"siskincross/io/peer"
 	"siskincross/io/peer/peerpb"
 )
 
@@ -20,32 +23,36 @@
 
 // forward hands a change to the committer, and to the next one when that has
 // left meanwhile. It returns the version if its commit is known, and whether
-// some committer may have got the change at all.
-func (m *Manager) forward(ctx context.Context, change Change) (version config.Version, sent bool) {
+// some committer may still commit the change.
+func (m *Manager) forward(ctx context.Context, change Change) (version config.Version, open bool) {
 	tried := ""
 	for m.Link.Call != nil && ctx.Err() == nil {
 		committer := m.committer()
 		if committer == m.Member || committer == tried {
 			break
 		}
-		if v := m.forwardTo(ctx, committer, change); v != 0 {
-			return v, true
+		outcome := m.forwardTo(ctx, committer, change)
+		if outcome.GetVersion() != 0 {
+			return config.Version(outcome.GetVersion()), false
 		}
-		tried, sent = committer, true
+		tried, open = committer, open || !outcome.GetRefused()
 	}
-	return 0, sent
+	return 0, open
 }
 
-// forwardTo returns the version that the committer knows the change to be committed as, or zero.
-func (m *Manager) forwardTo(ctx context.Context, committer string, change Change) config.Version {
+// forwardTo returns the committer's answer; an empty one when there is none.
+func (m *Manager) forwardTo(ctx context.Context, committer string, change Change) *peerpb.ConfigOutcome {
 	ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
 	defer cancel()
 	reply, err := m.Link.Call(ctx, committer, changeMessage(change))
+	var absent peer.ErrNotConnected
+	if errors.As(err, &absent) {
+		return &peerpb.ConfigOutcome{Refused: true}
+	}
 	if err != nil {
 		m.scope().Counter("failed-forwards").Inc(1)
-		return 0
 	}
-	return config.Version(reply.GetConfigOutcome().GetVersion())
+	return reply.GetConfigOutcome()
 }
 
 func changeMessage(c Change) *peerpb.Envelope {
@@ -78,8 +85,15 @@
 	defer cancel()
 	r := newRequest(ctx, change, part)
 	r.forwarded = true
-	accepted, _ := m.submit(ctx, r)
+	accepted, err := m.submit(ctx, r)
 	return &peerpb.Envelope{Body: &peerpb.Envelope_ConfigOutcome{
-		ConfigOutcome: &peerpb.ConfigOutcome{Version: uint64(accepted.Version)},
+		ConfigOutcome: &peerpb.ConfigOutcome{Version: uint64(accepted.Version), Refused: isRefused(err)},
 	}}
 }
+
+// isRefused reports whether a change is known not to be committed here.
+func isRefused(err error) bool {
+	var conflict ErrConflict
+	var notAccepted ErrNotAccepted
+	return errors.As(err, &conflict) || errors.As(err, &notAccepted)
+}
--- a/io/rollout/property_test.go
+++ b/io/rollout/property_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -74,6 +75,7 @@
 // staleReads makes a manager read some heads as they were earlier.
 func staleReads(m *Manager) {
 	read := m.Table.Read
+	var mu sync.Mutex
 	var old []platform.Row
 	calls := 0
 	m.Table.Read = func(ctx context.Context, keys []string) ([]platform.Row, error) {
@@ -81,6 +83,8 @@
 		if err != nil || len(keys) != 1 || keys[0] != headKey {
 			return rows, err
 		}
+		mu.Lock()
+		defer mu.Unlock()
 		calls++
 		if calls%3 == 0 && old != nil {
 			return old, nil
