Judge jobs by their programs, and break the code for each property

Cause: the replay named a broken property in four of eight cases only, and a lost job that could run passed when it ended at all.

--- a/io/replay/actions.go
+++ b/io/replay/actions.go
@@ -98,21 +98,25 @@
 	return nil
 }
 
+// spoil spoils coming answers, besides those that earlier events left.
 func (s *stage) spoil(e Event) error {
-	faults := standin.TargetFaults{
-		Duplicate: e.Duplicate, Cross: e.Cross, Cut: e.Cut, Garbage: e.Garbage, Late: e.Late,
-		LateBy: scaled(e.LateBy, s.options.Speed),
-	}
-	return s.setTargets(e, faults)
+	return s.setTargets(e, func(f *standin.TargetFaults) {
+		f.Duplicate += e.Duplicate
+		f.Cross += e.Cross
+		f.Cut += e.Cut
+		f.Garbage += e.Garbage
+		f.Late += e.Late
+		f.LateBy = scaled(e.LateBy, s.options.Speed)
+	})
 }
 
-func (s *stage) setTargets(e Event, faults standin.TargetFaults) error {
+func (s *stage) setTargets(e Event, change func(*standin.TargetFaults)) error {
 	ids := e.selected(s.fleet)
 	if len(ids) == 0 {
 		return fmt.Errorf("%s names no host", e.Kind)
 	}
 	for _, id := range ids {
-		if err := s.platform.SetTargetFaults(id, faults); err != nil {
+		if err := s.platform.ChangeTargetFaults(id, change); err != nil {
 			return err
 		}
 	}
@@ -120,12 +124,12 @@
 }
 
 func (s *stage) spoilWorker(ctx context.Context, e Event) error {
-	faults := standin.TargetFaults{FailTasks: e.FailTasks, NeverReturns: e.NeverReturns}
-	if err := s.setTargets(e, faults); err != nil || e.For == 0 {
+	err := s.setTargets(e, func(f *standin.TargetFaults) { f.FailTasks, f.NeverReturns = e.FailTasks, e.NeverReturns })
+	if err != nil || e.For == 0 {
 		return err
 	}
 	s.hold(ctx, e)
-	return s.setTargets(e, standin.TargetFaults{})
+	return s.setTargets(e, func(f *standin.TargetFaults) { f.FailTasks, f.NeverReturns = false, false })
 }
 
 // store makes the table service fail. The object store is down with it.
--- a/io/replay/broken_test.go
+++ b/io/replay/broken_test.go
@@ -60,6 +60,18 @@
 			d.breakManager = func(m *fleet.Manager) { m.InProgress = nil }
 		})
 	})
+	t.Run("go on with leaving targets", func(t *testing.T) {
+		assertBreaks(t, "leaving-no-new-work", func(d *thin) { d.breakServer = keepTargets })
+	})
+	t.Run("say not-run of what may have run", func(t *testing.T) {
+		assertBreaks(t, "not-run-means-not-run", func(d *thin) { d.breakHandler = denyUnknown })
+	})
+	t.Run("pass a cut answer on as a whole one", func(t *testing.T) {
+		assertBreaks(t, "whole-answers", func(d *thin) { d.breakHandler = shorten })
+	})
+	t.Run("send to the hosts of another pool", func(t *testing.T) {
+		assertBreaks(t, "one-pool", func(d *thin) { d.breakServer = mixPools })
+	})
 }
 
 // skipBudget makes the duty holders see budgets that no pool exceeds.
@@ -83,11 +95,7 @@
 			recorder := httptest.NewRecorder()
 			cut := serveRecorded(next, recorder, r)
 			if !cut && recorder.Header().Get(headerOutcome) != "unknown" {
-				for name, values := range recorder.Header() {
-					w.Header()[name] = values
-				}
-				w.WriteHeader(recorder.Code)
-				_, _ = w.Write(recorder.Body.Bytes())
+				copyRecorded(w, recorder, recorder.Body.Bytes())
 				return
 			}
 		}
@@ -95,6 +103,47 @@
 	})
 }
 
+// denyUnknown tells callers that requests of unknown outcome were not run.
+func denyUnknown(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		recorder := httptest.NewRecorder()
+		cut := serveRecorded(next, recorder, r)
+		if cut || recorder.Header().Get(headerOutcome) == "unknown" {
+			w.Header().Set(headerOutcome, "not-run")
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		copyRecorded(w, recorder, recorder.Body.Bytes())
+	})
+}
+
+// shorten drops the last byte of every answer.
+func shorten(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		recorder := httptest.NewRecorder()
+		if serveRecorded(next, recorder, r) {
+			panic(http.ErrAbortHandler)
+		}
+		recorder.Header().Del("Content-Length")
+		body := recorder.Body.Bytes()
+		copyRecorded(w, recorder, body[:max(0, len(body)-1)])
+	})
+}
+
+func copyRecorded(w http.ResponseWriter, recorder *httptest.ResponseRecorder, body []byte) {
+	for name, values := range recorder.Header() {
+		w.Header()[name] = values
+	}
+	w.WriteHeader(recorder.Code)
+	_, _ = w.Write(body)
+}
+
+// mixPools sends the requests of all pools to the hosts of one.
+func mixPools(s *entry.Server) {
+	current := s.Snapshot
+	s.Snapshot = func(string) (route.Snapshot, bool) { return current("o/a") }
+}
+
 // serveRecorded reports whether the handler cut its answer off.
 func serveRecorded(next http.Handler, w http.ResponseWriter, r *http.Request) (cut bool) {
 	defer func() { cut = recover() != nil }()
--- a/io/replay/check_fleet.go
+++ b/io/replay/check_fleet.go
@@ -160,15 +160,18 @@
 	return f
 }
 
+// recentWork is the time before a reboot in which work shows that the host was in use.
+const recentWork = 5 * time.Second
+
 // checkReboot looks at the work on a host when it was rebooted.
 func (e Evidence) checkReboot(f *finding, change standin.Change) {
 	worked := false
-	drainedAt := e.drainedBefore(change)
+	inUse := change.At.Add(-recentWork)
 	for _, run := range e.Records.Runs {
 		if run.Host != change.Host || run.Outcome == standin.RunRefused || run.Started.After(change.At) {
 			continue
 		}
-		worked = worked || run.Finished.After(drainedAt)
+		worked = worked || run.Finished.After(inUse)
 		if run.Outcome == standin.RunInProgress || run.Finished.After(change.At) {
 			f.breach(change.At, "the reboot of host %s cut off request %s", change.Host, run.Request)
 		}
@@ -177,7 +180,7 @@
 		if task.Host != change.Host || task.Started.After(change.At) {
 			continue
 		}
-		worked = worked || task.Ended.IsZero() || task.Ended.After(drainedAt)
+		worked = worked || task.Ended.IsZero() || task.Ended.After(inUse)
 		cut := task.State == platform.TaskRunning || task.State == platform.TaskFailed && task.Ended.Equal(change.At)
 		if cut {
 			f.breach(change.At, "the reboot of host %s cut off task %s", change.Host, task.Spec.Task)
@@ -185,14 +188,3 @@
 	}
 	f.look(worked)
 }
-
-// drainedBefore returns when the host was last drained before the change.
-func (e Evidence) drainedBefore(change standin.Change) time.Time {
-	at := change.At
-	for _, earlier := range e.Records.Changes {
-		if earlier.Host == change.Host && earlier.Kind == standin.ChangeDrained && !earlier.At.After(change.At) {
-			at = earlier.At
-		}
-	}
-	return at
-}
--- a/io/replay/check_requests.go
+++ b/io/replay/check_requests.go
@@ -35,7 +35,8 @@
 // checkAnswers requires that an answer that looks whole is whole and the caller's
 // own, that a caller who stayed got a word of the system unless its entry host
 // was killed, that a whole and undisturbed answer of a target reached its
-// caller, and that an accepted job ends with its whole result or its reason.
+// caller, and that an accepted job ends: with its whole result if it is
+// idempotent, can run and was not cancelled.
 func checkAnswers(e Evidence) finding {
 	var f finding
 	runs := runsBy(e.Records.Runs, runCaller)
@@ -85,10 +86,15 @@
 			f.breach(job.Seen, "job %s was accepted and has not ended: %s", job.ID, job.State)
 		case job.Wrong != "":
 			f.breach(job.Seen, "the result of job %s: %s", job.ID, job.Wrong)
+		case job.mustFinish() && job.State != jobFinished:
+			f.breach(job.Seen, "job %s can be finished and ended as %s", job.ID, job.State)
 		}
 	}
 }
 
+// mustFinish reports whether nothing but a failure of the system keeps the job from finishing.
+func (j JobCall) mustFinish() bool { return j.Idempotent && !j.Doomed && !j.Cancelled }
+
 // checkNotRun requires that no target started a request whose caller was told that it was not run.
 func checkNotRun(e Evidence) finding {
 	var f finding
--- a/io/replay/jobs.go
+++ b/io/replay/jobs.go
@@ -12,12 +12,14 @@
 // JobCall is a caller's own record of one job.
 type JobCall struct {
 	// ID is the job's ID; empty if none was told.
-	ID         string    `json:"id"`
-	Queue      string    `json:"queue"`
-	Idempotent bool      `json:"idempotent"`
-	Begun      time.Time `json:"begun"`
-	Accepted   bool      `json:"accepted"`
-	Error      string    `json:"error,omitempty"`
+	ID         string `json:"id"`
+	Queue      string `json:"queue"`
+	Idempotent bool   `json:"idempotent"`
+	// Doomed jobs have a program that always fails.
+	Doomed   bool      `json:"doomed,omitempty"`
+	Begun    time.Time `json:"begun"`
+	Accepted bool      `json:"accepted"`
+	Error    string    `json:"error,omitempty"`
 	// State is the last that the caller was told, at Seen.
 	State string    `json:"state"`
 	Seen  time.Time `json:"seen"`
@@ -81,7 +83,7 @@
 		s.mu.Lock()
 		s.serial++
 		key := fmt.Sprintf("%s-job-%d", s.prefix, s.serial)
-		job := &JobCall{Queue: e.Queue, Idempotent: e.Idempotent, Begun: time.Now()}
+		job := &JobCall{Queue: e.Queue, Idempotent: e.Idempotent, Doomed: e.Fail != "", Begun: time.Now()}
 		s.jobs = append(s.jobs, job)
 		s.mu.Unlock()
 		s.group.Go(func() { s.follow(ctx, job, e.jobSpec(key)) })
--- a/io/replay/thin_test.go
+++ b/io/replay/thin_test.go
@@ -158,6 +158,7 @@
 500ms apply pool=b marker=late-quotes rival-marker=early-quotes
 1s answers pool=o/a cut=1
 1s answers pool=o/b cross=1
+1s leave host=b-05 notice=6s
 2s entry index=1 replace
 7s end answered=0.8
 `
--- a/io/standin/hosts.go
+++ b/io/standin/hosts.go
@@ -69,13 +69,18 @@
 
 // SetTargetFaults replaces the fault switches of a host's target and worker.
 func (p *Platform) SetTargetFaults(id host.ID, f TargetFaults) error {
+	return p.ChangeTargetFaults(id, func(current *TargetFaults) { *current = f })
+}
+
+// ChangeTargetFaults changes some of the fault switches of a host and leaves the others.
+func (p *Platform) ChangeTargetFaults(id host.ID, change func(*TargetFaults)) error {
 	w, err := p.host(id)
 	if err != nil {
 		return err
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.faults = f
+	change(&w.faults)
 	return nil
 }
 
