--- a/io/cli/cli.go
+++ b/io/cli/cli.go
@@ -46,6 +46,7 @@
 		Commands: []*cli.Command{
 			serveCommand(),
 			replayCommand(),
+			standinCommand(),
 			checkCommand(),
 			configCommand(),
 			poolsCommand(),
--- a/io/replay/fleet.go
+++ b/io/replay/fleet.go
@@ -14,8 +14,8 @@
 	defaultMemory = 128 * gibibyte
 )
 
-// fleet returns the stand-in's fleet that the trace describes.
-func (t Trace) fleet(seed uint64) standin.Fleet {
+// Fleet returns the stand-in's fleet that the trace describes.
+func (t Trace) Fleet(seed uint64) standin.Fleet {
 	fleet := standin.Fleet{Seed: seed}
 	for _, e := range t.of(KindPlatform) {
 		fleet.ListLag, fleet.UsageLag, fleet.RebootTime = e.ListLag, e.UsageLag, e.Reboot
--- a/io/replay/replay.go
+++ b/io/replay/replay.go
@@ -138,7 +138,7 @@
 }
 
 func newStage(options Options, trace Trace, texts texts) *stage {
-	fleet := trace.fleet(options.Seed)
+	fleet := trace.Fleet(options.Seed)
 	homes := make(map[host.ID]string)
 	zones := make(map[string]bool)
 	s := &stage{options: options, trace: trace, fleet: fleet, platform: standin.New(fleet)}
--- a/io/replay/trace_test.go
+++ b/io/replay/trace_test.go
@@ -51,7 +51,7 @@
 	})
 	t.Run("racks lie in one zone", func(t *testing.T) {
 		is := is.New(t)
-		hosts := assertParses(t, testHosts+testEnd).fleet(1).Hosts
+		hosts := assertParses(t, testHosts+testEnd).Fleet(1).Hosts
 		is.Equal(len(hosts), 9)
 		is.Equal(hosts[3].Place.Rack, hosts[0].Place.Rack)
 		is.Equal(hosts[3].Place.Zone, "north")
