Look at workers by the age of their tasks; survive pauses and broken rows

Cause: a look every 2 s and a renewal every 8 s at each worker is the largest cost of control; a holder that had been paused gave up tasks that had ended well; one row that could not be decoded kept a pool from being taken over.

Change: a worker is looked at after a tenth of its youngest task's age, from 2 s to 10 s; a lapse needs a call that was not answered; broken rows are left out and named in the time line.

--- a/core/event/job.go
+++ b/core/event/job.go
@@ -20,6 +20,7 @@
 	JobDutyTaken
 	JobDutyLost
 	JobCommitFailed
+	JobRowUnreadable
 )
 
 var jobEntries = []Entry{
@@ -41,4 +42,5 @@
 	{JobDutyTaken, "job", "An entry host fenced a pool's jobs and rebuilt their state."},
 	{JobDutyLost, "job", "An entry host stopped deciding about a pool's jobs."},
 	{JobCommitFailed, "job", "A commit of job rows failed and waits for its retry."},
+	{JobRowUnreadable, "job", "A row of the job subsystem could not be decoded and was left out."},
 }
--- a/core/event/number_enumer.go
+++ b/core/event/number_enumer.go
@@ -14,8 +14,8 @@
 	_NumberLowerName_1 = "request-answeredrequest-not-runrequest-unknownrequest-retriedrequest-replayedclaim-losttarget-ejectedtarget-restored"
 	_NumberName_2      = "member-joinedmember-lapsedduty-takenduty-releasedhost-adoptedhost-draininghost-drainedhost-rebootinghost-readyhost-servinghost-failedhost-leavinghost-forgottenhost-movedwork-refusedwork-resumeddrain-overduemaintenance-behindlist-doubtedlist-trustedroutes-silencedroutes-vouchedduty-conflict"
 	_NumberLowerName_2 = "member-joinedmember-lapsedduty-takenduty-releasedhost-adoptedhost-draininghost-drainedhost-rebootinghost-readyhost-servinghost-failedhost-leavinghost-forgottenhost-movedwork-refusedwork-resumeddrain-overduemaintenance-behindlist-doubtedlist-trustedroutes-silencedroutes-vouchedduty-conflict"
-	_NumberName_3      = "job-acceptedjob-cancel-requestedjob-releasedjob-startedjob-finishedjob-requeuedjob-failedjob-parkedjob-unknownjob-cancelledjob-late-attemptjob-lapsedjob-leavingworker-suspectedworker-clearedjob-duty-takenjob-duty-lostjob-commit-failed"
-	_NumberLowerName_3 = "job-acceptedjob-cancel-requestedjob-releasedjob-startedjob-finishedjob-requeuedjob-failedjob-parkedjob-unknownjob-cancelledjob-late-attemptjob-lapsedjob-leavingworker-suspectedworker-clearedjob-duty-takenjob-duty-lostjob-commit-failed"
+	_NumberName_3      = "job-acceptedjob-cancel-requestedjob-releasedjob-startedjob-finishedjob-requeuedjob-failedjob-parkedjob-unknownjob-cancelledjob-late-attemptjob-lapsedjob-leavingworker-suspectedworker-clearedjob-duty-takenjob-duty-lostjob-commit-failedjob-row-unreadable"
+	_NumberLowerName_3 = "job-acceptedjob-cancel-requestedjob-releasedjob-startedjob-finishedjob-requeuedjob-failedjob-parkedjob-unknownjob-cancelledjob-late-attemptjob-lapsedjob-leavingworker-suspectedworker-clearedjob-duty-takenjob-duty-lostjob-commit-failedjob-row-unreadable"
 	_NumberName_4      = "config-acceptedconfig-in-forceconfig-refusedconfig-adoptedconfig-proved"
 	_NumberLowerName_4 = "config-acceptedconfig-in-forceconfig-refusedconfig-adoptedconfig-proved"
 	_NumberName_5      = "peer-connectedpeer-lostpeer-refused"
@@ -28,7 +28,7 @@
 	_NumberIndex_0 = [...]uint8{0, 15, 30, 46, 61}
 	_NumberIndex_1 = [...]uint8{0, 16, 31, 46, 61, 77, 87, 101, 116}
 	_NumberIndex_2 = [...]uint16{0, 13, 26, 36, 49, 61, 74, 86, 100, 110, 122, 133, 145, 159, 169, 181, 193, 206, 224, 236, 248, 263, 277, 290}
-	_NumberIndex_3 = [...]uint8{0, 12, 32, 44, 55, 67, 79, 89, 99, 110, 123, 139, 149, 160, 176, 190, 204, 217, 234}
+	_NumberIndex_3 = [...]uint8{0, 12, 32, 44, 55, 67, 79, 89, 99, 110, 123, 139, 149, 160, 176, 190, 204, 217, 234, 252}
 	_NumberIndex_4 = [...]uint8{0, 15, 30, 44, 58, 71}
 	_NumberIndex_5 = [...]uint8{0, 14, 23, 35}
 	_NumberIndex_6 = [...]uint8{0, 17, 32, 55}
@@ -45,7 +45,7 @@
 	case 300 <= i && i <= 322:
 		i -= 300
 		return _NumberName_2[_NumberIndex_2[i]:_NumberIndex_2[i+1]]
-	case 400 <= i && i <= 417:
+	case 400 <= i && i <= 418:
 		i -= 400
 		return _NumberName_3[_NumberIndex_3[i]:_NumberIndex_3[i+1]]
 	case 500 <= i && i <= 504:
@@ -119,6 +119,7 @@
 	_ = x[JobDutyTaken-(415)]
 	_ = x[JobDutyLost-(416)]
 	_ = x[JobCommitFailed-(417)]
+	_ = x[JobRowUnreadable-(418)]
 	_ = x[ConfigAccepted-(500)]
 	_ = x[ConfigInForce-(501)]
 	_ = x[ConfigRefused-(502)]
@@ -132,7 +133,7 @@
 	_ = x[CommitOutcomeResolved-(702)]
 }
 
-var _NumberValues = []Number{ProcessStarted, ProcessServing, ProcessStopping, ProcessStopped, RequestAnswered, RequestNotRun, RequestUnknown, RequestRetried, RequestReplayed, ClaimLost, TargetEjected, TargetRestored, MemberJoined, MemberLapsed, DutyTaken, DutyReleased, HostAdopted, HostDraining, HostDrained, HostRebooting, HostReady, HostServing, HostFailed, HostLeaving, HostForgotten, HostMoved, WorkRefused, WorkResumed, DrainOverdue, MaintenanceBehind, ListDoubted, ListTrusted, RoutesSilenced, RoutesVouched, DutyConflict, JobAccepted, JobCancelRequested, JobReleased, JobStarted, JobFinished, JobRequeued, JobFailed, JobParked, JobUnknown, JobCancelled, JobLateAttempt, JobLapsed, JobLeaving, WorkerSuspected, WorkerCleared, JobDutyTaken, JobDutyLost, JobCommitFailed, ConfigAccepted, ConfigInForce, ConfigRefused, ConfigAdopted, ConfigProved, PeerConnected, PeerLost, PeerRefused, StoreUnavailable, StoreRecovered, CommitOutcomeResolved}
+var _NumberValues = []Number{ProcessStarted, ProcessServing, ProcessStopping, ProcessStopped, RequestAnswered, RequestNotRun, RequestUnknown, RequestRetried, RequestReplayed, ClaimLost, TargetEjected, TargetRestored, MemberJoined, MemberLapsed, DutyTaken, DutyReleased, HostAdopted, HostDraining, HostDrained, HostRebooting, HostReady, HostServing, HostFailed, HostLeaving, HostForgotten, HostMoved, WorkRefused, WorkResumed, DrainOverdue, MaintenanceBehind, ListDoubted, ListTrusted, RoutesSilenced, RoutesVouched, DutyConflict, JobAccepted, JobCancelRequested, JobReleased, JobStarted, JobFinished, JobRequeued, JobFailed, JobParked, JobUnknown, JobCancelled, JobLateAttempt, JobLapsed, JobLeaving, WorkerSuspected, WorkerCleared, JobDutyTaken, JobDutyLost, JobCommitFailed, JobRowUnreadable, ConfigAccepted, ConfigInForce, ConfigRefused, ConfigAdopted, ConfigProved, PeerConnected, PeerLost, PeerRefused, StoreUnavailable, StoreRecovered, CommitOutcomeResolved}
 
 var _NumberNameToValueMap = map[string]Number{
 	_NumberName_0[0:15]:    ProcessStarted,
@@ -188,6 +189,7 @@
 	_NumberName_3[190:204]: JobDutyTaken,
 	_NumberName_3[204:217]: JobDutyLost,
 	_NumberName_3[217:234]: JobCommitFailed,
+	_NumberName_3[234:252]: JobRowUnreadable,
 	_NumberName_4[0:15]:    ConfigAccepted,
 	_NumberName_4[15:30]:   ConfigInForce,
 	_NumberName_4[30:44]:   ConfigRefused,
@@ -255,6 +257,7 @@
 	_NumberLowerName_3[190:204]: JobDutyTaken,
 	_NumberLowerName_3[204:217]: JobDutyLost,
 	_NumberLowerName_3[217:234]: JobCommitFailed,
+	_NumberLowerName_3[234:252]: JobRowUnreadable,
 	_NumberLowerName_4[0:15]:    ConfigAccepted,
 	_NumberLowerName_4[15:30]:   ConfigInForce,
 	_NumberLowerName_4[30:44]:   ConfigRefused,
@@ -322,6 +325,7 @@
 	_NumberName_3[190:204],
 	_NumberName_3[204:217],
 	_NumberName_3[217:234],
+	_NumberName_3[234:252],
 	_NumberName_4[0:15],
 	_NumberName_4[15:30],
 	_NumberName_4[30:44],
--- a/core/job/count.go
+++ b/core/job/count.go
@@ -2,6 +2,7 @@
 
 import (
 	"sort"
+	"time"
 
 	"siskincross/core/chart"
 	"siskincross/core/host"
@@ -53,6 +54,36 @@
 	return len(w.tasks)
 }
 
+const (
+	// pollPart is the part of its youngest task's age after which a worker is looked at again.
+	pollPart = 10
+	// pollMemory is the share of a worker's memory in use from which it is looked at as often as possible.
+	pollMemory = 0.7
+)
+
+// PollAfter returns the time between two looks at a worker, from least to
+// most. A worker with young or leaving tasks, or little memory left, is looked
+// at more often; what a task's end waits to be seen stays a small part of its run.
+func (s *Scheduler) PollAfter(h host.ID, now time.Time, least, most time.Duration) time.Duration {
+	w := s.workers[h]
+	if w == nil {
+		return least
+	}
+	wait := most
+	var used float64
+	for _, t := range w.tasks {
+		if t.leave != leaveNone {
+			return least
+		}
+		wait = min(wait, now.Sub(t.since)/pollPart)
+		used += float64(t.usedMemory)
+	}
+	if used >= pollMemory*float64(w.capacity.MemoryBytes) {
+		return least
+	}
+	return max(wait, least)
+}
+
 // Busy calls visit for each worker that may run tasks, with the tasks' IDs, in the order of worker IDs.
 func (s *Scheduler) Busy(visit func(h host.ID, tasks []string)) {
 	for _, w := range s.order {
--- a/core/job/job_test.go
+++ b/core/job/job_test.go
@@ -112,3 +112,30 @@
 		})
 	}
 }
+
+func TestPausedHolderAsksBeforeItGivesUp(t *testing.T) {
+	for name, answers := range map[string]bool{"the worker answers": true, "the worker is silent": false} {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t, 1)
+			spec := benchSpec("video", "video")
+			spec.Idempotent = false
+			id := b.submit(1, spec)[0]
+			b.run(4 * time.Second)
+			pause := time.Hour
+			b.now = b.now.Add(pause)
+			b.s.Lapse(b.now)
+			want := StateUnknown
+			if answers {
+				b.step = 10 * time.Second
+				b.work()
+				b.report()
+				want = StateFinished
+			} else {
+				b.s.Unanswered(b.targets[0].Host, b.now)
+				b.s.Lapse(b.now)
+			}
+			b.commit()
+			b.is.Equal(b.ended[id].State, want)
+		})
+	}
+}
--- a/core/job/lease.go
+++ b/core/job/lease.go
@@ -77,11 +77,13 @@
 	}
 }
 
-// Lapse ends the tasks of workers that were silent for a whole lease.
+// Lapse ends the tasks of workers that were silent for a whole lease. Workers
+// that were not called since they last answered are not silent: this process may
+// have been paused, and they may have ends to report.
 func (s *Scheduler) Lapse(now time.Time) {
 	limit := s.policy.Lease + s.policy.LeaseMargin
 	for _, w := range s.workers {
-		if len(w.tasks) == 0 || now.Sub(w.contact) <= limit {
+		if len(w.tasks) == 0 || w.putOffs == 0 || now.Sub(w.contact) <= limit {
 			continue
 		}
 		for _, t := range w.tasks {
--- a/io/jobs/dispatch.go
+++ b/io/jobs/dispatch.go
@@ -86,7 +86,8 @@
 			h.contacts[id] = c
 		}
 		renew := now.Sub(c.renewed) >= h.m.periods.Renew
-		if c.busy || !renew && now.Sub(c.polled) < h.m.periods.Poll {
+		wait := h.scheduler.PollAfter(id, now, h.m.periods.Poll, h.m.periods.PollMost)
+		if c.busy || !renew && now.Sub(c.polled) < wait {
 			return
 		}
 		h.visit(ctx, id, c, h.renewal(tasks, renew), nil)
--- a/io/jobs/manager.go
+++ b/io/jobs/manager.go
@@ -27,8 +27,9 @@
 	Tick time.Duration
 	// Notices is the time between two looks for rows that callers wrote.
 	Notices time.Duration
-	// Poll is the time between two looks at a worker with tasks.
-	Poll time.Duration
+	// Poll is the least time between two looks at a worker with tasks, PollMost the most.
+	Poll     time.Duration
+	PollMost time.Duration
 	// Renew is the time between two renewals of a worker's leases.
 	Renew time.Duration
 	// Duty is the time between two looks at which pools this entry host holds.
@@ -51,7 +52,8 @@
 		Tick:          100 * time.Millisecond,
 		Notices:       250 * time.Millisecond,
 		Poll:          2 * time.Second,
-		Renew:         8 * time.Second,
+		PollMost:      10 * time.Second,
+		Renew:         10 * time.Second,
 		Duty:          250 * time.Millisecond,
 		Group:         5 * time.Millisecond,
 		StoreTimeout:  time.Second,
@@ -64,7 +66,7 @@
 func (p Periods) withDefaults() Periods {
 	d := DefaultPeriods()
 	for _, field := range []struct{ value, fallback *time.Duration }{
-		{&p.Tick, &d.Tick}, {&p.Notices, &d.Notices}, {&p.Poll, &d.Poll}, {&p.Renew, &d.Renew},
+		{&p.Tick, &d.Tick}, {&p.Notices, &d.Notices}, {&p.Poll, &d.Poll}, {&p.PollMost, &d.PollMost}, {&p.Renew, &d.Renew},
 		{&p.Duty, &d.Duty}, {&p.Group, &d.Group}, {&p.StoreTimeout, &d.StoreTimeout},
 		{&p.WorkerTimeout, &d.WorkerTimeout}, {&p.Retention, &d.Retention}, {&p.MaxBackoff, &d.MaxBackoff},
 	} {
--- a/io/jobs/notices.go
+++ b/io/jobs/notices.go
@@ -94,11 +94,12 @@
 		if known[row.Key] {
 			continue
 		}
+		spent = append(spent, row.Key)
 		var notice noticeRow
 		if err := json.Unmarshal(row.Value, &notice); err != nil {
-			return nil, nil, err
+			m.record(event.Event{Number: event.JobRowUnreadable, Pool: pool, Detail: row.Key + ": " + err.Error()})
+			continue
 		}
-		spent = append(spent, row.Key)
 		for _, id := range notice.Jobs {
 			keys = append(keys, jobKey(pool, id))
 		}
@@ -107,7 +108,7 @@
 	return found, spent, err
 }
 
-// readJobs reads the rows of jobs page by page.
+// readJobs reads the rows of jobs page by page. Rows that can't be decoded are left out.
 func (m *Manager) readJobs(ctx context.Context, keys []string) ([]job.Job, error) {
 	var found []job.Job
 	for len(keys) > 0 {
@@ -124,7 +125,8 @@
 			}
 			j, err := decodeJob(row)
 			if err != nil {
-				return nil, err
+				m.record(event.Event{Number: event.JobRowUnreadable, Detail: err.Error()})
+				continue
 			}
 			found = append(found, j)
 		}
--- a/io/jobs/recovery_test.go
+++ b/io/jobs/recovery_test.go
@@ -226,3 +226,19 @@
 		f.is.Equal(f.row(waiting).State, job.StateQueued)
 	})
 }
+
+func TestUnreadableRowsStopNothing(t *testing.T) {
+	withFixture(t, 2, func(f *fixture) {
+		broken := []platform.Write{
+			{Key: jobKey(testPool, "lessons-broken"), Value: []byte("{")},
+			{Key: noticePrefix + testPool + "/0", Value: []byte("{")},
+			{Key: noticePrefix + testPool + "/1", Value: encode(noticeRow{Jobs: []job.ID{"lessons-broken", "lessons-none"}})},
+		}
+		f.is.NoErr(f.table.Commit(f.ctx, platform.Transaction{Writes: broken}))
+		m, stop := f.manager("a")
+		defer stop()
+		f.await(f.submit(m, submission(), "").ID, job.StateFinished, time.Minute)
+		f.is.NoErr(f.table.Commit(f.ctx, platform.Transaction{Writes: broken}))
+		f.await(f.submit(m, submission(), "").ID, job.StateFinished, time.Minute)
+	})
+}
--- a/io/jobs/scale_test.go
+++ b/io/jobs/scale_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"siskincross/core/config"
+	"siskincross/core/host"
 	"siskincross/core/job"
 	"siskincross/core/route"
 	"siskincross/io/platform"
@@ -135,6 +136,35 @@
 	})
 }
 
+func TestEndsAreSeenSoon(t *testing.T) {
+	const hosts = 20
+	for _, duration := range []time.Duration{10 * time.Second, time.Minute, 10 * time.Minute} {
+		t.Run(duration.String(), func(t *testing.T) {
+			withFixture(t, hosts, func(f *fixture) {
+				f.workers.behave = func(host.ID, platform.TaskSpec) behaviour {
+					return behaviour{duration: duration, cores: 1, memory: gigabyte}
+				}
+				m, stop := f.manager("a")
+				defer stop()
+				ids := f.submitMany(m, once(), 2*hosts)
+				time.Sleep(duration)
+				latest := time.Duration(0)
+				begin := time.Now()
+				for _, id := range ids {
+					f.await(id, job.StateFinished, duration)
+					latest = time.Since(begin)
+				}
+				f.workers.mu.Lock()
+				calls := f.workers.calls - len(ids)
+				f.workers.mu.Unlock()
+				t.Logf("tasks of %v: %.2f calls a worker and second, ends known after %v", duration,
+					float64(calls)/hosts/(duration+latest).Seconds(), latest)
+				f.is.True(latest <= duration/10+3*time.Second)
+			})
+		})
+	}
+}
+
 func purposes(after, before standin.TableCounts) string {
 	var parts []string
 	for purpose, n := range after.Purposes {
--- a/io/jobs/takeover.go
+++ b/io/jobs/takeover.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"siskincross/core/event"
 	"siskincross/core/job"
 	"siskincross/io/platform"
 )
@@ -58,9 +59,9 @@
 	if err != nil {
 		return err
 	}
-	err = h.m.scanPages(ctx, jobPrefix+h.pool+"/", func(rows []platform.Row) (err error) {
-		h.locked(func() { err = h.adoptAll(rows) })
-		return err
+	err = h.m.scanPages(ctx, jobPrefix+h.pool+"/", func(rows []platform.Row) error {
+		h.locked(func() { h.adoptAll(rows) })
+		return nil
 	})
 	if err != nil {
 		return err
@@ -78,13 +79,14 @@
 	h.take(in, time.Now())
 }
 
-// adoptAll takes in a page of job rows.
-func (h *holder) adoptAll(rows []platform.Row) error {
+// adoptAll takes in a page of job rows. One that can't be decoded does not keep the others from running.
+func (h *holder) adoptAll(rows []platform.Row) {
 	now := time.Now()
 	for _, row := range rows {
 		j, err := decodeJob(row)
 		if err != nil {
-			return err
+			h.event(event.JobRowUnreadable, "", "", err.Error())
+			continue
 		}
 		if job.Final(j.State) {
 			h.retention.add(j.ID, time.UnixMilli(j.EndedMillis))
@@ -92,7 +94,6 @@
 		}
 		h.scheduler.Put(j, now)
 	}
-	return nil
 }
 
 // raiseFence writes the epoch into the fence row, on condition that the pool's row still has it.
--- a/io/jobs/workers_test.go
+++ b/io/jobs/workers_test.go
@@ -53,6 +53,8 @@
 	starts  map[string]int
 	log     []fakeStart
 	objects map[string][]byte
+	// calls counts the calls of all workers.
+	calls int
 }
 
 type fakeStart struct {
@@ -82,6 +84,7 @@
 // enter locks, and brings the host's tasks up to now. The caller unlocks if there is no error.
 func (f *fakeWorkers) enter(id host.ID, pool string, epoch uint64) (*fakeHost, error) {
 	f.mu.Lock()
+	f.calls++
 	h := f.host(id)
 	if h.silent {
 		f.mu.Unlock()
