--- a/io/fleet/peers.go
+++ b/io/fleet/peers.go
@@ -26,7 +26,7 @@
 }
 
 // maxLoadEntries bounds the hosts whose load is told in one period, for the sake of the link's traffic.
-const maxLoadEntries = 64
+const maxLoadEntries = 32
 
 // runPeers tells the peers about routes and load until ctx ends.
 func (m *Manager) runPeers(ctx context.Context) error {
