--- a/io/entry/limits.go
+++ b/io/entry/limits.go
@@ -18,10 +18,12 @@
 	Dial time.Duration
 	// Deadline bounds the time that a caller may ask for; 10 min by default.
 	Deadline time.Duration
-	// IdleConnections bounds the idle connections to all targets; 1024 by default.
+	// IdleConnections bounds the idle connections to all targets; 3072 by default.
 	IdleConnections int
 	// ClaimCommits bounds the commits a second for claims of Idempotency-Keys, of all entry hosts together; 100 by default.
 	ClaimCommits float64
+	// KeyRetention is how long an Idempotency-Key and its answer are kept; 24 h by default. Afterwards it may run again.
+	KeyRetention time.Duration
 }
 
 const (
@@ -38,8 +40,9 @@
 	setDefault(&l.Idle, time.Minute)
 	setDefault(&l.Dial, time.Second)
 	setDefault(&l.Deadline, 10*time.Minute)
-	setDefault(&l.IdleConnections, 1024)
+	setDefault(&l.IdleConnections, 3072)
 	setDefault(&l.ClaimCommits, 100)
+	setDefault(&l.KeyRetention, 24*time.Hour)
 	return l
 }
 
