Pull routes from peers in place of flooding them

Now its maker tells it once, and a member that hears of a version which it lacks asks for it. Reports of requests in progress name the hosts of their own pool only, and their time is that of the reading, so that a pause between reading and reporting acknowledges nothing too early.

The link may leave Call nil; then only makers and the store bring routes.

--- a/io/fleet/beat.go
+++ b/io/fleet/beat.go
@@ -26,10 +26,11 @@
 // beat writes the member row once. The row has one writer, so it needs no
 // precondition, and a lost answer is settled by the next beat.
 func (m *Manager) beat(ctx context.Context, count uint64) {
+	now := time.Now()
 	own := m.ownRequests()
 	m.mu.Lock()
 	left := m.left
-	member := m.describe(time.Now(), own)
+	member := m.describe(now, own)
 	m.mu.Unlock()
 	if left {
 		return
@@ -69,6 +70,8 @@
 		Zone:    m.Zone,
 		Address: m.PeerAddress,
 		Rows:    make(map[string]uint64),
+		Routes:  make(map[string]uint64),
+		Busy:    make(map[host.ID]int),
 	}
 	for name, t := range m.touched {
 		if now.Sub(t.at) > touchedTime {
@@ -82,26 +85,34 @@
 			member.Rows[name] = max(member.Rows[name], r.version)
 		}
 	}
-	member.Routes, member.Busy = m.acknowledge(now, own)
+	for name, a := range m.acknowledge(now, own) {
+		member.Routes[name] = a.version
+		maps.Copy(member.Busy, a.busy)
+	}
 	return member
 }
 
-// acknowledge returns the versions that this entry host has gone by for long
-// enough, for the pools with hosts out of service, and its requests in
-// progress on those hosts. The caller holds the lock.
-func (m *Manager) acknowledge(now time.Time, own ownRequests) (map[string]uint64, map[host.ID]int) {
-	versions := make(map[string]uint64)
-	busy := make(map[host.ID]int)
+// acknowledgement is a version that this entry host goes by, and its requests
+// in progress on hosts that the version does not have.
+type acknowledgement struct {
+	version uint64
+	busy    map[host.ID]int
+}
+
+// acknowledge returns what this entry host can acknowledge, for the pools with
+// hosts out of service: the versions that it had gone by for long enough at
+// now, which is before own was read. The caller holds the lock.
+func (m *Manager) acknowledge(now time.Time, own ownRequests) map[string]acknowledgement {
+	all := make(map[string]acknowledgement)
 	for name, r := range m.rows {
 		current, ok := m.routes[name]
 		settled := ok && now.Sub(current.since) >= m.Periods.Acknowledge
 		if !settled || (r.pool.Disruptions().Total() == 0 && current.snapshot.Version == r.version) {
 			continue
 		}
-		versions[name] = current.snapshot.Version
-		maps.Copy(busy, own.outside(name, current))
+		all[name] = acknowledgement{version: current.snapshot.Version, busy: own.outside(name, current)}
 	}
-	return versions, busy
+	return all
 }
 
 // ownRequests holds this entry host's own requests in progress, by pool and host.
--- a/io/fleet/link_test.go
+++ b/io/fleet/link_test.go
@@ -32,6 +32,9 @@
 func (n *mesh) link(member string) fleet.Link {
 	return fleet.Link{
 		Broadcast: func(e *peerpb.Envelope) { n.broadcast(member, e) },
+		Call: func(ctx context.Context, to string, e *peerpb.Envelope) (*peerpb.Envelope, error) {
+			return n.call(ctx, member, to, e)
+		},
 		Handle: func(kind peer.Kind, h func(context.Context, string, *peerpb.Envelope) *peerpb.Envelope) {
 			n.mu.Lock()
 			defer n.mu.Unlock()
@@ -56,6 +59,21 @@
 	}
 }
 
+func (n *mesh) call(ctx context.Context, from, to string, e *peerpb.Envelope) (*peerpb.Envelope, error) {
+	n.mu.Lock()
+	h := n.handlers[to][peer.KindOf(e)]
+	if n.split != nil && n.split(from, to) {
+		n.mu.Unlock()
+		return nil, context.DeadlineExceeded
+	}
+	n.mu.Unlock()
+	reply := h(ctx, from, e)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.bytes += proto.Size(e) + proto.Size(reply)
+	return reply, nil
+}
+
 func (n *mesh) setSplit(split func(a, b string) bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/io/fleet/load_test.go
+++ b/io/fleet/load_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -56,7 +57,7 @@
 func busyHosts(name string) map[host.ID]int {
 	load := make(map[host.ID]int)
 	for h := range 55 {
-		load[host.ID(fmt.Sprintf("%s-%03d", name, h))] = 3
+		load[host.ID(fmt.Sprintf("host-%s-%03d", strings.TrimPrefix(name, "org/pool-"), h))] = 3
 	}
 	return load
 }
--- a/io/fleet/manager.go
+++ b/io/fleet/manager.go
@@ -85,12 +85,17 @@
 	left bool
 	// urgent asks for an early write of the member row. It has room for one.
 	urgent chan struct{}
+	// questions holds the routes to be asked for.
+	questions chan question
 }
 
 // Link is the seam to the links between entry hosts.
 type Link struct {
 	// Broadcast sends a message to all connected peers and does not wait.
 	Broadcast func(*peerpb.Envelope)
+	// Call sends a message to one peer and returns its answer. With nil, routes
+	// reach this entry host from their makers and from the store only.
+	Call func(ctx context.Context, member string, message *peerpb.Envelope) (*peerpb.Envelope, error)
 	// Handle registers the receiver of one kind of message. A nil answer sends none.
 	Handle func(kind peer.Kind, handler func(ctx context.Context, from string, message *peerpb.Envelope) *peerpb.Envelope)
 	// SetPeers replaces the members to be connected to, with their peer addresses.
@@ -140,6 +145,7 @@
 	group.Go(func() error { return m.runRounds(ctx) })
 	group.Go(func() error { return m.runList(ctx) })
 	group.Go(func() error { return m.runPeers(ctx) })
+	group.Go(func() error { return m.runQuestions(ctx) })
 	group.Go(func() error { return m.runDemand(ctx) })
 	go func() { done <- group.Wait() }()
 	return done
@@ -163,6 +169,7 @@
 	m.outSince = make(map[host.ID]uint64)
 	m.lastEvents = make(map[host.ID]event.ID)
 	m.urgent = make(chan struct{}, 1)
+	m.questions = make(chan question, maxQuestions)
 }
 
 // record writes an event to the time line and returns its ID.
--- a/io/fleet/peers.go
+++ b/io/fleet/peers.go
@@ -2,11 +2,9 @@
 
 import (
 	"context"
-	"sort"
 	"time"
 
 	"siskincross/core/host"
-	"siskincross/core/route"
 	"siskincross/io/peer"
 	"siskincross/io/peer/peerpb"
 )
@@ -77,12 +75,13 @@
 
 // tellReports acknowledges the routes of pools with hosts out of service.
 func (m *Manager) tellReports() {
+	now := time.Now()
 	own := m.ownRequests()
 	m.mu.Lock()
-	versions, busy := m.acknowledge(time.Now(), own)
+	all := m.acknowledge(now, own)
 	m.mu.Unlock()
-	for name, version := range versions {
-		report := &peerpb.RouteReport{Pool: name, Version: version, InProgress: counts(busy)}
+	for name, a := range all {
+		report := &peerpb.RouteReport{Pool: name, Version: a.version, InProgress: counts(a.busy)}
 		m.Link.Broadcast(&peerpb.Envelope{Member: m.Member, Body: &peerpb.Envelope_RouteReport{RouteReport: report}})
 	}
 }
@@ -125,9 +124,9 @@
 		return
 	}
 	m.Link.Handle(peer.KindVouch, m.receive(m.receiveVouch))
-	m.Link.Handle(peer.KindRoutes, m.receive(m.receiveRoutes))
 	m.Link.Handle(peer.KindRouteReport, m.receive(m.receiveReport))
 	m.Link.Handle(peer.KindLoadReport, m.receive(m.receiveLoad))
+	m.Link.Handle(peer.KindRoutes, m.receiveRoutes)
 }
 
 func (m *Manager) receive(take func(from string, e *peerpb.Envelope)) func(context.Context, string, *peerpb.Envelope) *peerpb.Envelope {
@@ -137,37 +136,21 @@
 	}
 }
 
-// receiveVouch notes what a peer knows, and publishes routes that the peer does not have yet.
+// receiveVouch notes what a peer knows, and asks it for the routes that it has a newer version of.
 func (m *Manager) receiveVouch(from string, e *peerpb.Envelope) {
 	vouch := e.GetVouch()
 	m.mu.Lock()
+	defer m.mu.Unlock()
 	p := m.peer(from)
 	p.heard = time.Now()
 	p.storeAge = time.Duration(vouch.GetStoreAgeMillis()) * time.Millisecond
-	var behind []route.Snapshot
 	for name, version := range vouch.GetVersions() {
 		p.versions[name] = version
-		if current := m.routes[name].snapshot; current.Version > version {
-			behind = append(behind, current)
+		if version > m.routes[name].snapshot.Version {
+			m.ask(question{member: from, pool: name})
 		}
 	}
 	m.peers[from] = p
-	m.mu.Unlock()
-	for _, s := range behind {
-		m.publish(s)
-	}
-}
-
-// receiveRoutes adopts a snapshot that is newer than the own one and passes it
-// on, so that it reaches peers that the sender has no link to.
-func (m *Manager) receiveRoutes(_ string, e *peerpb.Envelope) {
-	s := snapshotOf(e.GetRoutes())
-	m.mu.Lock()
-	adopted := m.adopt(s, time.Now())
-	m.mu.Unlock()
-	if adopted {
-		m.publish(s)
-	}
 }
 
 func (m *Manager) receiveReport(from string, e *peerpb.Envelope) {
@@ -227,44 +210,3 @@
 	}
 	return total
 }
-
-// publish tells a snapshot to all peers.
-func (m *Manager) publish(s route.Snapshot) {
-	if m.Link.Broadcast == nil {
-		return
-	}
-	m.Link.Broadcast(&peerpb.Envelope{Member: m.Member, Body: &peerpb.Envelope_Routes{Routes: routesOf(s)}})
-}
-
-func routesOf(s route.Snapshot) *peerpb.Routes {
-	r := &peerpb.Routes{Pool: s.Pool, Epoch: s.Epoch, Version: s.Version}
-	for _, t := range s.Targets {
-		r.Targets = append(r.Targets, &peerpb.Target{
-			Host:        string(t.Host),
-			Address:     t.Address,
-			Region:      t.Place.Region,
-			Zone:        t.Place.Zone,
-			Rack:        t.Place.Rack,
-			Slots:       int32(t.Capacity.Slots),
-			Connections: int32(t.Capacity.Connections),
-		})
-	}
-	return r
-}
-
-func snapshotOf(r *peerpb.Routes) route.Snapshot {
-	s := route.Snapshot{Pool: r.GetPool(), Epoch: r.GetEpoch(), Version: r.GetVersion()}
-	for _, t := range r.GetTargets() {
-		s.Targets = append(s.Targets, route.Target{
-			Host:    host.ID(t.GetHost()),
-			Address: t.GetAddress(),
-			Place:   host.Place{Region: t.GetRegion(), Zone: t.GetZone(), Rack: t.GetRack()},
-			Capacity: host.Capacity{
-				Slots:       int(t.GetSlots()),
-				Connections: int(t.GetConnections()),
-			},
-		})
-	}
-	sort.Slice(s.Targets, func(i, j int) bool { return s.Targets[i].Host < s.Targets[j].Host })
-	return s
-}
--- a/io/fleet/routes.go
+++ b/io/fleet/routes.go
@@ -51,13 +51,11 @@
 }
 
 // adopt puts a snapshot in force if it is newer. The caller holds the lock.
-func (m *Manager) adopt(s route.Snapshot, now time.Time) bool {
+func (m *Manager) adopt(s route.Snapshot, now time.Time) {
 	current, ok := m.routes[s.Pool]
-	if ok && !s.Newer(current.snapshot) {
-		return false
+	if !ok || s.Newer(current.snapshot) {
+		m.routes[s.Pool] = routes{snapshot: s, since: now}
 	}
-	m.routes[s.Pool] = routes{snapshot: s, since: now}
-	return true
 }
 
 // withoutListed drops the targets that the platform's list shows as leaving or
--- a/io/fleet/table.go
+++ b/io/fleet/table.go
@@ -89,6 +89,7 @@
 		return errors.Wrap(errUnsettled, err.Error())
 	}
 	m.touch(names)
+	m.publish(names)
 	m.beatSoon()
 	if m.shows(d) {
 		return nil
@@ -205,21 +206,18 @@
 	return r, json.Unmarshal(f.Value, &r.pool)
 }
 
-// install puts a row that was read in force unless a newer one is, and tells peers about new routes.
+// install puts a row that was read in force unless a newer one is.
 func (m *Manager) install(r row) {
 	m.mu.Lock()
+	defer m.mu.Unlock()
 	known := m.rows[r.pool.Name]
 	if r.exists && known.version > r.version {
-		m.mu.Unlock()
 		return
 	}
 	m.rows[r.pool.Name] = r
 	m.noteOutOfService(known.pool, r)
-	snapshot := r.pool.Snapshot(r.version)
-	adopted := r.exists && m.adopt(snapshot, time.Now())
-	m.mu.Unlock()
-	if adopted {
-		m.publish(snapshot)
+	if r.exists {
+		m.adopt(r.pool.Snapshot(r.version), time.Now())
 	}
 }
 
