Fall silent before the lease of the own row is over

An entry host that read the store but could not write its row went on sending requests after the others found it lapsed and drained without it; one cut off right after a heartbeat was lapsed 0.9 s before it was silent. Silence now counts from the start of the last write that succeeded, and a lapse from the receipt of a row's version to the start of a later read. A failed heartbeat is repeated after a quarter of the period. TestSilentBeforeLapsed fails without the check.

Pull routes over the real link (io/node).

--- a/io/fleet/beat.go
+++ b/io/fleet/beat.go
@@ -45,11 +45,12 @@
 		Purpose: "heartbeat",
 	}
 	if m.commit(ctx, tx) != nil {
+		time.AfterFunc(m.Periods.Heartbeat/4, m.beatSoon)
 		return
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.contact.beat = time.Now()
+	m.contact.beat = now
 }
 
 // beatSoon asks for a beat before the period is over.
--- a/io/fleet/duties_test.go
+++ b/io/fleet/duties_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"testing"
 	"time"
 
@@ -129,6 +130,39 @@
 	})
 }
 
+func TestSilentBeforeLapsed(t *testing.T) {
+	faults := map[string]func(*member){
+		"cut off":             func(m *member) { m.setCut(true) },
+		"can't write its row": func(m *member) { m.readOnly.Store(true) },
+	}
+	for name, fault := range faults {
+		t.Run(name, func(t *testing.T) {
+			for phase := range 8 {
+				withCluster(t, 1, 4, 2, func(c *cluster) {
+					time.Sleep(15*time.Second + time.Duration(phase)*250*time.Millisecond)
+					lost, other := c.managers[0], c.managers[1]
+					fault(lost)
+					for slices.Contains(other.Members(), lost.Member) {
+						time.Sleep(50 * time.Millisecond)
+					}
+					c.is.Equal(c.targets(lost, 0), -1) // no routes once others may find it lapsed
+				})
+			}
+		})
+	}
+	t.Run("a slow store silences nobody", func(t *testing.T) {
+		withCluster(t, 1, 4, 2, func(c *cluster) {
+			time.Sleep(15 * time.Second)
+			c.table.SetFaults(standin.TableFaults{Delay: 700 * time.Millisecond})
+			for range 120 {
+				time.Sleep(500 * time.Millisecond)
+				c.is.Equal(c.targets(c.managers[0], 0), 4)
+				c.is.Equal(len(c.managers[0].Members()), 2)
+			}
+		})
+	})
+}
+
 func TestListedConditions(t *testing.T) {
 	t.Run("failed host leaves the snapshots and returns", func(t *testing.T) {
 		withCluster(t, 2, 4, 3, func(c *cluster) {
--- a/io/fleet/fleet_test.go
+++ b/io/fleet/fleet_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -136,6 +137,9 @@
 	stop context.CancelFunc
 	done <-chan error
 
+	// readOnly makes the member's commits fail.
+	readOnly atomic.Bool
+
 	mu sync.Mutex
 	// cut makes the table unavailable for this member only.
 	cut bool
@@ -232,6 +236,9 @@
 			if err := m.enter(); err != nil {
 				return err
 			}
+			if m.readOnly.Load() {
+				return platform.ErrUnavailable{Service: "table", Reason: "read only"}
+			}
 			return t.Commit(context.WithoutCancel(ctx), tx)
 		},
 		Read: func(ctx context.Context, keys []string) ([]platform.Row, error) {
--- a/io/fleet/manager.go
+++ b/io/fleet/manager.go
@@ -127,9 +127,10 @@
 type contact struct {
 	// read is when a poll last found all rows that changed.
 	read time.Time
-	// polled is when a poll last succeeded, for the time credited to the ledger.
+	// polled is when the member rows were last received, for the time credited to the ledger.
 	polled time.Time
-	// beat is when the member row was last written.
+	// beat is when the last successful write of the member row was begun. No
+	// other member can find this one lapsed before the lease after it is over.
 	beat time.Time
 	// silent tells that routes are not vouched for.
 	silent bool
@@ -180,12 +181,14 @@
 	return m.Recorder.Record(e)
 }
 
-// every calls step at once and then with the period until ctx ends. The
-// periods vary a little, so that entry hosts do not step together.
+// every calls step at once and then with the period until ctx ends. A slow step
+// shortens the pause after it. The periods vary a little, so that entry hosts do
+// not step together.
 func every(ctx context.Context, period time.Duration, early <-chan struct{}, step func(context.Context)) error {
 	for {
+		started := time.Now()
 		step(ctx)
-		timer := time.NewTimer(jitter(period))
+		timer := time.NewTimer(max(jitter(period)-time.Since(started), period/10))
 		select {
 		case <-ctx.Done():
 			timer.Stop()
--- a/io/fleet/round.go
+++ b/io/fleet/round.go
@@ -43,7 +43,7 @@
 	if err != nil {
 		return err
 	}
-	m.observeMembers(members, started)
+	m.observeMembers(members, started, time.Now())
 	if err := m.refresh(ctx, m.changedPools(members)); err != nil {
 		return err
 	}
@@ -79,18 +79,20 @@
 	return members, nil
 }
 
-// observeMembers credits the time since the last poll to all members. No more
-// than two periods are credited, so that a pause or an outage lapses nobody,
-// and none while this entry host's own row can't be written.
-func (m *Manager) observeMembers(members []duty.Sighting, now time.Time) {
+// observeMembers credits the time since the last poll to all members: from the
+// receipt of the rows then to the start of the poll now, so that a member lapses
+// only if its row did not change for the whole lease. No more than two periods
+// are credited, so that a pause or an outage lapses nobody, and none while this
+// entry host's own row can't be written.
+func (m *Manager) observeMembers(members []duty.Sighting, started, received time.Time) {
 	m.mu.Lock()
-	elapsed := min(now.Sub(m.contact.polled), 2*m.Periods.Poll)
-	if m.contact.polled.IsZero() || now.Sub(m.contact.beat) > 2*m.Periods.Heartbeat {
+	elapsed := max(0, min(started.Sub(m.contact.polled), 2*m.Periods.Poll))
+	if m.contact.polled.IsZero() || started.Sub(m.contact.beat) > 2*m.Periods.Heartbeat {
 		elapsed = 0
 	}
 	before := m.ledger
 	m.ledger = m.ledger.WithPoll(members, elapsed)
-	m.contact.polled = now
+	m.contact.polled = received
 	after := m.ledger
 	m.mu.Unlock()
 	m.reportMembers(before, after)
--- a/io/fleet/routes.go
+++ b/io/fleet/routes.go
@@ -87,9 +87,18 @@
 	return m.inTouch(now)
 }
 
-// inTouch reports whether this entry host may rely on its knowledge of the fleet. The caller holds the lock.
+// lapseMargin is how long before the others can find it lapsed an entry host
+// stops relying on the store alone.
+const lapseMargin = 250 * time.Millisecond
+
+// inTouch reports whether this entry host may rely on its knowledge of the
+// fleet. One that reads the store but can't write its row is as good as cut off
+// from it: drains do not wait for a lapsed member. The caller holds the lock.
 func (m *Manager) inTouch(now time.Time) bool {
 	v := duty.Vouching{Members: len(m.ledger.Live()), StoreAge: now.Sub(m.contact.read)}
+	if beat := now.Sub(m.contact.beat); beat > m.Periods.lease()-lapseMargin {
+		v.StoreAge = beat
+	}
 	if m.contact.read.IsZero() {
 		v.Members = maxMembers
 	}
--- a/io/fleet/work_test.go
+++ b/io/fleet/work_test.go
@@ -1,11 +1,13 @@
 package fleet_test
 
 import (
+	"slices"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"siskincross/core/host"
+	"siskincross/core/route"
 	"siskincross/io/fleet"
 	"siskincross/io/platform"
 	"siskincross/io/standin"
@@ -154,21 +156,9 @@
 		})
 	})
 	t.Run("waits for a member that is cut off until it is silent", func(t *testing.T) {
-		withWave(t, 3, nil, func(c *cluster) {
-			time.Sleep(20 * time.Second)
-			c.sleepUntil(func() bool { return c.pool(0).Disruptions().Planned > 0 })
-			var cut *member
-			for _, m := range c.managers {
-				if m.Member != c.pool(0).Holder {
-					cut = m
-				}
-			}
-			cut.setCut(true)
-			c.hosts.set(func(f *hostsFake) {
-				f.onReboot = func(host.ID) { c.is.Equal(c.targets(cut, 0), -1) }
-			})
-			c.sleepUntil(func() bool { return len(c.hosts.reboots()) > 0 })
-		})
+		for phase := range 3 {
+			assertSilentBeforeReboot(t, phase)
+		}
 	})
 	t.Run("waits for the platform's confirmation", func(t *testing.T) {
 		withWave(t, 2, nil, func(c *cluster) {
@@ -180,6 +170,27 @@
 	})
 }
 
+// assertSilentBeforeReboot cuts a member off some time after a drain began, so
+// that its last heartbeat is older or newer, and checks that it does not route
+// to the host that is rebooted.
+func assertSilentBeforeReboot(t *testing.T, phase int) {
+	t.Helper()
+	withWave(t, 3, nil, func(c *cluster) {
+		time.Sleep(20 * time.Second)
+		c.sleepUntil(func() bool { return c.pool(0).Disruptions().Planned > 0 })
+		time.Sleep(time.Duration(phase) * 250 * time.Millisecond)
+		cut := c.notHolding(0)
+		cut.setCut(true)
+		c.hosts.set(func(f *hostsFake) {
+			f.onReboot = func(id host.ID) {
+				s, _ := cut.Snapshot(poolName(0))
+				c.is.True(!slices.ContainsFunc(s.Targets, func(t route.Target) bool { return t.Host == id }))
+			}
+		})
+		c.sleepUntil(func() bool { return len(c.hosts.reboots()) > 0 })
+	})
+}
+
 // sleepUntil waits in virtual time for an outcome.
 func (c *cluster) sleepUntil(outcome func() bool) {
 	c.t.Helper()
--- a/io/node/parts.go
+++ b/io/node/parts.go
@@ -129,6 +129,7 @@
 func fleetLink(l *peer.Link) fleet.Link {
 	return fleet.Link{
 		Broadcast: l.Broadcast,
+		Call:      l.Call,
 		Handle: func(kind peer.Kind, handle func(context.Context, string, *peerpb.Envelope) *peerpb.Envelope) {
 			l.Handle(kind, handle)
 		},
