--- a/io/fleet/fleet_test.go
+++ b/io/fleet/fleet_test.go
@@ -136,6 +136,8 @@
 	*fleet.Manager
 	stop context.CancelFunc
 	done <-chan error
+	// ended tells that done was read.
+	ended bool
 
 	// readOnly makes the member's commits fail.
 	readOnly atomic.Bool
@@ -296,13 +298,16 @@
 func (c *cluster) kill(m *member) {
 	m.stop()
 	c.is.NoErr(<-m.done)
+	m.ended = true
 }
 
 func (c *cluster) stopAll() {
 	for _, m := range c.managers {
 		m.stop()
+		if !m.ended {
+			<-m.done
+		}
 	}
-	synctest.Wait()
 }
 
 // pool reads a pool's row from the table.
