--- a/io/fleet/fleet_test.go
+++ b/io/fleet/fleet_test.go
@@ -305,7 +305,7 @@
 	for _, m := range c.managers {
 		m.stop()
 		if !m.ended {
-			<-m.done
+			c.is.NoErr(<-m.done)
 		}
 	}
 }
