--- a/io/fleet/fleet_test.go
+++ b/io/fleet/fleet_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -135,6 +136,11 @@
 	*fleet.Manager
 	stop context.CancelFunc
 	done <-chan error
+	// ended tells that done was read.
+	ended bool
+
+	// readOnly makes the member's commits fail.
+	readOnly atomic.Bool
 
 	mu sync.Mutex
 	// cut makes the table unavailable for this member only.
@@ -232,6 +238,9 @@
 			if err := m.enter(); err != nil {
 				return err
 			}
+			if m.readOnly.Load() {
+				return platform.ErrUnavailable{Service: "table", Reason: "read only"}
+			}
 			return t.Commit(context.WithoutCancel(ctx), tx)
 		},
 		Read: func(ctx context.Context, keys []string) ([]platform.Row, error) {
@@ -289,13 +298,16 @@
 func (c *cluster) kill(m *member) {
 	m.stop()
 	c.is.NoErr(<-m.done)
+	m.ended = true
 }
 
 func (c *cluster) stopAll() {
 	for _, m := range c.managers {
 		m.stop()
+		if !m.ended {
+			c.is.NoErr(<-m.done)
+		}
 	}
-	synctest.Wait()
 }
 
 // pool reads a pool's row from the table.
