--- a/io/fleet/routes.go
+++ b/io/fleet/routes.go
@@ -51,13 +51,11 @@
 }
 
 // adopt puts a snapshot in force if it is newer. The caller holds the lock.
-func (m *Manager) adopt(s route.Snapshot, now time.Time) bool {
+func (m *Manager) adopt(s route.Snapshot, now time.Time) {
 	current, ok := m.routes[s.Pool]
-	if ok && !s.Newer(current.snapshot) {
-		return false
+	if !ok || s.Newer(current.snapshot) {
+		m.routes[s.Pool] = routes{snapshot: s, since: now}
 	}
-	m.routes[s.Pool] = routes{snapshot: s, since: now}
-	return true
 }
 
 // withoutListed drops the targets that the platform's list shows as leaving or
@@ -89,9 +87,18 @@
 	return m.inTouch(now)
 }
 
-// inTouch reports whether this entry host may rely on its knowledge of the fleet. The caller holds the lock.
+// lapseMargin is how long before the others can find it lapsed an entry host
+// stops relying on the store alone.
+const lapseMargin = 250 * time.Millisecond
+
+// inTouch reports whether this entry host may rely on its knowledge of the
+// fleet. One that reads the store but can't write its row is as good as cut off
+// from it: drains do not wait for a lapsed member. The caller holds the lock.
 func (m *Manager) inTouch(now time.Time) bool {
 	v := duty.Vouching{Members: len(m.ledger.Live()), StoreAge: now.Sub(m.contact.read)}
+	if beat := now.Sub(m.contact.beat); beat > m.Periods.lease()-lapseMargin {
+		v.StoreAge = beat
+	}
 	if m.contact.read.IsZero() {
 		v.Members = maxMembers
 	}
