--- a/io/cli/measure.go
+++ b/io/cli/measure.go
@@ -23,6 +23,7 @@
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "out", Usage: "write measure.json and the plots into this `DIRECTORY`", Value: "out"},
 			&cli.StringSliceFlag{Name: "only", Usage: "measure only this `SERIES`; may be repeated"},
+			&cli.StringFlag{Name: "benchmarks", Usage: "add the rows of this `FILE`, an output of go test -bench", TakesFile: true},
 			&cli.BoolFlag{Name: "short", Usage: "measure small fleets only, to see that it works"},
 		},
 		Action: runMeasure,
@@ -38,9 +39,28 @@
 	if err != nil {
 		return failed(ExitFailure, "%w", err)
 	}
+	if result.Benchmarks, err = readBenchmarks(cmd.String("benchmarks")); err != nil {
+		return err
+	}
 	return writeResult(cmd.String("out"), result)
 }
 
+func readBenchmarks(path string) ([]measure.Row, error) {
+	if path == "" {
+		return nil, nil
+	}
+	file, err := os.Open(path)
+	if err != nil {
+		return nil, failed(ExitUsage, "open the benchmarks: %w", err)
+	}
+	defer func() { _ = file.Close() }()
+	rows, err := measure.ReadBenchmarks(file, path)
+	if err != nil {
+		return nil, failed(ExitUsage, "%w", err)
+	}
+	return rows, nil
+}
+
 func writeResult(directory string, result measure.Result) error {
 	if err := os.MkdirAll(directory, documentDirectoryMode); err != nil {
 		return failed(ExitFailure, "create %s: %w", directory, err)
--- a/io/measure/measure.go
+++ b/io/measure/measure.go
@@ -29,7 +29,7 @@
 // Row is one measured value.
 type Row struct {
 	Name  string  `json:"name"`
-	Size  int     `json:"size"`
+	Size  int     `json:"size,omitempty"`
 	Value float64 `json:"value"`
 	Unit  string  `json:"unit"`
 }
@@ -52,6 +52,8 @@
 type Result struct {
 	Rows []Row `json:"rows"`
 	Fits []Fit `json:"fits"`
+	// Benchmarks holds the rows of Go benchmarks that ran beside.
+	Benchmarks []Row `json:"benchmarks,omitempty"`
 }
 
 // Run runs the measurements one after another and reports each row to progress.
