--- a/io/replay/check_requests.go
+++ b/io/replay/check_requests.go
@@ -220,7 +220,7 @@
 		f.look(true)
 		for _, run := range e.Records.Runs {
 			if run.Host == span.host && run.Started.After(after) && run.Started.Before(span.to) {
-				f.breach(run.Started, "host %s, %s since %s, got request %s", span.host, span.why, span.from.Format(clock), run.Request)
+				f.breach(run.Started, "host %s, %s since %s, got request %s of %s", span.host, span.why, span.from.Format(clock), run.Request, run.Caller)
 			}
 		}
 		for _, task := range e.Records.Tasks {
--- a/io/replay/fleet.go
+++ b/io/replay/fleet.go
@@ -26,9 +26,14 @@
 	return fleet
 }
 
+// poolName returns the name of the event's pool within its organisation.
+func (e Event) poolName() string {
+	return e.Pool[strings.LastIndexByte(e.Pool, '/')+1:]
+}
+
 // hosts returns the hosts of one event of kind hosts. Whole racks go to the zones in turn.
 func (e Event) hosts() []standin.HostSpec {
-	_, name, _ := strings.Cut(e.Pool, "/")
+	name := e.poolName()
 	specs := make([]standin.HostSpec, 0, e.Count)
 	for i := range e.Count {
 		rack := i / max(1, e.RackSize)
--- a/io/replay/grammar.go
+++ b/io/replay/grammar.go
@@ -45,8 +45,8 @@
 func count(name string, at func(*Event) *int) field {
 	return field{name: name, read: func(e *Event, value string) error {
 		n, err := strconv.Atoi(value)
-		if err != nil || n < 0 {
-			return fmt.Errorf("%s must be a whole number, not %q", name, value)
+		if err != nil || n < 0 || n > maxCount {
+			return fmt.Errorf("%s must be a whole number up to %d, not %q", name, maxCount, value)
 		}
 		*at(e) = n
 		return nil
@@ -64,6 +64,21 @@
 	}}
 }
 
+// positive rejects a number that is zero.
+func positive(f field, value func(*Event) float64) field {
+	read := f.read
+	f.read = func(e *Event, text string) error {
+		if err := read(e, text); err != nil {
+			return err
+		}
+		if value(e) == 0 {
+			return fmt.Errorf("%s must be above zero", f.name)
+		}
+		return nil
+	}
+	return f
+}
+
 // flag is true when it stands without a value.
 func flag(name string, at func(*Event) *bool) field {
 	return field{name: name, read: func(e *Event, value string) error {
@@ -113,6 +128,7 @@
 // Bounds of numbers in traces.
 const (
 	maxRate  = 10_000
+	maxCount = 1_000_000
 	maxTimes = 100
 	share    = 1
 )
@@ -169,7 +185,7 @@
 	},
 	KindDemand: {
 		fieldQueue, required(fieldFor), fieldTeam, fieldWork, fieldBytes, fieldSafe, fieldUrge,
-		required(number("rate", maxRate, func(e *Event) *float64 { return &e.Rate })),
+		required(positive(number("rate", maxRate, func(e *Event) *float64 { return &e.Rate }), func(e *Event) float64 { return e.Rate })),
 		number("keyed", share, func(e *Event) *float64 { return &e.Keyed }),
 		number("duplicates", share, func(e *Event) *float64 { return &e.Duplicates }),
 		number("stream", share, func(e *Event) *float64 { return &e.Stream }),
--- a/io/replay/trace.go
+++ b/io/replay/trace.go
@@ -166,13 +166,15 @@
 	return t, t.validate()
 }
 
+// maxHosts bounds the hosts of a trace.
+const maxHosts = 10_000
+
 // validate checks what concerns the trace as a whole.
 func (t Trace) validate() error {
 	n := len(t.Events)
 	if n == 0 || t.Events[n-1].Kind != KindEnd {
 		return ErrTrace{Line: n, Reason: "the last event must be of kind end"}
 	}
-	hosts := 0
 	for _, e := range t.Events {
 		switch e.Kind {
 		case KindHosts, KindPlatform, KindSettings:
@@ -180,12 +182,26 @@
 				return ErrTrace{Line: e.Line, Reason: fmt.Sprintf("%s must stand at 0s", e.Kind)}
 			}
 		}
-		if e.Kind == KindHosts {
-			hosts++
+	}
+	return t.validateHosts()
+}
+
+// validateHosts checks that there are hosts, not too many, and that their names differ.
+func (t Trace) validateHosts() error {
+	hosts := 0
+	pools := make(map[string]bool)
+	for _, e := range t.of(KindHosts) {
+		hosts += e.Count
+		if hosts > maxHosts {
+			return ErrTrace{Line: e.Line, Reason: fmt.Sprintf("there are more than %d hosts", maxHosts)}
+		}
+		if name := e.poolName(); pools[name] {
+			return ErrTrace{Line: e.Line, Reason: fmt.Sprintf("two pools are named %s", name)}
 		}
+		pools[e.poolName()] = true
 	}
 	if hosts == 0 {
-		return ErrTrace{Line: n, Reason: "there are no hosts"}
+		return ErrTrace{Line: t.Events[len(t.Events)-1].Line, Reason: "there are no hosts"}
 	}
 	return nil
 }
--- a/io/replay/trace_test.go
+++ b/io/replay/trace_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"siskincross/core/host"
 )
 
 const (
@@ -74,7 +76,9 @@
 		"missing field":       {testHosts + "1s demand queue=o/q for=1s\n", 2, "needs rate"},
 		"field twice":         {testHosts + "1s fail host=a host=b\n", 2, "stands twice"},
 		"time that goes back": {testHosts + "2s fail host=a\n1s fail host=b\n" + testEnd, 3, "before that of the line above"},
-		"late hosts":          {"0s end\n", 1, "no hosts"},
+		"no demand":           {testHosts + "1s demand queue=o/q for=1s rate=0\n", 2, "above zero"},
+		"too many hosts":      {strings.Replace(testHosts, "count=9", "count=10001", 1) + testEnd, 1, "more than 10000 hosts"},
+		"hosts named alike":   {testHosts + strings.Replace(testHosts, "o/p", "x/p", 1) + testEnd, 2, "two pools are named p"},
 		"settings not at 0s":  {testHosts + "1s settings plan=1s\n" + testEnd, 2, "must stand at 0s"},
 		"share above one":     {testHosts + "1s cancel queue=o/q share=1.5\n", 2, "from 0 to 1"},
 		"negative time":       {testHosts + "-1s fail host=a\n", 2, "not a time"},
@@ -85,6 +89,25 @@
 	}
 }
 
+func TestVerdictNeedsProvokedCases(t *testing.T) {
+	for name, tc := range map[string]struct {
+		found finding
+		held  bool
+	}{
+		"no cases":        {finding{}, false},
+		"none provoked":   {finding{cases: 9}, false},
+		"provoked":        {finding{cases: 9, provoked: 1}, true},
+		"broken":          {finding{cases: 9, provoked: 1, broken: 1, first: "x"}, false},
+		"broken only one": {finding{cases: 9, broken: 1, first: "x"}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			verdict := tc.found.verdict(Property{Name: "p"})
+			is.New(t).Equal(verdict.Held, tc.held)
+			is.New(t).Equal(verdict.First == "", tc.held)
+		})
+	}
+}
+
 // TestPageNamesEveryField checks the page that documents the format.
 func TestPageNamesEveryField(t *testing.T) {
 	page, err := os.ReadFile("../../docs/replay.md")
@@ -112,6 +135,13 @@
 		if err != nil {
 			return
 		}
+		names := make(map[host.ID]bool)
+		for _, spec := range trace.fleet(1).Hosts {
+			if names[spec.ID] {
+				t.Fatalf("two hosts are named %s", spec.ID)
+			}
+			names[spec.ID] = true
+		}
 		for i, e := range trace.Events {
 			if e.At < 0 || e.Answered > 1 || i > 0 && e.At < trace.Events[i-1].At {
 				t.Fatalf("event %+v was accepted", e)
