--- a/core/route/board.go
+++ b/core/route/board.go
@@ -23,7 +23,9 @@
 	members int
 
 	epoch, version uint64
-	seats          map[host.ID]*seat
+	// targets is the slice of the newest snapshot.
+	targets []Target
+	seats   map[host.ID]*seat
 	// all holds the seats in the order in which they were first listed, so that decisions are repeatable.
 	all []*seat
 	// listed is the number of targets in the newest snapshot, total the own requests in progress.
@@ -59,11 +61,17 @@
 	drawsToAvoid = 4
 )
 
-// Update replaces the set of targets if s is newer. Requests in progress stay counted.
+// Update replaces the set of targets unless s is older. Requests in progress stay counted.
+//
+// A snapshot of the same version replaces the set when its Targets are another
+// slice: the entry host leaves targets out that it knows to be leaving before
+// the pool's row tells so. Callers that pass the same slice again pay nothing.
 func (b *Board) Update(s Snapshot) {
-	if b.seats != nil && !s.Newer(Snapshot{Epoch: b.epoch, Version: b.version}) {
+	held := Snapshot{Epoch: b.epoch, Version: b.version}
+	if b.seats != nil && (held.Newer(s) || !s.Newer(held) && sameSlice(s.Targets, b.targets)) {
 		return
 	}
+	b.targets = s.Targets
 	if b.seats == nil {
 		b.seats = make(map[host.ID]*seat, len(s.Targets))
 	}
@@ -81,6 +89,10 @@
 	b.forget()
 }
 
+func sameSlice(a, b []Target) bool {
+	return len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0])
+}
+
 func (b *Board) list(target Target) {
 	st := b.seats[target.Host]
 	if st == nil {
--- a/io/fleet/list.go
+++ b/io/fleet/list.go
@@ -31,6 +31,7 @@
 	}
 	before := m.list
 	m.list = before.WithReading(lines(listings), now)
+	clear(m.filtered)
 	after := m.list
 	m.mu.Unlock()
 	m.reportDoubt(before.Doubted(), after.Doubted())
--- a/io/fleet/manager.go
+++ b/io/fleet/manager.go
@@ -56,8 +56,10 @@
 	rows map[string]row
 	// routes holds the newest snapshots, from rows or from peers, by pool.
 	routes map[string]routes
-	ledger duty.Ledger
-	list   pool.List
+	// filtered holds the targets of the routes without those that the newest list shows as unfit, by pool.
+	filtered map[string][]route.Target
+	ledger   duty.Ledger
+	list     pool.List
 	// listStarted is when the list was first read.
 	listStarted time.Time
 	// touched holds the versions of rows that this member wrote and does not hold, by pool.
--- a/io/fleet/routes.go
+++ b/io/fleet/routes.go
@@ -55,20 +55,29 @@
 	current, ok := m.routes[s.Pool]
 	if !ok || s.Newer(current.snapshot) {
 		m.routes[s.Pool] = routes{snapshot: s, since: now}
+		delete(m.filtered, s.Pool)
 	}
 }
 
 // withoutListed drops the targets that the platform's list shows as leaving or
-// failed before the pool's row does. The caller holds the lock.
+// failed before the pool's row does. The same slice is returned until the list
+// or the pool's snapshot changes. The caller holds the lock.
 func (m *Manager) withoutListed(s route.Snapshot) route.Snapshot {
+	if kept, ok := m.filtered[s.Pool]; ok {
+		s.Targets = kept
+		return s
+	}
 	unfit := func(t route.Target) bool {
 		line, ok := m.list.Line(t.Host)
 		return ok && (line.Leaving || line.Failed)
 	}
-	if !slices.ContainsFunc(s.Targets, unfit) {
-		return s
+	if slices.ContainsFunc(s.Targets, unfit) {
+		s.Targets = slices.DeleteFunc(slices.Clone(s.Targets), unfit)
+	}
+	if m.filtered == nil {
+		m.filtered = make(map[string][]route.Target)
 	}
-	s.Targets = slices.DeleteFunc(slices.Clone(s.Targets), unfit)
+	m.filtered[s.Pool] = s.Targets
 	return s
 }
 
--- a/io/standin/target_test.go
+++ b/io/standin/target_test.go
@@ -76,6 +76,16 @@
 	return ""
 }
 
+// awaitEnd waits until the first run has ended, and returns it.
+func awaitEnd(p *Platform) Run {
+	for {
+		if run := awaitRuns(p, 1)[0]; run.Outcome != RunInProgress {
+			return run
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
 // awaitRuns waits until the targets have recorded n arrivals, and returns them.
 func awaitRuns(p *Platform, n int) []Run {
 	for {
@@ -103,7 +113,7 @@
 		is.NoErr(err)
 		is.Equal(response.Header.Get(headerRequestID), "r1")
 		is.Equal(body, Answer(Identity("", "c1"), 10_000))
-		run := p.Records().Runs[0]
+		run := awaitEnd(p)
 		is.Equal(run.Outcome, RunWhole)
 		is.Equal(run.Caller, "c1")
 	})
@@ -144,7 +154,7 @@
 			response, body, err := send(t, p, "h1", request{size: 1000})
 			whole := err == nil && string(body) == string(Answer(Identity("", "c1"), 1000))
 			is.Equal(whole && response.Header.Get(headerRequestID) == "r1", tc.whole)
-			run := awaitRuns(p, 1)[0]
+			run := awaitEnd(p)
 			is.Equal(run.Fault, name)
 			is.Equal(run.Outcome, tc.outcome)
 			_, body, err = send(t, p, "h1", request{size: 1000})
