--- a/io/replay/trace_test.go
+++ b/io/replay/trace_test.go
@@ -136,7 +136,7 @@
 			return
 		}
 		names := make(map[host.ID]bool)
-		for _, spec := range trace.fleet(1).Hosts {
+		for _, spec := range trace.Fleet(1).Hosts {
 			if names[spec.ID] {
 				t.Fatalf("two hosts are named %s", spec.ID)
 			}
