Make decisions about jobs reproducible

Cause: maps were walked in their own order, so the same trace had other outcomes from run to run.

Change: tasks, teams and workers are kept sorted. A test runs a trace twice; another mixes bad workers and jobs that can never run over 40 seeds.

--- a/core/job/backlog.go
+++ b/core/job/backlog.go
@@ -1,6 +1,8 @@
 package job
 
 import (
+	"slices"
+	"strings"
 	"time"
 
 	"siskincross/core/config"
@@ -91,7 +93,9 @@
 
 // backlog holds the waiting jobs of a pool by team.
 type backlog struct {
-	teams   map[string]*team
+	teams map[string]*team
+	// list holds the teams sorted by name.
+	list    []*team
 	waiting int
 	urgent  int
 }
@@ -104,10 +108,16 @@
 	if t == nil {
 		t = &team{name: name, weight: 1}
 		b.teams[name] = t
+		i, _ := slices.BinarySearchFunc(b.list, t, byName)
+		b.list = slices.Insert(b.list, i, t)
 	}
 	return t
 }
 
+func byName(a, b *team) int {
+	return strings.Compare(a.name, b.name)
+}
+
 func (b *backlog) push(e *entry) {
 	t := b.team(e.job.Spec.Team)
 	e.queued = true
@@ -141,7 +151,7 @@
 
 // setTeams replaces weights and guaranteed slots. share is the pool's part of its organisation's slots.
 func (b *backlog) setTeams(teams []config.Team, share float64) {
-	for _, t := range b.teams {
+	for _, t := range b.list {
 		t.weight, t.slots = 1, 0
 	}
 	for _, c := range teams {
@@ -166,7 +176,7 @@
 // then the borrowers, by what they borrow per weight.
 func (b *backlog) next(skip map[*team]bool) *team {
 	var best *team
-	for _, t := range b.teams {
+	for _, t := range b.list {
 		if t.waiting > 0 && !skip[t] && (best == nil || t.before(best)) {
 			best = t
 		}
--- a/core/job/comparison_test.go
+++ b/core/job/comparison_test.go
@@ -9,6 +9,8 @@
 	"text/tabwriter"
 	"time"
 
+	"github.com/matryer/is"
+
 	"siskincross/core/host"
 )
 
@@ -96,6 +98,9 @@
 		t.Fatal(err)
 	}
 	t.Log("\n" + text.String())
+	t.Run("the same trace has the same outcome", func(t *testing.T) {
+		is.New(t).Equal(compare(t, MethodLearned, seed), results[MethodLearned])
+	})
 	learned := results[MethodLearned]
 	if learned.killed > 0 {
 		t.Errorf("%d tasks were killed on workers over their memory", learned.killed)
--- a/core/job/count.go
+++ b/core/job/count.go
@@ -36,7 +36,7 @@
 			c.Queues[e.job.Spec.Queue]++
 		}
 	}
-	for _, w := range s.workers {
+	for _, w := range s.order {
 		if w.record.suspected {
 			c.Suspected = append(c.Suspected, w.id)
 		}
--- a/core/job/fixture_test.go
+++ b/core/job/fixture_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -202,13 +204,15 @@
 		var cores float64
 		var memory int64
 		var largest *benchTask
-		for _, t := range b.tasks[target.Host] {
+		for _, name := range slices.Sorted(maps.Keys(b.tasks[target.Host])) {
+			t := b.tasks[target.Host][name]
 			if t.state != "running" {
 				continue
 			}
 			cores += t.truth.cores * t.share
 			memory += t.memory()
-			if largest == nil || t.memory() > largest.memory() {
+			larger := largest == nil || t.memory() > largest.memory()
+			if larger || t.memory() == largest.memory() && t.job.ID < largest.job.ID {
 				largest = t
 			}
 		}
@@ -245,7 +249,8 @@
 func (b *bench) report() {
 	for _, target := range b.targets {
 		var reports []Report
-		for name, t := range b.tasks[target.Host] {
+		for _, name := range slices.Sorted(maps.Keys(b.tasks[target.Host])) {
+			t := b.tasks[target.Host][name]
 			r := Report{Task: name, Event: AttemptSeen, UsedCores: t.truth.cores * t.share, UsedMemory: t.reported()}
 			if t.saved {
 				r.Checkpoint = "checkpoint-" + name
--- a/core/job/lease.go
+++ b/core/job/lease.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"siskincross/core/host"
@@ -82,11 +83,11 @@
 // have been paused, and they may have ends to report.
 func (s *Scheduler) Lapse(now time.Time) {
 	limit := s.policy.Lease + s.policy.LeaseMargin
-	for _, w := range s.workers {
+	for _, w := range s.order {
 		if len(w.tasks) == 0 || w.putOffs == 0 || now.Sub(w.contact) <= limit {
 			continue
 		}
-		for _, t := range w.tasks {
+		for _, t := range slices.Clone(w.tasks) {
 			if t.dispatched && now.Sub(t.since) > limit {
 				s.lapse(t, fmt.Sprintf("worker %s was silent for %v", w.id, limit))
 			}
--- a/core/job/outcome.go
+++ b/core/job/outcome.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"time"
 
 	"siskincross/core/host"
@@ -69,7 +71,8 @@
 
 // reconsider lets parked jobs wait again whose failures were a suspected worker's.
 func (s *Scheduler) reconsider(w *worker) {
-	for _, e := range s.jobs {
+	for _, id := range slices.Sorted(maps.Keys(s.jobs)) {
+		e := s.jobs[id]
 		if e.job.State != StateParked || !failedOn(e.job, w.id) || s.hopeless(e.job) {
 			continue
 		}
--- a/core/job/placement.go
+++ b/core/job/placement.go
@@ -75,7 +75,7 @@
 
 // blockAll notes that no team finds room.
 func (s *Scheduler) blockAll(now time.Time) {
-	for _, t := range s.backlog.teams {
+	for _, t := range s.backlog.list {
 		if t.waiting > 0 {
 			t.block(now)
 		}
--- a/core/job/reclaim.go
+++ b/core/job/reclaim.go
@@ -35,7 +35,7 @@
 // throttled where that is enough, else checkpointed and stopped.
 func (s *Scheduler) makeRoom(now time.Time) {
 	made := 0
-	for _, t := range s.backlog.teams {
+	for _, t := range s.backlog.list {
 		for _, e := range t.urgent.first(claimsPerRound) {
 			if made == claimsPerRound {
 				return
@@ -181,7 +181,7 @@
 	}
 	s.tookBack = now
 	need := 0
-	for _, t := range s.backlog.teams {
+	for _, t := range s.backlog.list {
 		if !t.blocked.IsZero() && now.Sub(t.blocked) >= takeBackAfter && t.waiting > 0 {
 			need += min(t.waiting, int(t.slots)-t.running)
 		}
@@ -230,7 +230,7 @@
 // largestBorrower returns the team that borrows most per weight, at least one slot, and has victims.
 func (b *backlog) largestBorrower(victims map[*team][]*task) *team {
 	var largest *team
-	for _, t := range b.teams {
+	for _, t := range b.list {
 		if len(victims[t]) == 0 || float64(t.running)-t.slots < 1 {
 			continue
 		}
--- a/core/job/relief.go
+++ b/core/job/relief.go
@@ -1,6 +1,8 @@
 package job
 
 import (
+	"maps"
+	"slices"
 	"sort"
 	"time"
 
@@ -66,7 +68,7 @@
 		draining[h] = true
 	}
 	changed := false
-	for _, w := range s.workers {
+	for _, w := range s.order {
 		changed = changed || w.draining != draining[w.id]
 		w.draining = draining[w.id]
 		if !w.draining {
@@ -93,7 +95,7 @@
 	s.init()
 	commands := s.ledger.commands
 	s.ledger.commands = nil
-	for _, t := range s.leaving {
+	for _, t := range s.leavers() {
 		if !t.dispatched {
 			s.refused(t, "not sent", now)
 			continue
@@ -106,6 +108,11 @@
 	return commands
 }
 
+// leavers returns the tasks that must go, sorted by the IDs of their jobs.
+func (s *Scheduler) leavers() []*task {
+	return slices.SortedFunc(maps.Values(s.leaving), byJob)
+}
+
 // command returns the next step of a task that must go.
 func (t *task) command(now time.Time) (Command, bool) {
 	c := Command{Host: t.worker.id, Task: t.job.job.Task()}
--- a/core/job/report.go
+++ b/core/job/report.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"siskincross/core/chart"
@@ -101,10 +102,10 @@
 
 // missing ends the tasks that the worker acknowledged, or was found with, and no longer knows.
 func (s *Scheduler) missing(w *worker, seen map[ID]bool, asked time.Time) {
-	for id, t := range w.tasks {
+	for _, t := range slices.Clone(w.tasks) {
 		known := t.resumed && t.dispatched || !t.started.IsZero() && t.started.Before(asked)
 		overdue := t.dispatched && asked.Sub(t.since) > s.policy.Lease+s.policy.LeaseMargin
-		if (known || overdue) && !seen[id] && t.since.Before(asked) {
+		if (known || overdue) && !seen[t.job.job.ID] && t.since.Before(asked) {
 			s.lapse(t, "worker "+string(w.id)+" no longer knows the task")
 		}
 	}
--- a/core/job/scheduler.go
+++ b/core/job/scheduler.go
@@ -70,7 +70,7 @@
 // not among the targets keep the tasks that they have.
 func (s *Scheduler) SetWorkers(targets []route.Target, now time.Time) {
 	s.init()
-	for _, w := range s.workers {
+	for _, w := range s.order {
 		w.open = false
 	}
 	for _, target := range targets {
@@ -225,7 +225,7 @@
 func (s *Scheduler) worker(id host.ID, now time.Time) *worker {
 	w := s.workers[id]
 	if w == nil {
-		w = &worker{id: id, contact: now, tasks: make(map[ID]*task)}
+		w = &worker{id: id, contact: now}
 		s.workers[id] = w
 		s.order = insert(s.order, w)
 	}
@@ -241,7 +241,7 @@
 // count sums the slots of the workers that may receive new work.
 func (s *Scheduler) count() {
 	s.open, s.total, s.free, s.largest = 0, 0, 0, Demand{}
-	for _, w := range s.workers {
+	for _, w := range s.order {
 		if !w.open || w.draining {
 			continue
 		}
--- a/core/job/suspicion_test.go
+++ b/core/job/suspicion_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -185,3 +186,26 @@
 	b.run(2 * time.Minute)
 	assertSuspects(b)
 }
+
+// TestSuspicionOverSeeds mixes bad workers, up to a quarter, and jobs that can never run, up to a third, at random.
+func TestSuspicionOverSeeds(t *testing.T) {
+	for seed := range uint64(40) {
+		random := rand.New(rand.NewPCG(seed, 4))
+		workers := 6 + random.IntN(15)
+		b := newBench(t, workers)
+		bad := make(map[host.ID]bool)
+		for range 1 + random.IntN(workers/4) {
+			bad[b.targets[random.IntN(workers)].Host] = true
+		}
+		poison := make(map[ID]bool)
+		b.truth = failing(bad, poison, 500*time.Millisecond+time.Duration(random.IntN(19))*500*time.Millisecond)
+		good := 150 + random.IntN(250)
+		ids, poisoned := mixed(b, good, random.IntN(good/2), poison)
+		b.run(time.Hour)
+		if finished, parked := b.count(ids, "finished"), b.count(poisoned, "parked"); finished < good || parked < len(poisoned) {
+			t.Errorf("seed %d: %d of %d jobs finished, %d of %d parked", seed, finished, good, parked, len(poisoned))
+		}
+		assertNeverSuspected(b, bad)
+		assertLost(b, bad)
+	}
+}
--- a/core/job/worker.go
+++ b/core/job/worker.go
@@ -1,6 +1,8 @@
 package job
 
 import (
+	"slices"
+	"strings"
 	"time"
 
 	"siskincross/core/chart"
@@ -25,7 +27,8 @@
 	backoff time.Time
 	// putOffs counts what led to backoff since the host last answered.
 	putOffs int
-	tasks   map[ID]*task
+	// tasks is sorted by the IDs of the jobs.
+	tasks []*task
 	// demand is the sum over tasks of task.demand.
 	demand Demand
 	// claims counts the urgent jobs that room is being made for; claimed is the sum of their demands.
@@ -77,13 +80,18 @@
 }
 
 func (w *worker) add(t *task) {
-	w.tasks[t.job.job.ID] = t
+	i, _ := slices.BinarySearchFunc(w.tasks, t, byJob)
+	w.tasks = slices.Insert(w.tasks, i, t)
 	w.demand.Cores += t.demand.Cores
 	w.demand.MemoryBytes += t.demand.MemoryBytes
 }
 
 func (w *worker) remove(t *task) {
-	delete(w.tasks, t.job.job.ID)
+	i, ok := slices.BinarySearchFunc(w.tasks, t, byJob)
+	if !ok {
+		return
+	}
+	w.tasks = slices.Delete(w.tasks, i, i+1)
 	w.demand.Cores -= t.demand.Cores
 	w.demand.MemoryBytes -= t.demand.MemoryBytes
 	if len(w.tasks) == 0 {
@@ -91,6 +99,10 @@
 	}
 }
 
+func byJob(a, b *task) int {
+	return strings.Compare(string(a.job.job.ID), string(b.job.job.ID))
+}
+
 // setDemand replaces the demand of one of the worker's tasks.
 func (w *worker) setDemand(t *task, d Demand) {
 	w.demand.Cores += d.Cores - t.demand.Cores
