--- a/io/operator/server_test.go
+++ b/io/operator/server_test.go
@@ -164,6 +164,9 @@
 		s.table.SetFaults(standin.TableFaults{Down: true})
 		_, err := s.client.History(t.Context(), "")
 		assertProblem(t, err, http.StatusServiceUnavailable)
+		response, err := http.Get("http://" + s.client.Address + pathHistory)
+		is.New(t).NoErr(err)
+		is.New(t).Equal(response.Header.Get("Retry-After"), retryAfterSeconds)
 	})
 }
 
@@ -229,6 +232,16 @@
 	})
 }
 
+func TestCallersPaths(t *testing.T) {
+	for _, path := range []string{"/queues/" + org + "/keys/x", "/jobs/" + org + "/keys", "/health"} {
+		t.Run(path+" is not served to operators", func(t *testing.T) {
+			response, err := http.Get("http://" + withServer(t, "").client.Address + path)
+			is.New(t).NoErr(err)
+			is.New(t).Equal(response.StatusCode, http.StatusNotFound)
+		})
+	}
+}
+
 func TestMalformed(t *testing.T) {
 	for name, body := range map[string]string{
 		"no JSON":          "organisation = 1",
--- a/io/peer/bench_test.go
+++ b/io/peer/bench_test.go
@@ -37,7 +37,9 @@
 	b.Cleanup(func() {
 		cancel()
 		for _, end := range ends {
-			<-end
+			if err := <-end; err != nil {
+				b.Error(err)
+			}
 		}
 	})
 	return links, scopes
--- a/io/rollout/bench_test.go
+++ b/io/rollout/bench_test.go
@@ -79,7 +79,9 @@
 	}
 	b.StopTimer()
 	cancel()
-	<-done
+	if err := <-done; err != nil {
+		b.Error(err)
+	}
 }
 
 // BenchmarkReceive takes in one pushed configuration of the planned size and reports its size.
