--- a/io/replay/judge.go
+++ b/io/replay/judge.go
@@ -13,6 +13,8 @@
 // Evidence is what callers, operators, targets and the platform saw. The judge knows nothing else.
 type Evidence struct {
 	Trace Trace
+	// speed divides the times of the trace.
+	speed float64
 	// Begun is the moment of the trace's 0s.
 	Begun, Ended time.Time
 	Calls        []Call
--- a/io/replay/replay.go
+++ b/io/replay/replay.go
@@ -188,9 +188,10 @@
 	}
 	ended := time.Now()
 	s.events.Wait()
-	e := Evidence{Trace: s.trace, Begun: s.begun, Ended: ended, ownership: s.ownership, fleet: s.fleet}
+	e := Evidence{Trace: s.trace, speed: s.options.Speed, Begun: s.begun, Ended: ended, ownership: s.ownership, fleet: s.fleet}
 	e.Calls = s.callers.wait()
 	e.Jobs = s.submitters.wait()
+	s.callers.client.CloseIdleConnections()
 	cancel()
 	watchers.Wait()
 	s.cluster.stopAll(ctx)
--- a/io/replay/report.go
+++ b/io/replay/report.go
@@ -73,6 +73,7 @@
 	fmt.Fprintf(w, "buffer cost\t%.1f%%\t%.0f idle host seconds of %d hosts\n", percent*m.IdleShare, m.IdleHostSeconds, r.Hosts)
 	fmt.Fprintf(w, "roll-out time\t%.2f s\tlongest of %d changes\n", m.RollOutSeconds, m.RollOuts)
 	fmt.Fprintf(w, "moves\t%d\thosts that changed their pool\n", m.Moves)
+	fmt.Fprintf(w, "goodput\t%.1f%%\tof its pool's slots, lowest of %d overloads; informs only\n", percent*m.Goodput, m.Overloads)
 	_ = w.Flush()
 	fmt.Fprintf(&b, "\ncalls: %s\njobs:  %s\n", counted(r.Calls), counted(r.Jobs))
 	return b.String()
