--- a/core/job/placement.go
+++ b/core/job/placement.go
@@ -26,6 +26,7 @@
 // placed. Their attempts are pending writes until Committed.
 func (s *Scheduler) Place(now time.Time, limit int) int {
 	s.init()
+	s.takeUp(now)
 	if s.backlog.waiting == 0 || s.open == 0 {
 		return 0
 	}
@@ -74,7 +75,7 @@
 
 // blockAll notes that no team finds room.
 func (s *Scheduler) blockAll(now time.Time) {
-	for _, t := range s.backlog.teams {
+	for _, t := range s.backlog.list {
 		if t.waiting > 0 {
 			t.block(now)
 		}
--- a/core/job/scheduler.go
+++ b/core/job/scheduler.go
@@ -44,6 +44,10 @@
 	largest Demand
 	notices []Notice
 	names   interner
+	// delayed holds refused jobs that wait for their next try.
+	delayed []delay
+	// started counts the tasks that workers accepted.
+	started int
 	// tookBack is when slots were last taken back.
 	tookBack time.Time
 }
@@ -66,11 +70,12 @@
 // not among the targets keep the tasks that they have.
 func (s *Scheduler) SetWorkers(targets []route.Target, now time.Time) {
 	s.init()
-	for _, w := range s.workers {
+	for _, w := range s.order {
 		w.open = false
 	}
 	for _, target := range targets {
 		w := s.worker(target.Host, now)
+		w.returns(now)
 		w.update(target)
 		w.listed = now
 	}
@@ -78,8 +83,20 @@
 	s.count()
 }
 
-// forgetWorker is how long the failures of a worker that left are kept.
-const forgetWorker = 10 * time.Minute
+const (
+	// forgetWorker is how long the failures of a worker that left are kept.
+	forgetWorker = 10 * time.Minute
+	// rebootAbsence is how long a worker stays away when it is rebooted or repaired, and not only missing in a list.
+	rebootAbsence = 20 * time.Second
+)
+
+// returns gives a suspected worker new probes if it was away for a while.
+func (w *worker) returns(now time.Time) {
+	if !w.listed.IsZero() && now.Sub(w.listed) >= rebootAbsence {
+		w.record.probes = 0
+		w.record.nextProbe = now
+	}
+}
 
 // dropWorker forgets a worker that left, and reports whether it did.
 func (s *Scheduler) dropWorker(w *worker, now time.Time) bool {
@@ -208,7 +225,7 @@
 func (s *Scheduler) worker(id host.ID, now time.Time) *worker {
 	w := s.workers[id]
 	if w == nil {
-		w = &worker{id: id, contact: now, tasks: make(map[ID]*task)}
+		w = &worker{id: id, contact: now}
 		s.workers[id] = w
 		s.order = insert(s.order, w)
 	}
@@ -224,7 +241,7 @@
 // count sums the slots of the workers that may receive new work.
 func (s *Scheduler) count() {
 	s.open, s.total, s.free, s.largest = 0, 0, 0, Demand{}
-	for _, w := range s.workers {
+	for _, w := range s.order {
 		if !w.open || w.draining {
 			continue
 		}
--- a/core/job/suspicion_test.go
+++ b/core/job/suspicion_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -131,3 +132,80 @@
 	assertSuspects(b, b.targets[0].Host, b.targets[1].Host, b.targets[2].Host)
 	assertLost(b, bad)
 }
+
+func TestWorkersThatTurnBadParkNothing(t *testing.T) {
+	b := newBench(t, 8)
+	bad := make(map[host.ID]bool)
+	b.truth = failing(bad, nil, time.Second)
+	ids := b.submit(100, benchSpec("video", "video"))
+	b.run(90 * time.Second)
+	for _, i := range []int{0, 2, 4, 6} {
+		bad[b.targets[i].Host] = true
+	}
+	ids = append(ids, b.submit(100, benchSpec("video", "video"))...)
+	b.run(30 * time.Minute)
+	b.is.True(len(b.seen[NoticeReleased]) > 0)
+	b.is.Equal(b.count(ids, "finished"), 200)
+	assertNeverSuspected(b, bad)
+}
+
+func TestJobThatRunsOnceGetsAProvedWorker(t *testing.T) {
+	b := newBench(t, 6)
+	b.submit(1, benchSpec("video", "video"))
+	b.run(30 * time.Second)
+	var proved host.ID
+	for _, w := range b.s.order {
+		if !w.record.proved.IsZero() {
+			proved = w.id
+		}
+	}
+	spec := benchSpec("video", "video")
+	spec.Idempotent = false
+	id := b.submit(1, spec)[0]
+	b.run(time.Second)
+	j, _ := b.s.Job(id)
+	b.is.Equal(j.Host, proved)
+}
+
+func TestRebootedWorkerIsProbedAgain(t *testing.T) {
+	b := newBench(t, 6)
+	worker := b.targets[0]
+	bad := map[host.ID]bool{worker.Host: true}
+	b.truth = failing(bad, nil, time.Second)
+	b.submit(6000, benchSpec("video", "video"))
+	b.run(20 * time.Minute)
+	assertSuspects(b, worker.Host)
+	assertLost(b, bad)
+	lost := b.failed[worker.Host]
+	b.run(20 * time.Minute)
+	b.is.Equal(b.failed[worker.Host], lost)
+	delete(bad, worker.Host)
+	b.s.SetWorkers(b.targets[1:], b.now)
+	b.run(2 * rebootAbsence)
+	b.s.SetWorkers(b.targets, b.now)
+	b.run(2 * time.Minute)
+	assertSuspects(b)
+}
+
+// TestSuspicionOverSeeds mixes bad workers, up to a quarter, and jobs that can never run, up to a third, at random.
+func TestSuspicionOverSeeds(t *testing.T) {
+	for seed := range uint64(40) {
+		random := rand.New(rand.NewPCG(seed, 4))
+		workers := 6 + random.IntN(15)
+		b := newBench(t, workers)
+		bad := make(map[host.ID]bool)
+		for range 1 + random.IntN(workers/4) {
+			bad[b.targets[random.IntN(workers)].Host] = true
+		}
+		poison := make(map[ID]bool)
+		b.truth = failing(bad, poison, 500*time.Millisecond+time.Duration(random.IntN(19))*500*time.Millisecond)
+		good := 150 + random.IntN(250)
+		ids, poisoned := mixed(b, good, random.IntN(good/2), poison)
+		b.run(time.Hour)
+		if finished, parked := b.count(ids, "finished"), b.count(poisoned, "parked"); finished < good || parked < len(poisoned) {
+			t.Errorf("seed %d: %d of %d jobs finished, %d of %d parked", seed, finished, good, parked, len(poisoned))
+		}
+		assertNeverSuspected(b, bad)
+		assertLost(b, bad)
+	}
+}
--- a/io/cli/cli.go
+++ b/io/cli/cli.go
@@ -44,6 +44,18 @@
 		Suggest:               true,
 		ExitErrHandler:        func(context.Context, *cli.Command, error) {},
 		Commands: []*cli.Command{
+			serveCommand(),
+			replayCommand(),
+			standinCommand(),
+			checkCommand(),
+			configCommand(),
+			poolsCommand(),
+			hostsCommand(),
+			explainCommand(),
+			timelineCommand(),
+			jobCommand(),
+			loadCommand(),
+			measureCommand(),
 			documentsCommand(),
 		},
 	}
--- a/io/fleet/manager.go
+++ b/io/fleet/manager.go
@@ -56,8 +56,10 @@
 	rows map[string]row
 	// routes holds the newest snapshots, from rows or from peers, by pool.
 	routes map[string]routes
-	ledger duty.Ledger
-	list   pool.List
+	// filtered holds the targets of the routes without those that the newest list shows as unfit, by pool.
+	filtered map[string][]route.Target
+	ledger   duty.Ledger
+	list     pool.List
 	// listStarted is when the list was first read.
 	listStarted time.Time
 	// touched holds the versions of rows that this member wrote and does not hold, by pool.
@@ -85,12 +87,17 @@
 	left bool
 	// urgent asks for an early write of the member row. It has room for one.
 	urgent chan struct{}
+	// questions holds the routes to be asked for.
+	questions chan question
 }
 
 // Link is the seam to the links between entry hosts.
 type Link struct {
 	// Broadcast sends a message to all connected peers and does not wait.
 	Broadcast func(*peerpb.Envelope)
+	// Call sends a message to one peer and returns its answer. With nil, routes
+	// reach this entry host from their makers and from the store only.
+	Call func(ctx context.Context, member string, message *peerpb.Envelope) (*peerpb.Envelope, error)
 	// Handle registers the receiver of one kind of message. A nil answer sends none.
 	Handle func(kind peer.Kind, handler func(ctx context.Context, from string, message *peerpb.Envelope) *peerpb.Envelope)
 	// SetPeers replaces the members to be connected to, with their peer addresses.
@@ -122,9 +129,10 @@
 type contact struct {
 	// read is when a poll last found all rows that changed.
 	read time.Time
-	// polled is when a poll last succeeded, for the time credited to the ledger.
+	// polled is when the member rows were last received, for the time credited to the ledger.
 	polled time.Time
-	// beat is when the member row was last written.
+	// beat is when the last successful write of the member row was begun. No
+	// other member can find this one lapsed before the lease after it is over.
 	beat time.Time
 	// silent tells that routes are not vouched for.
 	silent bool
@@ -140,6 +148,7 @@
 	group.Go(func() error { return m.runRounds(ctx) })
 	group.Go(func() error { return m.runList(ctx) })
 	group.Go(func() error { return m.runPeers(ctx) })
+	group.Go(func() error { return m.runQuestions(ctx) })
 	group.Go(func() error { return m.runDemand(ctx) })
 	go func() { done <- group.Wait() }()
 	return done
@@ -163,6 +172,7 @@
 	m.outSince = make(map[host.ID]uint64)
 	m.lastEvents = make(map[host.ID]event.ID)
 	m.urgent = make(chan struct{}, 1)
+	m.questions = make(chan question, maxQuestions)
 }
 
 // record writes an event to the time line and returns its ID.
@@ -173,12 +183,14 @@
 	return m.Recorder.Record(e)
 }
 
-// every calls step at once and then with the period until ctx ends. The
-// periods vary a little, so that entry hosts do not step together.
+// every calls step at once and then with the period until ctx ends. A slow step
+// shortens the pause after it. The periods vary a little, so that entry hosts do
+// not step together.
 func every(ctx context.Context, period time.Duration, early <-chan struct{}, step func(context.Context)) error {
 	for {
+		started := time.Now()
 		step(ctx)
-		timer := time.NewTimer(jitter(period))
+		timer := time.NewTimer(max(jitter(period)-time.Since(started), period/10))
 		select {
 		case <-ctx.Done():
 			timer.Stop()
--- a/io/jobs/dispatch.go
+++ b/io/jobs/dispatch.go
@@ -72,7 +72,7 @@
 	case errors.As(err, &refused):
 		answer = job.StartRefused
 	}
-	h.scheduler.Started(l.Job.ID, l.Job.Attempt, answer, time.Now())
+	h.scheduler.Started(l.Job.ID, l.Job.Attempt, answer, refused.Reason, time.Now())
 }
 
 // poll looks at the workers with tasks that are due, and renews their leases.
@@ -86,7 +86,8 @@
 			h.contacts[id] = c
 		}
 		renew := now.Sub(c.renewed) >= h.m.periods.Renew
-		if c.busy || !renew && now.Sub(c.polled) < h.m.periods.Poll {
+		wait := h.scheduler.PollAfter(id, now, h.m.periods.Poll, h.m.periods.PollMost)
+		if c.busy || !renew && now.Sub(c.polled) < wait {
 			return
 		}
 		h.visit(ctx, id, c, h.renewal(tasks, renew), nil)
--- a/io/jobs/workers_test.go
+++ b/io/jobs/workers_test.go
@@ -53,6 +53,8 @@
 	starts  map[string]int
 	log     []fakeStart
 	objects map[string][]byte
+	// calls counts the calls of all workers.
+	calls int
 }
 
 type fakeStart struct {
@@ -82,6 +84,7 @@
 // enter locks, and brings the host's tasks up to now. The caller unlocks if there is no error.
 func (f *fakeWorkers) enter(id host.ID, pool string, epoch uint64) (*fakeHost, error) {
 	f.mu.Lock()
+	f.calls++
 	h := f.host(id)
 	if h.silent {
 		f.mu.Unlock()
@@ -240,3 +243,29 @@
 	}
 	return n
 }
+
+// set changes how the workers behave.
+func (f *fakeWorkers) set(change func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	change()
+}
+
+// silence makes a host answer nothing, or answer again.
+func (f *fakeWorkers) silence(id host.ID, silent bool) {
+	f.set(func() { f.host(id).silent = silent })
+}
+
+// started returns all starts so far, in order.
+func (f *fakeWorkers) started() []fakeStart {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return append([]fakeStart(nil), f.log...)
+}
+
+// startsOf counts the starts of a job.
+func (f *fakeWorkers) startsOf(id job.ID) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.starts[string(id)]
+}
--- a/io/replay/jobs.go
+++ b/io/replay/jobs.go
@@ -12,12 +12,14 @@
 // JobCall is a caller's own record of one job.
 type JobCall struct {
 	// ID is the job's ID; empty if none was told.
-	ID         string    `json:"id"`
-	Queue      string    `json:"queue"`
-	Idempotent bool      `json:"idempotent"`
-	Begun      time.Time `json:"begun"`
-	Accepted   bool      `json:"accepted"`
-	Error      string    `json:"error,omitempty"`
+	ID         string `json:"id"`
+	Queue      string `json:"queue"`
+	Idempotent bool   `json:"idempotent"`
+	// Doomed jobs have a program that always fails.
+	Doomed   bool      `json:"doomed,omitempty"`
+	Begun    time.Time `json:"begun"`
+	Accepted bool      `json:"accepted"`
+	Error    string    `json:"error,omitempty"`
 	// State is the last that the caller was told, at Seen.
 	State string    `json:"state"`
 	Seen  time.Time `json:"seen"`
@@ -81,7 +83,7 @@
 		s.mu.Lock()
 		s.serial++
 		key := fmt.Sprintf("%s-job-%d", s.prefix, s.serial)
-		job := &JobCall{Queue: e.Queue, Idempotent: e.Idempotent, Begun: time.Now()}
+		job := &JobCall{Queue: e.Queue, Idempotent: e.Idempotent, Doomed: e.Fail != "", Begun: time.Now()}
 		s.jobs = append(s.jobs, job)
 		s.mu.Unlock()
 		s.group.Go(func() { s.follow(ctx, job, e.jobSpec(key)) })
@@ -124,7 +126,7 @@
 	for range submitTries {
 		var p *process
 		if p, err = s.cluster.pick(); err == nil {
-			id, accepted, err = s.submitAt(ctx, p.Callers, spec)
+			id, accepted, err = s.submitAt(ctx, p.callers, spec)
 		}
 		if err == nil || !sleep(ctx, jobInterval) {
 			break
@@ -148,13 +150,13 @@
 		return false
 	}
 	organisation, _, _ := strings.Cut(spec.Queue, "/")
-	status, err := s.client.Status(ctx, p.Callers, organisation, job.ID)
+	status, err := s.client.Status(ctx, p.callers, organisation, job.ID)
 	if err != nil {
 		return false
 	}
 	fault := ""
 	if status.Finished {
-		content, err := s.client.Result(ctx, p.Callers, organisation, job.ID)
+		content, err := s.client.Result(ctx, p.callers, organisation, job.ID)
 		if err != nil {
 			return false
 		}
@@ -190,7 +192,7 @@
 	ctx, cancel := context.WithTimeout(ctx, jobTimeout)
 	defer cancel()
 	if p, err := s.cluster.pick(); err == nil {
-		_ = s.client.Cancel(ctx, p.Callers, organisation, id)
+		_ = s.client.Cancel(ctx, p.callers, organisation, id)
 	}
 }
 
