Refresh only pools that have requests

Cause: every 50 ms each entry host refreshed all pools, also those that nobody asked for, and reading a pool's demand created it. A measurement found a quarter of the control's processor time there at 49 pools.

Change: pools without requests in progress or waiting are skipped; Demand and InProgress create nothing.

--- a/io/entry/bench_test.go
+++ b/io/entry/bench_test.go
@@ -159,3 +159,22 @@
 		})
 	}
 }
+
+// BenchmarkIdlePools does what the background loop does 20 times a second for 49 pools that nobody asks for,
+// with and without refreshing them.
+func BenchmarkIdlePools(b *testing.B) {
+	s, _ := withWorkers(b, 55)
+	for i := range 49 {
+		s.pool(fmt.Sprint(i)).refresh()
+	}
+	ways := map[string]func(p *pool){"refreshed": (*pool).refresh, "skipped": (*pool).refreshIfUsed}
+	for name, way := range ways {
+		b.Run(name, func(b *testing.B) {
+			for b.Loop() {
+				for _, p := range s.pools {
+					way(p)
+				}
+			}
+		})
+	}
+}
--- a/io/entry/pool.go
+++ b/io/entry/pool.go
@@ -27,6 +27,8 @@
 	vouched bool
 	// members is the number of entry hosts, or 0 before it was asked for.
 	members int
+	// used tells whether there were requests at the last refresh.
+	used    bool
 	metrics poolMetrics
 }
 
@@ -106,6 +108,22 @@
 	p.advance(now)
 }
 
+// refreshIfUsed refreshes a pool that has requests in progress or waiting. The others' figures
+// of a pool that is not used go stale, so they are forgotten.
+func (p *pool) refreshIfUsed() {
+	p.mu.Lock()
+	used := p.scheduler.Board.Total() > 0 || p.scheduler.Waiting() > 0
+	if !used && p.used {
+		p.scheduler.Board.SetPeers(nil)
+		p.metrics.report(0, 0, p.scheduler.Board.Ejected())
+	}
+	p.used = used
+	p.mu.Unlock()
+	if used {
+		p.refresh()
+	}
+}
+
 // refresh reads the peers' figures too, judges the targets and acts on all that.
 func (p *pool) refresh() {
 	var peers map[host.ID]int
--- a/io/entry/server.go
+++ b/io/entry/server.go
@@ -107,7 +107,10 @@
 
 // InProgress returns the pool's requests in progress at targets, also at hosts outside the snapshot.
 func (s *Server) InProgress(name string) map[host.ID]int {
-	p := s.pool(name)
+	p := s.known(name)
+	if p == nil {
+		return map[host.ID]int{}
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.scheduler.Board.InProgress()
@@ -115,7 +118,10 @@
 
 // Demand returns the pool's requests in progress, those waiting, and the running count of arrivals.
 func (s *Server) Demand(name string) (inProgress, queued int, arrivals uint64) {
-	p := s.pool(name)
+	p := s.known(name)
+	if p == nil {
+		return 0, 0, 0
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.scheduler.Board.Total(), p.scheduler.Waiting(), p.scheduler.Arrivals()
@@ -169,11 +175,15 @@
 	s.Jobs.ServeHTTP(w, r)
 }
 
-func (s *Server) pool(name string) *pool {
+// known returns a pool that callers have asked for, or nil.
+func (s *Server) known(name string) *pool {
 	s.mu.RLock()
-	p := s.pools[name]
-	s.mu.RUnlock()
-	if p != nil {
+	defer s.mu.RUnlock()
+	return s.pools[name]
+}
+
+func (s *Server) pool(name string) *pool {
+	if p := s.known(name); p != nil {
 		return p
 	}
 	s.mu.Lock()
@@ -204,7 +214,7 @@
 		}
 		s.mu.RUnlock()
 		for _, p := range pools {
-			p.refresh()
+			p.refreshIfUsed()
 		}
 	}
 }
--- a/io/entry/share_test.go
+++ b/io/entry/share_test.go
@@ -96,3 +96,19 @@
 		is.Equal(len(s.InProgress(testPool)), 0)
 	}
 }
+
+func TestUnusedPoolsCostNothing(t *testing.T) {
+	is := is.New(t)
+	var asked atomic.Int32
+	s := withSite(t, withTarget(t, func(http.ResponseWriter, *http.Request) {}))
+	s.PeerLoad = func(string) map[host.ID]int {
+		asked.Add(1)
+		return nil
+	}
+	s.Demand("letting/other")
+	s.InProgress("letting/other")
+	is.Equal(len(s.pools), 0) // asking creates no pool
+	assertOutcome(t, s.call(t, "POST", testPath, ""), http.StatusOK, route.OutcomeAnswered)
+	s.pool(testPool).refreshIfUsed()
+	is.Equal(asked.Load(), int32(0)) // a pool without requests is not refreshed
+}
