--- a/io/rollout/spread_test.go
+++ b/io/rollout/spread_test.go
@@ -1,6 +1,8 @@
 package rollout
 
 import (
+	"context"
+	"errors"
 	"testing"
 	"time"
 
@@ -69,6 +71,20 @@
 			c.assertVersion(5, "a")
 		})
 	})
+	t.Run("a store restored from an older copy reverts nobody and takes no change", func(t *testing.T) {
+		withCluster(t, three, func(t *testing.T, c *cluster) {
+			first := c.mustApply("a", c.change(9, 0))
+			second := c.mustApply("a", c.change(10, first.Version))
+			time.Sleep(time.Second)
+			c.skipVersions(^config.Version(0))
+			ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+			defer cancel()
+			_, err := c.node("a").Apply(ctx, c.change(11, second.Version))
+			var notAccepted ErrNotAccepted
+			is.New(t).True(errors.As(err, &notAccepted))
+			c.assertVersion(second.Version, three...)
+		})
+	})
 	t.Run("a malformed push changes nothing and is refused", func(t *testing.T) {
 		withCluster(t, three, func(t *testing.T, c *cluster) {
 			is := is.New(t)
