Play five deployments side by side at most

Cause: under the race detector ten replays at once on a busy machine starved their callers, so that a forgotten drain cut off nothing.

--- a/io/replay/short_test.go
+++ b/io/replay/short_test.go
@@ -41,6 +41,8 @@
 		is.NoErr(os.WriteFile(filepath.Join(directory, name), content, 0o600))
 	}
 	is.NoErr(os.WriteFile(filepath.Join(directory, traceFile), []byte(shortTrace), 0o600))
+	deployments <- struct{}{}
+	defer func() { <-deployments }()
 	report, err := Run(t.Context(), Options{Directory: directory})
 	is.NoErr(err)
 	t.Log("\n" + report.String())
