Stop tasks that were given up; know the own fence row again

Tests for them found two faults: a worker whose only task had been given up was never looked at again, so that the task ran on if its lease did; and a takeover whose fence was written after its read-back wrote it anew for ever.

Change: such workers are looked at until they answer; the fence row carries a claim by which a takeover knows its own write.

--- a/core/job/count.go
+++ b/core/job/count.go
@@ -84,7 +84,8 @@
 	return max(wait, least)
 }
 
-// Busy calls visit for each worker that may run tasks, with the tasks' IDs, in the order of worker IDs.
+// Busy calls visit for each worker that may run tasks, with the IDs of those
+// that are not given up, in the order of worker IDs.
 func (s *Scheduler) Busy(visit func(h host.ID, tasks []string)) {
 	for _, w := range s.order {
 		var ids []string
@@ -93,7 +94,7 @@
 				ids = append(ids, t.job.job.Task())
 			}
 		}
-		if len(ids) == 0 {
+		if len(ids) == 0 && !w.strays {
 			continue
 		}
 		sort.Strings(ids)
--- a/core/job/job_test.go
+++ b/core/job/job_test.go
@@ -139,3 +139,20 @@
 		})
 	}
 }
+
+func TestTaskThatItsWorkerStopped(t *testing.T) {
+	for idempotent, want := range map[bool]chart.State{true: StateQueued, false: StateUnknown} {
+		t.Run(string(want), func(t *testing.T) {
+			b := newBench(t, 1)
+			spec := benchSpec("video", "video")
+			spec.Idempotent = idempotent
+			id := b.submit(1, spec)[0]
+			b.run(time.Second)
+			report := Report{Task: b.s.jobs[id].job.Task(), Event: AttemptEnd, Checkpoint: "progress"}
+			b.s.Report(b.targets[0].Host, []Report{report}, b.now, b.now)
+			j, _ := b.s.Job(id)
+			b.is.Equal(j.State, want)
+			b.is.Equal(j.Checkpoint == "progress", idempotent)
+		})
+	}
+}
--- a/core/job/outcome.go
+++ b/core/job/outcome.go
@@ -109,6 +109,7 @@
 // lapse takes in an attempt of which nothing more is known.
 func (s *Scheduler) lapse(t *task, reason string) {
 	t.follow(AttemptLapse)
+	t.worker.strays = true
 	j := t.job.job
 	next, err := j.WithLapse(j.Attempt, t.checkpoint, reason)
 	kind := NoticeLapsed
--- a/core/job/placement_test.go
+++ b/core/job/placement_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"siskincross/core/config"
 	"siskincross/core/host"
 )
 
@@ -119,18 +120,59 @@
 }
 
 func TestJobThatAllWorkersRefuseIsParked(t *testing.T) {
-	for name, others := range map[string]int{"among others": 100, "alone": 0} {
+	cases := map[string]struct {
+		others int
+		within time.Duration
+	}{
+		"among others": {1200, refusedFor - time.Minute},
+		"alone":        {0, refusedFor + time.Minute},
+	}
+	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			b := newBench(t, 6)
-			ids := b.submit(others, benchSpec("video", "video"))
 			bad := b.submit(3, benchSpec("video", "broken"))
+			ids := b.submit(c.others, benchSpec("video", "video"))
 			b.refuses = map[ID]bool{bad[0]: true, bad[1]: true, bad[2]: true}
-			b.run(20 * time.Minute)
+			b.run(c.within)
 			b.is.Equal(b.count(bad, "parked"), len(bad))
-			b.is.Equal(b.count(ids, "finished"), others)
+			b.run(20 * time.Minute)
+			b.is.Equal(b.count(ids, "finished"), c.others)
 			b.is.True(strings.Contains(b.ended[bad[0]].Reason, "unknown program"))
 			b.is.True(b.refused <= 2*maxRefusals*len(bad))
 			assertSuspects(b)
 		})
 	}
 }
+
+// TestTasksThatRunOnceAreNeverStopped fills a pool with them and gives every reason to stop some.
+func TestTasksThatRunOnceAreNeverStopped(t *testing.T) {
+	b := newBench(t, 4)
+	b.truth = func(host.ID, Job) truth {
+		return truth{duration: time.Hour, cores: 1, memory: 10.5 * gigabyte, rampUp: 10 * time.Minute}
+	}
+	b.s.SetTeams([]config.Team{{Name: "kunta/waiting", Weight: 1, Slots: 8}}, 1)
+	spec := benchSpec("video", "video")
+	spec.Idempotent = false
+	b.submit(40, spec)
+	b.run(5 * time.Minute)
+	urgent := benchSpec("marking", "marking")
+	urgent.Urgent = true
+	b.submit(10, urgent)
+	b.submit(10, benchSpec("waiting", "video"))
+	b.s.SetDraining([]host.ID{b.targets[0].Host}, b.now)
+	b.run(20 * time.Minute)
+	b.is.Equal(b.commands[ActionStop], 0)
+	b.is.Equal(b.commands[ActionCheckpoint], 0)
+}
+
+func TestUrgentRowsAreWrittenFirst(t *testing.T) {
+	b := newBench(t, 40)
+	b.submit(100, benchSpec("video", "video"))
+	b.s.Place(b.now, 100)
+	urgent := benchSpec("marking", "marking")
+	urgent.Urgent = true
+	id := b.submit(1, urgent)[0]
+	b.s.Place(b.now, 100)
+	b.is.True(b.s.Behind() > 20)
+	b.is.Equal(b.s.Pending(1)[0].ID, id)
+}
--- a/core/job/pressure_test.go
+++ b/core/job/pressure_test.go
@@ -60,5 +60,5 @@
 	b.is.Equal(b.killed, 0)
 	b.is.Equal(b.count(first, "finished"), 1)
 	b.is.Equal(b.count(grows, "finished"), 1)
-	b.is.True(b.stops <= 2)
+	b.is.Equal(b.stops, 1)
 }
--- a/core/job/report.go
+++ b/core/job/report.go
@@ -65,6 +65,7 @@
 	s.init()
 	w := s.worker(h, now)
 	w.answered(now)
+	w.strays = false
 	var stop []string
 	seen := make(map[ID]bool, len(reports))
 	for _, r := range reports {
--- a/core/job/scheduler.go
+++ b/core/job/scheduler.go
@@ -100,7 +100,7 @@
 
 // dropWorker forgets a worker that left, and reports whether it did.
 func (s *Scheduler) dropWorker(w *worker, now time.Time) bool {
-	if w.open || len(w.tasks) > 0 {
+	if w.open || len(w.tasks) > 0 || w.strays && now.Sub(w.listed) < forgetWorker {
 		return false
 	}
 	if len(w.record.evidence) > 0 && now.Sub(w.listed) < forgetWorker {
--- a/core/job/suspicion_test.go
+++ b/core/job/suspicion_test.go
@@ -161,10 +161,11 @@
 	}
 	spec := benchSpec("video", "video")
 	spec.Idempotent = false
-	id := b.submit(1, spec)[0]
-	b.run(time.Second)
-	j, _ := b.s.Job(id)
-	b.is.Equal(j.Host, proved)
+	for _, id := range b.submit(maxUnlearnt, spec) {
+		b.run(time.Second)
+		j, _ := b.s.Job(id)
+		b.is.Equal(j.Host, proved)
+	}
 }
 
 func TestRebootedWorkerIsProbedAgain(t *testing.T) {
--- a/core/job/worker.go
+++ b/core/job/worker.go
@@ -27,6 +27,8 @@
 	backoff time.Time
 	// putOffs counts what led to backoff since the host last answered.
 	putOffs int
+	// strays is true while tasks that were given up may run on the host.
+	strays bool
 	// tasks is sorted by the IDs of the jobs.
 	tasks []*task
 	// demand is the sum over tasks of task.demand.
--- a/io/jobs/holder.go
+++ b/io/jobs/holder.go
@@ -45,6 +45,7 @@
 
 	// fence is the version of the fence row.
 	fence    uint64
+	claim    string
 	fenceDue time.Time
 	taken    taken
 	learnt   learntRow
@@ -58,7 +59,7 @@
 
 func newHolder(m *Manager, pool string, epoch uint64) *holder {
 	h := &holder{
-		m: m, pool: pool, epoch: epoch,
+		m: m, pool: pool, epoch: epoch, claim: unique(),
 		done: make(chan error, 1), woken: make(chan struct{}, 1), results: make(chan func()),
 		scheduler: &job.Scheduler{Pool: pool, Epoch: epoch, Policy: m.Policy},
 		contacts:  make(map[host.ID]*contact),
--- a/io/jobs/recovery_test.go
+++ b/io/jobs/recovery_test.go
@@ -121,6 +121,9 @@
 			resumed := starts[len(starts)-1].spec
 			f.is.True(resumed.Checkpoint != "")
 			f.workers.silence(first.Host, false)
+			f.workers.set(func() { f.workers.host(first.Host).tasks[first.Task()].leaseEnd = time.Now().Add(time.Hour) })
+			time.Sleep(20 * time.Second)
+			f.is.Equal(f.workers.running(id), 1)
 			j := f.await(id, job.StateFinished, 20*time.Minute)
 			f.is.Equal(j.Attempt, 2)
 		})
@@ -242,3 +245,28 @@
 		f.await(f.submit(m, submission(), "").ID, job.StateFinished, time.Minute)
 	})
 }
+
+func TestRebuildingHolderVouchesForNoHost(t *testing.T) {
+	withFixture(t, 2, func(f *fixture) {
+		f.down(true)
+		m, stop := f.manager("a")
+		defer stop()
+		time.Sleep(time.Second)
+		f.is.Equal(m.TasksOn("host-000"), 1)
+		f.down(false)
+		time.Sleep(3 * time.Second)
+		f.is.Equal(m.TasksOn("host-000"), 0)
+	})
+}
+
+func TestRefusedStartRunsElsewhere(t *testing.T) {
+	withFixture(t, 3, func(f *fixture) {
+		full := f.targets[0].Host
+		f.workers.refuse = map[host.ID]bool{full: true}
+		m, stop := f.manager("a")
+		defer stop()
+		ids := f.submitMany(m, once(), 9)
+		f.awaitAll(ids, 2*time.Minute)
+		f.assertOnce(ids)
+	})
+}
--- a/io/jobs/rows.go
+++ b/io/jobs/rows.go
@@ -23,6 +23,8 @@
 type fenceRow struct {
 	Epoch  uint64 `json:"epoch"`
 	Holder string `json:"holder"`
+	// Claim is unique to a takeover, so that it knows its own write again.
+	Claim string `json:"claim"`
 }
 
 // poolRow is the part of the row "pool/<pool>" that job duties need.
--- a/io/jobs/store_test.go
+++ b/io/jobs/store_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -137,3 +138,44 @@
 		})
 	})
 }
+
+// lateCommits makes every other commit answer unknown, and take effect only after the next read.
+func lateCommits(f *fixture) platform.Table {
+	service := f.table.Service()
+	commit, read := service.Commit, service.Read
+	var mu sync.Mutex
+	var late []platform.Transaction
+	n := 0
+	service.Commit = func(ctx context.Context, tx platform.Transaction) error {
+		mu.Lock()
+		defer mu.Unlock()
+		n++
+		if n%2 == 0 {
+			return commit(ctx, tx)
+		}
+		late = append(late, tx)
+		return platform.ErrOutcomeUnknown{Service: "table", Reason: "slow"}
+	}
+	service.Read = func(ctx context.Context, keys []string) ([]platform.Row, error) {
+		mu.Lock()
+		defer mu.Unlock()
+		rows, err := read(ctx, keys)
+		for _, tx := range late {
+			_ = commit(ctx, tx)
+		}
+		late = nil
+		return rows, err
+	}
+	return service
+}
+
+func TestCommitsThatTakeEffectAfterTheReadBack(t *testing.T) {
+	withFixture(t, 8, func(f *fixture) {
+		f.service = lateCommits(f)
+		m, stop := f.manager("a")
+		defer stop()
+		ids := f.submitMany(m, once(), 30)
+		f.awaitAll(ids, 2*time.Minute)
+		f.assertOnce(ids)
+	})
+}
--- a/io/jobs/takeover.go
+++ b/io/jobs/takeover.go
@@ -103,12 +103,16 @@
 	if err != nil {
 		return err
 	}
+	if h.owns(fence) {
+		h.fence = fence.Version
+		return nil
+	}
 	tx := platform.Transaction{
 		ID: unique(),
 		Preconditions: []platform.Precondition{
 			{Key: fenceKey, Version: fence.Version}, {Key: poolKey, Version: pool.Version},
 		},
-		Writes:  []platform.Write{{Key: fenceKey, Value: encode(fenceRow{Epoch: h.epoch, Holder: h.m.Member})}},
+		Writes:  []platform.Write{{Key: fenceKey, Value: encode(fenceRow{Epoch: h.epoch, Holder: h.m.Member, Claim: h.claim})}},
 		Purpose: "job-fence",
 	}
 	if err := h.m.commitOnce(ctx, tx); err != nil {
@@ -119,6 +123,12 @@
 	return err
 }
 
+// owns reports whether this takeover wrote the fence row.
+func (h *holder) owns(fence platform.Row) bool {
+	var f fenceRow
+	return decodeIfPresent(fence, &f) == nil && f.Claim == h.claim
+}
+
 // readFence reads both rows and returns errFenced if a later holder wrote one of them.
 func (h *holder) readFence(ctx context.Context, fenceKey, poolKey string) (fence, pool platform.Row, err error) {
 	rows, err := h.m.read(ctx, []string{fenceKey, poolKey})
--- a/io/jobs/workers_test.go
+++ b/io/jobs/workers_test.go
@@ -53,6 +53,8 @@
 	starts  map[string]int
 	log     []fakeStart
 	objects map[string][]byte
+	// refuse holds the hosts that refuse every task.
+	refuse map[host.ID]bool
 	// calls counts the calls of all workers.
 	calls int
 }
@@ -140,6 +142,9 @@
 		return err
 	}
 	defer f.mu.Unlock()
+	if f.refuse[id] {
+		return platform.ErrRefused{Host: string(id), Reason: "all slots are in use"}
+	}
 	if h.tasks[spec.Task] == nil {
 		b := behaviour{duration: 10 * time.Second, cores: 1, memory: 1 << 30, checkpoints: true}
 		if f.behave != nil {
