Keep the fleet's events through a busy hour

Cause: requests and fleet events shared a ring of 8,192; at 500 requests a second the time line reached back 16 s, and a takeover was gone before anybody looked. Events of single requests and jobs have a ring of their own now; events that tell of failures are warnings. Before: 100 requests after one duty event push it out of a ring of 2. After: it stays.

--- a/core/event/level.go
+++ b/core/event/level.go
@@ -7,7 +7,7 @@
 
 // Levels of events.
 const (
-	// LevelDebug events happen with every request.
+	// LevelDebug events happen with every request or job.
 	LevelDebug Level = iota
 	LevelInfo
 	// LevelWarn events tell of a failure that the system is dealing with.
@@ -17,9 +17,12 @@
 // Level returns how much events of this kind matter.
 func (n Number) Level() Level {
 	switch n {
-	case RequestAnswered, RequestNotRun, RequestUnknown:
+	case RequestAnswered, RequestNotRun, RequestUnknown, RequestRetried, RequestReplayed,
+		JobAccepted, JobStarted, JobFinished, JobCancelled:
 		return LevelDebug
-	case MemberLapsed, PeerLost, StoreUnavailable:
+	case MemberLapsed, PeerLost, PeerRefused, StoreUnavailable, ClaimLost, TargetEjected,
+		JobUnknown, JobParked, JobCommitFailed, JobRowUnreadable, WorkerSuspected,
+		HostFailed, DrainOverdue, MaintenanceBehind, ListDoubted, RoutesSilenced, DutyConflict:
 		return LevelWarn
 	default:
 		return LevelInfo
--- a/io/timeline/merge_test.go
+++ b/io/timeline/merge_test.go
@@ -46,11 +46,20 @@
 func TestRecorderKeepsNewest(t *testing.T) {
 	r := &timeline.Recorder{Process: "a", Capacity: 2}
 	for _, detail := range []string{"first", "second", "third"} {
-		r.Record(event.Event{Detail: detail})
+		r.Record(event.Event{Number: event.DutyTaken, Detail: detail})
 	}
 	assertOrder(t, r.Events(), "second", "third")
 }
 
+func TestRequestsPushOutNothingElse(t *testing.T) {
+	r := &timeline.Recorder{Process: "a", Capacity: 2}
+	r.Record(event.Event{Number: event.DutyTaken, Detail: "duty"})
+	for range 100 {
+		r.Record(event.Event{Number: event.RequestAnswered, Detail: "request"})
+	}
+	assertOrder(t, r.Events(), "duty", "request", "request")
+}
+
 func TestSelect(t *testing.T) {
 	events := []event.Event{
 		{Host: "h1", Pool: "p", Detail: "both"},
--- a/io/timeline/recorder.go
+++ b/io/timeline/recorder.go
@@ -12,12 +12,14 @@
 // defaultCapacity is the number of events that a Recorder keeps when Capacity is zero.
 const defaultCapacity = 8192
 
-// Recorder keeps the newest events of one process in memory. The zero value
-// records under an empty process name. Its methods may be called from any goroutine.
+// Recorder keeps the newest events of one process in memory. Events of single
+// requests and jobs have a ring of their own, so that a busy hour does not push out the
+// few events that tell what happened to the fleet. The zero value records under
+// an empty process name. Its methods may be called from any goroutine.
 type Recorder struct {
 	// Process names the entry host in events.
 	Process string
-	// Capacity bounds the events kept; zero means 8192.
+	// Capacity bounds the events kept in each ring; zero means 8192.
 	Capacity int
 	// Sink receives every event after it was stamped; nil means none. It must not block.
 	Sink func(event.Event)
@@ -25,9 +27,14 @@
 	mu     sync.Mutex
 	clock  event.Timestamp
 	serial uint64
-	// ring holds the newest events; next is the index that is overwritten next once it is full.
-	ring []event.Event
-	next int
+	// requests holds the events of single requests and jobs, others all the rest.
+	requests, others ring
+}
+
+// ring holds the newest events; next is the index that is overwritten next once it is full.
+type ring struct {
+	events []event.Event
+	next   int
 }
 
 // Record stamps e with the process, an ID and the hybrid logical clock, keeps it and returns its ID.
@@ -57,10 +64,9 @@
 // Events returns the kept events, oldest first.
 func (r *Recorder) Events() []event.Event {
 	r.mu.Lock()
-	defer r.mu.Unlock()
-	events := make([]event.Event, 0, len(r.ring))
-	events = append(events, r.ring[r.next:]...)
-	return append(events, r.ring[:r.next]...)
+	requests, others := r.requests.list(), r.others.list()
+	r.mu.Unlock()
+	return Merge(requests, others)
 }
 
 func (r *Recorder) keep(e event.Event) event.Event {
@@ -71,19 +77,32 @@
 	e.Process = r.Process
 	e.Time = r.clock
 	e.ID = event.ID(fmt.Sprintf("%s-%d", r.Process, r.serial))
-	r.insert(e)
+	if e.Number.Level() == event.LevelDebug {
+		r.requests.insert(e, r.limit())
+	} else {
+		r.others.insert(e, r.limit())
+	}
 	return e
 }
 
-func (r *Recorder) insert(e event.Event) {
-	limit := r.Capacity
-	if limit == 0 {
-		limit = defaultCapacity
+func (r *Recorder) limit() int {
+	if r.Capacity == 0 {
+		return defaultCapacity
 	}
-	if len(r.ring) < limit {
-		r.ring = append(r.ring, e)
+	return r.Capacity
+}
+
+func (r *ring) insert(e event.Event, limit int) {
+	if len(r.events) < limit {
+		r.events = append(r.events, e)
 		return
 	}
-	r.ring[r.next] = e
+	r.events[r.next] = e
 	r.next = (r.next + 1) % limit
 }
+
+func (r *ring) list() []event.Event {
+	list := make([]event.Event, 0, len(r.events))
+	list = append(list, r.events[r.next:]...)
+	return append(list, r.events[:r.next]...)
+}
