Count entry hosts once a refresh, not once a request

Cause: every attempt asked the fleet for its live members, which sorts them under the fleet's lock.

Change: the number of the last refresh is used. A test states how many slots an entry host takes beside its peers. No figure: the benchmarks run without a fleet.

--- a/core/route/board_test.go
+++ b/core/route/board_test.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -67,3 +68,19 @@
 		assertOffers(t, b, "a", "b", "c")
 	})
 }
+
+func TestBoardSharesSlots(t *testing.T) {
+	for _, c := range []struct{ members, peers, room int }{{1, 0, 8}, {7, 0, 8}, {7, 5, 3}, {7, 8, 1}, {2, 8, 4}, {16, 0, 4}, {80, 0, 1}} {
+		t.Run(fmt.Sprintf("%d entry hosts, %d of the slots taken by others", c.members, c.peers), func(t *testing.T) {
+			var b Board
+			b.SetMembers(c.members)
+			b.Update(Snapshot{Epoch: 1, Version: 1, Targets: boardTargets("a")})
+			b.SetPeers(map[host.ID]int{"a": c.peers})
+			rng := rand.New(rand.NewPCG(1, 1))
+			for ok := true; ok; {
+				_, ok = b.Acquire(time.Unix(0, 0), rng, &Waiter{})
+			}
+			is.New(t).Equal(b.Total(), c.room)
+		})
+	}
+}
--- a/io/entry/server.go
+++ b/io/entry/server.go
@@ -55,6 +55,8 @@
 	// requests counts the requests in progress; draining refuses new ones.
 	requests atomic.Int64
 	draining atomic.Bool
+	// counted is the number of entry hosts when it was last asked for, or 0.
+	counted atomic.Int64
 	// kept is the number of bytes of request bodies that may be kept by the requests in progress.
 	kept atomic.Int64
 }
@@ -206,7 +208,7 @@
 		case <-ctx.Done():
 			return
 		}
-		s.group.pace.SetLimit(rate.Limit(s.limits.ClaimCommits / float64(s.members())))
+		s.group.pace.SetLimit(rate.Limit(s.limits.ClaimCommits / float64(s.countMembers())))
 		s.mu.RLock()
 		pools := make([]*pool, 0, len(s.pools))
 		for _, p := range s.pools {
@@ -219,11 +221,21 @@
 	}
 }
 
+// members returns the number of entry hosts as of the last refresh.
 func (s *Server) members() int {
-	if s.Members == nil {
-		return 1
+	if n := s.counted.Load(); n > 0 {
+		return int(n)
 	}
-	return max(1, s.Members())
+	return s.countMembers()
+}
+
+func (s *Server) countMembers() int {
+	n := 1
+	if s.Members != nil {
+		n = max(1, s.Members())
+	}
+	s.counted.Store(int64(n))
+	return n
 }
 
 func (s *Server) record(e event.Event) {
