--- /dev/null
+++ b/core/plan/demand_test.go
@@ -0,0 +1,98 @@
+package plan_test
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"siskincross/core/plan"
+)
+
+// offered returns a demand of steps, each given by its number.
+func offered(steps int, work func(step int) float64) plan.Demand {
+	var d plan.Demand
+	for step := range steps {
+		d = d.With(work(step))
+	}
+	return d
+}
+
+func TestAbsorbing(t *testing.T) {
+	peak := func(step int) float64 {
+		if step%40 < 8 {
+			return 80
+		}
+		return 4
+	}
+	d := offered(hour, peak)
+	tests := []struct {
+		name string
+		wait time.Duration
+		want int
+	}{
+		{"nothing may wait", 0, 10},
+		{"half of the peak's time", 4 * time.Second, 7}, // 56 slots: 24 a step for 8 steps wait 3.4 s
+		{"the peak's time", 8 * time.Second, 5},         // 40 slots: 40 a step for 8 steps wait 8 s
+		{"until the next peak", 30 * time.Second, 3},    // 16 slots are less than the mean of 19.2
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			is.Equal(d.Absorbing(slots, tt.wait), tt.want)
+		})
+	}
+	t.Run("forgets what is older than the window", func(t *testing.T) {
+		is := is.New(t)
+		d := offered(hour+120, func(step int) float64 {
+			if step < 60 {
+				return 800
+			}
+			return 8
+		})
+		is.Equal(d.Absorbing(slots, 0), 1)
+		is.True(d.Full())
+	})
+	t.Run("demands are immutable", func(t *testing.T) {
+		is := is.New(t)
+		base := offered(90, func(int) float64 { return 8 })
+		high, low := base.With(80), base.With(1)
+		is.Equal(high.Last(), 80.0)
+		is.Equal(low.Last(), 1.0)
+		is.Equal(base.Peak(), 8.0)
+	})
+}
+
+// TestMeter feeds a pool of 16 slots with requests of half a second each.
+func TestMeter(t *testing.T) {
+	const slotsOfPool, perSecond = 16, 32
+	run := func(offered func(step int) int, steps int) float64 {
+		var m plan.Meter
+		var arrivals uint64
+		waiting, last := 0, 0.0
+		for step := range steps {
+			arrivals += uint64(offered(step))
+			waiting += offered(step)
+			served := min(waiting, perSecond)
+			waiting -= served
+			m, last = m.With(served*slotsOfPool/perSecond, waiting, arrivals, time.Second)
+		}
+		return last
+	}
+	t.Run("load within the pool", func(t *testing.T) {
+		is := is.New(t)
+		got := run(func(int) int { return 16 }, 60)
+		is.True(math.Abs(got-8) < 0.5) // 16 requests a second keep 8 slots busy
+	})
+	t.Run("load beyond the pool counts the queue's growth", func(t *testing.T) {
+		is := is.New(t)
+		got := run(func(step int) int {
+			if step < 60 {
+				return 16
+			}
+			return 64
+		}, 70)
+		is.True(math.Abs(got-32) < 3) // 64 requests a second would keep 32 slots busy
+	})
+}
--- a/core/pool/list.go
+++ b/core/pool/list.go
@@ -36,6 +36,12 @@
 	// doubted is when the present doubt began; zero when there is none.
 	doubted time.Time
 	reason  string
+	// listed counts the entries that are listed.
+	listed int
+	// unfit holds the listed hosts that are leaving or failed.
+	unfit map[host.ID]bool
+	// serial counts the readings that changed anything.
+	serial int
 }
 
 type entry struct {
@@ -47,6 +53,9 @@
 
 // WithReading returns the list after one more reading at now.
 func (l List) WithReading(lines []Line, now time.Time) List {
+	if l.repeats(lines) {
+		return l
+	}
 	c := l.compare(lines)
 	shrunken := 3*c.missing > c.listed
 	collapsed := 2*c.collapsed > c.live
@@ -64,21 +73,48 @@
 	if !shrunken {
 		next.observeMissing(seen, now)
 	}
+	next.serial = l.serial + 1
+	next.sum()
 	return next
 }
 
-// Doubted returns why the newest reading was doubted, or "".
-func (l List) Doubted() string { return l.reason }
-
-// Known reports whether any reading was made.
-func (l List) Known() bool { return l.entries != nil }
+// repeats reports whether a reading tells nothing new. Only a sorted reading
+// is recognised, because it names no host twice.
+func (l List) repeats(lines []Line) bool {
+	if !l.doubted.IsZero() || len(lines) != l.listed || l.entries == nil {
+		return false
+	}
+	for i, line := range lines {
+		e, ok := l.entries[line.ID]
+		if !ok || !e.listed || e.line != line || (i > 0 && line.ID <= lines[i-1].ID) {
+			return false
+		}
+	}
+	return true
+}
 
-// Line returns the newest line of a host that the list has shown.
-func (l List) Line(id host.ID) (Line, bool) {
-	e, ok := l.entries[id]
-	return e.line, ok && e.listed
+func (l *List) sum() {
+	l.unfit = make(map[host.ID]bool)
+	for id, e := range l.entries {
+		if !e.listed {
+			continue
+		}
+		l.listed++
+		if e.line.Leaving || e.line.Failed {
+			l.unfit[id] = true
+		}
+	}
 }
 
+// Unfit returns the listed hosts that are leaving or failed. It must not be changed.
+func (l List) Unfit() map[host.ID]bool { return l.unfit }
+
+// Serial counts the readings that changed anything.
+func (l List) Serial() int { return l.serial }
+
+// Doubted returns why the newest reading was doubted, or "".
+func (l List) Doubted() string { return l.reason }
+
 // Lines calls yield for each listed host, in no order.
 func (l List) Lines(yield func(Line) bool) {
 	for _, e := range l.entries {
--- a/io/fleet/demand.go
+++ b/io/fleet/demand.go
@@ -31,7 +31,7 @@
 	}
 	return every(ctx, plan.DemandStep, nil, func(context.Context) {
 		members := len(m.view().Live)
-		for _, p := range m.Config().Pools {
+		for _, p := range m.pools() {
 			m.measure(p.Name, members, time.Now())
 		}
 	})
@@ -89,7 +89,7 @@
 // It returns false while a pool's row is not known.
 func (m *Manager) poolViews(policy plan.Policy, now time.Time) (map[string][]plan.PoolView, bool) {
 	views := make(map[string][]plan.PoolView)
-	for _, limits := range m.Config().Pools {
+	for _, limits := range m.pools() {
 		r, ok := m.rowOf(limits.Name)
 		if !ok || !r.exists {
 			return nil, false
@@ -103,10 +103,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	l := m.loads[limits.Name]
-	v := plan.PoolView{Pool: p, Limits: limits, Needed: limits.Hosts - policy.Reserve}
-	if !l.sized.IsZero() {
-		v.Needed = l.needed
-	}
+	v := plan.PoolView{Pool: p, Limits: limits, Needed: l.needs(policy, limits)}
 	if size := len(p.Hosts) - p.Outbound(); size != l.size || !policy.HasSurplus(v) {
 		l.size, l.surplusSince = size, now
 	}
@@ -115,6 +112,23 @@
 	return v
 }
 
+// needs returns the hosts in service that a pool needs: by its demand when that
+// is known, else as configured.
+func (l load) needs(policy plan.Policy, limits config.Pool) int {
+	if l.sized.IsZero() {
+		return limits.Hosts - policy.Reserve
+	}
+	return l.needed
+}
+
+// desired returns the number of hosts that the policy wants a pool to have.
+func (m *Manager) desired(p pool.Pool, limits config.Pool) int {
+	policy := plan.Absorbing(m.Periods.CoolDown)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return policy.Desired(plan.PoolView{Pool: p, Limits: limits, Needed: m.loads[limits.Name].needs(policy, limits)})
+}
+
 // slotsOf returns the mean number of slots of a pool's hosts.
 func slotsOf(p pool.Pool) int {
 	if len(p.Hosts) == 0 {
--- a/io/fleet/hosts.go
+++ b/io/fleet/hosts.go
@@ -85,20 +85,35 @@
 	}
 }
 
+// adoption is a pass over the list that found nothing to adopt.
+type adoption struct {
+	reading int
+	at      time.Time
+}
+
+// adoptionPeriod is how often the list is searched for hosts to adopt when it does not change.
+const adoptionPeriod = 10 * time.Second
+
 // adoptHosts takes listed hosts that no pool has into their home pools, if this member holds these.
 func (m *Manager) adoptHosts(ctx context.Context) {
+	list, _ := m.listed()
+	now := time.Now()
+	if m.adopted.reading == list.Serial() && now.Sub(m.adopted.at) < adoptionPeriod {
+		return
+	}
 	owned, complete := m.ownedHosts()
 	if !complete {
 		return
 	}
-	list, _ := m.listed()
 	byPool := make(map[string][]pool.Line)
-	now := time.Now()
 	for line := range list.Lines {
 		if line.Live && !owned[line.ID] && !m.isElsewhere(line.ID, now) {
 			byPool[line.HomePool] = append(byPool[line.HomePool], line)
 		}
 	}
+	if len(byPool) == 0 {
+		m.adopted = adoption{reading: list.Serial(), at: now}
+	}
 	for _, r := range m.held() {
 		candidates := byPool[r.pool.Name]
 		sort.Slice(candidates, func(i, j int) bool { return candidates[i].ID < candidates[j].ID })
@@ -108,7 +123,7 @@
 
 // ownedHosts returns the hosts of all pools, and whether all pools' rows are known.
 func (m *Manager) ownedHosts() (map[host.ID]bool, bool) {
-	pools := m.Config().Pools
+	pools := m.pools()
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	owned := make(map[host.ID]bool)
--- a/io/fleet/manager.go
+++ b/io/fleet/manager.go
@@ -79,6 +79,12 @@
 	outSince map[host.ID]uint64
 	// lastEvents holds the newest event of each host. Only decisions use it.
 	lastEvents map[host.ID]event.ID
+	// searched is when dropped pools were last looked for. Only decisions use it.
+	searched time.Time
+	// adopted is the reading of the list in which no host was left to adopt, and when that was found.
+	adopted adoption
+	// told holds the pools whose last load told to peers was not empty.
+	told map[string]bool
 	// nextSweep and nextLoad turn over the pools of the configuration.
 	nextSweep, nextLoad int
 	// left is set when the duties were handed over; nothing is decided or written afterwards.
@@ -115,6 +121,9 @@
 type routes struct {
 	snapshot route.Snapshot
 	since    time.Time
+	// offered is the snapshot without the hosts that a reading of the platform's list shows as unfit.
+	offered route.Snapshot
+	reading int
 }
 
 // touch is a version that this member wrote in a row that it does not hold.
@@ -132,6 +141,8 @@
 	// beat is when the last successful write of the member row was begun. No
 	// other member can find this one lapsed before the lease after it is over.
 	beat time.Time
+	// members counts the members that were live at the last poll.
+	members int
 	// silent tells that routes are not vouched for.
 	silent bool
 }
@@ -169,6 +180,7 @@
 	m.behind = make(map[string]bool)
 	m.outSince = make(map[host.ID]uint64)
 	m.lastEvents = make(map[host.ID]event.ID)
+	m.told = make(map[string]bool)
 	m.urgent = make(chan struct{}, 1)
 	m.questions = make(chan question, maxQuestions)
 }
--- a/io/fleet/moves.go
+++ b/io/fleet/moves.go
@@ -69,8 +69,8 @@
 func (m *Manager) startMove(ctx context.Context, move plan.Move, now time.Time) {
 	from, fromOK := m.rowOf(move.From)
 	to, toOK := m.rowOf(move.To)
-	fromLimits, _ := m.Config().Pool(move.From)
-	toLimits, _ := m.Config().Pool(move.To)
+	fromLimits, _ := m.limits(move.From)
+	toLimits, _ := m.limits(move.To)
 	if !fromOK || !toOK || from.pool.Holder != m.Member {
 		return
 	}
--- a/io/fleet/moves_test.go
+++ b/io/fleet/moves_test.go
@@ -1,6 +1,7 @@
 package fleet_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -110,6 +111,26 @@
 	})
 }
 
+func TestDroppedPoolGivesItsHostsToTheSpare(t *testing.T) {
+	for _, restarted := range []bool{false, true} {
+		t.Run(fmt.Sprintf("restarted %v", restarted), func(t *testing.T) {
+			withCluster(t, 3, 4, 2, func(c *cluster) {
+				time.Sleep(15 * time.Second)
+				c.setPools(c.config.Pools[1:])
+				if restarted {
+					c.kill(c.managers[0])
+					c.kill(c.managers[1])
+					c.add()
+				}
+				c.sleepUntil(func() bool { return len(c.pool(0).Hosts) == 0 })
+				time.Sleep(10 * time.Second)
+				c.is.Equal(len(c.pool(2).Hosts), 8) // the spare pool has the hosts of both
+				c.is.Equal(len(c.pool(1).Hosts), 4)
+			})
+		})
+	}
+}
+
 func TestDemandMovesHosts(t *testing.T) {
 	withCluster(t, 2, 6, 0, func(c *cluster) {
 		c.config.Pools[0].MinHosts, c.config.Pools[1].MinHosts = 2, 2
--- a/io/fleet/peers.go
+++ b/io/fleet/peers.go
@@ -86,16 +86,21 @@
 	}
 }
 
-// tellLoads tells this entry host's requests in progress, some pools in each period.
+// tellLoads tells this entry host's requests in progress, some pools in each
+// period. A pool without any is told once.
 func (m *Manager) tellLoads() {
 	if m.InProgress == nil {
 		return
 	}
-	pools := m.Config().Pools
+	pools := m.pools()
 	for told, i := 0, 0; told < maxLoadEntries && i < len(pools); i++ {
 		name := pools[m.nextLoad%len(pools)].Name
 		m.nextLoad++
 		load := m.InProgress(name)
+		if len(load) == 0 && !m.told[name] {
+			continue
+		}
+		m.told[name] = len(load) > 0
 		told += len(load)
 		report := &peerpb.LoadReport{Pool: name, InProgress: counts(load)}
 		m.Link.Broadcast(&peerpb.Envelope{Member: m.Member, Body: &peerpb.Envelope_LoadReport{LoadReport: report}})
--- a/io/fleet/plan.go
+++ b/io/fleet/plan.go
@@ -22,7 +22,7 @@
 	}
 	m.planned = now
 	for _, r := range m.held() {
-		limits, ok := m.Config().Pool(r.pool.Name)
+		limits, ok := m.limits(r.pool.Name)
 		if !ok {
 			continue
 		}
--- a/io/fleet/round.go
+++ b/io/fleet/round.go
@@ -23,6 +23,7 @@
 		if m.hasLeft() || m.poll(ctx) != nil {
 			return
 		}
+		m.findDropped(ctx)
 		m.decideDuties(ctx)
 		m.decideHosts(ctx)
 		m.decideWork(ctx)
@@ -92,7 +93,7 @@
 	}
 	before := m.ledger
 	m.ledger = m.ledger.WithPoll(members, elapsed)
-	m.contact.polled = received
+	m.contact.polled, m.contact.members = received, len(m.ledger.Live())
 	after := m.ledger
 	m.mu.Unlock()
 	m.reportMembers(before, after)
@@ -131,7 +132,7 @@
 // changedPools returns the pools whose rows are to be read: those that a member
 // advertises a newer version of, those that are not fresh, and one more in turn.
 func (m *Manager) changedPools(members []duty.Sighting) []string {
-	pools := m.Config().Pools
+	pools := m.pools()
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	var changed []string
@@ -163,7 +164,7 @@
 
 // rowsOf returns the fresh rows that keep accepts, in the order of the configuration.
 func (m *Manager) rowsOf(keep func(row) bool) []row {
-	pools := m.Config().Pools
+	pools := m.pools()
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	var rows []row
--- a/io/fleet/routes.go
+++ b/io/fleet/routes.go
@@ -20,7 +20,11 @@
 	if !ok || !m.vouched(name, time.Now()) {
 		return route.Snapshot{}, false
 	}
-	return m.withoutListed(current.snapshot), true
+	if current.reading != m.list.Serial() {
+		current.offered, current.reading = m.withoutListed(current.snapshot), m.list.Serial()
+		m.routes[name] = current
+	}
+	return current.offered, true
 }
 
 // Holds returns the epoch under which this member holds a pool's duty.
@@ -54,18 +58,16 @@
 func (m *Manager) adopt(s route.Snapshot, now time.Time) {
 	current, ok := m.routes[s.Pool]
 	if !ok || s.Newer(current.snapshot) {
-		m.routes[s.Pool] = routes{snapshot: s, since: now}
+		m.routes[s.Pool] = routes{snapshot: s, since: now, offered: m.withoutListed(s), reading: m.list.Serial()}
 	}
 }
 
 // withoutListed drops the targets that the platform's list shows as leaving or
 // failed before the pool's row does. The caller holds the lock.
 func (m *Manager) withoutListed(s route.Snapshot) route.Snapshot {
-	unfit := func(t route.Target) bool {
-		line, ok := m.list.Line(t.Host)
-		return ok && (line.Leaving || line.Failed)
-	}
-	if !slices.ContainsFunc(s.Targets, unfit) {
+	listed := m.list.Unfit()
+	unfit := func(t route.Target) bool { return listed[t.Host] }
+	if len(listed) == 0 || !slices.ContainsFunc(s.Targets, unfit) {
 		return s
 	}
 	s.Targets = slices.DeleteFunc(slices.Clone(s.Targets), unfit)
@@ -95,13 +97,16 @@
 // fleet. One that reads the store but can't write its row is as good as cut off
 // from it: drains do not wait for a lapsed member. The caller holds the lock.
 func (m *Manager) inTouch(now time.Time) bool {
-	v := duty.Vouching{Members: len(m.ledger.Live()), StoreAge: now.Sub(m.contact.read)}
+	v := duty.Vouching{Members: m.contact.members, StoreAge: now.Sub(m.contact.read)}
 	if beat := now.Sub(m.contact.beat); beat > m.Periods.lease()-lapseMargin {
 		v.StoreAge = beat
 	}
 	if m.contact.read.IsZero() {
 		v.Members = maxMembers
 	}
+	if v.StoreAge <= m.Periods.Vouch {
+		return true
+	}
 	for _, p := range m.peers {
 		v.Peers = append(v.Peers, duty.PeerVouch{Heard: now.Sub(p.heard), StoreAge: p.storeAge})
 	}
--- a/io/fleet/status.go
+++ b/io/fleet/status.go
@@ -25,8 +25,10 @@
 	Epoch       uint64           `json:"epoch"`
 	Limits      config.Pool      `json:"limits"`
 	Disruptions pool.Disruptions `json:"disruptions"`
-	Hosts       []HostStatus     `json:"hosts"`
-	Inbound     []pool.Inbound   `json:"inbound,omitempty"`
+	// Desired is the number of hosts that the policy wants the pool to have.
+	Desired int            `json:"desired-hosts"`
+	Hosts   []HostStatus   `json:"hosts"`
+	Inbound []pool.Inbound `json:"inbound,omitempty"`
 	// Headroom names the loss that the budget bears besides one planned disruption: "rack", "host" or "none".
 	Headroom string `json:"headroom"`
 	// WorkWaitsFor says what holds planned work back; only the duty's holder knows it.
@@ -48,7 +50,7 @@
 func (m *Manager) Status() Status {
 	list, _ := m.listed()
 	s := Status{Member: m.Member, Members: m.Members(), ListDoubt: list.Doubted()}
-	for _, limits := range m.Config().Pools {
+	for _, limits := range m.pools() {
 		s.Pools = append(s.Pools, m.poolStatus(limits))
 	}
 	return s
@@ -66,6 +68,7 @@
 		Limits:       limits,
 		Disruptions:  r.pool.Disruptions(),
 		Inbound:      r.pool.Inbound,
+		Desired:      m.desired(r.pool, limits),
 		Headroom:     plan.Headroom(r.pool, limits),
 		WorkWaitsFor: waiting,
 		Behind:       behind,
