--- a/io/fleet/routes.go
+++ b/io/fleet/routes.go
@@ -21,12 +21,24 @@
 		return route.Snapshot{}, false
 	}
 	if current.reading != m.list.Serial() {
-		current.offered, current.reading = m.withoutListed(current.snapshot), m.list.Serial()
+		current = m.offer(current)
 		m.routes[name] = current
 	}
 	return current.offered, true
 }
 
+// offer brings what is offered in line with the list. Targets that stay the
+// same stay in the same slice, by which callers see that nothing changed. The
+// caller holds the lock.
+func (m *Manager) offer(r routes) routes {
+	next := m.withoutListed(r.snapshot)
+	r.reading = m.list.Serial()
+	if !slices.Equal(next.Targets, r.offered.Targets) {
+		r.offered = next
+	}
+	return r
+}
+
 // Holds returns the epoch under which this member holds a pool's duty.
 func (m *Manager) Holds(name string) (uint64, bool) {
 	m.mu.Lock()
--- a/io/jobs/workers_test.go
+++ b/io/jobs/workers_test.go
@@ -53,6 +53,10 @@
 	starts  map[string]int
 	log     []fakeStart
 	objects map[string][]byte
+	// refuse holds the hosts that refuse every task.
+	refuse map[host.ID]bool
+	// calls counts the calls of all workers.
+	calls int
 }
 
 type fakeStart struct {
@@ -82,6 +86,7 @@
 // enter locks, and brings the host's tasks up to now. The caller unlocks if there is no error.
 func (f *fakeWorkers) enter(id host.ID, pool string, epoch uint64) (*fakeHost, error) {
 	f.mu.Lock()
+	f.calls++
 	h := f.host(id)
 	if h.silent {
 		f.mu.Unlock()
@@ -137,6 +142,9 @@
 		return err
 	}
 	defer f.mu.Unlock()
+	if f.refuse[id] {
+		return platform.ErrRefused{Host: string(id), Reason: "all slots are in use"}
+	}
 	if h.tasks[spec.Task] == nil {
 		b := behaviour{duration: 10 * time.Second, cores: 1, memory: 1 << 30, checkpoints: true}
 		if f.behave != nil {
--- a/io/replay/replay.go
+++ b/io/replay/replay.go
@@ -138,7 +138,7 @@
 }
 
 func newStage(options Options, trace Trace, texts texts) *stage {
-	fleet := trace.fleet(options.Seed)
+	fleet := trace.Fleet(options.Seed)
 	homes := make(map[host.ID]string)
 	zones := make(map[string]bool)
 	s := &stage{options: options, trace: trace, fleet: fleet, platform: standin.New(fleet)}
@@ -188,9 +188,10 @@
 	}
 	ended := time.Now()
 	s.events.Wait()
-	e := Evidence{Trace: s.trace, Begun: s.begun, Ended: ended, ownership: s.ownership, fleet: s.fleet}
+	e := Evidence{Trace: s.trace, speed: s.options.Speed, Begun: s.begun, Ended: ended, ownership: s.ownership, fleet: s.fleet}
 	e.Calls = s.callers.wait()
 	e.Jobs = s.submitters.wait()
+	s.callers.client.CloseIdleConnections()
 	cancel()
 	watchers.Wait()
 	s.cluster.stopAll(ctx)
