--- a/io/fleet/list.go
+++ b/io/fleet/list.go
@@ -31,7 +31,6 @@
 	}
 	before := m.list
 	m.list = before.WithReading(lines(listings), now)
-	clear(m.filtered)
 	after := m.list
 	m.mu.Unlock()
 	m.reportDoubt(before.Doubted(), after.Doubted())
