Answer a handed-over change before its sender gives up

The committer now decides within 10 s of the sender's 12 s. The test let both members share one deadline and did not see it; each has its own now.

A conflict told its differences twice, in the detail and in the list.

--- a/io/operator/answer.go
+++ b/io/operator/answer.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"net/http"
+	"strings"
 
 	"github.com/kataras/iris/v12"
 
@@ -95,6 +96,7 @@
 	switch {
 	case errors.As(err, &conflict):
 		p.Status = http.StatusConflict
+		p.Detail, _, _ = strings.Cut(conflict.Error(), "\n")
 		p.Head = conflict.Actual
 		p.Differences = texts(conflict.Differences)
 	case errors.As(err, &invalid):
--- a/io/operator/server_test.go
+++ b/io/operator/server_test.go
@@ -141,7 +141,8 @@
 		_, err = c.Apply(t.Context(), change(t, first.Version, "port-louis-hosts = 9", "port-louis-hosts = 10"))
 		p := assertProblem(t, err, http.StatusConflict)
 		is.Equal(p.Head, first.Version+1)
-		is.Equal(len(p.Differences), 5) // the weight of each pool
+		is.Equal(p.Detail, org+" is at version 2, the change was made from 1") // the differences are told once
+		is.Equal(len(p.Differences), 5)                                        // the weight of each pool
 	})
 	t.Run("each fault of a text is told with its place", func(t *testing.T) {
 		is := is.New(t)
--- a/io/rollout/apply_test.go
+++ b/io/rollout/apply_test.go
@@ -160,12 +160,12 @@
 		withCluster(t, three, func(t *testing.T, c *cluster) {
 			is := is.New(t)
 			c.table.SetFaults(standin.TableFaults{Down: true})
-			ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
-			defer cancel()
 			for _, member := range []string{"a", "b"} {
+				ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
 				_, err := c.node(member).Apply(ctx, c.change(9, 0))
+				cancel()
 				var not ErrNotAccepted
-				is.True(errors.As(err, &not))
+				is.True(errors.As(err, &not)) // also where the change was handed over
 			}
 			c.table.SetFaults(standin.TableFaults{})
 			time.Sleep(10 * time.Second)
--- a/io/rollout/cluster_test.go
+++ b/io/rollout/cluster_test.go
@@ -64,8 +64,8 @@
 		Link: Link{
 			Handle:    func(kind peer.Kind, h peer.Handler) { n.handlers[kind] = h },
 			Broadcast: func(e *peerpb.Envelope) { c.broadcast(member, e) },
-			Call: func(_ context.Context, to string, e *peerpb.Envelope) (*peerpb.Envelope, error) {
-				return c.call(member, to, e)
+			Call: func(ctx context.Context, to string, e *peerpb.Envelope) (*peerpb.Envelope, error) {
+				return c.callWithin(ctx, member, to, e)
 			},
 		},
 	}
@@ -140,6 +140,27 @@
 	}
 }
 
+// callWithin gives up when ctx ends, while the callee goes on.
+func (c *cluster) callWithin(ctx context.Context, from, to string, e *peerpb.Envelope) (*peerpb.Envelope, error) {
+	type answer struct {
+		reply *peerpb.Envelope
+		err   error
+	}
+	answers := make(chan answer, 1)
+	c.deliver.Add(1)
+	go func() {
+		defer c.deliver.Done()
+		reply, err := c.call(from, to, e)
+		answers <- answer{reply, err}
+	}()
+	select {
+	case a := <-answers:
+		return a.reply, a.err
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
 func (c *cluster) call(from, to string, e *peerpb.Envelope) (*peerpb.Envelope, error) {
 	_, delay := c.target(from, to)
 	time.Sleep(delay)
--- a/io/rollout/forward.go
+++ b/io/rollout/forward.go
@@ -11,8 +11,13 @@
 	"siskincross/io/peer/peerpb"
 )
 
-// forwardTimeout bounds the wait for the committer before the change is attempted here.
-const forwardTimeout = 8 * time.Second
+const (
+	// forwardTimeout bounds the wait for the committer before the change is attempted here.
+	forwardTimeout = 12 * time.Second
+	// decideTimeout bounds the committer's attempts. It is the shorter one, so that
+	// the answer that a change was taken back still arrives in time.
+	decideTimeout = 10 * time.Second
+)
 
 // committer returns the member that commits for all: the first of the live
 // ones. It is a rule against needless races only. Any member may commit at any
@@ -81,7 +86,7 @@
 	if err != nil || change.ID == "" {
 		return refusal("the change is not valid here")
 	}
-	ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
+	ctx, cancel := context.WithTimeout(ctx, decideTimeout)
 	defer cancel()
 	r := newRequest(ctx, change, part)
 	r.forwarded = true
