Use routes for a second longer when a peer announces newer ones

A peer's vouch for a newer version silenced the pool until that version arrived, mostly some milliseconds later. It may now be on its way for a second; with the period of vouches that is within the three seconds of a drain. A newer version that never arrives silences the pool even after the peer that told of it is gone.

--- a/io/fleet/link_test.go
+++ b/io/fleet/link_test.go
@@ -24,6 +24,8 @@
 	handlers map[string]map[peer.Kind]handler
 	// split tells that two members can't reach each other; nil means that all can.
 	split func(a, b string) bool
+	// mute makes every call fail; broadcasts still arrive.
+	mute  bool
 	bytes int
 }
 
@@ -62,7 +64,7 @@
 func (n *mesh) call(ctx context.Context, from, to string, e *peerpb.Envelope) (*peerpb.Envelope, error) {
 	n.mu.Lock()
 	h := n.handlers[to][peer.KindOf(e)]
-	if n.split != nil && n.split(from, to) {
+	if n.mute || (n.split != nil && n.split(from, to)) {
 		n.mu.Unlock()
 		return nil, context.DeadlineExceeded
 	}
@@ -74,6 +76,12 @@
 	return reply, nil
 }
 
+func (n *mesh) setMute() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.mute = true
+}
+
 func (n *mesh) setSplit(split func(a, b string) bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -165,6 +173,17 @@
 			c.assertNotRouted(cut, drained)
 		})
 	})
+	t.Run("routes that can't be had are not replaced by old ones", func(t *testing.T) {
+		withMesh(t, 3, func(c *cluster, n *mesh) {
+			cut, holder := c.notHolding(0), c.pool(0).Holder
+			cut.setCut(true)
+			n.setMute()
+			n.setSplit(func(a, b string) bool { return a == holder && b == cut.Member })
+			c.sleepUntil(func() bool { return c.pool(0).Disruptions().Planned > 0 })
+			time.Sleep(3 * time.Second)
+			c.is.Equal(c.targets(cut, 0), -1) // silent for this pool
+		})
+	})
 	t.Run("by way of a third member", func(t *testing.T) {
 		withMesh(t, 3, func(c *cluster, n *mesh) {
 			cut, holder := c.notHolding(0), c.pool(0).Holder
--- a/io/fleet/manager.go
+++ b/io/fleet/manager.go
@@ -56,6 +56,8 @@
 	rows map[string]row
 	// routes holds the newest snapshots, from rows or from peers, by pool.
 	routes map[string]routes
+	// missed holds the newest routes that only peers are known to have, by pool.
+	missed map[string]miss
 	ledger duty.Ledger
 	list   pool.List
 	// listStarted is when the list was first read.
@@ -181,6 +183,7 @@
 	m.outSince = make(map[host.ID]uint64)
 	m.lastEvents = make(map[host.ID]event.ID)
 	m.told = make(map[string]bool)
+	m.missed = make(map[string]miss)
 	m.urgent = make(chan struct{}, 1)
 	m.questions = make(chan question, maxQuestions)
 }
--- a/io/fleet/peers.go
+++ b/io/fleet/peers.go
@@ -147,11 +147,12 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	p := m.peer(from)
-	p.heard = time.Now()
+	now := time.Now()
+	p.heard = now
 	p.storeAge = time.Duration(vouch.GetStoreAgeMillis()) * time.Millisecond
 	for name, version := range vouch.GetVersions() {
 		p.versions[name] = version
-		if version > m.routes[name].snapshot.Version {
+		if m.noteMissed(name, version, now) {
 			m.ask(question{member: from, pool: name})
 		}
 	}
--- a/io/fleet/routes.go
+++ b/io/fleet/routes.go
@@ -69,6 +69,9 @@
 // adopt puts a snapshot in force if it is newer. The caller holds the lock.
 func (m *Manager) adopt(s route.Snapshot, now time.Time) {
 	current, ok := m.routes[s.Pool]
+	if missed, ok := m.missed[s.Pool]; ok && s.Version >= missed.version {
+		delete(m.missed, s.Pool)
+	}
 	if !ok || s.Newer(current.snapshot) {
 		m.routes[s.Pool] = routes{snapshot: s, since: now, offered: m.withoutListed(s), reading: m.list.Serial()}
 	}
@@ -91,12 +94,32 @@
 	return i < len(s.Targets) && s.Targets[i].Host == id
 }
 
+// miss is a version of a pool's routes that a peer has and this entry host lacks.
+type miss struct {
+	version uint64
+	since   time.Time
+}
+
+// missedGrace is how long newer routes may be on their way before the older
+// ones are no longer used. With the period of vouches it is less than Vouch.
+const missedGrace = time.Second
+
+// noteMissed notes that a peer has a version of a pool's routes, and reports
+// whether this entry host lacks it. The caller holds the lock.
+func (m *Manager) noteMissed(name string, version uint64, now time.Time) bool {
+	if version <= m.routes[name].snapshot.Version {
+		return false
+	}
+	if _, ok := m.missed[name]; !ok {
+		m.missed[name] = miss{version: version, since: now}
+	}
+	return true
+}
+
 // vouched reports whether the routes of a pool may be used. The caller holds the lock.
 func (m *Manager) vouched(name string, now time.Time) bool {
-	for _, p := range m.peers {
-		if now.Sub(p.heard) <= m.Periods.Vouch && p.versions[name] > m.routes[name].snapshot.Version {
-			return false
-		}
+	if missed, ok := m.missed[name]; ok && now.Sub(missed.since) > missedGrace {
+		return false
 	}
 	return m.inTouch(now)
 }
