--- a/io/measure/all.go
+++ b/io/measure/all.go
@@ -11,7 +11,8 @@
 // All returns every measurement over the sizes.
 func All(sizes []int) []Measurement {
 	var footprints Footprints
-	return append(footprints.Measurements(sizes), configurationMeasurements(sizes)...)
+	all := append(footprints.Measurements(sizes), configurationMeasurements(sizes)...)
+	return append(all, timelineMeasurement())
 }
 
 // Select returns the measurements of those names, or all when there are no names.
--- a/io/measure/footprint.go
+++ b/io/measure/footprint.go
@@ -19,6 +19,8 @@
 	settleTime = 15 * time.Second
 	// windowTime is how long a cluster is measured.
 	windowTime = 20 * time.Second
+	// maxRows bounds the rows of one kind whose sizes are added up.
+	maxRows = 10_000
 	percent    = 100
 )
 
@@ -32,6 +34,8 @@
 	sent float64
 	// writes and reads are rows a second of all entry hosts together.
 	writes, reads float64
+	// poolRows and memberRows are the sizes of all pools' and all members' rows in bytes.
+	poolRows, memberRows float64
 }
 
 // Footprints measures a cluster once for each size and keeps the result. The zero value works.
@@ -50,6 +54,8 @@
 		{"control-sent", "bytes/s", "What one entry host sends to its peers.", func(p footprint) float64 { return p.sent }},
 		{"store-writes", "rows/s", "Rows that all entry hosts write.", func(p footprint) float64 { return p.writes }},
 		{"store-reads", "rows/s", "Rows that all entry hosts read.", func(p footprint) float64 { return p.reads }},
+		{"pool-rows", "bytes", "All pools' rows.", func(p footprint) float64 { return p.poolRows }},
+		{"member-rows", "bytes", "All members' rows.", func(p footprint) float64 { return p.memberRows }},
 	}
 	measurements := make([]Measurement, len(series))
 	for i, s := range series {
@@ -106,7 +112,25 @@
 	memory := (liveHeap() - before) / entryHosts
 	p := difference(first, second)
 	p.memory = memory
-	return p, c.end()
+	p.poolRows, err = c.rowBytes(ctx, "pool/")
+	if err != nil {
+		return p, errors.Join(err, c.end())
+	}
+	p.memberRows, err = c.rowBytes(ctx, "member/")
+	return p, errors.Join(err, c.end())
+}
+
+// rowBytes returns the size of all rows with a prefix.
+func (c *cluster) rowBytes(ctx context.Context, prefix string) (float64, error) {
+	rows, err := c.platform.Table.Scan(ctx, prefix, "", maxRows)
+	if err != nil {
+		return 0, errors.Wrapf(err, "scan %s", prefix)
+	}
+	total := 0
+	for _, row := range rows {
+		total += len(row.Key) + len(row.Value)
+	}
+	return float64(total), nil
 }
 
 func difference(first, second reading) footprint {
--- a/io/measure/measure.go
+++ b/io/measure/measure.go
@@ -20,7 +20,7 @@
 	Meaning string
 	// Unit is the unit of the values.
 	Unit string
-	// Sizes are the numbers of hosts measured, ascending.
+	// Sizes are the sizes measured, ascending: numbers of hosts, or what Meaning says.
 	Sizes []int
 	// Run returns the value at one size.
 	Run func(ctx context.Context, size int) (float64, error)
@@ -78,7 +78,7 @@
 			return nil, errors.Wrapf(err, "measure %s at %d hosts", m.Name, size)
 		}
 		rows = append(rows, Row{Name: m.Name, Size: size, Value: value, Unit: m.Unit})
-		fmt.Fprintf(progress, "%-28s %6d hosts %14.3f %s\n", m.Name, size, value, m.Unit)
+		fmt.Fprintf(progress, "%-28s at %6d %14.3f %s\n", m.Name, size, value, m.Unit)
 	}
 	return rows, nil
 }
--- a/io/measure/plots.go
+++ b/io/measure/plots.go
@@ -37,7 +37,7 @@
 func writePlot(f Fit, rows []Row, directory string) error {
 	p := plot.New()
 	p.Title.Text = f.Name
-	p.X.Label.Text = "hosts"
+	p.X.Label.Text = "size"
 	p.Y.Label.Text = f.Unit
 	p.X.Min = 0
 	p.Y.Min = 0
