--- a/io/measure/footprint.go
+++ b/io/measure/footprint.go
@@ -21,7 +21,7 @@
 	windowTime = 20 * time.Second
 	// maxRows bounds the rows of one kind whose sizes are added up.
 	maxRows = 10_000
-	percent    = 100
+	percent = 100
 )
 
 // footprint is what one entry host of a cluster without callers' work takes.
