Name the causes of a job's events; count waiting jobs by pool

Cause: events of a job had no cause, and a requeue that was placed in the same round was never recorded.

Change: each event of a job names the one before it, within one holder; a requeue is recorded when it is decided; gauges of waiting jobs and rows behind.

--- a/core/job/count.go
+++ b/core/job/count.go
@@ -45,6 +45,11 @@
 	return c
 }
 
+// Waiting counts the jobs that wait for a worker.
+func (s *Scheduler) Waiting() int {
+	return s.backlog.waiting + len(s.delayed)
+}
+
 // TasksOn counts the tasks that may run on a worker.
 func (s *Scheduler) TasksOn(h host.ID) int {
 	w := s.workers[h]
--- a/core/job/outcome.go
+++ b/core/job/outcome.go
@@ -103,6 +103,9 @@
 		t.job.floor = t.peakMemory + t.peakMemory/4
 	}
 	next, err := j.WithRequeue(j.Attempt, t.checkpoint, t.leave.String())
+	if next.State == StateQueued {
+		s.notice(NoticeRequeued, j.ID, t.worker.id, next.Reason)
+	}
 	s.settle(t, next, err)
 }
 
--- a/core/job/report.go
+++ b/core/job/report.go
@@ -46,6 +46,7 @@
 	NoticeCleared
 	NoticeLeaving
 	NoticeReleased
+	NoticeRequeued
 )
 
 // Notices returns what happened since the last call.
--- a/core/job/report_enumer.go
+++ b/core/job/report_enumer.go
@@ -8,11 +8,11 @@
 	"strings"
 )
 
-const _NoticeKindName = "latefailedparkedunknownlapsedsuspectedclearedleavingreleased"
+const _NoticeKindName = "latefailedparkedunknownlapsedsuspectedclearedleavingreleasedrequeued"
 
-var _NoticeKindIndex = [...]uint8{0, 4, 10, 16, 23, 29, 38, 45, 52, 60}
+var _NoticeKindIndex = [...]uint8{0, 4, 10, 16, 23, 29, 38, 45, 52, 60, 68}
 
-const _NoticeKindLowerName = "latefailedparkedunknownlapsedsuspectedclearedleavingreleased"
+const _NoticeKindLowerName = "latefailedparkedunknownlapsedsuspectedclearedleavingreleasedrequeued"
 
 func (i NoticeKind) String() string {
 	if i < 0 || i >= NoticeKind(len(_NoticeKindIndex)-1) {
@@ -34,9 +34,10 @@
 	_ = x[NoticeCleared-(6)]
 	_ = x[NoticeLeaving-(7)]
 	_ = x[NoticeReleased-(8)]
+	_ = x[NoticeRequeued-(9)]
 }
 
-var _NoticeKindValues = []NoticeKind{NoticeLate, NoticeFailed, NoticeParked, NoticeUnknown, NoticeLapsed, NoticeSuspected, NoticeCleared, NoticeLeaving, NoticeReleased}
+var _NoticeKindValues = []NoticeKind{NoticeLate, NoticeFailed, NoticeParked, NoticeUnknown, NoticeLapsed, NoticeSuspected, NoticeCleared, NoticeLeaving, NoticeReleased, NoticeRequeued}
 
 var _NoticeKindNameToValueMap = map[string]NoticeKind{
 	_NoticeKindName[0:4]:   NoticeLate,
@@ -48,6 +49,7 @@
 	_NoticeKindName[38:45]: NoticeCleared,
 	_NoticeKindName[45:52]: NoticeLeaving,
 	_NoticeKindName[52:60]: NoticeReleased,
+	_NoticeKindName[60:68]: NoticeRequeued,
 }
 
 var _NoticeKindLowerNameToValueMap = map[string]NoticeKind{
@@ -60,6 +62,7 @@
 	_NoticeKindLowerName[38:45]: NoticeCleared,
 	_NoticeKindLowerName[45:52]: NoticeLeaving,
 	_NoticeKindLowerName[52:60]: NoticeReleased,
+	_NoticeKindLowerName[60:68]: NoticeRequeued,
 }
 
 var _NoticeKindNames = []string{
@@ -72,6 +75,7 @@
 	_NoticeKindName[38:45],
 	_NoticeKindName[45:52],
 	_NoticeKindName[52:60],
+	_NoticeKindName[60:68],
 }
 
 // NoticeKindString retrieves an enum value from the enum constants string name.
--- a/io/jobs/flush.go
+++ b/io/jobs/flush.go
@@ -146,21 +146,3 @@
 		h.recordEnds([]job.Job{sent})
 	}
 }
-
-var endEvents = map[string]event.Number{
-	string(job.StateFinished):  event.JobFinished,
-	string(job.StateCancelled): event.JobCancelled,
-	string(job.StateQueued):    event.JobRequeued,
-}
-
-// recordEnds records the committed ends and keeps final rows for their retention.
-func (h *holder) recordEnds(rows []job.Job) {
-	for _, row := range rows {
-		if job.Final(row.State) {
-			h.retention.add(row.ID, time.Now())
-		}
-		if number, ok := endEvents[string(row.State)]; ok {
-			h.event(number, row.ID, row.Host, row.Reason)
-		}
-	}
-}
--- a/io/jobs/holder.go
+++ b/io/jobs/holder.go
@@ -55,6 +55,8 @@
 	notices   noticeReader
 	contacts  map[host.ID]*contact
 	retention retention
+	// causes holds the last event of each job that has not ended.
+	causes map[job.ID]event.ID
 }
 
 func newHolder(m *Manager, pool string, epoch uint64) *holder {
@@ -63,6 +65,7 @@
 		done: make(chan error, 1), woken: make(chan struct{}, 1), results: make(chan func()),
 		scheduler: &job.Scheduler{Pool: pool, Epoch: epoch, Policy: m.Policy},
 		contacts:  make(map[host.ID]*contact),
+		causes:    make(map[job.ID]event.ID),
 	}
 	h.commit.limit = m.periods.MaxBackoff
 	h.notices.retry.limit = m.periods.MaxBackoff
@@ -233,10 +236,18 @@
 	}
 	if due {
 		h.taken.at = now
+		h.gauges()
 	}
 	h.scheduler.SetDraining(in.draining, now)
 }
 
+// gauges updates the pool's metrics.
+func (h *holder) gauges() {
+	scope := h.m.scope.Tagged(map[string]string{"pool": h.pool})
+	scope.Gauge("waiting").Update(float64(h.scheduler.Waiting()))
+	scope.Gauge("behind").Update(float64(h.scheduler.Behind()))
+}
+
 // checkFence ends the loop of an entry host that is said to have lost the duty, once another has taken it.
 func (h *holder) checkFence(ctx context.Context, now time.Time) {
 	if now.Before(h.fenceDue) {
@@ -267,26 +278,3 @@
 	}
 	return false
 }
-
-var noticeEvents = map[job.NoticeKind]event.Number{
-	job.NoticeLate:      event.JobLateAttempt,
-	job.NoticeFailed:    event.JobFailed,
-	job.NoticeParked:    event.JobParked,
-	job.NoticeUnknown:   event.JobUnknown,
-	job.NoticeLapsed:    event.JobLapsed,
-	job.NoticeSuspected: event.WorkerSuspected,
-	job.NoticeCleared:   event.WorkerCleared,
-	job.NoticeLeaving:   event.JobLeaving,
-	job.NoticeReleased:  event.JobReleased,
-}
-
-// tell records what the scheduler noticed.
-func (h *holder) tell() {
-	for _, n := range h.scheduler.Notices() {
-		h.event(noticeEvents[n.Kind], n.Job, n.Host, n.Detail)
-	}
-}
-
-func (h *holder) event(number event.Number, id job.ID, on host.ID, detail string) {
-	h.m.record(event.Event{Number: number, Pool: h.pool, Job: string(id), Host: string(on), Detail: detail})
-}
--- a/io/jobs/manager.go
+++ b/io/jobs/manager.go
@@ -224,10 +224,12 @@
 	}
 }
 
-func (m *Manager) record(e event.Event) {
-	if m.Recorder != nil {
-		m.Recorder.Record(e)
+// record returns the event's ID; it is empty without a recorder.
+func (m *Manager) record(e event.Event) event.ID {
+	if m.Recorder == nil {
+		return ""
 	}
+	return m.Recorder.Record(e)
 }
 
 // unique returns an ID that no other call returns.
--- a/io/jobs/manager_test.go
+++ b/io/jobs/manager_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"siskincross/core/event"
+	"siskincross/core/host"
 	"siskincross/core/job"
 	"siskincross/io/platform"
 )
@@ -119,3 +121,28 @@
 	faults.Down = down
 	f.table.SetFaults(faults)
 }
+
+func TestTimelineNamesCauses(t *testing.T) {
+	withFixture(t, 2, func(f *fixture) {
+		f.workers.behave = longTask
+		m, stop := f.manager("a")
+		defer stop()
+		id := f.submit(m, submission(), "").ID
+		f.awaitRunning(id, time.Second)
+		f.set(func() { f.drain = []host.ID{f.row(id).Host} })
+		f.await(id, job.StateFinished, 15*time.Minute)
+		var numbers []event.Number
+		var last event.ID
+		for _, e := range m.Recorder.Events() {
+			if e.Job != string(id) || e.Number == event.JobAccepted {
+				continue
+			}
+			f.is.Equal(e.Cause, last)
+			f.is.Equal(e.Organisation, "kunta")
+			last = e.ID
+			numbers = append(numbers, e.Number)
+		}
+		want := []event.Number{event.JobStarted, event.JobLeaving, event.JobRequeued, event.JobStarted, event.JobFinished}
+		f.is.Equal(numbers, want)
+	})
+}
