Hand a change to at most two committers

With the store down an entry host that hands changes over still spent the whole 30 s of the API on committers and told an unknown outcome (504; the client then tried again, 60 s in all).

--- a/io/rollout/forward.go
+++ b/io/rollout/forward.go
@@ -17,6 +17,8 @@
 	// decideTimeout bounds the committer's attempts. It is the shorter one, so that
 	// the answer that a change was taken back still arrives in time.
 	decideTimeout = 10 * time.Second
+	// maxForwards bounds the committers that a change is handed to, so that time is left to attempt it here.
+	maxForwards = 2
 )
 
 // committer returns the member that commits for all: the first of the live
@@ -31,7 +33,10 @@
 // some committer may still commit the change.
 func (m *Manager) forward(ctx context.Context, change Change) (version config.Version, open bool) {
 	tried := ""
-	for m.Link.Call != nil && ctx.Err() == nil {
+	for range maxForwards {
+		if m.Link.Call == nil || ctx.Err() != nil {
+			break
+		}
 		committer := m.committer()
 		if committer == m.Member || committer == tried {
 			break
