--- a/io/cli/jobs.go
+++ b/io/cli/jobs.go
@@ -71,6 +71,7 @@
 			&cli.StringFlag{Name: "key", Usage: "the Idempotency-`KEY`; repeating it returns the same job"},
 			&cli.IntFlag{Name: "cores", Usage: "declared processor `CORES`", Value: 1},
 			&cli.Int64Flag{Name: "memory", Usage: "declared memory in `MIB`", Value: 256},
+			&cli.StringFlag{Name: "usage-template", Usage: "learn usage together with jobs of this `NAME`", DefaultText: "the program"},
 			&cli.BoolFlag{Name: "idempotent", Usage: "the job may run more than once"},
 			&cli.BoolFlag{Name: "urgent", Usage: "place the job before others"},
 		),
@@ -81,6 +82,7 @@
 				Program:     cmd.Args().Get(1),
 				Cores:       cmd.Int("cores"),
 				MemoryBytes: cmd.Int64("memory") * bytesPerMiB,
+				Template:    cmd.String("usage-template"),
 				Idempotent:  cmd.Bool("idempotent"),
 				Urgent:      cmd.Bool("urgent"),
 			}
