Give up on hosts that vanish before their reboot was confirmed

The platform refuses the reboot of a host that it does not have any more, so that such a host waited for the confirmation for ever and kept a disruption of its pool's budget. It now fails once it is missing for as long as a reboot may take, and is forgotten like any other.

--- a/core/pool/list_test.go
+++ b/core/pool/list_test.go
@@ -105,6 +105,8 @@
 		{"failed for long", pool.Host{State: host.Failed}, pool.Sight{Listed: true, Failed: true}, 2 * time.Hour, "forget"},
 		{"left", pool.Host{State: host.Leaving}, pool.Sight{Unchanged: time.Minute}, time.Minute, "forget"},
 		{"rebooting, not ordered yet", pool.Host{State: host.Rebooting, Boot: 1}, live, 2 * time.Minute, ""},
+		{"rebooting, taken away before it was ordered", pool.Host{State: host.Rebooting, Boot: 1}, pool.Sight{Unchanged: 2 * time.Minute}, 2 * time.Minute, "fail"},
+		{"rebooting, missing for a moment", pool.Host{State: host.Rebooting, Boot: 1}, pool.Sight{Unchanged: time.Second}, 2 * time.Minute, ""},
 		{"rebooting, list lags", pool.Host{State: host.Rebooting, Boot: 2}, ordered(live), 0, ""},
 		{"rebooted", pool.Host{State: host.Rebooting, Boot: 1}, ordered(live), 0, "return"},
 		{"never came back", pool.Host{State: host.Rebooting, Boot: 2}, ordered(pool.Sight{Listed: true}), 2 * time.Minute, "fail"},
--- a/core/pool/observe.go
+++ b/core/pool/observe.go
@@ -99,6 +99,9 @@
 }
 
 func (h Host) judgeRebooting(s Sight, patience Patience, now time.Time) (Change, bool) {
+	if !s.Listed && s.Unchanged >= patience.Reboot {
+		return Change{host.Fail, "the host is missing from the platform's list since its reboot"}, true
+	}
 	if !s.Ordered {
 		return Change{}, false
 	}
