--- a/io/rollout/forward.go
+++ b/io/rollout/forward.go
@@ -11,8 +11,15 @@
 	"siskincross/io/peer/peerpb"
 )
 
-// forwardTimeout bounds the wait for the committer before the change is attempted here.
-const forwardTimeout = 8 * time.Second
+const (
+	// forwardTimeout bounds the wait for the committer before the change is attempted here.
+	forwardTimeout = 12 * time.Second
+	// decideTimeout bounds the committer's attempts. It is the shorter one, so that
+	// the answer that a change was taken back still arrives in time.
+	decideTimeout = 10 * time.Second
+	// maxForwards bounds the committers that a change is handed to, so that time is left to attempt it here.
+	maxForwards = 2
+)
 
 // committer returns the member that commits for all: the first of the live
 // ones. It is a rule against needless races only. Any member may commit at any
@@ -26,7 +33,10 @@
 // some committer may still commit the change.
 func (m *Manager) forward(ctx context.Context, change Change) (version config.Version, open bool) {
 	tried := ""
-	for m.Link.Call != nil && ctx.Err() == nil {
+	for range maxForwards {
+		if m.Link.Call == nil || ctx.Err() != nil {
+			break
+		}
 		committer := m.committer()
 		if committer == m.Member || committer == tried {
 			break
@@ -81,7 +91,7 @@
 	if err != nil || change.ID == "" {
 		return refusal("the change is not valid here")
 	}
-	ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
+	ctx, cancel := context.WithTimeout(ctx, decideTimeout)
 	defer cancel()
 	r := newRequest(ctx, change, part)
 	r.forwarded = true
