Move no host while others wait to be adopted

At a first start the pool whose holder adopted its hosts last looked empty, and another pool gave it a host. TestMove showed it as a flake: of 400 runs of the subtest in which a host fails on its way, 5 timed out and 1 differed. Moves now wait until the list has no host left to adopt; 400 of 400 runs pass (go test -count=400 -run TestMove/host ./io/fleet).

The same subtest could also reboot the host before its failure was seen, and the fake let it come back. The fake now confirms no drain until then; the outcome that is asserted is the same.

--- a/io/fleet/hosts.go
+++ b/io/fleet/hosts.go
@@ -91,6 +91,13 @@
 	at      time.Time
 }
 
+// settled reports whether the newest list had no host left to adopt. Until
+// then pools look smaller than they are, and no host should move between them.
+func (m *Manager) settled() bool {
+	list, ok := m.listed()
+	return ok && !m.adopted.at.IsZero() && m.adopted.reading == list.Serial()
+}
+
 // adoptionPeriod is how often the list is searched for hosts to adopt when it does not change.
 const adoptionPeriod = 10 * time.Second
 
@@ -107,7 +114,7 @@
 	}
 	byPool := make(map[string][]pool.Line)
 	for line := range list.Lines {
-		if line.Live && !owned[line.ID] && !m.isElsewhere(line.ID, now) {
+		if _, known := m.limits(line.HomePool); known && line.Live && !owned[line.ID] && !m.isElsewhere(line.ID, now) {
 			byPool[line.HomePool] = append(byPool[line.HomePool], line)
 		}
 	}
--- a/io/fleet/moves.go
+++ b/io/fleet/moves.go
@@ -55,7 +55,7 @@
 	policy := plan.Absorbing(m.Periods.CoolDown)
 	m.sizePools(policy, now)
 	views, ok := m.poolViews(policy, now)
-	if !ok || m.pauseReason(now) != "" {
+	if !ok || !m.settled() || m.pauseReason(now) != "" {
 		return
 	}
 	for _, organisation := range views {
--- a/io/fleet/moves_test.go
+++ b/io/fleet/moves_test.go
@@ -85,6 +85,7 @@
 	})
 	t.Run("host fails on its way: the move ends and waits for the budget", func(t *testing.T) {
 		withMoves(t, func(c *cluster) {
+			c.hosts.set(func(f *hostsFake) { f.down = true }) // the drain can't end before the failure is seen
 			c.ask(7)
 			c.sleepUntil(func() bool { return c.pool(1).Outbound() == 1 })
 			failed := c.pool(0).Inbound[0].Host
@@ -92,6 +93,7 @@
 			time.Sleep(30 * time.Second)
 			c.is.Equal(len(c.pool(0).Inbound), 0)
 			c.is.Equal(c.pool(1).Disruptions(), pool.Disruptions{Failed: 1})
+			c.hosts.set(func(f *hostsFake) { f.down = false })
 			c.hosts.condition(failed, platform.ConditionLive)
 			c.assertMoved()
 		})
