Tell the successors of a hand-over at once, and choose none that has left

Cause: a leaving member deleted its row with the versions that it had written last, so the successors found their new duties in turn, one pool a poll: up to 37 s at 49 pools. It also chose successors from a poll up to 750 ms old, which may name a member that has just left: in a test that replaces three entry hosts one after another, 5 to 128 reads of a pool's row named an ended holder. Change: members and rows are read afresh before the hand-over; the member row stays for two polls, marked as leaving, and names the released rows.

--- a/core/duty/member.go
+++ b/core/duty/member.go
@@ -14,6 +14,9 @@
 	Name    string `json:"name"`
 	Zone    string `json:"zone"`
 	Address string `json:"address"`
+	// Leaving members are about to end. They get no duties, and the row only tells
+	// which rows they wrote last.
+	Leaving bool `json:"leaving,omitempty"`
 	// Beat counts the writes of the row.
 	Beat uint64 `json:"beat"`
 	// Rows holds the versions of the pools' rows that the member wrote or holds, by pool.
@@ -70,9 +73,13 @@
 	return Ledger{Lease: l.Lease, records: records}
 }
 
-// Live returns the names of the members that have not lapsed, sorted.
+// Live returns the names of the members that have not lapsed and are not leaving, sorted.
 func (l Ledger) Live() []string {
-	return l.names(func(r record) bool { return r.unchanged < l.Lease })
+	return l.names(l.isLive)
+}
+
+func (l Ledger) isLive(r record) bool {
+	return r.unchanged < l.Lease && !r.sighting.Member.Leaving
 }
 
 // Lapsed returns the names of the members whose rows are there and lapsed, sorted.
@@ -87,7 +94,7 @@
 
 // Settled returns the names of the live members that have been observed for at least d, sorted.
 func (l Ledger) Settled(d time.Duration) []string {
-	return l.names(func(r record) bool { return r.unchanged < l.Lease && r.observed >= d })
+	return l.names(func(r record) bool { return l.isLive(r) && r.observed >= d })
 }
 
 // LongLapsed returns the names of the members that lapsed at least d ago, sorted.
--- a/io/fleet/duties_test.go
+++ b/io/fleet/duties_test.go
@@ -82,6 +82,24 @@
 	})
 }
 
+func TestHandOver(t *testing.T) {
+	t.Run("the successors know of all duties when it returns", func(t *testing.T) {
+		withCluster(t, 49, 1, 3, func(c *cluster) {
+			time.Sleep(20 * time.Second)
+			c.is.NoErr(c.managers[0].HandOver(context.Background()))
+			c.assertHeld(c.managers[1:]...)
+		})
+	})
+	t.Run("no duty goes to a member that left a moment ago", func(t *testing.T) {
+		withCluster(t, 20, 1, 3, func(c *cluster) {
+			time.Sleep(20 * time.Second)
+			c.is.NoErr(c.managers[0].HandOver(context.Background()))
+			c.is.NoErr(c.managers[1].HandOver(context.Background()))
+			c.assertHeld(c.managers[2])
+		})
+	})
+}
+
 func TestStoreOutage(t *testing.T) {
 	t.Run("lapses nobody", func(t *testing.T) {
 		withCluster(t, 5, 4, 3, func(c *cluster) {
--- a/io/fleet/leave.go
+++ b/io/fleet/leave.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"encoding/json"
 	"slices"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -11,24 +13,88 @@
 	"siskincross/io/platform"
 )
 
+// leavePolls is how many polls of the others a leaving member waits for, so
+// that they read the rows that it wrote last.
+const leavePolls = 2
+
 // HandOver releases the duties of this member to its successors and deletes its
 // member row. Duties that could not be released are taken over once the row has lapsed.
+//
+// The members and rows are read afresh first, so that no duty goes to a member
+// that has just left. The member row then stays for some polls and names the
+// released rows; without it, the successors would find them only in turn.
 func (m *Manager) HandOver(ctx context.Context) error {
+	alone, err := m.release(ctx)
+	if err != nil {
+		return err
+	}
+	if !alone {
+		pause(ctx, leavePolls*m.Periods.Poll)
+	}
+	tx := platform.Transaction{
+		Writes:  []platform.Write{{Key: memberPrefix + m.Member, Delete: true}},
+		Purpose: "leave",
+	}
+	return errors.Wrap(m.commit(ctx, tx), "delete the member row")
+}
+
+// release gives the duties to the others and tells them. Nothing is decided
+// afterwards. It reports whether there are no others.
+func (m *Manager) release(ctx context.Context) (alone bool, err error) {
 	m.deciding.Lock()
 	defer m.deciding.Unlock()
 	m.mu.Lock()
 	m.left = true
 	m.mu.Unlock()
-	view := m.view()
-	others := slices.DeleteFunc(slices.Clone(view.Live), func(name string) bool { return name == m.Member })
+	if err := m.refreshAll(ctx); err != nil {
+		return false, err
+	}
+	live := m.view().Live
+	others := slices.DeleteFunc(slices.Clone(live), func(name string) bool { return name == m.Member })
 	for _, r := range m.held() {
 		m.changeHolder(ctx, r, duty.Propose(r.pool.Name, others), event.DutyReleased)
 	}
+	return len(others) == 0, m.announceLeave(ctx)
+}
+
+// refreshAll reads the member rows and all pools' rows.
+func (m *Manager) refreshAll(ctx context.Context) error {
+	if err := m.poll(ctx); err != nil {
+		return errors.Wrap(err, "read the members before leaving")
+	}
+	pools := m.Config().Pools
+	names := make([]string, len(pools))
+	for i, p := range pools {
+		names[i] = p.Name
+	}
+	return m.refresh(ctx, names)
+}
+
+// announceLeave writes the member row for the last time.
+func (m *Manager) announceLeave(ctx context.Context) error {
+	own := m.ownRequests()
+	m.mu.Lock()
+	member := m.describe(time.Now(), own)
+	m.mu.Unlock()
+	member.Leaving = true
+	value, err := json.Marshal(member)
+	if err != nil {
+		return errors.Wrap(err, "encode the member row")
+	}
 	tx := platform.Transaction{
-		Writes:  []platform.Write{{Key: memberPrefix + m.Member, Delete: true}},
+		Writes:  []platform.Write{{Key: memberPrefix + m.Member, Value: value}},
 		Purpose: "leave",
 	}
-	return errors.Wrap(m.commit(ctx, tx), "delete the member row")
+	return errors.Wrap(m.commit(ctx, tx), "announce the leave")
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
 }
 
 // deleteMember deletes the row of another member if it is still as it was seen.
--- a/io/node/node_test.go
+++ b/io/node/node_test.go
@@ -139,7 +139,11 @@
 }
 
 func (s *site) get(index int, queue, work string) result {
-	url := "http://" + s.nodes[index].Addresses().Callers + "/queues/" + organisation + "/" + queue + "/x"
+	return s.getFrom(s.nodes[index].Addresses().Callers, queue, work)
+}
+
+func (s *site) getFrom(address, queue, work string) result {
+	url := "http://" + address + "/queues/" + organisation + "/" + queue + "/x"
 	request, err := http.NewRequestWithContext(s.ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return result{err: err}
@@ -280,8 +284,8 @@
 	is := is.New(t)
 	s := withSite(t, entryHosts)
 	s.configure()
-	var newest atomic.Int64 // callers go where the balancer sends them: to a healthy entry host
-	newest.Store(entryHosts - 1)
+	var newest atomic.Value // callers go where the balancer sends them: to a healthy entry host
+	newest.Store(s.nodes[entryHosts-1].Addresses().Callers)
 	var ended sync.Map
 	ctx, cancel := context.WithCancel(s.ctx)
 	var lost atomic.Int64
@@ -289,7 +293,7 @@
 	for range 8 {
 		callers.Go(func() {
 			for ctx.Err() == nil {
-				if r := s.get(int(newest.Load()), "port-louis-quotes", "20ms"); r.err != nil || r.outcome != "answered" {
+				if r := s.getFrom(newest.Load().(string), "port-louis-quotes", "20ms"); r.err != nil || r.outcome != "answered" {
 					lost.Add(1)
 				}
 			}
@@ -302,7 +306,7 @@
 		added := s.start()
 		<-s.nodes[added].Ready()
 		s.awaitAnswer(added)
-		newest.Store(int64(added))
+		newest.Store(s.nodes[added].Addresses().Callers)
 		s.stops[old]()
 		is.NoErr(<-s.ends[old])
 		ended.Store(s.nodes[old].Member(), true)
