Adopt hosts at once when the first configuration names their pools

Cause: a pass over the platform's list that found nothing to adopt held for 10 s, also when a configuration was applied meanwhile; a first install answered its first request 10 s after apply, and each test of an entry host waited as long. Change: a pass covers a reading of the list under one version of the configuration. The fake of the fleet's tests does not show the wait; the rule itself is tested.

--- a/io/fleet/hosts.go
+++ b/io/fleet/hosts.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"siskincross/core/chart"
+	"siskincross/core/config"
 	"siskincross/core/event"
 	"siskincross/core/host"
 	"siskincross/core/pool"
@@ -88,14 +89,22 @@
 // adoption is a pass over the list that found nothing to adopt.
 type adoption struct {
 	reading int
-	at      time.Time
+	// config is the version of the configuration whose pools were looked at. A
+	// newer one may name pools that hosts of the same list belong to.
+	config config.Version
+	at     time.Time
+}
+
+// covers reports whether a pass over a reading of the list under a configuration would find nothing new.
+func (a adoption) covers(reading int, version config.Version) bool {
+	return !a.at.IsZero() && a.reading == reading && a.config == version
 }
 
 // settled reports whether the newest list had no host left to adopt. Until
 // then pools look smaller than they are, and no host should move between them.
 func (m *Manager) settled() bool {
 	list, ok := m.listed()
-	return ok && !m.adopted.at.IsZero() && m.adopted.reading == list.Serial()
+	return ok && m.adopted.covers(list.Serial(), m.Config().Version)
 }
 
 // adoptionPeriod is how often the list is searched for hosts to adopt when it does not change.
@@ -105,7 +114,8 @@
 func (m *Manager) adoptHosts(ctx context.Context) {
 	list, _ := m.listed()
 	now := time.Now()
-	if m.adopted.reading == list.Serial() && now.Sub(m.adopted.at) < adoptionPeriod {
+	version := m.Config().Version
+	if m.adopted.covers(list.Serial(), version) && now.Sub(m.adopted.at) < adoptionPeriod {
 		return
 	}
 	owned, complete := m.ownedHosts()
@@ -119,7 +129,7 @@
 		}
 	}
 	if len(byPool) == 0 {
-		m.adopted = adoption{reading: list.Serial(), at: now}
+		m.adopted = adoption{reading: list.Serial(), config: version, at: now}
 	}
 	for _, r := range m.held() {
 		candidates := byPool[r.pool.Name]
