--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test lint generate ci
+.PHONY: build test lint generate replay measure ci
 build:
 	go build -o bin/siskincross ./cmd/siskincross
 test:
@@ -7,5 +7,9 @@
 	_scripts/lint
 generate:
 	_scripts/generate
+replay:
+	_scripts/replay
+measure:
+	_scripts/measure
 ci:
 	.ci/run
