--- a/io/jobs/chaos_test.go
+++ b/io/jobs/chaos_test.go
@@ -45,7 +45,7 @@
 	case 2:
 		c.lose(c.random.IntN(3), c.random.IntN(3))
 	case 3:
-		c.replaceHolder(c.random.IntN(2) == 0)
+		c.passDuty(c.random.IntN(2) == 0)
 	case 4:
 		c.workers.silence(c.targets[c.random.IntN(chaosHosts)].Host, true)
 	case 5:
@@ -87,8 +87,8 @@
 	}
 }
 
-// replaceHolder gives the duty to the next entry host; the earlier one crashes or does not hear of it.
-func (c *chaos) replaceHolder(crash bool) {
+// passDuty gives the duty to the next entry host; the earlier one crashes or does not hear of it.
+func (c *chaos) passDuty(crash bool) {
 	i := c.random.IntN(len(c.members))
 	c.set(func() { c.stale = nil })
 	if crash {
