--- a/core/event/event.go
+++ b/core/event/event.go
@@ -53,6 +53,7 @@
 		configEntries,
 		peerEntries,
 		platformEntries,
+		workEntries,
 	}
 	var all []Entry
 	for _, group := range groups {
--- a/core/event/level.go
+++ b/core/event/level.go
@@ -18,11 +18,14 @@
 func (n Number) Level() Level {
 	switch n {
 	case RequestAnswered, RequestNotRun, RequestUnknown, RequestRetried, RequestReplayed,
-		JobAccepted, JobStarted, JobFinished, JobCancelled:
+		JobAccepted, JobStarted, JobFinished, JobCancelled,
+		WorkStarted, WorkRunEnded, WorkRunStopped:
 		return LevelDebug
 	case MemberLapsed, PeerLost, PeerRefused, StoreUnavailable, ClaimLost, TargetEjected,
 		JobUnknown, JobParked, JobCommitFailed, JobRowUnreadable, WorkerSuspected,
-		HostFailed, DrainOverdue, MaintenanceBehind, ListDoubted, RoutesSilenced, DutyConflict:
+		HostFailed, DrainOverdue, MaintenanceBehind, ListDoubted, RoutesSilenced, DutyConflict,
+		WorkUnsure, WorkDutyFailed, WorkStartUnsure, WorkerSilent, WorkerLost, WorkCommitFailed, WorkRowUnreadable,
+		CatalogueUnreadable, MemberGone, MachineOrderFailed, LinesLeftOut:
 		return LevelWarn
 	default:
 		return LevelInfo
--- a/core/event/number_enumer.go
+++ b/core/event/number_enumer.go
@@ -22,6 +22,8 @@
 	_NumberLowerName_5 = "peer-connectedpeer-lostpeer-refused"
 	_NumberName_6      = "store-unavailablestore-recoveredcommit-outcome-resolved"
 	_NumberLowerName_6 = "store-unavailablestore-recoveredcommit-outcome-resolved"
+	_NumberName_7      = "work-acceptedwork-not-acceptedwork-unsurework-cancelledwork-endedwork-duty-takenwork-duty-lostwork-duty-failedwork-startedwork-start-refusedwork-start-unsurework-run-endedwork-run-stoppedworker-listedworker-lostworker-silentworker-heardwork-commit-failedwork-row-unreadablecatalogue-adoptedcatalogue-unreadablemember-appearedmember-gonemachine-orderedmachine-order-failedwave-seenwave-completedlines-left-out"
+	_NumberLowerName_7 = "work-acceptedwork-not-acceptedwork-unsurework-cancelledwork-endedwork-duty-takenwork-duty-lostwork-duty-failedwork-startedwork-start-refusedwork-start-unsurework-run-endedwork-run-stoppedworker-listedworker-lostworker-silentworker-heardwork-commit-failedwork-row-unreadablecatalogue-adoptedcatalogue-unreadablemember-appearedmember-gonemachine-orderedmachine-order-failedwave-seenwave-completedlines-left-out"
 )
 
 var (
@@ -32,6 +34,7 @@
 	_NumberIndex_4 = [...]uint8{0, 15, 30, 44, 58, 71}
 	_NumberIndex_5 = [...]uint8{0, 14, 23, 35}
 	_NumberIndex_6 = [...]uint8{0, 17, 32, 55}
+	_NumberIndex_7 = [...]uint16{0, 13, 30, 41, 55, 65, 80, 94, 110, 122, 140, 157, 171, 187, 200, 211, 224, 236, 254, 273, 290, 310, 325, 336, 351, 371, 380, 394, 408}
 )
 
 func (i Number) String() string {
@@ -57,6 +60,9 @@
 	case 700 <= i && i <= 702:
 		i -= 700
 		return _NumberName_6[_NumberIndex_6[i]:_NumberIndex_6[i+1]]
+	case 800 <= i && i <= 827:
+		i -= 800
+		return _NumberName_7[_NumberIndex_7[i]:_NumberIndex_7[i+1]]
 	default:
 		return fmt.Sprintf("Number(%d)", i)
 	}
@@ -131,9 +137,37 @@
 	_ = x[StoreUnavailable-(700)]
 	_ = x[StoreRecovered-(701)]
 	_ = x[CommitOutcomeResolved-(702)]
+	_ = x[WorkAccepted-(800)]
+	_ = x[WorkNotAccepted-(801)]
+	_ = x[WorkUnsure-(802)]
+	_ = x[WorkCancelled-(803)]
+	_ = x[WorkEnded-(804)]
+	_ = x[WorkDutyTaken-(805)]
+	_ = x[WorkDutyLost-(806)]
+	_ = x[WorkDutyFailed-(807)]
+	_ = x[WorkStarted-(808)]
+	_ = x[WorkStartRefused-(809)]
+	_ = x[WorkStartUnsure-(810)]
+	_ = x[WorkRunEnded-(811)]
+	_ = x[WorkRunStopped-(812)]
+	_ = x[WorkerListed-(813)]
+	_ = x[WorkerLost-(814)]
+	_ = x[WorkerSilent-(815)]
+	_ = x[WorkerHeard-(816)]
+	_ = x[WorkCommitFailed-(817)]
+	_ = x[WorkRowUnreadable-(818)]
+	_ = x[CatalogueAdopted-(819)]
+	_ = x[CatalogueUnreadable-(820)]
+	_ = x[MemberAppeared-(821)]
+	_ = x[MemberGone-(822)]
+	_ = x[MachineOrdered-(823)]
+	_ = x[MachineOrderFailed-(824)]
+	_ = x[WaveSeen-(825)]
+	_ = x[WaveCompleted-(826)]
+	_ = x[LinesLeftOut-(827)]
 }
 
-var _NumberValues = []Number{ProcessStarted, ProcessServing, ProcessStopping, ProcessStopped, RequestAnswered, RequestNotRun, RequestUnknown, RequestRetried, RequestReplayed, ClaimLost, TargetEjected, TargetRestored, MemberJoined, MemberLapsed, DutyTaken, DutyReleased, HostAdopted, HostDraining, HostDrained, HostRebooting, HostReady, HostServing, HostFailed, HostLeaving, HostForgotten, HostMoved, WorkRefused, WorkResumed, DrainOverdue, MaintenanceBehind, ListDoubted, ListTrusted, RoutesSilenced, RoutesVouched, DutyConflict, JobAccepted, JobCancelRequested, JobReleased, JobStarted, JobFinished, JobRequeued, JobFailed, JobParked, JobUnknown, JobCancelled, JobLateAttempt, JobLapsed, JobLeaving, WorkerSuspected, WorkerCleared, JobDutyTaken, JobDutyLost, JobCommitFailed, JobRowUnreadable, ConfigAccepted, ConfigInForce, ConfigRefused, ConfigAdopted, ConfigProved, PeerConnected, PeerLost, PeerRefused, StoreUnavailable, StoreRecovered, CommitOutcomeResolved}
+var _NumberValues = []Number{ProcessStarted, ProcessServing, ProcessStopping, ProcessStopped, RequestAnswered, RequestNotRun, RequestUnknown, RequestRetried, RequestReplayed, ClaimLost, TargetEjected, TargetRestored, MemberJoined, MemberLapsed, DutyTaken, DutyReleased, HostAdopted, HostDraining, HostDrained, HostRebooting, HostReady, HostServing, HostFailed, HostLeaving, HostForgotten, HostMoved, WorkRefused, WorkResumed, DrainOverdue, MaintenanceBehind, ListDoubted, ListTrusted, RoutesSilenced, RoutesVouched, DutyConflict, JobAccepted, JobCancelRequested, JobReleased, JobStarted, JobFinished, JobRequeued, JobFailed, JobParked, JobUnknown, JobCancelled, JobLateAttempt, JobLapsed, JobLeaving, WorkerSuspected, WorkerCleared, JobDutyTaken, JobDutyLost, JobCommitFailed, JobRowUnreadable, ConfigAccepted, ConfigInForce, ConfigRefused, ConfigAdopted, ConfigProved, PeerConnected, PeerLost, PeerRefused, StoreUnavailable, StoreRecovered, CommitOutcomeResolved, WorkAccepted, WorkNotAccepted, WorkUnsure, WorkCancelled, WorkEnded, WorkDutyTaken, WorkDutyLost, WorkDutyFailed, WorkStarted, WorkStartRefused, WorkStartUnsure, WorkRunEnded, WorkRunStopped, WorkerListed, WorkerLost, WorkerSilent, WorkerHeard, WorkCommitFailed, WorkRowUnreadable, CatalogueAdopted, CatalogueUnreadable, MemberAppeared, MemberGone, MachineOrdered, MachineOrderFailed, WaveSeen, WaveCompleted, LinesLeftOut}
 
 var _NumberNameToValueMap = map[string]Number{
 	_NumberName_0[0:15]:    ProcessStarted,
@@ -201,6 +235,34 @@
 	_NumberName_6[0:17]:    StoreUnavailable,
 	_NumberName_6[17:32]:   StoreRecovered,
 	_NumberName_6[32:55]:   CommitOutcomeResolved,
+	_NumberName_7[0:13]:    WorkAccepted,
+	_NumberName_7[13:30]:   WorkNotAccepted,
+	_NumberName_7[30:41]:   WorkUnsure,
+	_NumberName_7[41:55]:   WorkCancelled,
+	_NumberName_7[55:65]:   WorkEnded,
+	_NumberName_7[65:80]:   WorkDutyTaken,
+	_NumberName_7[80:94]:   WorkDutyLost,
+	_NumberName_7[94:110]:  WorkDutyFailed,
+	_NumberName_7[110:122]: WorkStarted,
+	_NumberName_7[122:140]: WorkStartRefused,
+	_NumberName_7[140:157]: WorkStartUnsure,
+	_NumberName_7[157:171]: WorkRunEnded,
+	_NumberName_7[171:187]: WorkRunStopped,
+	_NumberName_7[187:200]: WorkerListed,
+	_NumberName_7[200:211]: WorkerLost,
+	_NumberName_7[211:224]: WorkerSilent,
+	_NumberName_7[224:236]: WorkerHeard,
+	_NumberName_7[236:254]: WorkCommitFailed,
+	_NumberName_7[254:273]: WorkRowUnreadable,
+	_NumberName_7[273:290]: CatalogueAdopted,
+	_NumberName_7[290:310]: CatalogueUnreadable,
+	_NumberName_7[310:325]: MemberAppeared,
+	_NumberName_7[325:336]: MemberGone,
+	_NumberName_7[336:351]: MachineOrdered,
+	_NumberName_7[351:371]: MachineOrderFailed,
+	_NumberName_7[371:380]: WaveSeen,
+	_NumberName_7[380:394]: WaveCompleted,
+	_NumberName_7[394:408]: LinesLeftOut,
 }
 
 var _NumberLowerNameToValueMap = map[string]Number{
@@ -269,6 +331,34 @@
 	_NumberLowerName_6[0:17]:    StoreUnavailable,
 	_NumberLowerName_6[17:32]:   StoreRecovered,
 	_NumberLowerName_6[32:55]:   CommitOutcomeResolved,
+	_NumberLowerName_7[0:13]:    WorkAccepted,
+	_NumberLowerName_7[13:30]:   WorkNotAccepted,
+	_NumberLowerName_7[30:41]:   WorkUnsure,
+	_NumberLowerName_7[41:55]:   WorkCancelled,
+	_NumberLowerName_7[55:65]:   WorkEnded,
+	_NumberLowerName_7[65:80]:   WorkDutyTaken,
+	_NumberLowerName_7[80:94]:   WorkDutyLost,
+	_NumberLowerName_7[94:110]:  WorkDutyFailed,
+	_NumberLowerName_7[110:122]: WorkStarted,
+	_NumberLowerName_7[122:140]: WorkStartRefused,
+	_NumberLowerName_7[140:157]: WorkStartUnsure,
+	_NumberLowerName_7[157:171]: WorkRunEnded,
+	_NumberLowerName_7[171:187]: WorkRunStopped,
+	_NumberLowerName_7[187:200]: WorkerListed,
+	_NumberLowerName_7[200:211]: WorkerLost,
+	_NumberLowerName_7[211:224]: WorkerSilent,
+	_NumberLowerName_7[224:236]: WorkerHeard,
+	_NumberLowerName_7[236:254]: WorkCommitFailed,
+	_NumberLowerName_7[254:273]: WorkRowUnreadable,
+	_NumberLowerName_7[273:290]: CatalogueAdopted,
+	_NumberLowerName_7[290:310]: CatalogueUnreadable,
+	_NumberLowerName_7[310:325]: MemberAppeared,
+	_NumberLowerName_7[325:336]: MemberGone,
+	_NumberLowerName_7[336:351]: MachineOrdered,
+	_NumberLowerName_7[351:371]: MachineOrderFailed,
+	_NumberLowerName_7[371:380]: WaveSeen,
+	_NumberLowerName_7[380:394]: WaveCompleted,
+	_NumberLowerName_7[394:408]: LinesLeftOut,
 }
 
 var _NumberNames = []string{
@@ -337,6 +427,34 @@
 	_NumberName_6[0:17],
 	_NumberName_6[17:32],
 	_NumberName_6[32:55],
+	_NumberName_7[0:13],
+	_NumberName_7[13:30],
+	_NumberName_7[30:41],
+	_NumberName_7[41:55],
+	_NumberName_7[55:65],
+	_NumberName_7[65:80],
+	_NumberName_7[80:94],
+	_NumberName_7[94:110],
+	_NumberName_7[110:122],
+	_NumberName_7[122:140],
+	_NumberName_7[140:157],
+	_NumberName_7[157:171],
+	_NumberName_7[171:187],
+	_NumberName_7[187:200],
+	_NumberName_7[200:211],
+	_NumberName_7[211:224],
+	_NumberName_7[224:236],
+	_NumberName_7[236:254],
+	_NumberName_7[254:273],
+	_NumberName_7[273:290],
+	_NumberName_7[290:310],
+	_NumberName_7[310:325],
+	_NumberName_7[325:336],
+	_NumberName_7[336:351],
+	_NumberName_7[351:371],
+	_NumberName_7[371:380],
+	_NumberName_7[380:394],
+	_NumberName_7[394:408],
 }
 
 // NumberString retrieves an enum value from the enum constants string name.
--- /dev/null
+++ b/core/work/board.go
@@ -0,0 +1,352 @@
+package work
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Policy holds the figures that decide. Zero fields have the values of withDefaults.
+type Policy struct {
+	// Lease is how long a worker runs its tasks without hearing from the holder.
+	Lease time.Duration
+	// MaxLease is the longest lease that workers grant to anybody.
+	MaxLease time.Duration
+}
+
+const (
+	// defaultMaxLease is the platform's usual bound.
+	defaultMaxLease = 6 * time.Second
+	// defaultLease leaves a new duty holder time to renew: a lapse of the old one's membership
+	// (two seconds), a takeover (half a second) and the pause between two renewals.
+	defaultLease = 5 * time.Second
+)
+
+func (p Policy) withDefaults() Policy {
+	p.MaxLease = cmp.Or(p.MaxLease, defaultMaxLease)
+	p.Lease = min(cmp.Or(p.Lease, defaultLease), p.MaxLease)
+	return p
+}
+
+// attemptsPerTerm separates the attempts of one holder from those of the next, which does not
+// know all that its predecessor started.
+const attemptsPerTerm = 1000
+
+// Board holds the jobs and workers of one pool for its duty holder. Its owner calls it from one
+// goroutine at a time. A zero Board with its public fields set works.
+type Board struct {
+	Pool string
+	// Epoch is the fencing token that orders carry.
+	Epoch uint64
+	// Term counts the holders of the duty.
+	Term   int
+	Policy Policy
+
+	ready    bool
+	policy   Policy
+	jobs     map[ID]*job
+	workers  map[Life]*worker
+	order    []*worker
+	sequence uint64
+	// groups holds the steps with tasks that may have to be started, in no order.
+	groups []*group
+	// unseen holds the lives that may run something of an earlier holder.
+	unseen map[Life]time.Time
+	timed  int
+	// dirty holds the jobs with changes to be stored.
+	dirty []*job
+	// wanted holds the runs that must be stopped.
+	unwanted map[*run]bool
+}
+
+func (b *Board) init() {
+	if b.ready {
+		return
+	}
+	b.ready = true
+	b.policy = b.Policy.withDefaults()
+	b.jobs = make(map[ID]*job)
+	b.workers = make(map[Life]*worker)
+	b.unseen = make(map[Life]time.Time)
+	b.unwanted = make(map[*run]bool)
+}
+
+// Expect names a life on which an earlier holder may have started tasks. Jobs that are added before
+// every such life has answered or its leases are over start only what is certain not to run.
+func (b *Board) Expect(l Life, now time.Time) {
+	b.init()
+	b.unseen[l] = now.Add(b.lapse(b.policy.MaxLease))
+}
+
+// lapse is how long a lease can last by our clock.
+func (b *Board) lapse(lease time.Duration) time.Duration {
+	return time.Duration(float64(lease) / (1 - clockDrift))
+}
+
+// settled reports whether nothing of an earlier holder can run unknown to the board.
+func (b *Board) settled(now time.Time) bool {
+	for life, until := range b.unseen {
+		w := b.workers[life]
+		switch {
+		case w != nil && w.answered, b.reborn(life):
+			delete(b.unseen, life)
+		case now.After(until) && (w == nil || !w.listed):
+			delete(b.unseen, life)
+		}
+	}
+	return len(b.unseen) == 0
+}
+
+// reborn reports whether the worker of a life is known to have started again since.
+func (b *Board) reborn(l Life) bool {
+	for _, w := range b.order {
+		if w.Life.Worker == l.Worker && w.Life.Born > l.Born {
+			return true
+		}
+	}
+	return false
+}
+
+// Add takes a job in. Version is that of its stored progress. Earlier tells that it was
+// accepted before this board's epoch, so that an earlier holder may have started it.
+func (b *Board) Add(spec Job, p Progress, version uint64, earlier bool) {
+	b.init()
+	if b.jobs[spec.ID] != nil || p.State.Final() {
+		return
+	}
+	j := &job{
+		Job: spec, progress: p, version: version, ambiguous: earlier,
+		opened: make(map[stepKey]bool), finished: make(map[stepKey]bool),
+		begun: p.State == StateRunning,
+	}
+	b.jobs[spec.ID] = j
+	if j.Repeat.Count > 0 {
+		j.timed = true
+		b.timed++
+	}
+	b.openSteps(j, time.Time{})
+}
+
+// openSteps opens the steps whose turn has come and completes the job if all are done.
+func (b *Board) openSteps(j *job, now time.Time) {
+	complete := true
+	waiting := false
+	for k := range j.Occurrences() {
+		if due := j.Due(k); !due.IsZero() && (now.IsZero() || due.After(now)) {
+			complete = false
+			waiting = true
+			continue
+		}
+		for i := range j.Steps {
+			key := stepKey{k, i}
+			if !j.opened[key] && b.preceded(j, k, i) {
+				b.openStep(j, key)
+			}
+			complete = complete && j.finished[key]
+		}
+	}
+	if j.timed && !waiting {
+		j.timed = false
+		b.timed--
+	}
+	if complete && !j.final() {
+		b.end(j, StateCompleted)
+	}
+}
+
+func (b *Board) preceded(j *job, occurrence, step int) bool {
+	for _, before := range j.Steps[step].After {
+		if !j.finished[stepKey{occurrence, before}] {
+			return false
+		}
+	}
+	return true
+}
+
+func (b *Board) openStep(j *job, key stepKey) {
+	j.opened[key] = true
+	g := &group{job: j, occurrence: key.occurrence, step: key.step}
+	g.tasks = make([]*task, j.Steps[key.step].Tasks)
+	for i := range g.tasks {
+		t := &task{group: g, index: i, attempt: b.Term * attemptsPerTerm}
+		t.done = j.progress.Done(t.name())
+		t.failures = j.progress.Failures(t.name())
+		if !t.done {
+			g.left++
+		}
+		g.tasks[i] = t
+	}
+	if g.left == 0 {
+		j.finished[key] = true
+		return
+	}
+	j.groups = append(j.groups, g)
+	b.groups = append(b.groups, g)
+}
+
+// end makes a job final. Its runs are stopped and its row is stored.
+func (b *Board) end(j *job, s State) {
+	j.change(j.progress.WithState(s))
+	b.markDirty(j)
+	b.abandon(j)
+}
+
+// abandon gives up all runs of a job.
+func (b *Board) abandon(j *job) {
+	for _, g := range j.groups {
+		for _, t := range g.tasks {
+			for _, r := range t.runs {
+				r.task = nil
+				b.unwanted[r] = true
+			}
+			t.runs = nil
+		}
+	}
+	j.groups = nil
+	b.groups = slices.DeleteFunc(b.groups, func(g *group) bool { return g.job == j })
+	if j.timed {
+		j.timed = false
+		b.timed--
+	}
+}
+
+// Cancel forgets a job that its caller cancelled, and stops its runs. The caller's write is stored already.
+func (b *Board) Cancel(id ID) {
+	b.init()
+	j := b.jobs[id]
+	if j == nil || j.final() {
+		return
+	}
+	b.abandon(j)
+	j.progress = j.progress.WithState(StateCancelled)
+	j.stored = j.changes
+	b.forget(j)
+}
+
+func (b *Board) forget(j *job) {
+	delete(b.jobs, j.ID)
+	b.dirty = slices.DeleteFunc(b.dirty, func(other *job) bool { return other == j })
+}
+
+func (b *Board) markDirty(j *job) {
+	if !slices.Contains(b.dirty, j) {
+		b.dirty = append(b.dirty, j)
+	}
+}
+
+// Pending counts by queue the jobs that have no time of their own and no task started.
+func (b *Board) Pending() map[string]int {
+	counts := make(map[string]int)
+	for _, j := range b.jobs {
+		if !j.begun && j.Repeat.Count == 0 {
+			counts[j.Queue]++
+		}
+	}
+	return counts
+}
+
+// State returns the state of a job that the board holds.
+func (b *Board) State(id ID) (State, bool) {
+	j := b.jobs[id]
+	if j == nil || j.final() {
+		return StateQueued, false
+	}
+	if j.begun {
+		return StateRunning, true
+	}
+	return StateQueued, true
+}
+
+// List replaces what the directory says of the pool's workers.
+func (b *Board) List(listings []Listing, now time.Time) {
+	b.init()
+	for _, w := range b.order {
+		w.listed = false
+	}
+	for _, l := range listings {
+		if b.reborn(l.Life) {
+			continue
+		}
+		w := b.workers[l.Life]
+		if w == nil {
+			w = b.admit(l)
+		}
+		w.Listing = l
+		w.listed = true
+	}
+	for _, w := range slices.Clone(b.order) {
+		if !w.listed && len(w.runs) == 0 {
+			b.remove(w)
+		}
+	}
+}
+
+// admit begins to know a life. Orders whose answers were lost in an earlier life may be carried out in this one.
+func (b *Board) admit(l Listing) *worker {
+	w := &worker{Listing: l, runs: make(map[Run]*run)}
+	b.workers[l.Life] = w
+	for _, old := range b.order {
+		if old.Life.Worker != l.Life.Worker {
+			continue
+		}
+		for _, r := range sortedRuns(old) {
+			if old.Life.Born < l.Life.Born {
+				b.bury(r, w)
+			}
+		}
+	}
+	b.order = append(b.order, w)
+	slices.SortFunc(b.order, func(a, c *worker) int {
+		return cmp.Or(cmp.Compare(a.Life.Worker, c.Life.Worker), cmp.Compare(a.Life.Born, c.Life.Born))
+	})
+	return w
+}
+
+// bury ends a run of a life that is over. If its order may still be on its way, the run is doubtful in the next life.
+func (b *Board) bury(r *run, next *worker) {
+	if r.phase == phaseOrdered || r.phase == phaseDoubtful {
+		b.detach(r)
+		r.worker = next
+		r.phase = phaseDoubtful
+		r.confirmed = false
+		r.stopping = false
+		next.runs[r.name] = r
+		next.used = next.used.Plus(r.demand)
+		b.unwanted[r] = true
+		return
+	}
+	b.release(r)
+}
+
+// detach takes a run off its worker.
+func (b *Board) detach(r *run) {
+	delete(r.worker.runs, r.name)
+	r.worker.used = r.worker.used.Minus(r.demand)
+}
+
+// release ends a run: it is certain that it neither runs nor will run.
+func (b *Board) release(r *run) {
+	b.detach(r)
+	delete(b.unwanted, r)
+	if r.task != nil {
+		if r.checkpoint != "" {
+			r.task.checkpoint = r.checkpoint
+		}
+		r.task.drop(r)
+		r.task = nil
+	}
+}
+
+func (b *Board) remove(w *worker) {
+	delete(b.workers, w.Life)
+	b.order = slices.DeleteFunc(b.order, func(other *worker) bool { return other == w })
+}
+
+func sortedRuns(w *worker) []*run {
+	runs := make([]*run, 0, len(w.runs))
+	for _, r := range w.runs {
+		runs = append(runs, r)
+	}
+	slices.SortFunc(runs, func(a, c *run) int { return cmp.Compare(a.name.String(), c.name.String()) })
+	return runs
+}
--- /dev/null
+++ b/core/work/order.go
@@ -0,0 +1,305 @@
+package work
+
+import (
+	"time"
+)
+
+// OrderKind is what a worker is told to do.
+type OrderKind int
+
+// Kinds of orders.
+const (
+	OrderStart OrderKind = iota
+	OrderStop
+	OrderPace
+)
+
+// Order is one command to a worker. The owner sends it and hands the answer to Answered.
+type Order struct {
+	Kind OrderKind
+	Contact
+	Epoch uint64
+	Run   Run
+	// Spec and Checkpoint are set for a start.
+	Spec       string
+	Checkpoint string
+	// Ticket is the policy service's approval for this worker; empty where none is needed.
+	Ticket string
+	// Deadline of a start is by the worker's clock.
+	Deadline time.Duration
+	// Percent is set for a change of pace.
+	Percent int
+}
+
+// Verdict is how an order was answered.
+type Verdict int
+
+// Verdicts on orders.
+const (
+	// VerdictOK orders were carried out.
+	VerdictOK Verdict = iota
+	// VerdictUnknown orders got no answer and may still be carried out.
+	VerdictUnknown
+	// VerdictNotSent orders never reached the worker.
+	VerdictNotSent
+	// VerdictFenced orders met a worker that has seen a higher epoch.
+	VerdictFenced
+	// VerdictOld starts were refused because a later attempt ended there.
+	VerdictOld
+	// VerdictLate starts came after their deadline.
+	VerdictLate
+	// VerdictNoRoom starts found no room.
+	VerdictNoRoom
+	// VerdictNoTicket starts lacked a valid approval.
+	VerdictNoTicket
+	// VerdictUnhealthy orders met a worker that does nothing at the moment.
+	VerdictUnhealthy
+	// VerdictInvalid orders were malformed.
+	VerdictInvalid
+	// VerdictGone orders met another life at the worker's address: this one is over.
+	VerdictGone
+	// VerdictReborn orders were answered by a later life of the worker than the one they were meant for.
+	VerdictReborn
+)
+
+// Answer is the outcome of an order.
+type Answer struct {
+	Verdict Verdict
+	// Clock is the worker's clock; zero if the answer had none.
+	Clock time.Duration
+	// Born is set with VerdictReborn: the beginning of the life that answered.
+	Born int64
+}
+
+const (
+	// noRoomPause is how long a worker that had no room is passed over: its next report comes meanwhile.
+	noRoomPause = 150 * time.Millisecond
+	// unhealthyPause is how long a worker that refuses everything is passed over.
+	unhealthyPause = 500 * time.Millisecond
+	// stopRetry is the time between two stop orders for one run, about a call's timeout.
+	stopRetry = 700 * time.Millisecond
+)
+
+// Orders returns what has to be sent now: stops first, then changes of pace, then starts.
+// Wall is the time of day, for occurrences that are due at a time.
+func (b *Board) Orders(now, wall time.Time) []Order {
+	b.init()
+	b.endLapsed(now)
+	b.openTimed(wall)
+	orders := b.stops(now)
+	return append(orders, b.place(now)...)
+}
+
+func (b *Board) openTimed(wall time.Time) {
+	if b.timed == 0 {
+		return
+	}
+	for _, j := range b.jobs {
+		if j.timed && !j.final() {
+			b.openSteps(j, wall)
+		}
+	}
+}
+
+// endLapsed ends the runs on workers whose leases are certainly over.
+func (b *Board) endLapsed(now time.Time) {
+	for _, w := range b.order {
+		if len(w.runs) == 0 || w.misses == 0 || !w.clock.over(now) {
+			continue
+		}
+		for _, r := range sortedRuns(w) {
+			b.release(r)
+		}
+	}
+}
+
+// stops returns a stop order for each run that nobody wants.
+func (b *Board) stops(now time.Time) []Order {
+	var orders []Order
+	for r := range b.unwanted {
+		if r.stopping || r.phase == phaseStopping || r.phase == phaseOrdered || now.Before(r.retry) {
+			continue
+		}
+		r.stopping = true
+		orders = append(orders, Order{Kind: OrderStop, Contact: r.worker.contact(), Epoch: b.Epoch, Run: r.name})
+	}
+	return orders
+}
+
+// start creates the run of a task's next attempt and returns its order.
+func (b *Board) start(t *task, w *worker, now time.Time) Order {
+	t.attempt++
+	spec := t.group.spec()
+	r := &run{
+		name: Run{Task: t.name(), Attempt: t.attempt}, task: t, worker: w,
+		demand: spec.counted(), phase: phaseOrdered, started: now, checkpoint: t.checkpoint,
+	}
+	t.runs = append(t.runs, r)
+	t.group.job.begun = true
+	w.runs[r.name] = r
+	w.used = w.used.Plus(r.demand)
+	return Order{
+		Kind: OrderStart, Contact: w.contact(), Epoch: b.Epoch, Run: r.name,
+		Spec: t.group.job.Spec, Checkpoint: t.checkpoint,
+		Deadline: w.clock.grant(now, b.policy.Lease),
+	}
+}
+
+// Answered takes in how an order was answered. It reports false if the duty is another's now.
+func (b *Board) Answered(o Order, a Answer, now time.Time) bool {
+	if a.Verdict == VerdictFenced {
+		return false
+	}
+	w := b.workers[o.Life]
+	if w == nil {
+		return true
+	}
+	b.heed(w, a, now)
+	r := w.runs[o.Run]
+	if a.Verdict == VerdictGone || a.Verdict == VerdictReborn || r == nil {
+		return true
+	}
+	b.sequence++
+	switch o.Kind {
+	case OrderStart:
+		b.startAnswered(w, r, a, now)
+	case OrderStop:
+		b.stopAnswered(r, a, now)
+	case OrderPace:
+		b.paceAnswered(r, o, a)
+	}
+	return true
+}
+
+// heed takes in what an answer tells about the worker.
+func (b *Board) heed(w *worker, a Answer, now time.Time) {
+	switch a.Verdict {
+	case VerdictUnknown, VerdictNotSent:
+		w.misses++
+	case VerdictGone:
+		b.Gone(w.Life)
+	case VerdictReborn:
+		b.Reborn(w.Life, a.Born)
+	case VerdictUnhealthy:
+		w.closed = later(w.closed, now.Add(unhealthyPause))
+	case VerdictNoRoom:
+		w.closed = later(w.closed, now.Add(noRoomPause))
+	}
+	if a.Clock > 0 && a.Verdict != VerdictReborn {
+		b.hear(w, a.Clock, now)
+	}
+}
+
+func later(a, c time.Time) time.Time {
+	if c.After(a) {
+		return c
+	}
+	return a
+}
+
+func (b *Board) startAnswered(w *worker, r *run, a Answer, now time.Time) {
+	switch a.Verdict {
+	case VerdictOK:
+		if r.phase == phaseOrdered {
+			r.phase = phaseRunning
+		}
+		r.confirmed = true
+		r.known = b.sequence
+	case VerdictUnknown:
+		b.doubt(r)
+	default:
+		if r.task != nil {
+			r.task.notBefore = now.Add(refusedPause)
+		}
+		b.release(r)
+	}
+}
+
+// refusedPause delays the next attempt of a task after a refusal, so that a refusing pool is not pressed.
+const refusedPause = 20 * time.Millisecond
+
+// doubt marks a run whose order got no answer. It is stopped, since its order may be carried out at any time.
+func (b *Board) doubt(r *run) {
+	if r.confirmed {
+		return
+	}
+	r.phase = phaseDoubtful
+	b.unwanted[r] = true
+}
+
+func (b *Board) stopAnswered(r *run, a Answer, now time.Time) {
+	r.stopping = false
+	r.retry = now.Add(stopRetry)
+	if a.Verdict != VerdictOK {
+		return
+	}
+	r.phase = phaseStopping
+	r.confirmed = true
+	r.known = b.sequence
+}
+
+func (b *Board) paceAnswered(r *run, o Order, a Answer) {
+	r.pace.sending = false
+	if a.Verdict == VerdictOK {
+		r.pace.told = o.Percent
+		r.pace.set = true
+	}
+}
+
+// Missed notes a renewal without an answer.
+func (b *Board) Missed(l Life) {
+	if w := b.workers[l]; w != nil {
+		w.misses++
+	}
+}
+
+// Gone ends a life that is certainly over: another life answers at its address.
+func (b *Board) Gone(l Life) {
+	w := b.workers[l]
+	if w == nil {
+		return
+	}
+	delete(b.unseen, l)
+	for _, r := range sortedRuns(w) {
+		b.release(r)
+	}
+	if !w.listed {
+		b.remove(w)
+	}
+	w.misses++
+}
+
+// Reborn ends a life whose worker answered from a later one. What was ordered and not answered may be there now.
+func (b *Board) Reborn(l Life, born int64) {
+	w := b.workers[l]
+	if w == nil || born <= l.Born {
+		return
+	}
+	next := w.Listing
+	next.Life.Born = born
+	if b.workers[next.Life] == nil {
+		b.admit(next).listed = w.listed
+	}
+	w.listed = false
+	b.Gone(l)
+}
+
+// Contacts returns the lives that are to be renewed: those that are listed and those that may still run something.
+func (b *Board) Contacts() []Life {
+	lives := make([]Life, 0, len(b.order))
+	for _, w := range b.order {
+		lives = append(lives, w.Life)
+	}
+	return lives
+}
+
+// Roster returns the lives on which the board has started something or may do so.
+func (b *Board) Roster() []Life {
+	lives := b.Contacts()
+	for l := range b.unseen {
+		if b.workers[l] == nil {
+			lives = append(lives, l)
+		}
+	}
+	return lives
+}
--- /dev/null
+++ b/core/work/place.go
@@ -0,0 +1,211 @@
+package work
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// place starts the tasks that may run now, in the order of their jobs.
+func (b *Board) place(now time.Time) []Order {
+	settled := b.settled(now)
+	b.sortGroups()
+	open := b.openWorkers(now)
+	if len(open) == 0 {
+		return nil
+	}
+	var orders []Order
+	for _, g := range slices.Clone(b.groups) {
+		if g.job.ambiguous && !settled {
+			continue
+		}
+		orders = append(orders, b.placeGroup(g, open, now)...)
+	}
+	return orders
+}
+
+func (b *Board) openWorkers(now time.Time) []*worker {
+	var open []*worker
+	for _, w := range b.order {
+		if w.open(now) {
+			open = append(open, w)
+		}
+	}
+	return open
+}
+
+// sortGroups orders the open steps: lasting ones first, since every second that they are away counts, then by priority and age.
+func (b *Board) sortGroups() {
+	slices.SortFunc(b.groups, func(a, c *group) int {
+		return cmp.Or(
+			compareBool(c.spec().Lasting, a.spec().Lasting),
+			cmp.Compare(a.job.Priority, c.job.Priority),
+			a.job.Accepted.Compare(c.job.Accepted),
+			cmp.Compare(a.job.ID, c.job.ID),
+			cmp.Compare(a.occurrence, c.occurrence),
+			cmp.Compare(a.step, c.step),
+		)
+	})
+}
+
+func compareBool(a, c bool) int {
+	switch {
+	case a == c:
+		return 0
+	case a:
+		return 1
+	}
+	return -1
+}
+
+func (b *Board) placeGroup(g *group, open []*worker, now time.Time) []Order {
+	if g.spec().Gang {
+		return b.placeGang(g, open, now)
+	}
+	var orders []Order
+	for _, t := range g.tasks {
+		if !t.startable(now) {
+			continue
+		}
+		w := b.choose(g, open, nil)
+		if w == nil {
+			break
+		}
+		orders = append(orders, b.start(t, w, now))
+	}
+	return orders
+}
+
+func (t *task) startable(now time.Time) bool {
+	return !t.done && len(t.runs) == 0 && !now.Before(t.notBefore)
+}
+
+// placeGang starts all tasks of a gang with one attempt, or none.
+func (b *Board) placeGang(g *group, open []*worker, now time.Time) []Order {
+	attempt := 0
+	for _, t := range g.tasks {
+		if !t.startable(now) {
+			return nil
+		}
+		attempt = max(attempt, t.attempt)
+	}
+	extra := make(map[*worker]int)
+	chosen := make([]*worker, len(g.tasks))
+	for i := range g.tasks {
+		chosen[i] = b.choose(g, open, extra)
+		if chosen[i] == nil {
+			return nil
+		}
+		extra[chosen[i]]++
+	}
+	orders := make([]Order, len(g.tasks))
+	checkpoint := g.gangCheckpoint()
+	for i, t := range g.tasks {
+		t.attempt = attempt
+		t.checkpoint = checkpoint
+		orders[i] = b.start(t, chosen[i], now)
+	}
+	return orders
+}
+
+// gangCheckpoint is the saved progress of any member: it counts for all.
+func (g *group) gangCheckpoint() string {
+	for _, t := range g.tasks {
+		if t.checkpoint != "" {
+			return t.checkpoint
+		}
+	}
+	return ""
+}
+
+// choose returns the best worker with room for one more task of the step, or nil. Extra counts tasks
+// of the step that are about to be placed.
+func (b *Board) choose(g *group, open []*worker, extra map[*worker]int) *worker {
+	spec := g.spec()
+	demand := spec.counted()
+	racks := g.racks(extra)
+	var best *worker
+	var bestScore float64
+	for _, w := range open {
+		planned := extra[w]
+		need := demand
+		for range planned {
+			need = need.Plus(demand)
+		}
+		if !w.hasLabel(spec.Label) || !w.free().Holds(need) {
+			continue
+		}
+		if spec.SpreadLimit > 0 && g.on(w)+planned >= spec.SpreadLimit {
+			continue
+		}
+		score := w.score(spec, need, racks)
+		if best == nil || score > bestScore {
+			best, bestScore = w, score
+		}
+	}
+	return best
+}
+
+// on counts the runs of the group on a worker.
+func (g *group) on(w *worker) int {
+	n := 0
+	for r := range w.each {
+		if r.name.Task.Job == g.job.ID && r.name.Task.Occurrence == g.occurrence && r.name.Task.Step == g.step {
+			n++
+		}
+	}
+	return n
+}
+
+// each calls yield for every run on the worker.
+func (w *worker) each(yield func(*run) bool) {
+	for _, r := range w.runs {
+		if !yield(r) {
+			return
+		}
+	}
+}
+
+// racks counts the tasks of a group by rack, if its step wants one rack.
+func (g *group) racks(extra map[*worker]int) map[string]int {
+	if !g.spec().SameRack {
+		return nil
+	}
+	racks := make(map[string]int)
+	for _, t := range g.tasks {
+		for _, r := range t.runs {
+			racks[r.worker.Rack]++
+		}
+	}
+	for w, n := range extra {
+		racks[w.Rack] += n
+	}
+	return racks
+}
+
+// Weights of a worker's score. A rack outweighs any difference in load: on another
+// rack a task takes a multiple of its time.
+const (
+	scoreDataRack = 4.0
+	scoreSameRack = 2.0
+)
+
+// score rates a worker for a task: near the data first, then the emptiest.
+func (w *worker) score(spec *Step, need Resources, racks map[string]int) float64 {
+	score := 0.0
+	if spec.DataRack != "" && spec.DataRack == w.Rack {
+		score += scoreDataRack
+	}
+	if racks[w.Rack] > 0 {
+		score += scoreSameRack
+	}
+	left := w.free().Minus(need)
+	return score + share(left.MilliCores, w.Capacity.MilliCores) + share(left.MemoryMB, w.Capacity.MemoryMB)/4
+}
+
+func share(part, whole int) float64 {
+	if whole == 0 {
+		return 0
+	}
+	return float64(part) / float64(whole)
+}
--- /dev/null
+++ b/core/work/progress.go
@@ -0,0 +1,140 @@
+package work
+
+import (
+	"encoding/base64"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+)
+
+//go:generate go run github.com/dmarkham/enumer@v1.7.2 -type=State,How,Verdict,OrderKind -transform=kebab -text -json -trimprefix=State,How,Verdict,Order -output=work_enumer.go
+
+// State is a job's state as its caller sees it.
+type State int
+
+// States of a job. Completed, Failed and Cancelled are final.
+const (
+	StateQueued State = iota
+	StateRunning
+	StateCompleted
+	StateFailed
+	StateCancelled
+)
+
+// Final reports whether nothing of the job runs any more.
+func (s State) Final() bool { return s >= StateCompleted }
+
+// Progress is the part of a job that must survive its duty holder. It is immutable.
+type Progress struct {
+	State State
+	// done holds the tasks that are done, by occurrence and step.
+	done map[stepKey]bitmap
+	// failures holds the attempts that failed, by task.
+	failures map[Task][]int
+}
+
+type stepKey struct{ occurrence, step int }
+
+// bitmap has one bit a task. It is not changed once it is part of a Progress.
+type bitmap []byte
+
+func (b bitmap) has(i int) bool {
+	return i/8 < len(b) && b[i/8]&(1<<(i%8)) != 0
+}
+
+func (b bitmap) with(i int) bitmap {
+	next := make(bitmap, max(len(b), i/8+1))
+	copy(next, b)
+	next[i/8] |= 1 << (i % 8)
+	return next
+}
+
+// Done reports whether the task is done.
+func (p Progress) Done(t Task) bool {
+	return p.done[stepKey{t.Occurrence, t.Step}].has(t.Index)
+}
+
+// Failures is how many attempts of the task failed.
+func (p Progress) Failures(t Task) int { return len(p.failures[t]) }
+
+// WithState returns the progress in another state.
+func (p Progress) WithState(s State) Progress {
+	p.State = s
+	return p
+}
+
+// WithDone returns the progress with the task done.
+func (p Progress) WithDone(t Task) Progress {
+	p.done = maps.Clone(p.done)
+	if p.done == nil {
+		p.done = make(map[stepKey]bitmap)
+	}
+	key := stepKey{t.Occurrence, t.Step}
+	p.done[key] = p.done[key].with(t.Index)
+	return p
+}
+
+// WithFailure returns the progress with a failed attempt. The same attempt counts once.
+func (p Progress) WithFailure(r Run) Progress {
+	if slices.Contains(p.failures[r.Task], r.Attempt) {
+		return p
+	}
+	p.failures = maps.Clone(p.failures)
+	if p.failures == nil {
+		p.failures = make(map[Task][]int)
+	}
+	p.failures[r.Task] = append(slices.Clone(p.failures[r.Task]), r.Attempt)
+	return p
+}
+
+// progressRow is the stored form. Done steps are "occurrence.step" with a bitmap in base64.
+type progressRow struct {
+	State    State             `json:"state"`
+	Done     map[string]string `json:"done,omitempty"`
+	Failures map[string][]int  `json:"failures,omitempty"`
+}
+
+// Encode returns the row's value. A final state needs no details.
+func (p Progress) Encode() ([]byte, error) {
+	row := progressRow{State: p.State}
+	if !p.State.Final() {
+		row.Done = make(map[string]string, len(p.done))
+		for key, bits := range p.done {
+			row.Done[fmt.Sprintf("%d.%d", key.occurrence, key.step)] = base64.RawStdEncoding.EncodeToString(bits)
+		}
+		row.Failures = make(map[string][]int, len(p.failures))
+		for t, attempts := range p.failures {
+			row.Failures[fmt.Sprintf("%d.%d.%d", t.Occurrence, t.Step, t.Index)] = attempts
+		}
+	}
+	return json.Marshal(row)
+}
+
+// DecodeProgress parses what Encode returned for the job.
+func DecodeProgress(id ID, value []byte) (Progress, error) {
+	var row progressRow
+	if err := json.Unmarshal(value, &row); err != nil {
+		return Progress{}, fmt.Errorf("progress of job %s: %w", id, err)
+	}
+	p := Progress{State: row.State, done: make(map[stepKey]bitmap), failures: make(map[Task][]int)}
+	for name, text := range row.Done {
+		var key stepKey
+		if _, err := fmt.Sscanf(name, "%d.%d", &key.occurrence, &key.step); err != nil {
+			return Progress{}, fmt.Errorf("progress of job %s: step %q: %w", id, name, err)
+		}
+		bits, err := base64.RawStdEncoding.DecodeString(text)
+		if err != nil {
+			return Progress{}, fmt.Errorf("progress of job %s: step %q: %w", id, name, err)
+		}
+		p.done[key] = bits
+	}
+	for name, attempts := range row.Failures {
+		t := Task{Job: id}
+		if _, err := fmt.Sscanf(name, "%d.%d.%d", &t.Occurrence, &t.Step, &t.Index); err != nil {
+			return Progress{}, fmt.Errorf("progress of job %s: task %q: %w", id, name, err)
+		}
+		p.failures[t] = attempts
+	}
+	return p, nil
+}
--- /dev/null
+++ b/core/work/task.go
@@ -0,0 +1,52 @@
+package work
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+)
+
+// Task names one task of an occurrence of a job.
+type Task struct {
+	Job        ID
+	Occurrence int
+	Step       int
+	Index      int
+}
+
+// Run names one attempt of a task.
+type Run struct {
+	Task    Task
+	Attempt int
+}
+
+// String returns "job.occurrence.step.index".
+func (t Task) String() string {
+	return string(t.Job) + "." + strconv.Itoa(t.Occurrence) + "." + strconv.Itoa(t.Step) + "." + strconv.Itoa(t.Index)
+}
+
+// String returns the task's name and the attempt.
+func (r Run) String() string { return r.Task.String() + "#" + strconv.Itoa(r.Attempt) }
+
+// ErrTaskName is returned for text that names no task.
+type ErrTaskName struct{ Text string }
+
+// Error implements error.
+func (e ErrTaskName) Error() string { return fmt.Sprintf("%q names no task", e.Text) }
+
+// ParseTask parses what Task.String returns.
+func ParseTask(text string) (Task, error) {
+	parts := strings.Split(text, ".")
+	if len(parts) != 4 || parts[0] == "" {
+		return Task{}, ErrTaskName{text}
+	}
+	var numbers [3]int
+	for i, part := range parts[1:] {
+		n, err := strconv.Atoi(part)
+		if err != nil || n < 0 {
+			return Task{}, ErrTaskName{text}
+		}
+		numbers[i] = n
+	}
+	return Task{Job: ID(parts[0]), Occurrence: numbers[0], Step: numbers[1], Index: numbers[2]}, nil
+}
--- /dev/null
+++ b/core/work/worker.go
@@ -0,0 +1,139 @@
+package work
+
+import (
+	"slices"
+	"time"
+)
+
+// Life is one life of a worker: a worker that starts again holds nothing of its earlier life.
+type Life struct {
+	Worker string
+	// Born is when the worker started, in Unix milliseconds by the worker's clock.
+	Born int64
+}
+
+// Listing is what the directory of workers says of one.
+type Listing struct {
+	Life    Life
+	Address string
+	Pool    string
+	Zone    string
+	Rack    string
+	Labels  []string
+	// Capacity is what the worker offers to tasks.
+	Capacity Resources
+	// Draining workers are about to leave and get no new task.
+	Draining bool
+	// Host is the machine that the worker runs on; empty if it is not known yet.
+	Host string
+}
+
+// Contact is where and to which life of a worker a call goes.
+type Contact struct {
+	Life    Life
+	Address string
+}
+
+// clockDrift is how much slower than ours a worker's steady clock may run, as the platform states it.
+const clockDrift = 0.02
+
+// leaseClock converts between our clock and that of one life of a worker.
+// The zero value has not heard from the worker.
+type leaseClock struct {
+	// heard is when we received reading.
+	heard   time.Time
+	reading time.Duration
+	// granted is the latest deadline that we gave, by the worker's clock.
+	granted time.Duration
+	// given is when the first lease was granted without a reading to relate it to.
+	given time.Time
+}
+
+func (c *leaseClock) hear(reading time.Duration, now time.Time) {
+	c.heard = now
+	c.reading = reading
+}
+
+// estimate is what the worker's clock reads now, if it runs as fast as ours.
+func (c *leaseClock) estimate(now time.Time) time.Duration {
+	return c.reading + now.Sub(c.heard)
+}
+
+// least is the lowest reading that the worker's clock can have now.
+func (c *leaseClock) least(now time.Time) time.Duration {
+	return c.reading + time.Duration(float64(now.Sub(c.heard))*(1-clockDrift))
+}
+
+// grant returns the deadline of a lease that begins now.
+func (c *leaseClock) grant(now time.Time, lease time.Duration) time.Duration {
+	deadline := c.estimate(now) + lease
+	c.granted = max(c.granted, deadline)
+	return deadline
+}
+
+// over reports whether every lease given to this life has certainly ended.
+func (c *leaseClock) over(now time.Time) bool {
+	return !c.heard.IsZero() && c.least(now) > c.granted
+}
+
+// worker is one life of a worker as the board knows it.
+type worker struct {
+	Listing
+	clock leaseClock
+	// listed is true while the directory has this life.
+	listed bool
+	// answered is true once the worker answered a call with the board's epoch: earlier holders are fenced there.
+	answered bool
+	// suspended is when an earlier holder's leases are certainly over, for a life that has not answered.
+	suspended time.Time
+	runs      map[Run]*run
+	// used is what the runs take from Capacity, stopping ones included.
+	used Resources
+	// taken is the number of the last end taken in, acknowledged that of the last one that may be forgotten.
+	taken, acknowledged uint64
+	ends                []pendingEnd
+	// misses counts calls without an answer since the last one with.
+	misses int
+	// closed is when the worker may get new work again, after it refused or failed.
+	closed time.Time
+	// failedInRow counts failed runs of different jobs since the last run that was done.
+	failedInRow int
+	lastFailed  ID
+	// withdrawn workers get no new work, because their host is to leave the pool or be maintained.
+	withdrawn bool
+}
+
+// pendingEnd is an end taken in whose consequences are not known to be stored.
+type pendingEnd struct {
+	number uint64
+	job    *job
+	// mark is the job's change that must be stored before the end may be forgotten.
+	mark uint64
+}
+
+func (w *worker) contact() Contact { return Contact{Life: w.Life, Address: w.Address} }
+
+// open reports whether the worker may be given new work.
+func (w *worker) open(now time.Time) bool {
+	return w.listed && w.answered && !w.Draining && !w.withdrawn && w.misses == 0 && !now.Before(w.closed)
+}
+
+func (w *worker) free() Resources { return w.Capacity.Minus(w.used) }
+
+func (w *worker) hasLabel(label string) bool {
+	return label == "" || slices.Contains(w.Labels, label)
+}
+
+// acknowledge moves the cursor over the ends whose consequences are stored.
+func (w *worker) acknowledge() uint64 {
+	i := 0
+	for ; i < len(w.ends); i++ {
+		e := w.ends[i]
+		if e.job != nil && e.job.stored < e.mark {
+			break
+		}
+		w.acknowledged = e.number
+	}
+	w.ends = slices.Delete(w.ends, 0, i)
+	return w.acknowledged
+}
--- a/io/cli/cli.go
+++ b/io/cli/cli.go
@@ -45,6 +45,7 @@
 		ExitErrHandler:        func(context.Context, *cli.Command, error) {},
 		Commands: []*cli.Command{
 			serveCommand(),
+			edgeCommand(),
 			replayCommand(),
 			standinCommand(),
 			checkCommand(),
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -17,6 +17,7 @@
 	"siskincross/io/entry"
 	"siskincross/io/fleet"
 	"siskincross/io/jobs"
+	"siskincross/io/listen"
 	"siskincross/io/logs"
 	"siskincross/io/metrics"
 	"siskincross/io/operator"
@@ -43,8 +44,8 @@
 	entry    *entry.Server
 	operator *operator.Server
 
-	callers   listener
-	operators listener
+	callers   listen.Server
+	operators listen.Server
 
 	state state
 	// listening is closed once peers and operators are listened for, ready once callers are accepted.
@@ -123,8 +124,8 @@
 // Addresses returns the bound addresses of the listeners.
 func (n *Node) Addresses() Addresses {
 	return Addresses{
-		Callers:   n.callers.address(),
-		Operators: n.operators.address(),
+		Callers:   n.callers.Address(),
+		Operators: n.operators.Address(),
 		Peers:     n.link.Address(),
 	}
 }
@@ -137,8 +138,8 @@
 			return
 		}
 		n.kill()
-		n.callers.abort()
-		n.operators.abort()
+		n.callers.Abort()
+		n.operators.Abort()
 	})
 }
 
@@ -174,13 +175,13 @@
 	if err := n.listen(&n.callers, "callers' listener", n.settings.Callers.Listen); err != nil {
 		return err
 	}
-	n.recorder.Record(event.Event{Number: event.ProcessServing, Detail: "callers at " + n.callers.address()})
+	n.recorder.Record(event.Event{Number: event.ProcessServing, Detail: "callers at " + n.callers.Address()})
 	close(n.ready)
 	return nil
 }
 
-func (n *Node) listen(l *listener, name, address string) error {
-	done, err := l.start(n.killed, address)
+func (n *Node) listen(l *listen.Server, name, address string) error {
+	done, err := l.Start(n.killed, address)
 	if err != nil {
 		return crdb.Wrapf(err, "start the %s at %s", name, address)
 	}
@@ -209,7 +210,7 @@
 		}
 		problems = append(problems, step.run(ctx))
 	}
-	problems = append(problems, n.callers.shutDown(ctx), n.operators.shutDown(ctx))
+	problems = append(problems, n.callers.ShutDown(ctx), n.operators.ShutDown(ctx))
 	problems = append(problems, n.state.advance(eventHandedOver))
 	return errors.Join(problems...)
 }
@@ -226,8 +227,8 @@
 // end cancels all parts and waits for them.
 func (n *Node) end() error {
 	n.kill()
-	n.callers.abort()
-	n.operators.abort()
+	n.callers.Abort()
+	n.operators.Abort()
 	var problems []error
 	for _, p := range n.parts {
 		if err := <-p.done; err != nil && !errors.Is(err, context.Canceled) {
--- a/io/node/parts.go
+++ b/io/node/parts.go
@@ -8,6 +8,7 @@
 	"siskincross/io/entry"
 	"siskincross/io/fleet"
 	"siskincross/io/jobs"
+	"siskincross/io/listen"
 	"siskincross/io/operator"
 	"siskincross/io/peer"
 	"siskincross/io/peer/peerpb"
@@ -22,8 +23,8 @@
 	n.jobs = newJobs(n)
 	n.entry = newEntry(n)
 	n.operator = newOperator(n)
-	n.callers = listener{handler: n.callersHandler(), maxHeaderBytes: n.settings.Limits.HeaderBytes}
-	n.operators = listener{handler: n.operator.Handler(), maxHeaderBytes: n.settings.Limits.HeaderBytes}
+	n.callers = listen.Server{Handler: n.callersHandler(), MaxHeaderBytes: n.settings.Limits.HeaderBytes}
+	n.operators = listen.Server{Handler: n.operator.Handler(), MaxHeaderBytes: n.settings.Limits.HeaderBytes}
 	n.link.Handle(peer.KindTimelineRequest, n.answerTimeline)
 }
 
--- /dev/null
+++ b/io/runner/commits.go
@@ -0,0 +1,141 @@
+package runner
+
+import (
+	"errors"
+	"maps"
+	"time"
+
+	"siskincross/core/event"
+	"siskincross/core/work"
+	"siskincross/io/platform"
+)
+
+const (
+	// changesPerCommit keeps a transaction below the store's 100 entries: a job takes up to three.
+	changesPerCommit = 30
+	// finalDelay is how long a job's end waits for others to be stored with.
+	finalDelay = 8 * time.Millisecond
+	// changeDelay is how long other progress waits. Its ends are not acknowledged meanwhile, which delays nobody.
+	changeDelay = 120 * time.Millisecond
+	// pendingEvery is the least time between two writes of the count of waiting jobs, half of the age that it may have.
+	pendingEvery = time.Second
+)
+
+// store begins a commit of what changed, if one is due.
+func (h *holder) store(now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	changed, final := h.board.HasChanges()
+	if !changed {
+		h.changedAt = time.Time{}
+	} else if h.changedAt.IsZero() {
+		h.changedAt = now
+	}
+	if h.committing || now.Before(h.retryAt) {
+		return
+	}
+	delay := changeDelay
+	if final {
+		delay = finalDelay
+	}
+	counts, countsDue := h.duePending(now)
+	if changed && now.Sub(h.changedAt) < delay {
+		changed = false
+		time.AfterFunc(delay, h.wake)
+	}
+	if !changed && !countsDue {
+		return
+	}
+	var changes []work.Change
+	if changed {
+		changes = h.board.Changes(changesPerCommit)
+		h.changedAt = time.Time{}
+	}
+	h.committing = true
+	h.group.Go(func() { h.commit(changes, counts, countsDue) })
+}
+
+// duePending returns the counts of waiting jobs if they have to be written.
+func (h *holder) duePending(now time.Time) (map[string]int, bool) {
+	if now.Sub(h.pendingAt) < pendingEvery {
+		return nil, false
+	}
+	counts := h.board.Pending()
+	if h.pending != nil && maps.Equal(counts, h.pending) {
+		return nil, false
+	}
+	h.pendingAt = now
+	return counts, true
+}
+
+// commit stores changes and counts in one transaction.
+func (h *holder) commit(changes []work.Change, counts map[string]int, withCounts bool) {
+	tx := platform.Commit{Expected: []platform.Expectation{h.fence()}, Purpose: "progress"}
+	for _, c := range changes {
+		value, err := c.Progress.Encode()
+		if err != nil {
+			h.m.record(event.Event{Number: event.WorkCommitFailed, Pool: h.pool, Job: string(c.ID), Detail: err.Error()})
+			continue
+		}
+		key := jobKey(h.pool, c.ID)
+		tx.Expected = append(tx.Expected, platform.Expectation{RowKey: key, Version: c.Version})
+		tx.Writes = append(tx.Writes, platform.RowWrite{RowKey: key, Value: value})
+		if c.Progress.State.Final() {
+			tx.Removes = append(tx.Removes, specKey(h.pool, c.ID))
+		}
+	}
+	if withCounts {
+		key := platform.RowKey{Table: countTable, Part: h.pool, Key: pendingKey}
+		tx.Writes = append(tx.Writes, platform.RowWrite{RowKey: key, Value: encode(counts)})
+	}
+	version, err := h.m.Rows.Commit(h.ctx, tx)
+	h.committed(changes, version, err)
+	if err == nil && withCounts {
+		h.mu.Lock()
+		h.pending = counts
+		h.mu.Unlock()
+	}
+	h.settle(err)
+	h.wake()
+}
+
+// committed tells the board how a commit ended.
+func (h *holder) committed(changes []work.Change, version uint64, err error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.committing = false
+	var overtaken platform.ErrOvertaken
+	switch {
+	case err == nil:
+		h.floor = max(h.floor, version)
+		h.board.Committed(changes, version)
+		for _, c := range changes {
+			if c.Progress.State.Final() {
+				h.m.record(event.Event{
+					Number: event.WorkEnded, Pool: h.pool, Job: string(c.ID), Detail: c.Progress.State.String(),
+				})
+			}
+		}
+	case errors.As(err, &overtaken):
+		h.overtaken(changes, overtaken)
+	default:
+		h.board.NotCommitted(changes)
+	}
+}
+
+// overtaken takes in the rows that other writers changed.
+func (h *holder) overtaken(changes []work.Change, err platform.ErrOvertaken) {
+	h.board.NotCommitted(changes)
+	for _, c := range changes {
+		row, ok := err.Find(jobKey(h.pool, c.ID))
+		if !ok || row.Version == c.Version {
+			continue
+		}
+		p, err := work.DecodeProgress(c.ID, row.Value)
+		if err != nil {
+			h.m.record(event.Event{Number: event.WorkRowUnreadable, Pool: h.pool, Job: string(c.ID), Detail: err.Error()})
+			continue
+		}
+		h.board.Overtaken(c.ID, p, row.Version)
+	}
+}
--- /dev/null
+++ b/io/runner/contacts.go
@@ -0,0 +1,120 @@
+package runner
+
+import (
+	"errors"
+	"fmt"
+	"time"
+
+	"siskincross/core/event"
+	"siskincross/core/work"
+	"siskincross/io/platform"
+)
+
+const (
+	// renewWait is how long a worker may hold its answer back until a task ends. Leases are
+	// renewed at least as often.
+	renewWait = 1000 * time.Millisecond
+	// renewGap is the least time between two renewals, so that ends come in groups.
+	renewGap = 25 * time.Millisecond
+	// missedGap is the pause after a renewal without an answer.
+	missedGap = 150 * time.Millisecond
+)
+
+// keepContact renews the leases on a worker and takes in its ends, until the board forgets its life.
+func (h *holder) keepContact(life work.Life) {
+	defer func() {
+		h.mu.Lock()
+		delete(h.contacts, life)
+		h.mu.Unlock()
+	}()
+	silent := false
+	for h.ctx.Err() == nil {
+		h.mu.Lock()
+		renewal, ok := h.board.Renew(life, renewWait, time.Now())
+		h.mu.Unlock()
+		if !ok {
+			return
+		}
+		report, err := h.m.Executors.Renew(h.ctx, renewal)
+		if h.ctx.Err() != nil || !h.takeReport(life, renewal, report, err) {
+			return
+		}
+		if silent != (err != nil) {
+			silent = err != nil
+			h.tellSilence(life, err)
+		}
+		gap := renewGap
+		if err != nil {
+			gap = missedGap
+		}
+		if !sleep(h.ctx, gap) {
+			return
+		}
+	}
+}
+
+func (h *holder) tellSilence(life work.Life, err error) {
+	number, detail := event.WorkerHeard, ""
+	if err != nil {
+		number, detail = event.WorkerSilent, err.Error()
+	}
+	h.m.record(event.Event{Number: number, Pool: h.pool, Host: life.Worker, Detail: detail})
+}
+
+// takeReport gives the board a worker's answer. It reports false if there is nothing more to renew.
+func (h *holder) takeReport(life work.Life, renewal work.Renewal, report work.Report, err error) bool {
+	var stale platform.ErrStaleEpoch
+	var over platform.ErrLifeOver
+	defer h.wake()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	switch {
+	case err == nil:
+		h.board.Report(life, renewal.Sequence, report, time.Now())
+	case errors.As(err, &stale):
+		h.lose(err.Error())
+		return false
+	case errors.As(err, &over):
+		h.m.record(event.Event{Number: event.WorkerLost, Pool: h.pool, Host: life.Worker, Detail: err.Error()})
+		if over.Born != 0 {
+			h.board.Reborn(life, over.Born)
+		} else {
+			h.board.Gone(life)
+		}
+	default:
+		h.board.Missed(life)
+	}
+	return true
+}
+
+// send carries out one order and tells the board its outcome.
+func (h *holder) send(o work.Order) {
+	answer := h.m.Executors.Send(h.ctx, o)
+	h.tellOrder(o, answer)
+	h.mu.Lock()
+	ours := h.board.Answered(o, answer, time.Now())
+	h.mu.Unlock()
+	if !ours {
+		h.lose("worker " + o.Life.Worker + " has seen a higher epoch")
+		return
+	}
+	h.wake()
+}
+
+func (h *holder) tellOrder(o work.Order, a work.Answer) {
+	number := event.WorkStarted
+	switch {
+	case o.Kind == work.OrderStop:
+		number = event.WorkRunStopped
+	case o.Kind == work.OrderPace:
+		return
+	case a.Verdict == work.VerdictUnknown:
+		number = event.WorkStartUnsure
+	case a.Verdict != work.VerdictOK:
+		number = event.WorkStartRefused
+	}
+	h.m.record(event.Event{
+		Number: number, Pool: h.pool, Host: o.Life.Worker, Job: string(o.Run.Task.Job),
+		Detail: fmt.Sprintf("%s: %s", o.Run, a.Verdict),
+	})
+}
--- /dev/null
+++ b/io/runner/holder.go
@@ -0,0 +1,362 @@
+package runner
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strings"
+	"sync"
+	"time"
+
+	"siskincross/core/event"
+	"siskincross/core/work"
+	"siskincross/io/platform"
+)
+
+const (
+	// stepGap is the least time between two rounds of decisions, so that what happens together is decided together.
+	stepGap = 4 * time.Millisecond
+	// stepEvery is the longest time between two rounds.
+	stepEvery = 100 * time.Millisecond
+)
+
+// holder carries out the decisions about one pool while this process holds its duty.
+type holder struct {
+	m     *Manager
+	pool  string
+	epoch uint64
+
+	ctx    context.Context
+	cancel context.CancelFunc
+	// done is closed once everything of this holder has ended.
+	done  chan struct{}
+	woken chan struct{}
+	group sync.WaitGroup
+
+	// mu guards the board and the fields below.
+	mu    sync.Mutex
+	board *work.Board
+	// ready is true once the stored jobs and the workers were read.
+	ready    bool
+	contacts map[work.Life]bool
+	// roster holds the lives that the stored roster has.
+	roster     map[work.Life]bool
+	committing bool
+	// changedAt is when the oldest change that waits for its commit came up.
+	changedAt time.Time
+	pending   map[string]int
+	pendingAt time.Time
+	retryAt   time.Time
+	failures  int
+	// floor is the version of our last commit: older readings are stale.
+	floor uint64
+}
+
+func newHolder(m *Manager, pool string, epoch uint64, term int) *holder {
+	return &holder{
+		m: m, pool: pool, epoch: epoch,
+		done: make(chan struct{}), woken: make(chan struct{}, 1),
+		floor:    epoch,
+		board:    &work.Board{Pool: pool, Epoch: epoch, Term: term, Policy: m.Policy},
+		contacts: make(map[work.Life]bool), roster: make(map[work.Life]bool),
+	}
+}
+
+func (h *holder) start(ctx context.Context) {
+	h.ctx, h.cancel = context.WithCancel(ctx)
+	go func() {
+		defer close(h.done)
+		defer h.group.Wait()
+		defer h.cancel()
+		if h.takeOver() {
+			h.run()
+		}
+	}()
+}
+
+// lose ends the duty.
+func (h *holder) lose(reason string) {
+	if h.ctx.Err() == nil {
+		h.m.record(event.Event{Number: event.WorkDutyLost, Pool: h.pool, Detail: fmt.Sprintf("epoch %d: %s", h.epoch, reason)})
+	}
+	h.cancel()
+}
+
+func (h *holder) wake() {
+	select {
+	case h.woken <- struct{}{}:
+	default:
+	}
+}
+
+// takeOver reads what is stored of the pool until it succeeds. It reports false if the duty ended.
+func (h *holder) takeOver() bool {
+	var retry backoff
+	for {
+		version, err := h.load()
+		if err == nil {
+			h.m.record(event.Event{Number: event.WorkDutyTaken, Pool: h.pool, Detail: fmt.Sprintf(
+				"epoch %d, term %d, %d workers on the roster", h.epoch, h.board.Term, len(h.roster))})
+			h.group.Go(func() { h.followQueue(version) })
+			return true
+		}
+		h.m.record(event.Event{Number: event.WorkDutyFailed, Pool: h.pool, Detail: "read the pool's rows: " + err.Error()})
+		if !retry.pause(h.ctx) {
+			return false
+		}
+	}
+}
+
+// load reads the roster, the jobs and their progress. Earlier holders are fenced already.
+func (h *holder) load() (uint64, error) {
+	specs, version, err := h.readPart(h.ctx, queueTable(h.pool))
+	if err != nil {
+		return 0, err
+	}
+	progress, _, err := h.readPart(h.ctx, jobTable)
+	if err != nil {
+		return 0, err
+	}
+	stored := make(map[string]platform.PartRow, len(progress))
+	for _, row := range progress {
+		stored[row.Key] = row
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, row := range specs {
+		if row.Key == rosterKey {
+			h.expect(row)
+		}
+	}
+	for _, row := range specs {
+		if p, ok := stored[row.Key]; ok {
+			h.add(row, p.Value, p.Version, true)
+		}
+	}
+	h.ready = true
+	return version, nil
+}
+
+// errStaleRead is returned for rows that are older than a commit of this holder.
+var errStaleRead = errors.New("the store answered with rows older than our last commit")
+
+// readPart reads the pool's rows of a table, as of our last commit or later.
+func (h *holder) readPart(ctx context.Context, table string) ([]platform.PartRow, uint64, error) {
+	h.mu.Lock()
+	floor := h.floor
+	h.mu.Unlock()
+	rows, version, err := h.m.Rows.ReadAll(ctx, platform.Range{Table: table, Part: h.pool, Purpose: "takeover"})
+	if err == nil && version < floor {
+		err = errStaleRead
+	}
+	return rows, version, err
+}
+
+// expect takes in the roster of the earlier holder.
+func (h *holder) expect(row platform.PartRow) {
+	var roster rosterRow
+	if err := json.Unmarshal(row.Value, &roster); err != nil {
+		h.m.record(event.Event{Number: event.WorkRowUnreadable, Pool: h.pool, Detail: ErrRow{row.RowKey, err}.Error()})
+		return
+	}
+	for _, l := range roster.Lives {
+		life := work.Life{Worker: l.Worker, Born: l.Born}
+		h.roster[life] = true
+		h.board.Expect(life, time.Now())
+	}
+}
+
+// add gives a stored job to the board. A nil progress is that of a job that was just accepted.
+func (h *holder) add(row platform.PartRow, progress []byte, version uint64, earlier bool) {
+	job, err := decodeSpec(row)
+	p := work.Progress{}
+	if err == nil && progress != nil {
+		p, err = work.DecodeProgress(job.ID, progress)
+	}
+	if err != nil {
+		h.m.record(event.Event{Number: event.WorkRowUnreadable, Pool: h.pool, Job: row.Key, Detail: err.Error()})
+		return
+	}
+	h.board.Add(job, p, version, earlier)
+}
+
+// followQueue hears of new and cancelled jobs.
+func (h *holder) followQueue(version uint64) {
+	h.m.follow(h.ctx, follower{
+		table: queueTable(h.pool), wait: followWait, gather: queueGather, take: h.takeQueue,
+		read: func(ctx context.Context) (uint64, error) {
+			if version != 0 {
+				first := version
+				version = 0
+				return first, nil
+			}
+			return h.readQueue(ctx)
+		},
+	})
+}
+
+// queueGather is the least time between two answers about new jobs: a few milliseconds of
+// waiting save most calls of the store under load.
+const queueGather = 10 * time.Millisecond
+
+// readQueue reads the pool's jobs anew after the store forgot its history.
+func (h *holder) readQueue(ctx context.Context) (uint64, error) {
+	rows, version, err := h.readPart(ctx, queueTable(h.pool))
+	if err != nil {
+		return 0, err
+	}
+	present := make(map[work.ID]bool, len(rows))
+	for _, row := range rows {
+		present[work.ID(row.Key)] = true
+	}
+	h.mu.Lock()
+	for _, id := range h.board.JobsBefore(version) {
+		if !present[id] {
+			h.board.Cancel(id)
+		}
+	}
+	h.mu.Unlock()
+	h.takeQueue(rows)
+	return version, nil
+}
+
+func (h *holder) takeQueue(rows []platform.PartRow) {
+	h.mu.Lock()
+	for _, row := range rows {
+		switch {
+		case row.Part != h.pool:
+		case row.Key == fenceKey && row.Version > h.epoch:
+			h.lose("another member wrote the fence")
+		case strings.HasPrefix(row.Key, markPrefix):
+		case row.Deleted:
+			h.board.Cancel(work.ID(row.Key))
+		default:
+			h.add(row, nil, row.Version, row.Version < h.epoch)
+		}
+	}
+	h.mu.Unlock()
+	h.wake()
+}
+
+// run decides in rounds until the duty ends.
+func (h *holder) run() {
+	timer := time.NewTimer(stepEvery)
+	defer timer.Stop()
+	for {
+		_, _, changed := h.m.workers.pool(h.pool)
+		h.step()
+		if !sleep(h.ctx, stepGap) {
+			return
+		}
+		timer.Reset(stepEvery)
+		select {
+		case <-h.ctx.Done():
+			return
+		case <-h.woken:
+		case <-changed:
+		case <-timer.C:
+		}
+	}
+}
+
+// step is one round: take in the workers, decide, send and store what follows.
+func (h *holder) step() {
+	now := time.Now()
+	h.takeWorkers(now)
+	h.mu.Lock()
+	orders := h.board.Orders(now, now)
+	for _, life := range h.board.Contacts() {
+		if !h.contacts[life] {
+			h.contacts[life] = true
+			h.group.Go(func() { h.keepContact(life) })
+		}
+	}
+	h.mu.Unlock()
+	for _, o := range orders {
+		h.group.Go(func() { h.send(o) })
+	}
+	h.store(now)
+}
+
+// takeWorkers gives the board the workers of the directory, after the roster with them is stored.
+func (h *holder) takeWorkers(now time.Time) {
+	listings, known, _ := h.m.workers.pool(h.pool)
+	if !known {
+		return
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	missing := false
+	for _, l := range listings {
+		missing = missing || !h.roster[l.Life]
+	}
+	if missing && !h.committing && !now.Before(h.retryAt) {
+		h.commitRoster(listings)
+	}
+	kept := listings[:0]
+	for _, l := range listings {
+		if h.roster[l.Life] {
+			kept = append(kept, l)
+		}
+	}
+	h.board.List(kept, now)
+}
+
+// commitRoster stores the lives on which tasks may run from now on. The caller holds the lock.
+func (h *holder) commitRoster(listings []work.Listing) {
+	roster := make(map[work.Life]bool)
+	for _, life := range h.board.Roster() {
+		roster[life] = true
+	}
+	for _, l := range listings {
+		roster[l.Life] = true
+	}
+	var row rosterRow
+	for life := range roster {
+		row.Lives = append(row.Lives, lifeRow{Worker: life.Worker, Born: life.Born})
+	}
+	h.committing = true
+	h.group.Go(func() {
+		_, err := h.m.Rows.Commit(h.ctx, platform.Commit{
+			Expected: []platform.Expectation{h.fence()},
+			Writes:   []platform.RowWrite{{RowKey: markKey(h.pool, rosterKey), Value: encode(row)}},
+			Purpose:  "roster",
+		})
+		h.mu.Lock()
+		h.committing = false
+		if err == nil {
+			h.roster = roster
+		}
+		h.mu.Unlock()
+		h.settle(err)
+		h.wake()
+	})
+}
+
+// fence is the expectation that no other member took the duty.
+func (h *holder) fence() platform.Expectation {
+	return platform.Expectation{RowKey: markKey(h.pool, fenceKey), Version: h.epoch}
+}
+
+// settle notes how a commit ended: a failed fence ends the duty, another failure delays the next commit.
+func (h *holder) settle(err error) {
+	var overtaken platform.ErrOvertaken
+	if errors.As(err, &overtaken) {
+		if row, ok := overtaken.Find(markKey(h.pool, fenceKey)); ok && row.Version != h.epoch {
+			h.lose("another member's fence is in the store")
+		}
+		return
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if err == nil {
+		h.failures = 0
+		return
+	}
+	h.retryAt = time.Now().Add(jitter(min(firstRetry<<min(h.failures, 10), lastRetry)))
+	h.failures++
+	if h.ctx.Err() == nil {
+		h.m.record(event.Event{Number: event.WorkCommitFailed, Pool: h.pool, Detail: err.Error()})
+	}
+}
--- /dev/null
+++ b/io/runner/intake.go
@@ -0,0 +1,349 @@
+package runner
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"siskincross/core/event"
+	"siskincross/core/work"
+	"siskincross/io/platform"
+)
+
+// ErrNotAccepted is returned for a job that is not stored and never will be.
+type ErrNotAccepted struct {
+	Reason string
+	// RetryAfter is when the caller should come back.
+	RetryAfter time.Duration
+}
+
+// Error implements error.
+func (e ErrNotAccepted) Error() string { return "not accepted: " + e.Reason }
+
+// ErrUnsure is returned when it is not known whether a caller's write is stored.
+type ErrUnsure struct{ Reason string }
+
+// Error implements error.
+func (e ErrUnsure) Error() string { return "not known whether it is stored: " + e.Reason }
+
+// ErrNoJob is returned when there is no such job.
+type ErrNoJob struct{ ID work.ID }
+
+// Error implements error.
+func (e ErrNoJob) Error() string { return "there is no job " + string(e.ID) }
+
+const (
+	// jobsPerCommit keeps a transaction of callers' jobs, two rows and an expectation each, below the store's 100 entries.
+	jobsPerCommit = 30
+	// bytesPerCommit keeps it below the store's megabyte, with its encoding.
+	bytesPerCommit = 500_000
+	// storeAway is the Retry-After while the store refuses calls: its short disturbances are over by then.
+	storeAway = time.Second
+)
+
+// submission is a caller's job on its way to the store.
+type submission struct {
+	job work.Job
+	row []byte
+	// earlier holds other pools that served the queue before: a late repeat may be stored there.
+	earlier []string
+	// maybe is true once a commit with it had an unknown outcome.
+	maybe bool
+	ctx   context.Context
+	done  chan error
+}
+
+// batch collects the submissions for one pool. One commit is in flight at a time.
+type batch struct {
+	mu      sync.Mutex
+	waiting []*submission
+	running bool
+}
+
+// Submit stores a job. It returns nil once the job is stored, also if it was before, ErrNotAccepted or ErrUnsure.
+func (m *Manager) Submit(ctx context.Context, q work.Queue, job work.Job) error {
+	m.init()
+	job.Queue, job.Priority, job.Attempts = q.Key(), q.Priority, q.Attempts
+	job.Objective, job.Advice, job.Accepted = q.Objective, q.Advice, time.Now()
+	if err := job.Check(); err != nil {
+		return err
+	}
+	s := &submission{job: job, row: encode(newSpecRow(job)), ctx: ctx, done: make(chan error, 1)}
+	m.mu.Lock()
+	for _, pool := range m.former[q.Key()] {
+		if pool != q.Pool {
+			s.earlier = append(s.earlier, pool)
+		}
+	}
+	m.mu.Unlock()
+	m.enqueue(q.Pool, s)
+	select {
+	case err := <-s.done:
+		m.tellSubmit(q, job, err)
+		return err
+	case <-ctx.Done():
+		err := ErrUnsure{"the caller's time is over"}
+		m.tellSubmit(q, job, err)
+		return err
+	}
+}
+
+func (m *Manager) tellSubmit(q work.Queue, job work.Job, err error) {
+	e := event.Event{Number: event.WorkAccepted, Pool: q.Pool, Job: string(job.ID), Detail: "queue " + q.Name}
+	var refused ErrNotAccepted
+	switch {
+	case errors.As(err, &refused):
+		e.Number = event.WorkNotAccepted
+		e.Detail += ": " + refused.Reason
+	case err != nil:
+		e.Number = event.WorkUnsure
+		e.Detail += ": " + err.Error()
+	}
+	m.record(e)
+}
+
+func (m *Manager) enqueue(pool string, s *submission) {
+	m.mu.Lock()
+	b := m.batches[pool]
+	if b == nil {
+		b = &batch{}
+		m.batches[pool] = b
+	}
+	m.mu.Unlock()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.waiting = append(b.waiting, s)
+	if !b.running {
+		b.running = true
+		m.group.Go(func() { m.drain(pool, b) })
+	}
+}
+
+// drain commits what waits for a pool until nothing does.
+func (m *Manager) drain(pool string, b *batch) {
+	for {
+		b.mu.Lock()
+		group := b.next()
+		if len(group) == 0 {
+			b.running = false
+			b.mu.Unlock()
+			return
+		}
+		b.mu.Unlock()
+		m.storeGroup(pool, group)
+	}
+}
+
+// next takes the oldest submissions that fit into one transaction.
+func (b *batch) next() []*submission {
+	size, n := 0, 0
+	for n < len(b.waiting) && n < jobsPerCommit && (n == 0 || size+len(b.waiting[n].row) < bytesPerCommit) {
+		size += len(b.waiting[n].row)
+		n++
+	}
+	group := b.waiting[:n:n]
+	b.waiting = b.waiting[n:]
+	return group
+}
+
+// storeGroup commits a group until the outcome of each submission is known or its caller's time is over.
+func (m *Manager) storeGroup(pool string, group []*submission) {
+	var retry backoff
+	for len(group) > 0 {
+		_, err := m.Rows.Commit(m.ctx, acceptTransaction(pool, group))
+		var overtaken platform.ErrOvertaken
+		var unavailable platform.ErrUnavailable
+		var invalid platform.ErrInvalid
+		switch {
+		case err == nil:
+			finish(group, nil)
+			return
+		case errors.As(err, &overtaken):
+			group = dropStored(pool, group, overtaken)
+			continue
+		case errors.As(err, &unavailable), errors.As(err, &invalid):
+			group = refuseNew(group, err)
+		default:
+			for _, s := range group {
+				s.maybe = true
+			}
+		}
+		group = dropExpired(group, err)
+		if len(group) > 0 && !retry.pause(m.ctx) {
+			finish(group, ErrUnsure{"the process ends"})
+			return
+		}
+	}
+}
+
+func acceptTransaction(pool string, group []*submission) platform.Commit {
+	tx := platform.Commit{Purpose: "accept"}
+	progress, err := work.Progress{}.Encode()
+	if err != nil {
+		panic(err) // an empty progress is always encodable
+	}
+	for _, s := range group {
+		key := jobKey(pool, s.job.ID)
+		tx.Expected = append(tx.Expected, platform.Expectation{RowKey: key})
+		tx.Writes = append(tx.Writes,
+			platform.RowWrite{RowKey: key, Value: progress},
+			platform.RowWrite{RowKey: specKey(pool, s.job.ID), Value: s.row})
+	}
+	return tx
+}
+
+func finish(group []*submission, err error) {
+	for _, s := range group {
+		s.done <- err
+	}
+}
+
+// dropStored answers the submissions that were stored before, by a lost commit of ours or at another entry host.
+func dropStored(pool string, group []*submission, err platform.ErrOvertaken) []*submission {
+	kept := group[:0]
+	for _, s := range group {
+		if _, ok := err.Find(jobKey(pool, s.job.ID)); ok {
+			s.done <- nil
+			continue
+		}
+		kept = append(kept, s)
+	}
+	return kept
+}
+
+// refuseNew refuses the submissions of which no commit can have taken effect.
+func refuseNew(group []*submission, err error) []*submission {
+	kept := group[:0]
+	for _, s := range group {
+		if s.maybe {
+			kept = append(kept, s)
+			continue
+		}
+		s.done <- ErrNotAccepted{Reason: err.Error(), RetryAfter: storeAway}
+	}
+	return kept
+}
+
+// dropExpired gives up the submissions whose callers' time is over.
+func dropExpired(group []*submission, err error) []*submission {
+	kept := group[:0]
+	for _, s := range group {
+		if s.ctx.Err() != nil {
+			s.done <- ErrUnsure{err.Error()}
+			continue
+		}
+		kept = append(kept, s)
+	}
+	return kept
+}
+
+// State returns the state of a job. It returns ErrNoJob if there is none, or the error of the store.
+func (m *Manager) State(ctx context.Context, q work.Queue, id work.ID) (work.State, error) {
+	if h := m.holder(q.Pool); h != nil {
+		h.mu.Lock()
+		state, ok := h.board.State(id)
+		h.mu.Unlock()
+		if ok {
+			return state, nil
+		}
+	}
+	_, row, err := m.findJob(ctx, q, id)
+	if err != nil {
+		return 0, err
+	}
+	p, err := work.DecodeProgress(id, row.Value)
+	return p.State, err
+}
+
+// findJob returns the pool and row of a job: in the queue's pool, or in one that served it before.
+func (m *Manager) findJob(ctx context.Context, q work.Queue, id work.ID) (string, platform.PartRow, error) {
+	pools := []string{q.Pool}
+	for _, name := range m.poolNames() {
+		if name != q.Pool {
+			pools = append(pools, name)
+		}
+	}
+	for _, pool := range pools {
+		row, ok, err := m.Rows.ReadOne(ctx, jobKey(pool, id), "state")
+		if err != nil {
+			return "", row, err
+		}
+		if ok {
+			return pool, row, nil
+		}
+	}
+	return "", platform.PartRow{}, ErrNoJob{id}
+}
+
+// Cancel cancels a job. It returns nil once that is stored, or if the job is final; ErrNoJob, or ErrUnsure.
+func (m *Manager) Cancel(ctx context.Context, q work.Queue, id work.ID) error {
+	var retry backoff
+	for {
+		done, err := m.cancelOnce(ctx, q, id)
+		if done {
+			return err
+		}
+		if !retry.pause(ctx) {
+			return ErrUnsure{err.Error()}
+		}
+	}
+}
+
+func (m *Manager) cancelOnce(ctx context.Context, q work.Queue, id work.ID) (bool, error) {
+	pool, row, err := m.findJob(ctx, q, id)
+	if err != nil {
+		var none ErrNoJob
+		return errors.As(err, &none), err
+	}
+	p, err := work.DecodeProgress(id, row.Value)
+	if err != nil {
+		return true, err
+	}
+	if p.State.Final() {
+		return true, nil
+	}
+	value, err := p.WithState(work.StateCancelled).Encode()
+	if err != nil {
+		return true, err
+	}
+	_, err = m.Rows.Commit(ctx, platform.Commit{
+		Expected: []platform.Expectation{{RowKey: row.RowKey, Version: row.Version}},
+		Writes:   []platform.RowWrite{{RowKey: row.RowKey, Value: value}},
+		Removes:  []platform.RowKey{specKey(pool, id)},
+		Purpose:  "cancel",
+	})
+	if err != nil {
+		return false, err
+	}
+	m.record(event.Event{Number: event.WorkCancelled, Pool: pool, Job: string(id)})
+	if h := m.holder(pool); h != nil {
+		h.mu.Lock()
+		h.board.Cancel(id)
+		h.mu.Unlock()
+		h.wake()
+	}
+	return true, nil
+}
+
+// Pending returns how many jobs of a queue have no task started, as of a second or two ago.
+func (m *Manager) Pending(ctx context.Context, q work.Queue) (int, error) {
+	if h := m.holder(q.Pool); h != nil {
+		h.mu.Lock()
+		ready, counts := h.ready, h.board.Pending()
+		h.mu.Unlock()
+		if ready {
+			return counts[q.Key()], nil
+		}
+	}
+	key := platform.RowKey{Table: countTable, Part: q.Pool, Key: pendingKey}
+	row, ok, err := m.Rows.ReadOne(ctx, key, "pending")
+	if err != nil || !ok {
+		return 0, err
+	}
+	var counts map[string]int
+	if err := decode(row, &counts); err != nil {
+		return 0, err
+	}
+	return counts[q.Key()], nil
+}
--- /dev/null
+++ b/io/runner/manager.go
@@ -0,0 +1,151 @@
+// Package runner runs core/work: every entry host takes jobs of many tasks in,
+// and the holder of a pool's duty carries out what its board decides.
+//
+// Everything that lasts is rows in the platform's table service.
+package runner
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"siskincross/core/duty"
+	"siskincross/core/event"
+	"siskincross/core/work"
+	"siskincross/io/platform"
+	"siskincross/io/timeline"
+)
+
+// Manager is the part of an entry host that takes jobs in and runs them. Its public fields are set before Start
+// and not changed.
+type Manager struct {
+	Rows      platform.Rows
+	Executors platform.Executors
+	Directory platform.Directory
+	Machines  platform.Machines
+	Operators platform.Operators
+	// Node names the entry host, Member its incarnation: Node, a slash and the time of its start.
+	Node   string
+	Member string
+	Zone   string
+	// Policy holds the figures of the boards; zero fields have defaults.
+	Policy work.Policy
+	// Recorder takes the events; nil means none.
+	Recorder *timeline.Recorder
+	// Scope takes the metrics; nil means none.
+	Scope tally.Scope
+
+	once  sync.Once
+	scope tally.Scope
+	ctx   context.Context
+
+	mu        sync.Mutex
+	catalogue work.Catalogue
+	waves     map[string]work.Wave
+	// former holds the pools that served a queue before, by the queue's key.
+	former map[string][]string
+	// members holds the rows of the members, ledger judges them.
+	members map[string]duty.Sighting
+	ledger  duty.Ledger
+	// beaten is when our own member row was last written, followed when the fleet table was last read.
+	beaten, followed time.Time
+	// holderRows holds the holders of the pools' duties and the versions of their rows.
+	holderRows map[string]heldRow
+	holders    map[string]*holder
+	leaving    bool
+	batches    map[string]*batch
+
+	workers directory
+	group   sync.WaitGroup
+}
+
+// heldRow is a pool's holder as the store has it.
+type heldRow struct {
+	holderRow
+	version uint64
+}
+
+func (m *Manager) init() {
+	m.once.Do(func() {
+		m.scope = m.Scope
+		if m.scope == nil {
+			m.scope = tally.NoopScope
+		}
+		m.waves = make(map[string]work.Wave)
+		m.former = make(map[string][]string)
+		m.members = make(map[string]duty.Sighting)
+		m.ledger = duty.Ledger{Lease: memberLease}
+		m.holderRows = make(map[string]heldRow)
+		m.holders = make(map[string]*holder)
+		m.batches = make(map[string]*batch)
+		m.workers.changed = make(chan struct{})
+	})
+}
+
+// Start runs the loops until ctx is done. The channel receives nil once all have ended.
+func (m *Manager) Start(ctx context.Context) <-chan error {
+	m.init()
+	m.ctx = ctx
+	ended := make(chan error, 1)
+	for _, loop := range []func(context.Context){m.followOperators, m.followFleet, m.runBeats, m.runDuties, m.followWorkers} {
+		m.group.Go(func() { loop(ctx) })
+	}
+	go func() {
+		m.group.Wait()
+		ended <- nil
+	}()
+	return ended
+}
+
+// Catalogue returns the configuration in force in this process. Its version is zero before the first was read.
+func (m *Manager) Catalogue() work.Catalogue {
+	m.init()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.catalogue
+}
+
+// record notes an event.
+func (m *Manager) record(e event.Event) {
+	if m.Recorder != nil {
+		m.Recorder.Record(e)
+	}
+}
+
+// Retries of calls of the store.
+const (
+	// firstRetry is the pause after the first failed call.
+	firstRetry = 50 * time.Millisecond
+	// lastRetry bounds the pause, so that a store that is back is noticed within a second.
+	lastRetry = 800 * time.Millisecond
+)
+
+// backoff counts failures of calls of one kind. The zero value has seen none.
+type backoff struct{ failures int }
+
+// pause waits longer after each failure. It reports false if ctx ended.
+func (b *backoff) pause(ctx context.Context) bool {
+	wait := min(firstRetry<<min(b.failures, 10), lastRetry)
+	b.failures++
+	return sleep(ctx, jitter(wait))
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+// historyGone reports whether a table must be read anew.
+func historyGone(err error) bool {
+	var gone platform.ErrHistoryGone
+	return errors.As(err, &gone)
+}
--- /dev/null
+++ b/io/runner/members.go
@@ -0,0 +1,213 @@
+package runner
+
+import (
+	"context"
+	"encoding/json"
+	"strings"
+	"time"
+
+	"siskincross/core/duty"
+	"siskincross/core/event"
+	"siskincross/io/platform"
+)
+
+const (
+	// beatEvery is the time between two renewals of our member row. Three fit into memberLease.
+	beatEvery = 700 * time.Millisecond
+	// memberLease is how long a member row may stay unchanged. With a takeover it is below half of the shortest
+	// lease of tasks, so that their workers hear from the next holder in time.
+	memberLease = 2200 * time.Millisecond
+	// fleetGather is the least time between two answers about the members.
+	fleetGather = 150 * time.Millisecond
+	// settledAfter is how long a member must be live before duties are handed over to it.
+	settledAfter = 5 * time.Second
+)
+
+func (m *Manager) memberKey(member string) platform.RowKey {
+	return platform.RowKey{Table: fleetTable, Key: memberPrefix + member}
+}
+
+// runBeats renews our member row until ctx ends.
+func (m *Manager) runBeats(ctx context.Context) {
+	var beat uint64
+	var retry backoff
+	for ctx.Err() == nil {
+		beat++
+		started := time.Now()
+		if err := m.beat(ctx, beat); err != nil {
+			if !retry.pause(ctx) {
+				return
+			}
+			continue
+		}
+		retry = backoff{}
+		m.mu.Lock()
+		m.beaten = started
+		m.mu.Unlock()
+		if !sleep(ctx, beatEvery-min(beatEvery, time.Since(started))) {
+			return
+		}
+	}
+}
+
+func (m *Manager) beat(ctx context.Context, count uint64) error {
+	m.mu.Lock()
+	leaving := m.leaving
+	m.mu.Unlock()
+	if leaving {
+		return nil
+	}
+	row := duty.Member{Name: m.Member, Zone: m.Zone, Beat: count}
+	_, err := m.Rows.Commit(ctx, platform.Commit{
+		Writes: []platform.RowWrite{{RowKey: m.memberKey(m.Member), Value: encode(row)}}, Purpose: "heartbeat",
+	})
+	return err
+}
+
+// followFleet keeps the members and the holders of the duties up to date.
+func (m *Manager) followFleet(ctx context.Context) {
+	m.follow(ctx, follower{
+		table: fleetTable, wait: followWait, gather: fleetGather, take: m.takeFleet, read: m.readFleet,
+		heard: func() {
+			m.mu.Lock()
+			m.followed = time.Now()
+			m.mu.Unlock()
+		},
+	})
+}
+
+// readFleet reads the members, and the holder of each pool.
+func (m *Manager) readFleet(ctx context.Context) (uint64, error) {
+	rows, version, err := m.Rows.ReadAll(ctx, platform.Range{Table: fleetTable, Purpose: "members"})
+	if err != nil {
+		return 0, err
+	}
+	parts, err := m.Rows.Parts(ctx, fleetTable)
+	if err != nil {
+		return 0, err
+	}
+	for _, part := range parts {
+		if part == "" {
+			continue
+		}
+		row, ok, err := m.Rows.ReadOne(ctx, platform.RowKey{Table: fleetTable, Part: part, Key: holderKey}, "holders")
+		if err != nil {
+			return 0, err
+		}
+		if ok {
+			rows = append(rows, row)
+		}
+	}
+	m.forgetMembers(rows)
+	m.takeFleet(rows)
+	return version, nil
+}
+
+// forgetMembers drops the members that a whole reading of the table does not have.
+func (m *Manager) forgetMembers(rows []platform.PartRow) {
+	present := make(map[string]bool, len(rows))
+	for _, row := range rows {
+		present[strings.TrimPrefix(row.Key, memberPrefix)] = true
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for name := range m.members {
+		if !present[name] {
+			delete(m.members, name)
+		}
+	}
+}
+
+func (m *Manager) takeFleet(rows []platform.PartRow) {
+	for _, row := range rows {
+		if row.Part != "" {
+			m.takeHolder(row)
+			continue
+		}
+		m.takeMember(row)
+	}
+}
+
+func (m *Manager) takeMember(row platform.PartRow) {
+	name := strings.TrimPrefix(row.Key, memberPrefix)
+	m.mu.Lock()
+	_, known := m.members[name]
+	if row.Deleted {
+		delete(m.members, name)
+		m.mu.Unlock()
+		if known {
+			m.record(event.Event{Number: event.MemberGone, Detail: name + " removed its row"})
+		}
+		return
+	}
+	var member duty.Member
+	err := json.Unmarshal(row.Value, &member)
+	if err == nil {
+		m.members[name] = duty.Sighting{Member: member, Version: row.Version}
+	}
+	m.mu.Unlock()
+	if err != nil {
+		m.record(event.Event{Number: event.WorkRowUnreadable, Detail: ErrRow{row.RowKey, err}.Error()})
+		return
+	}
+	if !known {
+		m.record(event.Event{Number: event.MemberAppeared, Detail: name + " in " + member.Zone})
+		m.buryPredecessor(name)
+	}
+}
+
+// buryPredecessor removes our own earlier incarnation: it has ended, since we run in its place.
+func (m *Manager) buryPredecessor(name string) {
+	node, _, _ := strings.Cut(name, "/")
+	if node != m.Node || name == m.Member {
+		return
+	}
+	m.group.Go(func() {
+		_, err := m.Rows.Commit(m.ctx, platform.Commit{Removes: []platform.RowKey{m.memberKey(name)}, Purpose: "heartbeat"})
+		if err != nil {
+			m.record(event.Event{Number: event.WorkDutyFailed, Detail: "remove the member row of " + name + ": " + err.Error()})
+		}
+	})
+}
+
+func (m *Manager) takeHolder(row platform.PartRow) {
+	if row.Key != holderKey || row.Deleted {
+		return
+	}
+	var held heldRow
+	if err := json.Unmarshal(row.Value, &held.holderRow); err != nil {
+		m.record(event.Event{Number: event.WorkRowUnreadable, Detail: ErrRow{row.RowKey, err}.Error()})
+		return
+	}
+	held.version = row.Version
+	m.mu.Lock()
+	if held.version > m.holderRows[row.Part].version {
+		m.holderRows[row.Part] = held
+	}
+	m.mu.Unlock()
+}
+
+// judge gives the ledger the time since the last look, if we could read and write the store meanwhile.
+// It returns the live members and those that have been live for some time.
+func (m *Manager) judge(elapsed time.Duration, now time.Time) (live, settled []string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	rows := make([]duty.Sighting, 0, len(m.members))
+	for _, s := range m.members {
+		rows = append(rows, s)
+	}
+	connected := now.Sub(m.beaten) < memberLease && now.Sub(m.followed) < memberLease
+	if !connected {
+		elapsed = 0
+	}
+	before := m.ledger.Lapsed()
+	m.ledger = m.ledger.WithPoll(rows, elapsed)
+	after := m.ledger.Lapsed()
+	if len(after) > len(before) {
+		m.record(event.Event{Number: event.MemberGone, Detail: "lapsed: " + strings.Join(after, ", ")})
+	}
+	if !connected {
+		return nil, nil
+	}
+	return m.ledger.Live(), m.ledger.Settled(settledAfter)
+}
