Move hosts between pools by need and carry out maintenance waves

Change: a duty for hosts, with one holder for all of them. Pools' holders say how many workers they miss and which are cleared; the plan names the workers to clear for maintenance. Orders follow a fenced commit of the plan.

--- /dev/null
+++ b/core/capacity/planner.go
@@ -0,0 +1,259 @@
+package capacity
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"siskincross/core/work"
+)
+
+// Policy holds the figures that decide. Zero fields have the values of withDefaults.
+type Policy struct {
+	// MoveTime and MaintenanceTime are how long a host is away.
+	MoveTime        time.Duration
+	MaintenanceTime time.Duration
+}
+
+const (
+	// defaultAway is the platform's usual time for a move or a maintenance.
+	defaultAway = 2 * time.Second
+	// joinTime is how long a host that is up again may take to appear in the directory of workers.
+	joinTime = time.Second
+	// retryAfter is the time between two tries of an order.
+	retryAfter = 400 * time.Millisecond
+	// waveHaste is the part of a wave's time in which it should be over, so that a disruption near its end delays none.
+	waveHaste = 0.7
+	// withdrawnShare is the part of a busy pool's workers that may be withdrawn for maintenance at once.
+	withdrawnShare = 0.2
+)
+
+func (p Policy) withDefaults() Policy {
+	p.MoveTime = cmp.Or(p.MoveTime, defaultAway)
+	p.MaintenanceTime = cmp.Or(p.MaintenanceTime, defaultAway)
+	return p
+}
+
+// Planner plans for all hosts. Its owner calls it from one goroutine. A zero Planner works.
+type Planner struct {
+	Policy Policy
+
+	machines map[string]*machine
+	byWorker map[string]*machine
+	needs    map[string]Need
+	pools    map[string]work.Pool
+	waves    []*wave
+	// impossible holds the moves that the platform said can't be, by a host's kind and pool.
+	impossible map[[2]string]bool
+}
+
+// machine is a host with what was ordered of it.
+type machine struct {
+	Machine
+	// order is the last order that may not be over yet, if ordered is true.
+	order   Order
+	ordered bool
+	at      time.Time
+	// confirmed is true once the platform said that the order was carried out.
+	confirmed bool
+	// retry is when the host may get its next order.
+	retry time.Time
+	// worker is the host's worker when the order was given.
+	worker string
+}
+
+// wave is a maintenance wave with its progress.
+type wave struct {
+	work.Wave
+	began time.Time
+	done  map[string]bool
+	// withdrawn holds the hosts whose workers are to be cleared.
+	withdrawn map[string]bool
+}
+
+// Plan is what to do now.
+type Plan struct {
+	// Withdraw holds the workers that their pools are asked to clear.
+	Withdraw []string
+	Orders   []Order
+	// Completed holds the names of the waves of which every host has begun its maintenance.
+	Completed []string
+}
+
+func (p *Planner) init() {
+	if p.machines == nil {
+		p.machines = make(map[string]*machine)
+		p.needs = make(map[string]Need)
+		p.impossible = make(map[[2]string]bool)
+	}
+}
+
+// SetPools replaces the pools of the configuration.
+func (p *Planner) SetPools(pools map[string]work.Pool) { p.pools = pools }
+
+// SetNeed takes in what a pool's duty holder says.
+func (p *Planner) SetNeed(pool string, n Need) {
+	p.init()
+	p.needs[pool] = n
+}
+
+// AddWave takes in a wave, of which some hosts may have been maintained under an earlier holder.
+func (p *Planner) AddWave(w work.Wave, done []string, now time.Time) {
+	p.init()
+	for _, known := range p.waves {
+		if known.Name == w.Name {
+			return
+		}
+	}
+	next := &wave{Wave: w, began: now, done: make(map[string]bool), withdrawn: make(map[string]bool)}
+	for _, host := range done {
+		next.done[host] = true
+	}
+	p.waves = append(p.waves, next)
+}
+
+// Done returns the hosts of a wave that have begun their maintenance.
+func (p *Planner) Done(name string) []string {
+	for _, w := range p.waves {
+		if w.Name == name {
+			return slices.Sorted(maps.Keys(w.done))
+		}
+	}
+	return nil
+}
+
+// SetMachines replaces the list of hosts.
+func (p *Planner) SetMachines(list []Machine, now time.Time) {
+	p.init()
+	present := make(map[string]bool, len(list))
+	p.byWorker = make(map[string]*machine, len(list))
+	for _, m := range list {
+		present[m.Host] = true
+		known := p.machines[m.Host]
+		if known == nil {
+			known = &machine{}
+			p.machines[m.Host] = known
+		}
+		known.Machine = m
+		if m.Worker != "" {
+			p.byWorker[m.Worker] = known
+		}
+		known.settle(p.Policy.withDefaults(), now)
+	}
+	for host := range p.machines {
+		if !present[host] {
+			delete(p.machines, host)
+		}
+	}
+}
+
+// settle ends an order whose host is back.
+func (m *machine) settle(policy Policy, now time.Time) {
+	if !m.ordered || !m.confirmed || m.State != StateUp {
+		return
+	}
+	away := policy.MoveTime
+	if m.order.Kind == KindMaintain {
+		away = policy.MaintenanceTime
+	}
+	if now.Sub(m.at) < away || (m.Worker != "" && m.Worker == m.worker) {
+		return
+	}
+	if now.Sub(m.at) >= away+joinTime || m.Worker != "" {
+		m.ordered = false
+	}
+}
+
+// Plan decides. Orders that it returns count as given.
+func (p *Planner) Plan(now time.Time) Plan {
+	p.init()
+	var plan Plan
+	for _, w := range p.waves {
+		p.planWave(w, &plan, now)
+	}
+	p.planMoves(&plan, now)
+	p.retryOrders(&plan, now)
+	slices.Sort(plan.Withdraw)
+	return plan
+}
+
+func (p *Planner) hosts() []*machine {
+	return slices.SortedFunc(maps.Values(p.machines), func(a, b *machine) int { return cmp.Compare(a.Host, b.Host) })
+}
+
+// free reports whether a host can get an order.
+func (m *machine) free(now time.Time) bool {
+	return !m.ordered && m.State == StateUp && !now.Before(m.retry)
+}
+
+func (p *Planner) give(m *machine, o Order, plan *Plan, now time.Time) {
+	m.order, m.ordered, m.confirmed, m.at, m.worker = o, true, false, now, m.Worker
+	m.retry = now.Add(retryAfter)
+	plan.Orders = append(plan.Orders, o)
+}
+
+// Ended takes in how an order ended.
+func (p *Planner) Ended(o Order, outcome Outcome, now time.Time) {
+	m := p.machines[o.Host]
+	if m == nil || !m.ordered || m.order != o {
+		return
+	}
+	m.retry = now.Add(retryAfter)
+	switch outcome {
+	case OutcomeDone:
+		m.confirmed = true
+		m.at = now
+		p.began(o)
+	case OutcomeRefused:
+		m.ordered = false
+	case OutcomeImpossible:
+		m.ordered = false
+		if o.Kind == KindMove {
+			p.impossible[[2]string{m.kind(), o.Pool}] = true
+		} else {
+			p.began(o)
+		}
+	}
+}
+
+// began notes that a host's maintenance began, or never will.
+func (p *Planner) began(o Order) {
+	if o.Kind != KindMaintain {
+		return
+	}
+	for _, w := range p.waves {
+		if w.Number == o.Wave {
+			w.done[o.Host] = true
+			delete(w.withdrawn, o.Host)
+		}
+	}
+}
+
+// kind is the label that tells hosts of different kinds apart.
+func (m *machine) kind() string {
+	if len(m.Labels) == 0 {
+		return ""
+	}
+	return m.Labels[0]
+}
+
+// retryOrders repeats the orders whose answers were lost.
+func (p *Planner) retryOrders(plan *Plan, now time.Time) {
+	for _, m := range p.hosts() {
+		if m.ordered && !m.confirmed && !now.Before(m.retry) {
+			m.retry = now.Add(retryAfter)
+			plan.Orders = append(plan.Orders, m.order)
+		}
+	}
+}
+
+// Busy reports whether any order is not over yet.
+func (p *Planner) Busy() bool {
+	for _, m := range p.machines {
+		if m.ordered {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/core/capacity/wave.go
@@ -0,0 +1,108 @@
+package capacity
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// planWave orders the maintenance of cleared hosts and withdraws the next ones.
+func (p *Planner) planWave(w *wave, plan *Plan, now time.Time) {
+	var left []*machine
+	away := 0
+	for _, host := range w.Hosts {
+		m := p.machines[host]
+		switch {
+		case m != nil && m.ordered && m.order.Kind == KindMaintain && m.order.Wave == w.Number:
+			away++
+		case w.done[host]:
+		case m == nil: // it was taken away
+		default:
+			left = append(left, m)
+		}
+	}
+	if len(left) == 0 && (away == 0 || p.allBegan(w)) && len(p.machines) > 0 {
+		plan.Completed = append(plan.Completed, w.Name)
+		return
+	}
+	for _, m := range left {
+		if away < w.AtOnce && m.free(now) && p.cleared(m) {
+			p.give(m, Order{Kind: KindMaintain, Host: m.Host, Wave: w.Number}, plan, now)
+			away++
+		}
+	}
+	p.withdraw(w, left, away, plan, now)
+}
+
+// allBegan reports whether every host that stays has begun its maintenance.
+func (p *Planner) allBegan(w *wave) bool {
+	for _, host := range w.Hosts {
+		if p.machines[host] != nil && !w.done[host] {
+			return false
+		}
+	}
+	return true
+}
+
+// cleared reports whether an order for the host ends no work.
+func (p *Planner) cleared(m *machine) bool {
+	if p.pools[m.Pool].Standby || m.Worker == "" {
+		return true
+	}
+	return slices.Contains(p.needs[m.Pool].Cleared, m.Worker)
+}
+
+// withdraw asks pools to clear the workers of the next hosts: as many as the wave allows at once, from pools
+// that can do without them first.
+func (p *Planner) withdraw(w *wave, left []*machine, away int, plan *Plan, now time.Time) {
+	open := make(map[string]int)
+	size := make(map[string]int)
+	for _, m := range p.machines {
+		size[m.Pool]++
+	}
+	asked := 0
+	for _, m := range left {
+		if w.withdrawn[m.Host] && !m.ordered {
+			asked++
+			open[m.Pool]++
+		}
+	}
+	for _, m := range p.hosts() {
+		if m.ordered {
+			open[m.Pool]++
+		}
+	}
+	slices.SortStableFunc(left, func(a, b *machine) int {
+		return cmp.Or(cmp.Compare(p.strain(a), p.strain(b)), cmp.Compare(open[a.Pool], open[b.Pool]))
+	})
+	late := now.Sub(w.began) > time.Duration(float64(w.Within)*waveHaste)
+	for _, m := range left {
+		if w.withdrawn[m.Host] || m.ordered || away+asked >= w.AtOnce || p.pools[m.Pool].Standby {
+			continue
+		}
+		limit := max(1, int(withdrawnShare*float64(size[m.Pool])), p.needs[m.Pool].Spare)
+		if !late && open[m.Pool] >= limit {
+			continue
+		}
+		w.withdrawn[m.Host] = true
+		asked++
+		open[m.Pool]++
+	}
+	for _, m := range left {
+		if w.withdrawn[m.Host] && m.Worker != "" && !m.ordered {
+			plan.Withdraw = append(plan.Withdraw, m.Worker)
+		}
+	}
+}
+
+// strain orders hosts by how much their pools miss them.
+func (p *Planner) strain(m *machine) int {
+	n := p.needs[m.Pool]
+	switch {
+	case n.Spare > 0:
+		return 0
+	case n.Ask == 0:
+		return 1
+	}
+	return 2
+}
--- a/core/work/board.go
+++ b/core/work/board.go
@@ -57,6 +57,11 @@
 	dirty []*job
 	// wanted holds the runs that must be stopped.
 	unwanted map[*run]bool
+	// durations holds what is learnt of tasks, by queue.
+	durations map[string]*durations
+	arriving  arrivals
+	// spareSince is since when the pool has had more workers than it needs.
+	spareSince time.Time
 }
 
 func (b *Board) init() {
@@ -69,6 +74,7 @@
 	b.workers = make(map[Life]*worker)
 	b.unseen = make(map[Life]time.Time)
 	b.unwanted = make(map[*run]bool)
+	b.durations = make(map[string]*durations)
 }
 
 // Expect names a life on which an earlier holder may have started tasks. Jobs that are added before
@@ -119,7 +125,7 @@
 
 // Add takes a job in. Version is that of its stored progress. Earlier tells that it was
 // accepted before this board's epoch, so that an earlier holder may have started it.
-func (b *Board) Add(spec Job, p Progress, version uint64, earlier bool) {
+func (b *Board) Add(spec Job, p Progress, version uint64, earlier bool, now time.Time) {
 	b.init()
 	if b.jobs[spec.ID] != nil || p.State.Final() {
 		return
@@ -134,6 +140,9 @@
 		j.timed = true
 		b.timed++
 	}
+	if !earlier {
+		b.arrive(j, now)
+	}
 	b.openSteps(j, time.Time{})
 }
 
--- /dev/null
+++ b/core/work/load.go
@@ -0,0 +1,174 @@
+package work
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	// rateBucket and rateBuckets are the window over which the rate of arriving work is measured:
+	// short enough to see a turn of demand begin, long enough to see through single jobs.
+	rateBucket  = 250 * time.Millisecond
+	rateBuckets = 4
+	// burnTime is the time in which a backlog should be worked off.
+	burnTime = 1200 * time.Millisecond
+	// growAt and shrinkAt are the shares of the pool's capacity that expected work may take before more
+	// workers are asked for, and below which some are spare.
+	growAt   = 0.85
+	shrinkAt = 0.60
+	// spareAfter is how long workers must have been spare before they are offered.
+	spareAfter = 900 * time.Millisecond
+	// silentMisses is how many calls in a row must go unanswered before a worker counts as lost to its pool.
+	silentMisses = 2
+	// keepWorkers is the least number of workers of a pool: a lost rack or a step wider than one worker leaves it able to work.
+	keepWorkers = 3
+)
+
+// Load is what a pool does with its workers.
+type Load struct {
+	// Ask is how many more workers it could use, Spare how many it can do without.
+	Ask   int
+	Spare int
+	// Offer holds the spare workers that are best given up.
+	Offer []string
+}
+
+// arrivals measures the rate of arriving work in core-seconds a second.
+type arrivals struct {
+	buckets [rateBuckets]float64
+	at      int64
+}
+
+func (a *arrivals) roll(now time.Time) {
+	tick := now.UnixMilli() / rateBucket.Milliseconds()
+	for a.at < tick {
+		a.at++
+		if tick-a.at > rateBuckets {
+			a.at = tick - rateBuckets
+		}
+		a.buckets[a.at%rateBuckets] = 0
+	}
+}
+
+func (a *arrivals) add(work float64, now time.Time) {
+	a.roll(now)
+	a.buckets[a.at%rateBuckets] += work
+}
+
+func (a *arrivals) rate(now time.Time) float64 {
+	a.roll(now)
+	sum := 0.0
+	for _, b := range a.buckets {
+		sum += b
+	}
+	return sum / (rateBuckets * rateBucket.Seconds())
+}
+
+// coreSeconds is the work that is expected of a number of tasks of a step.
+func (b *Board) coreSeconds(j *job, s *Step, tasks int) float64 {
+	if s.Filling || s.Lasting {
+		return 0
+	}
+	return float64(tasks) * float64(s.Demand.MilliCores) / 1000 * b.learnt(j.Queue).expect(s).Seconds()
+}
+
+func (b *Board) learnt(queue string) *durations {
+	d := b.durations[queue]
+	if d == nil {
+		d = &durations{}
+		b.durations[queue] = d
+	}
+	return d
+}
+
+// arrive counts the work of a new job.
+func (b *Board) arrive(j *job, now time.Time) {
+	for i := range j.Steps {
+		b.arriving.add(b.coreSeconds(j, &j.Steps[i], j.Steps[i].Tasks), now)
+	}
+}
+
+// expected returns the cores that the pool needs: those of lasting tasks, those for the work that
+// arrives, and those that work the backlog off in time.
+func (b *Board) expected(now time.Time) float64 {
+	lasting, backlog := 0.0, 0.0
+	for _, g := range b.groups {
+		s := g.spec()
+		if s.Lasting && !s.Filling {
+			lasting += float64(g.left) * float64(s.Demand.MilliCores) / 1000
+			continue
+		}
+		backlog += b.coreSeconds(g.job, s, g.left)
+	}
+	return lasting + math.Max(b.arriving.rate(now), backlog/burnTime.Seconds())
+}
+
+// Load tells what the pool does with its workers.
+func (b *Board) Load(now time.Time) Load {
+	b.init()
+	var usable []*worker
+	cores := 0.0
+	for _, w := range b.order {
+		if w.listed && w.answered && !w.Draining && !w.withdrawn && w.misses < silentMisses {
+			usable = append(usable, w)
+			cores += float64(w.Capacity.MilliCores) / 1000
+		}
+	}
+	if len(usable) == 0 {
+		if len(b.groups) > 0 {
+			return Load{Ask: keepWorkers}
+		}
+		return Load{}
+	}
+	each := cores / float64(len(usable))
+	need := b.expected(now)
+	var load Load
+	if need > cores*growAt {
+		load.Ask = int(math.Ceil((need/growAt - cores) / each))
+	}
+	load.Ask = max(load.Ask, keepWorkers-len(usable))
+	keep := max(keepWorkers, int(math.Ceil(need/shrinkAt/each)))
+	if len(usable) <= keep {
+		b.spareSince = time.Time{}
+		return load
+	}
+	if b.spareSince.IsZero() {
+		b.spareSince = now
+	}
+	if now.Sub(b.spareSince) < spareAfter {
+		return load
+	}
+	load.Spare = len(usable) - keep
+	load.Offer = cheapest(usable, load.Spare)
+	return load
+}
+
+// cheapest returns the n workers whose loss disturbs least: those that run nothing, then those with the least work to move.
+func cheapest(workers []*worker, n int) []string {
+	sorted := slices.Clone(workers)
+	slices.SortStableFunc(sorted, func(a, c *worker) int {
+		return cmp.Or(
+			cmp.Compare(a.lasting(), c.lasting()),
+			cmp.Compare(a.used.MilliCores, c.used.MilliCores),
+			cmp.Compare(a.Life.Worker, c.Life.Worker),
+		)
+	})
+	ids := make([]string, 0, n)
+	for _, w := range sorted[:n] {
+		ids = append(ids, w.Life.Worker)
+	}
+	return ids
+}
+
+// lasting counts the lasting tasks on the worker.
+func (w *worker) lasting() int {
+	n := 0
+	for _, r := range w.runs {
+		if r.task != nil && r.task.group.spec().Lasting {
+			n++
+		}
+	}
+	return n
+}
--- a/core/work/model_test.go
+++ b/core/work/model_test.go
@@ -489,7 +489,7 @@
 	}
 	for _, id := range slices.Sorted(maps.Keys(m.jobs)) {
 		s := m.jobs[id]
-		b.Add(s.job, m.reread(s), s.version, true)
+		b.Add(s.job, m.reread(s), s.version, true, m.now)
 	}
 	m.boards = append(m.boards, b)
 }
@@ -505,7 +505,7 @@
 		job.Steps = append(job.Steps, step)
 	}
 	m.jobs[job.ID] = &storedJob{job: job, version: m.version}
-	m.boards[len(m.boards)-1].Add(job, work.Progress{}, m.version, false)
+	m.boards[len(m.boards)-1].Add(job, work.Progress{}, m.version, false, m.now)
 }
 
 // cancel plays a caller's cancel; the board may hear of it later.
--- a/core/work/order.go
+++ b/core/work/order.go
@@ -88,6 +88,7 @@
 	b.init()
 	b.endLapsed(now)
 	b.openTimed(wall)
+	b.evacuate(now)
 	orders := b.stops(now)
 	return append(orders, b.place(now)...)
 }
--- a/core/work/report.go
+++ b/core/work/report.go
@@ -84,11 +84,30 @@
 	}
 	if !w.clock.heard.IsZero() {
 		renewal.Deadline = w.clock.grant(now, b.policy.Lease)
-		renewal.Wait = wait
+		renewal.Wait = w.patience(wait)
 	}
 	return renewal, true
 }
 
+// startupLook is the time between two looks at a worker on which a lasting task has not begun to work.
+const startupLook = 200 * time.Millisecond
+
+// patience shortens the wait for the worker's next end while something on it is to be seen sooner.
+func (w *worker) patience(wait time.Duration) time.Duration {
+	for _, r := range w.runs {
+		if r.task != nil && r.task.group.spec().Lasting && r.percent < fullPace {
+			return min(wait, startupLook)
+		}
+	}
+	return wait
+}
+
+// Idle reports whether nothing is lost if the worker is renewed less often: it does not answer and runs nothing that the board knows of.
+func (b *Board) Idle(l Life) bool {
+	w := b.workers[l]
+	return w != nil && w.misses >= silentMisses && len(w.runs) == 0 && w.answered
+}
+
 // Report takes in a worker's answer to the renewal with the sequence number.
 func (b *Board) Report(l Life, sequence uint64, report Report, now time.Time) {
 	w := b.workers[l]
@@ -197,6 +216,9 @@
 	r := w.runs[e.Run]
 	t := b.find(e.Run.Task)
 	if r != nil {
+		if t != nil && e.How == HowDone && r.checkpoint == "" {
+			b.learnt(t.group.job.Queue).learn(now.Sub(r.started), t.group.spec().Estimate)
+		}
 		if e.Checkpoint != "" {
 			r.checkpoint = e.Checkpoint
 		}
--- a/core/work/run.go
+++ b/core/work/run.go
@@ -34,7 +34,9 @@
 	// retry is when the next stop order may be sent.
 	retry time.Time
 	// percent is the share of full speed at which the run works, load the worker's rough figure for it.
-	percent    int
+	percent int
+	// evacuated runs are stopped because their worker is to be cleared.
+	evacuated  bool
 	load       int
 	pace       pacing
 	started    time.Time
--- /dev/null
+++ b/core/work/withdraw.go
@@ -0,0 +1,79 @@
+package work
+
+import (
+	"time"
+)
+
+// withdrawPatience is how long a withdrawn worker may go on with tasks that end by themselves.
+const withdrawPatience = 4 * time.Second
+
+// Withdraw names the workers that are to be cleared. Others that were named before get work again.
+func (b *Board) Withdraw(workers map[string]bool, now time.Time) {
+	b.init()
+	for _, w := range b.order {
+		switch wanted := workers[w.Life.Worker]; {
+		case wanted && !w.withdrawn:
+			w.withdrawn, w.withdrawnAt = true, now
+		case !wanted:
+			w.withdrawn = false
+		}
+	}
+}
+
+// Cleared returns the withdrawn workers that run nothing.
+func (b *Board) Cleared() []string {
+	var cleared []string
+	for _, w := range b.order {
+		if w.withdrawn && w.listed && w.answered && len(w.runs) == 0 {
+			cleared = append(cleared, w.Life.Worker)
+		}
+	}
+	return cleared
+}
+
+// evacuate gives up the runs that keep withdrawn workers from being cleared: lasting ones as their steps tolerate, others late.
+func (b *Board) evacuate(now time.Time) {
+	for _, w := range b.order {
+		if !w.withdrawn && !w.Draining {
+			continue
+		}
+		for _, r := range sortedRuns(w) {
+			if r.task == nil || r.phase != phaseRunning {
+				continue
+			}
+			g := r.task.group
+			late := w.withdrawn && now.Sub(w.withdrawnAt) > withdrawPatience
+			if (g.spec().Lasting && g.tolerates()) || (!g.spec().Lasting && late && !g.spec().Gang) {
+				r.evacuated = true
+				b.unwanted[r] = true
+			}
+		}
+	}
+}
+
+// atWork reports whether the task works at full pace on a worker that it may stay on.
+func (t *task) atWork() bool {
+	for _, r := range t.runs {
+		if r.phase == phaseRunning && r.percent >= fullPace && !r.evacuated && !r.stopping {
+			return true
+		}
+	}
+	return false
+}
+
+const fullPace = 100
+
+// tolerates reports whether one more task of a lasting step may be taken away. A step that states no number loses one at a time.
+func (g *group) tolerates() bool {
+	away := 0
+	for _, t := range g.tasks {
+		if !t.atWork() {
+			away++
+		}
+	}
+	tolerated := 1
+	if g.spec().Tolerant {
+		tolerated = g.spec().ToleratedLoss
+	}
+	return away < tolerated
+}
--- a/core/work/worker.go
+++ b/core/work/worker.go
@@ -96,7 +96,8 @@
 	failedInRow int
 	lastFailed  ID
 	// withdrawn workers get no new work, because their host is to leave the pool or be maintained.
-	withdrawn bool
+	withdrawn   bool
+	withdrawnAt time.Time
 }
 
 // pendingEnd is an end taken in whose consequences are not known to be stored.
--- a/io/platform/executors.go
+++ b/io/platform/executors.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"siskincross/core/capacity"
 	"siskincross/core/work"
 )
 
@@ -48,57 +49,15 @@
 // Machines is the platform's interface to the hosts below the workers.
 type Machines struct {
 	// List returns all hosts.
-	List func(ctx context.Context) ([]Machine, error)
-	// Move ends everything on a host and restarts it in another pool. Repeating it is harmless.
-	Move func(ctx context.Context, order MachineOrder) error
-	// Maintain ends everything on a host and takes it down for maintenance. Repeating it is harmless.
-	Maintain func(ctx context.Context, order MachineOrder) error
-}
-
-//go:generate go run github.com/dmarkham/enumer@v1.7.2 -type=MachineState -transform=kebab -text -json -trimprefix=Machine -output=machine_enumer.go
-
-// MachineState is what a host does.
-type MachineState int
-
-// States of a host.
-const (
-	// MachineUp hosts run a worker or are about to.
-	MachineUp MachineState = iota
-	MachineMoving
-	MachineMaintained
-	MachineDown
-)
-
-// Machine is one host.
-type Machine struct {
-	Host     string
-	Pool     string
-	State    MachineState
-	Zone     string
-	Rack     string
-	Labels   []string
-	Capacity work.Resources
-	// Worker is the ID of the host's worker; empty while it has none.
-	Worker string
+	List func(ctx context.Context) ([]capacity.Machine, error)
+	// Send carries out an order for a host. Every outcome is a value; the reason tells of any but success.
+	Send func(ctx context.Context, o MachineOrder) (outcome capacity.Outcome, reason string)
 }
 
 // MachineOrder is a command to a host, with the authority to give it.
 type MachineOrder struct {
-	Host string
-	// Pool is where a move leads.
-	Pool string
-	// Wave is the maintenance wave that asks for a host's maintenance.
-	Wave int
+	capacity.Order
 	// Holder and Epoch are those of the duty for hosts.
 	Holder string
 	Epoch  uint64
 }
-
-// ErrMachineRefused is returned when the platform refuses an order for a host. Nothing was done.
-type ErrMachineRefused struct {
-	Host   string
-	Reason string
-}
-
-// Error implements error.
-func (e ErrMachineRefused) Error() string { return "host " + e.Host + ": " + e.Reason }
--- a/io/runner/commits.go
+++ b/io/runner/commits.go
@@ -39,11 +39,12 @@
 		delay = finalDelay
 	}
 	counts, countsDue := h.duePending(now)
+	need, needDue := h.dueNeed(now)
 	if changed && now.Sub(h.changedAt) < delay {
 		changed = false
 		time.AfterFunc(delay, h.wake)
 	}
-	if !changed && !countsDue {
+	if !changed && !countsDue && !needDue {
 		return
 	}
 	var changes []work.Change
@@ -52,7 +53,22 @@
 		h.changedAt = time.Time{}
 	}
 	h.committing = true
-	h.group.Go(func() { h.commit(changes, counts, countsDue) })
+	h.group.Go(func() { h.commit(changes, h.sideRows(counts, countsDue, need, needDue)) })
+}
+
+// sideRows returns the rows that are written beside jobs' progress.
+func (h *holder) sideRows(counts map[string]int, countsDue bool, need needRow, needDue bool) []platform.RowWrite {
+	var rows []platform.RowWrite
+	if countsDue {
+		key := platform.RowKey{Table: countTable, Part: h.pool, Key: pendingKey}
+		rows = append(rows, platform.RowWrite{RowKey: key, Value: encode(counts)})
+		h.pending = counts
+	}
+	if needDue {
+		rows = append(rows, platform.RowWrite{RowKey: needKeyOf(h.pool), Value: encode(need)})
+		h.need = need
+	}
+	return rows
 }
 
 // duePending returns the counts of waiting jobs if they have to be written.
@@ -68,9 +84,9 @@
 	return counts, true
 }
 
-// commit stores changes and counts in one transaction.
-func (h *holder) commit(changes []work.Change, counts map[string]int, withCounts bool) {
-	tx := platform.Commit{Expected: []platform.Expectation{h.fence()}, Purpose: "progress"}
+// commit stores changes and other rows in one transaction.
+func (h *holder) commit(changes []work.Change, side []platform.RowWrite) {
+	tx := platform.Commit{Expected: []platform.Expectation{h.fence()}, Writes: side, Purpose: "progress"}
 	for _, c := range changes {
 		value, err := c.Progress.Encode()
 		if err != nil {
@@ -84,15 +100,11 @@
 			tx.Removes = append(tx.Removes, specKey(h.pool, c.ID))
 		}
 	}
-	if withCounts {
-		key := platform.RowKey{Table: countTable, Part: h.pool, Key: pendingKey}
-		tx.Writes = append(tx.Writes, platform.RowWrite{RowKey: key, Value: encode(counts)})
-	}
 	version, err := h.m.Rows.Commit(h.ctx, tx)
 	h.committed(changes, version, err)
-	if err == nil && withCounts {
+	if err != nil && len(side) > 0 {
 		h.mu.Lock()
-		h.pending = counts
+		h.pending, h.need = nil, needRow{}
 		h.mu.Unlock()
 	}
 	h.settle(err)
--- a/io/runner/contacts.go
+++ b/io/runner/contacts.go
@@ -18,6 +18,8 @@
 	renewGap = 25 * time.Millisecond
 	// missedGap is the pause after a renewal without an answer.
 	missedGap = 150 * time.Millisecond
+	// idleGap is that pause for a worker that runs nothing and has been silent for a while: most of these are gone.
+	idleGap = time.Second
 )
 
 // keepContact renews the leases on a worker and takes in its ends, until the board forgets its life.
@@ -45,7 +47,7 @@
 		}
 		gap := renewGap
 		if err != nil {
-			gap = missedGap
+			gap = h.missedGap(life)
 		}
 		if !sleep(h.ctx, gap) {
 			return
@@ -53,6 +55,16 @@
 	}
 }
 
+// missedGap is the pause after a renewal without an answer.
+func (h *holder) missedGap(life work.Life) time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.board.Idle(life) {
+		return idleGap
+	}
+	return missedGap
+}
+
 func (h *holder) tellSilence(life work.Life, err error) {
 	number, detail := event.WorkerHeard, ""
 	if err != nil {
--- a/io/runner/duties.go
+++ b/io/runner/duties.go
@@ -21,7 +21,7 @@
 
 // runDuties takes and gives up duties until ctx ends.
 func (m *Manager) runDuties(ctx context.Context) {
-	defer m.stopHolders()
+	defer m.stopTenures()
 	started := time.Now()
 	last := started
 	for sleep(ctx, dutyEvery) {
@@ -40,12 +40,15 @@
 	}
 }
 
-// dutyNames returns the duties: one for each pool that is not on standby.
+// dutyNames returns the duties: one for hosts, and one for each pool that is not on standby.
 func (m *Manager) dutyNames() []string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	names := m.catalogue.PoolNames()
-	kept := names[:0]
+	kept := make([]string, 0, len(names)+1)
+	if m.Machines.Send != nil && len(names) > 0 {
+		kept = append(kept, hostsDuty)
+	}
 	for _, name := range names {
 		if !m.catalogue.Pools[name].Standby {
 			kept = append(kept, name)
@@ -58,29 +61,26 @@
 func (m *Manager) look(ctx context.Context, name string, view duty.View) {
 	m.mu.Lock()
 	row := m.holderRows[name]
-	h := m.holders[name]
+	t := m.tenures[name]
 	m.mu.Unlock()
-	if h != nil {
-		select {
-		case <-h.done:
-			m.setHolder(name, nil)
-			h = nil
-		default:
-			if row.version > h.epoch {
-				h.lose("another member took the duty")
-				return
-			}
-		}
+	switch {
+	case t == nil:
+	case t.over():
+		m.endTenure(name)
+		t = nil
+	case row.version > t.epoch:
+		t.lose("another member took the duty")
+		return
 	}
 	if len(view.Live) == 0 {
 		return
 	}
 	step, to := duty.Decide(pool.Pool{Name: name, Holder: row.Holder}, view)
 	switch {
-	case step == duty.StepTake, row.Holder == m.Member && h == nil:
+	case step == duty.StepTake, row.Holder == m.Member && t == nil:
 		m.takeDuty(ctx, name, row)
-	case step == duty.StepHandOver && h != nil:
-		m.handOver(ctx, h, to)
+	case step == duty.StepHandOver && t != nil:
+		m.handOver(ctx, t, to)
 	}
 }
 
@@ -92,9 +92,16 @@
 		m.record(event.Event{Number: event.WorkDutyFailed, Pool: name, Detail: "take: " + err.Error()})
 		return
 	}
-	h := newHolder(m, name, version, row.Term)
-	m.setHolder(name, h)
-	h.start(ctx)
+	t := newTenure(m, name, version, row.Term)
+	m.mu.Lock()
+	m.tenures[name] = t
+	if name == hostsDuty {
+		newHostsHolder(t)
+	} else {
+		m.holders[name] = newHolder(t)
+	}
+	m.mu.Unlock()
+	t.start(ctx)
 }
 
 // writeHolder writes the holder's row and the mark that fences earlier holders.
@@ -118,23 +125,20 @@
 }
 
 // handOver stops a duty and names the next holder.
-func (m *Manager) handOver(ctx context.Context, h *holder, to string) {
-	h.lose("handed over to " + to)
-	<-h.done
-	m.setHolder(h.pool, nil)
-	if _, err := m.writeHolder(ctx, h.pool, h.epoch, holderRow{Holder: to, Term: h.board.Term + 1}); err != nil {
-		m.record(event.Event{Number: event.WorkDutyFailed, Pool: h.pool, Detail: fmt.Sprintf("hand over to %s: %v", to, err)})
+func (m *Manager) handOver(ctx context.Context, t *tenure, to string) {
+	t.lose("handed over to " + to)
+	<-t.done
+	m.endTenure(t.name)
+	if _, err := m.writeHolder(ctx, t.name, t.epoch, holderRow{Holder: to, Term: t.term + 1}); err != nil {
+		m.record(event.Event{Number: event.WorkDutyFailed, Pool: t.name, Detail: fmt.Sprintf("hand over to %s: %v", to, err)})
 	}
 }
 
-func (m *Manager) setHolder(name string, h *holder) {
+func (m *Manager) endTenure(name string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if h == nil {
-		delete(m.holders, name)
-		return
-	}
-	m.holders[name] = h
+	delete(m.tenures, name)
+	delete(m.holders, name)
 }
 
 // holder returns the running holder of a pool, or nil.
@@ -144,23 +148,23 @@
 	return m.holders[name]
 }
 
-func (m *Manager) holderList() []*holder {
+func (m *Manager) tenureList() []*tenure {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	list := make([]*holder, 0, len(m.holders))
-	for _, h := range m.holders {
-		list = append(list, h)
+	list := make([]*tenure, 0, len(m.tenures))
+	for _, t := range m.tenures {
+		list = append(list, t)
 	}
 	return list
 }
 
-func (m *Manager) holdsAny() bool { return len(m.holderList()) > 0 }
+func (m *Manager) holdsAny() bool { return len(m.tenureList()) > 0 }
 
-// stopHolders waits for the ends of all duties.
-func (m *Manager) stopHolders() {
-	for _, h := range m.holderList() {
-		h.lose("the process ends")
-		<-h.done
+// stopTenures waits for the ends of all duties.
+func (m *Manager) stopTenures() {
+	for _, t := range m.tenureList() {
+		t.lose("the process ends")
+		<-t.done
 	}
 }
 
@@ -170,7 +174,7 @@
 	m.mu.Lock()
 	m.leaving = true
 	m.mu.Unlock()
-	m.stopHolders()
+	m.stopTenures()
 	_, err := m.Rows.Commit(ctx, platform.Commit{Removes: []platform.RowKey{m.memberKey(m.Member)}, Purpose: "heartbeat"})
 	return err
 }
--- a/io/runner/holder.go
+++ b/io/runner/holder.go
@@ -23,16 +23,8 @@
 
 // holder carries out the decisions about one pool while this process holds its duty.
 type holder struct {
-	m     *Manager
-	pool  string
-	epoch uint64
-
-	ctx    context.Context
-	cancel context.CancelFunc
-	// done is closed once everything of this holder has ended.
-	done  chan struct{}
-	woken chan struct{}
-	group sync.WaitGroup
+	*tenure
+	pool string
 
 	// mu guards the board and the fields below.
 	mu    sync.Mutex
@@ -47,47 +39,27 @@
 	changedAt time.Time
 	pending   map[string]int
 	pendingAt time.Time
+	need      needRow
+	needAt    time.Time
+	offered   map[string]time.Time
 	retryAt   time.Time
 	failures  int
 	// floor is the version of our last commit: older readings are stale.
 	floor uint64
 }
 
-func newHolder(m *Manager, pool string, epoch uint64, term int) *holder {
-	return &holder{
-		m: m, pool: pool, epoch: epoch,
-		done: make(chan struct{}), woken: make(chan struct{}, 1),
-		floor:    epoch,
-		board:    &work.Board{Pool: pool, Epoch: epoch, Term: term, Policy: m.Policy},
-		contacts: make(map[work.Life]bool), roster: make(map[work.Life]bool),
+func newHolder(t *tenure) *holder {
+	h := &holder{
+		tenure: t, pool: t.name, floor: t.epoch,
+		board:    &work.Board{Pool: t.name, Epoch: t.epoch, Term: t.term, Policy: t.m.Policy},
+		contacts: make(map[work.Life]bool), roster: make(map[work.Life]bool), offered: make(map[string]time.Time),
 	}
-}
-
-func (h *holder) start(ctx context.Context) {
-	h.ctx, h.cancel = context.WithCancel(ctx)
-	go func() {
-		defer close(h.done)
-		defer h.group.Wait()
-		defer h.cancel()
+	t.run = func() {
 		if h.takeOver() {
-			h.run()
+			h.rounds()
 		}
-	}()
-}
-
-// lose ends the duty.
-func (h *holder) lose(reason string) {
-	if h.ctx.Err() == nil {
-		h.m.record(event.Event{Number: event.WorkDutyLost, Pool: h.pool, Detail: fmt.Sprintf("epoch %d: %s", h.epoch, reason)})
-	}
-	h.cancel()
-}
-
-func (h *holder) wake() {
-	select {
-	case h.woken <- struct{}{}:
-	default:
 	}
+	return h
 }
 
 // takeOver reads what is stored of the pool until it succeeds. It reports false if the duty ended.
@@ -178,7 +150,7 @@
 		h.m.record(event.Event{Number: event.WorkRowUnreadable, Pool: h.pool, Job: row.Key, Detail: err.Error()})
 		return
 	}
-	h.board.Add(job, p, version, earlier)
+	h.board.Add(job, p, version, earlier, time.Now())
 }
 
 // followQueue hears of new and cancelled jobs.
@@ -239,23 +211,13 @@
 	h.wake()
 }
 
-// run decides in rounds until the duty ends.
-func (h *holder) run() {
-	timer := time.NewTimer(stepEvery)
-	defer timer.Stop()
+// rounds decides in rounds until the duty ends.
+func (h *holder) rounds() {
 	for {
 		_, _, changed := h.m.workers.pool(h.pool)
 		h.step()
-		if !sleep(h.ctx, stepGap) {
-			return
-		}
-		timer.Reset(stepEvery)
-		select {
-		case <-h.ctx.Done():
+		if !sleep(h.ctx, stepGap) || !h.awaitRound(changed, stepEvery) {
 			return
-		case <-h.woken:
-		case <-changed:
-		case <-timer.C:
 		}
 	}
 }
@@ -264,7 +226,9 @@
 func (h *holder) step() {
 	now := time.Now()
 	h.takeWorkers(now)
+	withdrawn := h.m.withdrawn()
 	h.mu.Lock()
+	h.board.Withdraw(h.withOffers(withdrawn, now), now)
 	orders := h.board.Orders(now, now)
 	for _, life := range h.board.Contacts() {
 		if !h.contacts[life] {
@@ -334,18 +298,10 @@
 	})
 }
 
-// fence is the expectation that no other member took the duty.
-func (h *holder) fence() platform.Expectation {
-	return platform.Expectation{RowKey: markKey(h.pool, fenceKey), Version: h.epoch}
-}
-
 // settle notes how a commit ended: a failed fence ends the duty, another failure delays the next commit.
 func (h *holder) settle(err error) {
 	var overtaken platform.ErrOvertaken
-	if errors.As(err, &overtaken) {
-		if row, ok := overtaken.Find(markKey(h.pool, fenceKey)); ok && row.Version != h.epoch {
-			h.lose("another member's fence is in the store")
-		}
+	if h.fenced(err) || errors.As(err, &overtaken) {
 		return
 	}
 	h.mu.Lock()
--- /dev/null
+++ b/io/runner/hosts.go
@@ -0,0 +1,350 @@
+package runner
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"siskincross/core/capacity"
+	"siskincross/core/event"
+	"siskincross/core/work"
+	"siskincross/io/platform"
+)
+
+const (
+	// hostsDuty is the duty of giving orders to hosts. One holder gives them all, so that no two give orders to one host.
+	hostsDuty = markPrefix + "hosts"
+	// hostsTable holds the pools' needs, each in its pool's part, and the plan for hosts in the duty's part.
+	hostsTable = "hosts"
+	needKey    = "need"
+	planKey    = "plan"
+	donePrefix = "wave/"
+)
+
+const (
+	// hostsEvery is the longest time between two rounds of planning.
+	hostsEvery = 200 * time.Millisecond
+	// listBusy and listIdle are the times between two readings of the list of hosts, while orders are out and else.
+	listBusy = 300 * time.Millisecond
+	listIdle = 4 * time.Second
+	// intentTime is how long after a fenced commit orders may be sent. It is well below the time for which
+	// the next holder waits, so that no order of ours follows one of a later epoch.
+	intentTime = 700 * time.Millisecond
+	// hostsGather is the least time between two answers about the table of hosts.
+	hostsGather = 20 * time.Millisecond
+)
+
+// hostRows is what the table of hosts says.
+type hostRows struct {
+	needs    map[string]needRow
+	withdraw map[string]bool
+	// done holds the hosts of each wave that have begun their maintenance.
+	done map[string][]string
+}
+
+// planRow is the plan of the holder of the duty for hosts.
+type planRow struct {
+	// Withdraw holds the workers that are to be cleared for maintenance.
+	Withdraw []string `json:"withdraw,omitempty"`
+	// Orders tells what was about to be ordered, for people who look back.
+	Orders []string `json:"orders,omitempty"`
+}
+
+type doneRow struct {
+	Hosts []string `json:"hosts"`
+}
+
+// followHosts keeps the table of hosts up to date while this process holds a duty.
+func (m *Manager) followHosts(ctx context.Context) {
+	m.follow(ctx, follower{
+		table: hostsTable, wait: followWait, gather: hostsGather, take: m.takeHosts, read: m.readHosts,
+		idle: func() bool { return !m.holdsAny() },
+	})
+}
+
+func (m *Manager) readHosts(ctx context.Context) (uint64, error) {
+	parts, err := m.Rows.Parts(ctx, hostsTable)
+	if err != nil {
+		return 0, err
+	}
+	lowest := uint64(0)
+	for _, part := range parts {
+		rows, version, err := m.Rows.ReadAll(ctx, platform.Range{Table: hostsTable, Part: part, Purpose: "hosts"})
+		if err != nil {
+			return 0, err
+		}
+		m.takeHosts(rows)
+		if lowest == 0 || version < lowest {
+			lowest = version
+		}
+	}
+	return lowest, nil
+}
+
+func (m *Manager) takeHosts(rows []platform.PartRow) {
+	m.mu.Lock()
+	for _, row := range rows {
+		if err := m.hostRows.take(row); err != nil {
+			m.record(event.Event{Number: event.WorkRowUnreadable, Detail: err.Error()})
+		}
+	}
+	m.mu.Unlock()
+	for _, t := range m.tenureList() {
+		t.wake()
+	}
+}
+
+func (r *hostRows) take(row platform.PartRow) error {
+	if row.Deleted {
+		return nil
+	}
+	name, isDone := strings.CutPrefix(row.Key, donePrefix)
+	switch {
+	case row.Part != hostsDuty && row.Key == needKey:
+		var need needRow
+		err := decode(row, &need)
+		r.needs[row.Part] = need
+		return err
+	case row.Part == hostsDuty && row.Key == planKey:
+		var plan planRow
+		err := decode(row, &plan)
+		r.withdraw = make(map[string]bool, len(plan.Withdraw))
+		for _, id := range plan.Withdraw {
+			r.withdraw[id] = true
+		}
+		return err
+	case row.Part == hostsDuty && isDone:
+		var done doneRow
+		err := decode(row, &done)
+		r.done[name] = done.Hosts
+		return err
+	}
+	return nil
+}
+
+// withdrawn returns the workers that are to be cleared for maintenance.
+func (m *Manager) withdrawn() map[string]bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.hostRows.withdraw
+}
+
+// hostsHolder gives the orders to hosts while this process holds that duty. Its loop owns its fields.
+type hostsHolder struct {
+	*tenure
+	planner  capacity.Planner
+	listedAt time.Time
+	listed   bool
+	// quietUntil is when orders of an earlier holder are certainly past.
+	quietUntil time.Time
+	withdraw   []string
+	// told holds the waves' states that were written for operators, stored the numbers of hosts done that were stored.
+	told   map[string]bool
+	stored map[string]int
+	busy   bool
+}
+
+func newHostsHolder(t *tenure) *hostsHolder {
+	h := &hostsHolder{tenure: t, told: make(map[string]bool), stored: make(map[string]int)}
+	h.planner.Policy = t.m.Capacity
+	if t.term > 0 {
+		h.quietUntil = time.Now().Add(t.m.OrderPause + intentTime)
+	}
+	t.run = h.rounds
+	return h
+}
+
+func (h *hostsHolder) rounds() {
+	if !h.load() {
+		return
+	}
+	h.m.record(event.Event{Number: event.WorkDutyTaken, Pool: h.name, Detail: fmt.Sprintf("epoch %d, term %d", h.epoch, h.term)})
+	for h.ctx.Err() == nil {
+		h.round()
+		if !sleep(h.ctx, hostsGather) || !h.awaitRound(nil, hostsEvery) {
+			return
+		}
+	}
+}
+
+// load reads what earlier holders stored.
+func (h *hostsHolder) load() bool {
+	var retry backoff
+	for {
+		_, err := h.m.readHosts(h.ctx)
+		if err == nil {
+			return true
+		}
+		h.m.record(event.Event{Number: event.WorkDutyFailed, Pool: h.name, Detail: "read the table of hosts: " + err.Error()})
+		if !retry.pause(h.ctx) {
+			return false
+		}
+	}
+}
+
+// round takes in what is known, plans, stores the plan and gives the orders.
+func (h *hostsHolder) round() {
+	now := time.Now()
+	h.takeIn(now)
+	h.list(now)
+	if !h.listed || now.Before(h.quietUntil) {
+		return
+	}
+	plan := h.planner.Plan(now)
+	h.busy = len(plan.Withdraw) > 0 || len(plan.Orders) > 0 || h.planner.Busy()
+	if !h.storePlan(plan) {
+		for _, o := range plan.Orders {
+			h.planner.Ended(o, capacity.OutcomeRefused, now)
+		}
+		return
+	}
+	if len(plan.Orders) > 0 {
+		h.give(plan.Orders, now)
+	}
+	h.tellWaves(plan)
+}
+
+// takeIn gives the planner the configuration, the pools' needs and the waves.
+func (h *hostsHolder) takeIn(now time.Time) {
+	h.m.mu.Lock()
+	defer h.m.mu.Unlock()
+	h.planner.SetPools(h.m.catalogue.Pools)
+	for pool, need := range h.m.hostRows.needs {
+		h.planner.SetNeed(pool, need.need())
+		h.busy = h.busy || need.Ask > 0 || len(need.Cleared) > 0
+	}
+	for _, name := range slices.Sorted(maps.Keys(h.m.waves)) {
+		h.planner.AddWave(h.m.waves[name], h.m.hostRows.done[name], now)
+	}
+}
+
+// list reads the list of hosts if it is due.
+func (h *hostsHolder) list(now time.Time) {
+	every := listIdle
+	if h.busy {
+		every = listBusy
+	}
+	if h.listed && now.Sub(h.listedAt) < every {
+		return
+	}
+	h.listedAt = now
+	machines, err := h.m.Machines.List(h.ctx)
+	if err != nil {
+		if h.ctx.Err() == nil {
+			h.m.record(event.Event{Number: event.MachineOrderFailed, Pool: h.name, Detail: "list the hosts: " + err.Error()})
+		}
+		return
+	}
+	h.listed = true
+	h.planner.SetMachines(machines, now)
+}
+
+// storePlan commits the plan and the progress of the waves if they changed or orders follow. Orders may be given only
+// after it: the commit proves that the duty is still ours.
+func (h *hostsHolder) storePlan(plan capacity.Plan) bool {
+	row := planRow{Withdraw: plan.Withdraw}
+	for _, o := range plan.Orders {
+		row.Orders = append(row.Orders, orderText(o))
+	}
+	tx := platform.Commit{Expected: []platform.Expectation{h.fence()}, Purpose: "hosts"}
+	if len(plan.Orders) > 0 || !slices.Equal(plan.Withdraw, h.withdraw) {
+		key := platform.RowKey{Table: hostsTable, Part: hostsDuty, Key: planKey}
+		tx.Writes = append(tx.Writes, platform.RowWrite{RowKey: key, Value: encode(row)})
+	}
+	counts := make(map[string]int)
+	for _, w := range h.waves() {
+		done := h.planner.Done(w.Name)
+		if len(done) != h.stored[w.Name] {
+			key := platform.RowKey{Table: hostsTable, Part: hostsDuty, Key: donePrefix + w.Name}
+			tx.Writes = append(tx.Writes, platform.RowWrite{RowKey: key, Value: encode(doneRow{done})})
+			counts[w.Name] = len(done)
+		}
+	}
+	if len(tx.Writes) == 0 {
+		return true
+	}
+	if _, err := h.m.Rows.Commit(h.ctx, tx); err != nil {
+		if !h.fenced(err) && h.ctx.Err() == nil {
+			h.m.record(event.Event{Number: event.WorkCommitFailed, Pool: h.name, Detail: err.Error()})
+		}
+		return false
+	}
+	h.withdraw = plan.Withdraw
+	maps.Copy(h.stored, counts)
+	return true
+}
+
+func orderText(o capacity.Order) string {
+	if o.Kind == capacity.KindMaintain {
+		return fmt.Sprintf("maintain %s for wave %d", o.Host, o.Wave)
+	}
+	return fmt.Sprintf("move %s to %s", o.Host, o.Pool)
+}
+
+// give sends orders, if the commit before them was recent by both clocks: a process that was frozen gives none.
+func (h *hostsHolder) give(orders []capacity.Order, decided time.Time) {
+	type result struct {
+		outcome capacity.Outcome
+		reason  string
+	}
+	results := make([]result, len(orders))
+	done := make(chan int)
+	late := time.Since(decided) > intentTime || time.Since(decided.Round(0)) > intentTime
+	for i, o := range orders {
+		go func() {
+			defer func() { done <- i }()
+			if late {
+				results[i] = result{capacity.OutcomeRefused, "the plan is too old"}
+				return
+			}
+			order := platform.MachineOrder{Order: o, Holder: h.m.Node, Epoch: h.epoch}
+			results[i].outcome, results[i].reason = h.m.Machines.Send(h.ctx, order)
+		}()
+	}
+	for range orders {
+		<-done
+	}
+	for i, o := range orders {
+		h.planner.Ended(o, results[i].outcome, time.Now())
+		e := event.Event{Number: event.MachineOrdered, Pool: o.Pool, Host: o.Host, Detail: orderText(o)}
+		if results[i].outcome != capacity.OutcomeDone {
+			e.Number = event.MachineOrderFailed
+			e.Detail += ": " + results[i].outcome.String() + ": " + results[i].reason
+		}
+		h.m.record(e)
+	}
+	h.wake()
+}
+
+func (h *hostsHolder) waves() []work.Wave {
+	h.m.mu.Lock()
+	defer h.m.mu.Unlock()
+	waves := make([]work.Wave, 0, len(h.m.waves))
+	for _, name := range slices.Sorted(maps.Keys(h.m.waves)) {
+		waves = append(waves, h.m.waves[name])
+	}
+	return waves
+}
+
+// tellWaves writes the states of waves for operators.
+func (h *hostsHolder) tellWaves(plan capacity.Plan) {
+	for _, w := range h.waves() {
+		completed := slices.Contains(plan.Completed, w.Name)
+		told, known := h.told[w.Name]
+		if known && told == completed {
+			continue
+		}
+		row := h.m.Operators.EncodeWaveStatus(w, completed)
+		if _, err := h.m.Rows.Commit(h.ctx, platform.Commit{Writes: []platform.RowWrite{row}, Purpose: "waves"}); err != nil {
+			h.m.record(event.Event{Number: event.WorkCommitFailed, Pool: h.name, Detail: "state of wave " + w.Name + ": " + err.Error()})
+			return
+		}
+		h.told[w.Name] = completed
+		if completed {
+			h.m.record(event.Event{Number: event.WaveCompleted, Detail: "wave " + w.Name})
+		}
+	}
+}
--- a/io/runner/manager.go
+++ b/io/runner/manager.go
@@ -12,6 +12,7 @@
 
 	"github.com/uber-go/tally/v4"
 
+	"siskincross/core/capacity"
 	"siskincross/core/duty"
 	"siskincross/core/event"
 	"siskincross/core/work"
@@ -31,6 +32,9 @@
 	Node   string
 	Member string
 	Zone   string
+	// Capacity holds the figures of the plan for hosts, OrderPause how long another holder's orders must be past.
+	Capacity   capacity.Policy
+	OrderPause time.Duration
 	// Policy holds the figures of the boards; zero fields have defaults.
 	Policy work.Policy
 	// Recorder takes the events; nil means none.
@@ -54,9 +58,13 @@
 	beaten, followed time.Time
 	// holderRows holds the holders of the pools' duties and the versions of their rows.
 	holderRows map[string]heldRow
-	holders    map[string]*holder
-	leaving    bool
-	batches    map[string]*batch
+	// tenures holds the duties that this process holds, holders those for pools.
+	tenures map[string]*tenure
+	holders map[string]*holder
+	// hostRows is what this process knows of the table of hosts.
+	hostRows hostRows
+	leaving  bool
+	batches  map[string]*batch
 
 	workers directory
 	group   sync.WaitGroup
@@ -80,6 +88,9 @@
 		m.ledger = duty.Ledger{Lease: memberLease}
 		m.holderRows = make(map[string]heldRow)
 		m.holders = make(map[string]*holder)
+		m.tenures = make(map[string]*tenure)
+		m.hostRows.needs = make(map[string]needRow)
+		m.hostRows.done = make(map[string][]string)
 		m.batches = make(map[string]*batch)
 		m.workers.changed = make(chan struct{})
 	})
@@ -90,7 +101,7 @@
 	m.init()
 	m.ctx = ctx
 	ended := make(chan error, 1)
-	for _, loop := range []func(context.Context){m.followOperators, m.followFleet, m.runBeats, m.runDuties, m.followWorkers} {
+	for _, loop := range []func(context.Context){m.followOperators, m.followFleet, m.runBeats, m.runDuties, m.followWorkers, m.followHosts} {
 		m.group.Go(func() { loop(ctx) })
 	}
 	go func() {
--- a/io/runner/operators.go
+++ b/io/runner/operators.go
@@ -26,14 +26,26 @@
 	take   func(rows []platform.PartRow)
 	// heard is called after every answer; nil means nobody cares.
 	heard func()
+	// idle tells that nobody needs the table now; nil means never.
+	idle func() bool
 }
 
+// idleLook is the time between two looks whether an idle table is needed.
+const idleLook = 200 * time.Millisecond
+
 // follow keeps up with a table until ctx ends.
 func (m *Manager) follow(ctx context.Context, f follower) {
 	var retry backoff
 	version := uint64(0)
 	known := false
 	for ctx.Err() == nil {
+		if f.idle != nil && f.idle() {
+			known = false
+			if !sleep(ctx, idleLook) {
+				return
+			}
+			continue
+		}
 		err := error(nil)
 		if !known {
 			version, err = f.read(ctx)
