Place steps that can end in time first, and let silent workers' leases end

An offered worker was taken back while its host was being moved. Change 1: renewals of a silent worker grant nothing; an offer is taken back only when no order can follow it. Cause 2: the oldest jobs went first, so that in a turn of demand everyone was late.

--- a/core/work/board.go
+++ b/core/work/board.go
@@ -133,14 +133,16 @@
 	j := &job{
 		Job: spec, progress: p, version: version, ambiguous: earlier,
 		opened: make(map[stepKey]bool), finished: make(map[stepKey]bool),
-		begun: p.State == StateRunning,
+		begun: p.State == StateRunning, arrived: now,
 	}
 	b.jobs[spec.ID] = j
 	if j.Repeat.Count > 0 {
 		j.timed = true
 		b.timed++
 	}
-	if !earlier {
+	if earlier {
+		j.arrived = j.Accepted
+	} else {
 		b.arrive(j, now)
 	}
 	b.openSteps(j, time.Time{})
@@ -199,6 +201,7 @@
 		j.finished[key] = true
 		return
 	}
+	b.aim(g)
 	j.groups = append(j.groups, g)
 	b.groups = append(b.groups, g)
 }
--- a/core/work/place.go
+++ b/core/work/place.go
@@ -1,7 +1,6 @@
 package work
 
 import (
-	"cmp"
 	"slices"
 	"time"
 )
@@ -9,7 +8,7 @@
 // place starts the tasks that may run now, in the order of their jobs.
 func (b *Board) place(now time.Time) []Order {
 	settled := b.settled(now)
-	b.sortGroups()
+	b.sortGroups(now)
 	open := b.openWorkers(now)
 	if len(open) == 0 {
 		return nil
@@ -34,28 +33,9 @@
 	return open
 }
 
-// sortGroups orders the open steps: lasting ones first, since every second that they are away counts, then by priority and age.
-func (b *Board) sortGroups() {
-	slices.SortFunc(b.groups, func(a, c *group) int {
-		return cmp.Or(
-			compareBool(c.spec().Lasting, a.spec().Lasting),
-			cmp.Compare(a.job.Priority, c.job.Priority),
-			a.job.Accepted.Compare(c.job.Accepted),
-			cmp.Compare(a.job.ID, c.job.ID),
-			cmp.Compare(a.occurrence, c.occurrence),
-			cmp.Compare(a.step, c.step),
-		)
-	})
-}
-
-func compareBool(a, c bool) int {
-	switch {
-	case a == c:
-		return 0
-	case a:
-		return 1
-	}
-	return -1
+// sortGroups orders the open steps by how urgent they are.
+func (b *Board) sortGroups(now time.Time) {
+	slices.SortFunc(b.groups, func(a, c *group) int { return compareGroups(a, c, now) })
 }
 
 func (b *Board) placeGroup(g *group, open []*worker, now time.Time) []Order {
--- a/core/work/report.go
+++ b/core/work/report.go
@@ -82,7 +82,8 @@
 		// forgotten, on a worker that has not seen our epoch yet.
 		renewal.Acknowledged = w.acknowledge()
 	}
-	if !w.clock.heard.IsZero() {
+	if !w.clock.heard.IsZero() && w.misses == 0 {
+		// A worker that does not answer gets no more time: its leases must come to an end that is known.
 		renewal.Deadline = w.clock.grant(now, b.policy.Lease)
 		renewal.Wait = w.patience(wait)
 	}
--- a/core/work/run.go
+++ b/core/work/run.go
@@ -88,6 +88,10 @@
 	tasks            []*task
 	// left counts the tasks that are not done.
 	left int
+	// from is when the occurrence arrived or was due, allowed the time from there in which it should end,
+	// and tail the expected time from this step's start to that end.
+	from          time.Time
+	allowed, tail time.Duration
 }
 
 func (g *group) spec() *Step { return &g.job.Steps[g.step] }
@@ -103,6 +107,11 @@
 	// opened and finished mark steps by occurrence.
 	opened   map[stepKey]bool
 	finished map[stepKey]bool
+	// arrived is when the board first knew of the job, or its acceptance if that was before the board's time.
+	arrived time.Time
+	// tails are the expected times from each step's start to the end, chain the longest of them.
+	tails []time.Duration
+	chain time.Duration
 	// changes counts the changes of progress, stored those that are known to be stored.
 	changes, stored uint64
 	// committing is true while a commit of the row is on its way.
--- a/io/runner/holder.go
+++ b/io/runner/holder.go
@@ -41,9 +41,10 @@
 	pendingAt time.Time
 	need      needRow
 	needAt    time.Time
-	offered   map[string]time.Time
-	retryAt   time.Time
-	failures  int
+	// offers holds the spare workers that are to be given up.
+	offers   map[string]offer
+	retryAt  time.Time
+	failures int
 	// floor is the version of our last commit: older readings are stale.
 	floor uint64
 }
@@ -52,7 +53,7 @@
 	h := &holder{
 		tenure: t, pool: t.name, floor: t.epoch,
 		board:    &work.Board{Pool: t.name, Epoch: t.epoch, Term: t.term, Policy: t.m.Policy},
-		contacts: make(map[work.Life]bool), roster: make(map[work.Life]bool), offered: make(map[string]time.Time),
+		contacts: make(map[work.Life]bool), roster: make(map[work.Life]bool), offers: make(map[string]offer),
 	}
 	t.run = func() {
 		if h.takeOver() {
