Keep cleared workers withdrawn while an order may be on its way; remember ended jobs; shorten the roster

Change: a board remembers the newest ended jobs. Change: lives that are over, and cleared workers, are left out of the roster. Change: it stays withdrawn until the need without it has been stored for some time.

--- a/core/work/board.go
+++ b/core/work/board.go
@@ -57,6 +57,8 @@
 	dirty []*job
 	// wanted holds the runs that must be stopped.
 	unwanted map[*run]bool
+	// ended holds the jobs that ended lately: a reading of the store that was on its way may still have them.
+	ended endedJobs
 	// durations holds what is learnt of tasks, by queue.
 	durations map[string]*durations
 	arriving  arrivals
@@ -127,7 +129,7 @@
 // accepted before this board's epoch, so that an earlier holder may have started it.
 func (b *Board) Add(spec Job, p Progress, version uint64, earlier bool, now time.Time) {
 	b.init()
-	if b.jobs[spec.ID] != nil || p.State.Final() {
+	if b.jobs[spec.ID] != nil || p.State.Final() || b.ended.has(spec.ID) {
 		return
 	}
 	j := &job{
@@ -235,6 +237,7 @@
 // Cancel forgets a job that its caller cancelled, and stops its runs. The caller's write is stored already.
 func (b *Board) Cancel(id ID) {
 	b.init()
+	b.ended.add(id)
 	j := b.jobs[id]
 	if j == nil || j.final() {
 		return
@@ -246,6 +249,7 @@
 }
 
 func (b *Board) forget(j *job) {
+	b.ended.add(j.ID)
 	delete(b.jobs, j.ID)
 	b.dirty = slices.DeleteFunc(b.dirty, func(other *job) bool { return other == j })
 }
--- a/core/work/withdraw.go
+++ b/core/work/withdraw.go
@@ -31,6 +31,17 @@
 	return cleared
 }
 
+// ClearedLives returns the lives of the withdrawn workers that run nothing.
+func (b *Board) ClearedLives() []Life {
+	var lives []Life
+	for _, w := range b.order {
+		if w.withdrawn && w.answered && len(w.runs) == 0 {
+			lives = append(lives, w.Life)
+		}
+	}
+	return lives
+}
+
 // evacuate gives up the runs that keep withdrawn workers from being cleared: lasting ones as their steps tolerate, others late.
 func (b *Board) evacuate(now time.Time) {
 	for _, w := range b.order {
--- a/io/runner/commits.go
+++ b/io/runner/commits.go
@@ -67,6 +67,7 @@
 	if needDue {
 		rows = append(rows, platform.RowWrite{RowKey: needKeyOf(h.pool), Value: encode(need)})
 		h.need = need
+		h.clearing.report(need.Cleared)
 	}
 	return rows
 }
@@ -102,11 +103,15 @@
 	}
 	version, err := h.m.Rows.Commit(h.ctx, tx)
 	h.committed(changes, version, err)
-	if err != nil && len(side) > 0 {
-		h.mu.Lock()
+	h.mu.Lock()
+	switch {
+	case len(side) == 0:
+	case err == nil:
+		h.clearing.stored(h.need.Cleared, time.Now())
+	default:
 		h.pending, h.need = nil, needRow{}
-		h.mu.Unlock()
 	}
+	h.mu.Unlock()
 	h.settle(err)
 	h.wake()
 }
--- a/io/runner/holder.go
+++ b/io/runner/holder.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -34,6 +35,7 @@
 	contacts map[work.Life]bool
 	// roster holds the lives that the stored roster has.
 	roster     map[work.Life]bool
+	rosterAt   time.Time
 	committing bool
 	// changedAt is when the oldest change that waits for its commit came up.
 	changedAt time.Time
@@ -41,10 +43,9 @@
 	pendingAt time.Time
 	need      needRow
 	needAt    time.Time
-	// offers holds the spare workers that are to be given up.
-	offers   map[string]offer
-	retryAt  time.Time
-	failures int
+	clearing  clearing
+	retryAt   time.Time
+	failures  int
 	// floor is the version of our last commit: older readings are stale.
 	floor uint64
 }
@@ -53,7 +54,7 @@
 	h := &holder{
 		tenure: t, pool: t.name, floor: t.epoch,
 		board:    &work.Board{Pool: t.name, Epoch: t.epoch, Term: t.term, Policy: t.m.Policy},
-		contacts: make(map[work.Life]bool), roster: make(map[work.Life]bool), offers: make(map[string]offer),
+		contacts: make(map[work.Life]bool), roster: make(map[work.Life]bool), clearing: newClearing(),
 	}
 	t.run = func() {
 		if h.takeOver() {
@@ -229,7 +230,7 @@
 	h.takeWorkers(now)
 	withdrawn := h.m.withdrawn()
 	h.mu.Lock()
-	h.board.Withdraw(h.withOffers(withdrawn, now), now)
+	h.withdraw(withdrawn, now)
 	orders := h.board.Orders(now, now)
 	for _, life := range h.board.Contacts() {
 		if !h.contacts[life] {
@@ -252,24 +253,23 @@
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	missing := false
-	for _, l := range listings {
-		missing = missing || !h.roster[l.Life]
-	}
-	if missing && !h.committing && !now.Before(h.retryAt) {
-		h.commitRoster(listings)
+	cleared := h.board.ClearedLives()
+	wanted := h.wantedRoster(listings, cleared)
+	if !h.committing && !now.Before(h.retryAt) && h.rosterDue(wanted, now) {
+		h.commitRoster(wanted)
 	}
 	kept := listings[:0]
 	for _, l := range listings {
-		if h.roster[l.Life] {
+		if h.roster[l.Life] || slices.Contains(cleared, l.Life) {
 			kept = append(kept, l)
 		}
 	}
 	h.board.List(kept, now)
 }
 
-// commitRoster stores the lives on which tasks may run from now on. The caller holds the lock.
-func (h *holder) commitRoster(listings []work.Listing) {
+// wantedRoster returns the lives on which tasks may run: those that are listed and those that the board has, less the
+// cleared ones that get no work.
+func (h *holder) wantedRoster(listings []work.Listing, cleared []work.Life) map[work.Life]bool {
 	roster := make(map[work.Life]bool)
 	for _, life := range h.board.Roster() {
 		roster[life] = true
@@ -277,6 +277,31 @@
 	for _, l := range listings {
 		roster[l.Life] = true
 	}
+	for _, life := range cleared {
+		if h.clearing.wanted[life.Worker] {
+			delete(roster, life)
+		}
+	}
+	return roster
+}
+
+// rosterEvery is the least time between two writes of the roster that only leave lives out.
+const rosterEvery = 500 * time.Millisecond
+
+// rosterDue reports whether the roster has to be stored: at once if a life is missing, and after a while if it has lives
+// that are over, since the next holder has to wait for each of them.
+func (h *holder) rosterDue(wanted map[work.Life]bool, now time.Time) bool {
+	for life := range wanted {
+		if !h.roster[life] {
+			return true
+		}
+	}
+	return len(wanted) < len(h.roster) && now.Sub(h.rosterAt) >= rosterEvery
+}
+
+// commitRoster stores the lives on which tasks may run from now on. The caller holds the lock.
+func (h *holder) commitRoster(roster map[work.Life]bool) {
+	h.rosterAt = time.Now()
 	var row rosterRow
 	for life := range roster {
 		row.Lives = append(row.Lives, lifeRow{Worker: life.Worker, Born: life.Born})
--- a/io/runner/need.go
+++ b/io/runner/need.go
@@ -37,56 +37,87 @@
 	return platform.RowKey{Table: hostsTable, Part: pool, Key: needKey}
 }
 
-// offer is a spare worker that the pool wants to give up.
-type offer struct {
-	since time.Time
-	// retracted is when the pool began to take the offer back; zero if it has not.
-	retracted time.Time
+// clearing keeps the workers withdrawn that the holder of the duty for hosts may give orders about.
+// The caller of its methods holds the holder's lock.
+type clearing struct {
+	// offers holds since when spare workers are offered.
+	offers map[string]time.Time
+	// reported holds the workers that a need named as cleared, and since when the stored need does not name
+	// them any more; the zero time while it does.
+	reported map[string]time.Time
+	// wanted holds the workers that are to be cleared now.
+	wanted map[string]bool
 }
 
-// withOffers adds the spare workers to those withdrawn for maintenance. The caller holds the lock.
-func (h *holder) withOffers(withdrawn map[string]bool, now time.Time) map[string]bool {
-	all := maps.Clone(withdrawn)
-	if all == nil {
-		all = make(map[string]bool)
-	}
-	if h.m.Machines.Send == nil {
-		return all
+func newClearing() clearing {
+	return clearing{offers: make(map[string]time.Time), reported: make(map[string]time.Time), wanted: make(map[string]bool)}
+}
+
+// update takes in which workers are to be cleared for maintenance and which are spare.
+func (c *clearing) update(withdrawn map[string]bool, spare, cleared []string, asking bool, now time.Time) {
+	for _, id := range spare {
+		if _, known := c.offers[id]; !known {
+			c.offers[id] = now
+		}
 	}
-	load := h.board.Load(now)
-	for _, id := range load.Offer {
-		if _, known := h.offers[id]; !known && !all[id] {
-			h.offers[id] = offer{since: now}
+	for id, since := range c.offers {
+		if now.Sub(since) > offerTime || (asking && !slices.Contains(cleared, id)) {
+			delete(c.offers, id)
 		}
 	}
-	cleared := h.board.Cleared()
-	for id, o := range h.offers {
-		h.review(id, o, slices.Contains(cleared, id), load.Ask > 0, now)
-		if _, kept := h.offers[id]; kept {
-			all[id] = true
+	c.wanted = maps.Clone(withdrawn)
+	if c.wanted == nil {
+		c.wanted = make(map[string]bool)
+	}
+	for id := range c.offers {
+		c.wanted[id] = true
+	}
+	for id, until := range c.reported {
+		if !until.IsZero() && now.Sub(until) > retractTime {
+			delete(c.reported, id)
 		}
 	}
+}
+
+// withdrawn returns the workers that get no work: those to be cleared, and those for which an order may be on its way.
+func (c *clearing) withdrawn() map[string]bool {
+	all := maps.Clone(c.wanted)
+	for id := range c.reported {
+		all[id] = true
+	}
 	return all
 }
 
-// review takes an offer back that is not wanted any more. A worker that was told to be cleared may be moved at any
-// moment, so it is used again only some time after the need without it was written.
-func (h *holder) review(id string, o offer, cleared, asking bool, now time.Time) {
-	old := now.Sub(o.since) > offerTime
-	switch {
-	case !cleared && (old || asking) && !slices.Contains(h.need.Cleared, id):
-		delete(h.offers, id)
-	case cleared && old && o.retracted.IsZero():
-		o.retracted = now
-		h.offers[id] = o
-	case !o.retracted.IsZero() && now.Sub(o.retracted) > retractTime && !slices.Contains(h.need.Cleared, id):
-		delete(h.offers, id)
+// report notes that a need with these cleared workers is about to be stored.
+func (c *clearing) report(cleared []string) {
+	for _, id := range cleared {
+		c.reported[id] = time.Time{}
+	}
+}
+
+// stored notes that a need with these cleared workers is stored.
+func (c *clearing) stored(cleared []string, now time.Time) {
+	for id, until := range c.reported {
+		if until.IsZero() && !slices.Contains(cleared, id) {
+			c.reported[id] = now
+		}
 	}
 }
 
-// cleared returns the withdrawn workers that run nothing and whose offers stand.
-func (h *holder) cleared() []string {
-	return slices.DeleteFunc(h.board.Cleared(), func(id string) bool { return !h.offers[id].retracted.IsZero() })
+// withdraw tells the board which workers get no new work.
+func (h *holder) withdraw(maintenance map[string]bool, now time.Time) {
+	if h.m.Machines.Send == nil {
+		return
+	}
+	load := h.board.Load(now)
+	h.clearing.update(maintenance, load.Offer, h.board.Cleared(), load.Ask > 0, now)
+	all := h.clearing.withdrawn()
+	for _, life := range h.board.ClearedLives() {
+		if !h.roster[life] {
+			all[life.Worker] = true // it gets work again only once the roster has it
+		}
+	}
+	h.board.Withdraw(all, now)
 }
 
 // dueNeed returns the pool's need if it has to be written. The caller holds the lock.
@@ -95,7 +126,8 @@
 		return needRow{}, false
 	}
 	load := h.board.Load(now)
-	need := needRow{Ask: load.Ask, Spare: load.Spare, Cleared: h.cleared()}
+	cleared := slices.DeleteFunc(h.board.Cleared(), func(id string) bool { return !h.clearing.wanted[id] })
+	need := needRow{Ask: load.Ask, Spare: load.Spare, Cleared: cleared}
 	if need.equal(h.need) {
 		return needRow{}, false
 	}
