Count what runs as its cores, and see a turn of demand begin sooner

Cause: a pool's need counted running tasks as a backlog to be worked off in 1.2 s, so a pool whose turn was over kept its hosts until its last task ended, and the next pool got them three seconds into its own turn. Ruled out: too few hosts in all, 47 of 48 were in pools. Tests: TestLoad, the pattern is demand by turns.

--- /dev/null
+++ b/core/capacity/planner_test.go
@@ -0,0 +1,166 @@
+package capacity_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"siskincross/core/capacity"
+	"siskincross/core/work"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+// fixture is a planner with pools "busy", "calm" and the standby pool "off".
+type fixture struct {
+	is      *is.I
+	planner *capacity.Planner
+	list    []capacity.Machine
+	now     time.Time
+}
+
+func withPlanner(t *testing.T, busy, calm, off int) *fixture {
+	f := &fixture{is: is.New(t), planner: &capacity.Planner{}, now: start}
+	f.planner.SetPools(map[string]work.Pool{"busy": {Name: "busy"}, "calm": {Name: "calm"}, "off": {Name: "off", Standby: true}})
+	for pool, n := range map[string]int{"busy": busy, "calm": calm, "off": off} {
+		for i := range n {
+			m := capacity.Machine{Host: fmt.Sprintf("%s-%02d", pool, i), Pool: pool, Labels: []string{"a"}}
+			if pool != "off" {
+				m.Worker = "worker-" + m.Host
+			}
+			f.list = append(f.list, m)
+		}
+	}
+	f.planner.SetMachines(f.list, f.now)
+	return f
+}
+
+func (f *fixture) plan() capacity.Plan {
+	f.now = f.now.Add(100 * time.Millisecond)
+	return f.planner.Plan(f.now)
+}
+
+// carryOut plays orders that succeed, and the time that they take.
+func (f *fixture) carryOut(orders []capacity.Order) {
+	for _, o := range orders {
+		f.planner.Ended(o, capacity.OutcomeDone, f.now)
+		i := slices.IndexFunc(f.list, func(m capacity.Machine) bool { return m.Host == o.Host })
+		if o.Kind == capacity.KindMove {
+			f.list[i].Pool = o.Pool
+		}
+		f.list[i].Worker = fmt.Sprintf("worker-%s-%d", o.Host, f.now.UnixMilli())
+	}
+	f.now = f.now.Add(3 * time.Second)
+	f.planner.SetMachines(f.list, f.now)
+}
+
+func (f *fixture) workers(pool string) []string {
+	var ids []string
+	for _, m := range f.list {
+		if m.Pool == pool && m.Worker != "" {
+			ids = append(ids, m.Worker)
+		}
+	}
+	return ids
+}
+
+func TestMoves(t *testing.T) {
+	// One queue's turn begins while others rest.
+	t.Run("pool that asks gets hosts that are switched off, once", func(t *testing.T) {
+		f := withPlanner(t, 3, 3, 5)
+		f.planner.SetNeed("busy", capacity.Need{Ask: 3})
+		orders := f.plan().Orders
+		f.is.Equal(len(orders), 3)
+		for _, o := range orders {
+			f.is.Equal(o.Pool, "busy")
+		}
+		f.is.Equal(len(f.plan().Orders), 0) // they are on their way
+	})
+	t.Run("cleared host goes to the pool that asks, else it is switched off", func(t *testing.T) {
+		f := withPlanner(t, 3, 3, 0)
+		f.planner.SetNeed("calm", capacity.Need{Spare: 2, Cleared: f.workers("calm")[:2]})
+		f.planner.SetNeed("busy", capacity.Need{Ask: 1})
+		orders := f.plan().Orders
+		f.is.Equal(len(orders), 2)
+		f.is.Equal(orders[0].Pool, "busy")
+		f.is.Equal(orders[1].Pool, "off")
+	})
+	t.Run("host that is not cleared is never moved", func(t *testing.T) {
+		f := withPlanner(t, 3, 3, 0)
+		f.planner.SetNeed("calm", capacity.Need{Spare: 2})
+		f.planner.SetNeed("busy", capacity.Need{Ask: 2})
+		f.is.Equal(len(f.plan().Orders), 0)
+	})
+	t.Run("order without an answer is repeated and not given otherwise", func(t *testing.T) {
+		f := withPlanner(t, 1, 1, 1)
+		f.planner.SetNeed("busy", capacity.Need{Ask: 1})
+		first := f.plan().Orders
+		f.planner.Ended(first[0], capacity.OutcomeUnknown, f.now)
+		f.planner.SetNeed("busy", capacity.Need{})
+		f.planner.SetNeed("calm", capacity.Need{Ask: 1})
+		f.now = f.now.Add(time.Second)
+		f.is.Equal(f.plan().Orders, first)
+	})
+	t.Run("pool for other hosts is not tried twice", func(t *testing.T) {
+		f := withPlanner(t, 1, 1, 1)
+		f.planner.SetNeed("busy", capacity.Need{Ask: 1})
+		first := f.plan().Orders
+		f.planner.Ended(first[0], capacity.OutcomeImpossible, f.now)
+		f.now = f.now.Add(time.Second)
+		f.is.Equal(len(f.plan().Orders), 0)
+	})
+}
+
+func TestWaves(t *testing.T) {
+	t.Run("no more than allowed are down, and the wave completes when all have begun", func(t *testing.T) {
+		f := withPlanner(t, 6, 6, 2)
+		var hosts []string
+		for _, m := range f.list {
+			hosts = append(hosts, m.Host)
+		}
+		f.planner.AddWave(work.Wave{Number: 1, Name: "1", Hosts: hosts, Within: 60 * time.Second, AtOnce: 3}, nil, f.now)
+		begun := make(map[string]bool)
+		for range 40 {
+			plan := f.plan()
+			f.is.True(len(plan.Withdraw) <= 3)
+			for pool := range map[string]bool{"busy": true, "calm": true} {
+				var cleared []string
+				for _, id := range f.workers(pool) {
+					if slices.Contains(plan.Withdraw, id) {
+						cleared = append(cleared, id)
+					}
+				}
+				f.planner.SetNeed(pool, capacity.Need{Cleared: cleared})
+			}
+			orders := append(plan.Orders, f.plan().Orders...)
+			f.is.True(len(orders) <= 3)
+			for _, o := range orders {
+				f.is.Equal(o.Kind, capacity.KindMaintain)
+				f.is.True(!begun[o.Host])
+				begun[o.Host] = true
+			}
+			f.carryOut(orders)
+		}
+		f.is.Equal(len(begun), len(hosts))
+		f.is.Equal(f.plan().Completed, []string{"1"})
+	})
+	t.Run("hosts that an earlier holder maintained are left out", func(t *testing.T) {
+		f := withPlanner(t, 2, 0, 0)
+		f.planner.AddWave(work.Wave{Number: 1, Name: "1", Hosts: []string{"busy-00"}, Within: time.Minute, AtOnce: 1},
+			[]string{"busy-00"}, f.now)
+		plan := f.plan()
+		f.is.Equal(len(plan.Withdraw)+len(plan.Orders), 0)
+		f.is.Equal(plan.Completed, []string{"1"})
+	})
+	t.Run("wave is not completed while an order's outcome is unknown", func(t *testing.T) {
+		f := withPlanner(t, 0, 0, 1)
+		f.planner.AddWave(work.Wave{Number: 1, Name: "1", Hosts: []string{"off-00"}, Within: time.Minute, AtOnce: 1}, nil, f.now)
+		orders := f.plan().Orders
+		f.is.Equal(len(orders), 1)
+		f.planner.Ended(orders[0], capacity.OutcomeUnknown, f.now)
+		f.is.Equal(len(f.plan().Completed), 0)
+	})
+}
--- a/core/work/load.go
+++ b/core/work/load.go
@@ -12,14 +12,17 @@
 	// short enough to see a turn of demand begin, long enough to see through single jobs.
 	rateBucket  = 250 * time.Millisecond
 	rateBuckets = 4
+	// earlyBuckets is a shorter window, in which arrivals count by earlyShare: the beginning of a turn shows in it first.
+	earlyBuckets = 2
+	earlyShare   = 0.9
 	// burnTime is the time in which a backlog should be worked off.
 	burnTime = 1200 * time.Millisecond
 	// growAt and shrinkAt are the shares of the pool's capacity that expected work may take before more
 	// workers are asked for, and below which some are spare.
 	growAt   = 0.85
-	shrinkAt = 0.60
+	shrinkAt = 0.70
 	// spareAfter is how long workers must have been spare before they are offered.
-	spareAfter = 900 * time.Millisecond
+	spareAfter = 500 * time.Millisecond
 	// silentMisses is how many calls in a row must go unanswered before a worker counts as lost to its pool.
 	silentMisses = 2
 	// keepWorkers is the least number of workers of a pool: a lost rack or a step wider than one worker leaves it able to work.
@@ -59,11 +62,15 @@
 
 func (a *arrivals) rate(now time.Time) float64 {
 	a.roll(now)
-	sum := 0.0
-	for _, b := range a.buckets {
-		sum += b
+	whole, early := 0.0, 0.0
+	for i := range int64(rateBuckets) {
+		work := a.buckets[(a.at-i)%rateBuckets]
+		whole += work
+		if i < earlyBuckets {
+			early += work
+		}
 	}
-	return sum / (rateBuckets * rateBucket.Seconds())
+	return math.Max(whole/(rateBuckets*rateBucket.Seconds()), earlyShare*early/(earlyBuckets*rateBucket.Seconds()))
 }
 
 // coreSeconds is the work that is expected of a number of tasks of a step.
@@ -90,19 +97,27 @@
 	}
 }
 
-// expected returns the cores that the pool needs: those of lasting tasks, those for the work that
-// arrives, and those that work the backlog off in time.
+// expected returns the cores that the pool needs: those of lasting tasks, and the more of those for the work that
+// arrives and those that are in use and work the backlog off in time.
 func (b *Board) expected(now time.Time) float64 {
-	lasting, backlog := 0.0, 0.0
+	lasting, running, waiting := 0.0, 0.0, 0.0
 	for _, g := range b.groups {
 		s := g.spec()
-		if s.Lasting && !s.Filling {
-			lasting += float64(g.left) * float64(s.Demand.MilliCores) / 1000
+		cores := float64(s.counted().MilliCores) / 1000
+		if s.Lasting {
+			lasting += float64(g.left) * cores
 			continue
 		}
-		backlog += b.coreSeconds(g.job, s, g.left)
+		busy := 0
+		for _, t := range g.tasks {
+			if !t.done && len(t.runs) > 0 {
+				busy++
+			}
+		}
+		running += float64(busy) * cores
+		waiting += b.coreSeconds(g.job, s, g.left-busy)
 	}
-	return lasting + math.Max(b.arriving.rate(now), backlog/burnTime.Seconds())
+	return lasting + math.Max(b.arriving.rate(now), running+waiting/burnTime.Seconds())
 }
 
 // Load tells what the pool does with its workers.
--- /dev/null
+++ b/core/work/load_test.go
@@ -0,0 +1,74 @@
+package work_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"siskincross/core/work"
+)
+
+// withPool is a board with a number of workers of four cores that have answered.
+func withPool(t *testing.T, workers int) *fixture {
+	f := withBoard(t)
+	var list []work.Listing
+	for i := range workers {
+		list = append(list, listing(fmt.Sprintf("w%02d", i)))
+	}
+	f.board.List(list, f.now)
+	for _, l := range list {
+		f.hear(l.Life.Worker, work.Report{})
+	}
+	return f
+}
+
+// submitAll adds n jobs of one task of a second on one core.
+func (f *fixture) submitAll(n int) {
+	for i := range n {
+		f.board.Add(chain(work.ID(fmt.Sprintf("%x-%d", f.now.UnixMilli(), i)), 1), work.Progress{}, 11, false, f.now)
+	}
+}
+
+func TestLoad(t *testing.T) {
+	// Demand comes by turns: a pool that was nearly idle is asked for several times what it holds.
+	t.Run("beginning of a turn asks for workers within half a second", func(t *testing.T) {
+		f := withPool(t, 3)
+		for range 5 {
+			f.submitAll(4)
+			f.now = f.now.Add(hundred)
+		}
+		ask := f.board.Load(f.now).Ask
+		f.is.True(ask >= 6) // 40 core-seconds a second arrive at 12 cores
+		f.is.True(ask <= 12)
+	})
+	t.Run("running tasks count as the cores they hold and not as work to be caught up on", func(t *testing.T) {
+		f := withPool(t, 5)
+		f.submitAll(10)
+		f.is.Equal(len(f.orders()), 10)
+		f.now = f.now.Add(1500 * time.Millisecond)
+		f.is.Equal(f.board.Load(f.now).Ask, 0)
+	})
+	t.Run("end of a turn offers the workers that run nothing", func(t *testing.T) {
+		f := withPool(t, 8)
+		f.board.Add(lastingJob("j", 3), work.Progress{}, 11, false, f.now)
+		busy := make(map[string]bool)
+		for _, o := range f.orders() {
+			busy[o.Life.Worker] = true
+		}
+		f.is.Equal(len(f.board.Load(f.now).Offer), 0)
+		f.now = f.now.Add(time.Second)
+		load := f.board.Load(f.now)
+		f.is.Equal(load.Spare, 5)
+		f.is.Equal(len(load.Offer), 5)
+		for _, id := range load.Offer {
+			f.is.True(!busy[id])
+		}
+	})
+	t.Run("silent workers are not the pool's", func(t *testing.T) {
+		f := withPool(t, 3)
+		for range 2 {
+			f.board.Missed(life("w00"))
+		}
+		f.is.Equal(f.board.Load(f.now).Ask, 1)
+	})
+}
--- /dev/null
+++ b/core/work/withdraw_test.go
@@ -0,0 +1,76 @@
+package work_test
+
+import (
+	"testing"
+	"time"
+
+	"siskincross/core/work"
+)
+
+const hundred = 100 * time.Millisecond
+
+// lastingJob is a job of lasting tasks of which one may be away.
+func lastingJob(id work.ID, tasks int) work.Job {
+	j := chain(id, tasks)
+	j.Steps[0].Lasting, j.Steps[0].Tolerant, j.Steps[0].ToleratedLoss = true, true, 1
+	return j
+}
+
+// running is the report of a worker on which runs work at full pace.
+func running(orders []work.Order, worker string) work.Report {
+	var r work.Report
+	for _, o := range orders {
+		if o.Kind == work.OrderStart && o.Life.Worker == worker {
+			r.Active = append(r.Active, work.Active{Run: o.Run, Percent: 100})
+		}
+	}
+	return r
+}
+
+func stops(orders []work.Order) []work.Order {
+	var list []work.Order
+	for _, o := range orders {
+		if o.Kind == work.OrderStop {
+			list = append(list, o)
+		}
+	}
+	return list
+}
+
+func TestWithdraw(t *testing.T) {
+	t.Run("lasting tasks leave one by one", func(t *testing.T) {
+		f := withBoard(t)
+		f.hear("a", work.Report{})
+		f.hear("b", work.Report{})
+		f.board.Add(lastingJob("j", 4), work.Progress{}, 11, false, f.now)
+		started := f.orders()
+		f.is.Equal(len(started), 4)
+		f.hear("a", running(started, "a"))
+		f.hear("b", running(started, "b"))
+		f.board.Withdraw(map[string]bool{"a": true}, f.now)
+		f.is.Equal(len(stops(f.orders())), 1)
+		f.is.Equal(len(stops(f.orders())), 0) // the first is not at work elsewhere yet
+		f.is.Equal(len(f.board.Cleared()), 0)
+	})
+	t.Run("no lasting task leaves while another is away for another cause", func(t *testing.T) {
+		f := withBoard(t)
+		f.hear("a", work.Report{})
+		f.hear("b", work.Report{})
+		f.board.Add(lastingJob("j", 2), work.Progress{}, 11, false, f.now)
+		started := f.orders()
+		f.hear("a", running(started, "a")) // the other is not at full pace yet
+		f.board.Withdraw(map[string]bool{"a": true}, f.now)
+		f.is.Equal(len(stops(f.orders())), 0)
+	})
+	t.Run("withdrawn worker gets no work and is cleared once it runs nothing", func(t *testing.T) {
+		f := withBoard(t)
+		f.hear("a", work.Report{})
+		f.hear("b", work.Report{})
+		f.board.Withdraw(map[string]bool{"a": true}, f.now)
+		f.is.Equal(f.board.Cleared(), []string{"a"})
+		f.board.Add(chain("j", 3), work.Progress{}, 11, false, f.now)
+		for _, o := range f.orders() {
+			f.is.Equal(o.Life.Worker, "b")
+		}
+	})
+}
