Measure arriving work over full buckets and the present one

Cause: the rate over a short window left out up to half of it, when the present bucket had just begun; the test of a turn's beginning failed.

--- a/core/work/load.go
+++ b/core/work/load.go
@@ -10,10 +10,10 @@
 const (
 	// rateBucket and rateBuckets are the window over which the rate of arriving work is measured:
 	// short enough to see a turn of demand begin, long enough to see through single jobs.
-	rateBucket  = 250 * time.Millisecond
-	rateBuckets = 4
+	rateBucket  = 100 * time.Millisecond
+	rateBuckets = 10
 	// earlyBuckets is a shorter window, in which arrivals count by earlyShare: the beginning of a turn shows in it first.
-	earlyBuckets = 2
+	earlyBuckets = 4
 	earlyShare   = 0.9
 	// burnTime is the time in which a backlog should be worked off.
 	burnTime = 1200 * time.Millisecond
@@ -38,39 +38,39 @@
 	Offer []string
 }
 
-// arrivals measures the rate of arriving work in core-seconds a second.
+// arrivals measures the rate of arriving work in core-seconds a second. The bucket of the present moment is not full yet.
 type arrivals struct {
-	buckets [rateBuckets]float64
+	buckets [rateBuckets + 1]float64
 	at      int64
 }
 
 func (a *arrivals) roll(now time.Time) {
 	tick := now.UnixMilli() / rateBucket.Milliseconds()
+	a.at = max(a.at, tick-int64(len(a.buckets)))
 	for a.at < tick {
 		a.at++
-		if tick-a.at > rateBuckets {
-			a.at = tick - rateBuckets
-		}
-		a.buckets[a.at%rateBuckets] = 0
+		a.buckets[a.at%int64(len(a.buckets))] = 0
 	}
 }
 
 func (a *arrivals) add(work float64, now time.Time) {
 	a.roll(now)
-	a.buckets[a.at%rateBuckets] += work
+	a.buckets[a.at%int64(len(a.buckets))] += work
+}
+
+// over returns the rate over the last n full buckets and the present one.
+func (a *arrivals) over(n int64, now time.Time) float64 {
+	sum := 0.0
+	for i := range n + 1 {
+		sum += a.buckets[(a.at-i)%int64(len(a.buckets))]
+	}
+	present := time.Duration(now.UnixMilli()%rateBucket.Milliseconds()) * time.Millisecond
+	return sum / (time.Duration(n)*rateBucket + present).Seconds()
 }
 
 func (a *arrivals) rate(now time.Time) float64 {
 	a.roll(now)
-	whole, early := 0.0, 0.0
-	for i := range int64(rateBuckets) {
-		work := a.buckets[(a.at-i)%rateBuckets]
-		whole += work
-		if i < earlyBuckets {
-			early += work
-		}
-	}
-	return math.Max(whole/(rateBuckets*rateBucket.Seconds()), earlyShare*early/(earlyBuckets*rateBucket.Seconds()))
+	return math.Max(a.over(rateBuckets, now), earlyShare*a.over(earlyBuckets, now))
 }
 
 // coreSeconds is the work that is expected of a number of tasks of a step.
