Meet urgent needs of lasting tasks first, and take none away without another place for it

Change 1: needs name what is urgent; urgent needs go first, recall hosts from the largest pool, and hosts that do not come up are not counted on. A lasting task leaves only if another worker can take it. Late work asks for fewer hosts. Change 2: reports older than 1.4 s and silent workers' tasks do not count as at work.

--- a/core/capacity/machine.go
+++ b/core/capacity/machine.go
@@ -69,6 +69,8 @@
 type Need struct {
 	// Ask is how many more workers the pool could use.
 	Ask int
+	// Urgent is how many of those it needs for tasks that must not be away.
+	Urgent int
 	// Spare is how many of its workers the pool could do without for a while.
 	Spare int
 	// Cleared holds the workers that run nothing and get no new work, until they are gone.
--- a/core/capacity/moves.go
+++ b/core/capacity/moves.go
@@ -9,7 +9,8 @@
 
 // planMoves gives cleared hosts and switched-off ones to the pools that ask, and switches the rest off.
 func (p *Planner) planMoves(plan *Plan, now time.Time) {
-	asks := p.asks()
+	asks := p.asks(now)
+	size := p.sizes()
 	for _, m := range p.hosts() {
 		if !m.free(now) || p.waits(m) {
 			continue
@@ -18,15 +19,16 @@
 		if !standby && !slices.Contains(p.needs[m.Pool].Cleared, m.Worker) {
 			continue
 		}
-		to := p.neediest(m, asks)
+		to := p.neediest(m, asks, size)
 		if to == "" && !standby {
 			to = p.standbyFor(m)
 		}
 		if to == "" || to == m.Pool {
 			continue
 		}
-		if asks[to] > 0 {
-			asks[to]--
+		if a := asks[to]; a.total > 0 {
+			asks[to] = a.less()
+			size[to]++
 		}
 		p.give(m, Order{Kind: KindMove, Host: m.Host, Pool: to}, plan, now)
 	}
@@ -42,39 +44,118 @@
 	return false
 }
 
+// expectTime is how much longer than usual a host on its way is counted on.
+const expectTime = 2 * time.Second
+
 // asks returns how many hosts each pool still misses, less those on their way.
-func (p *Planner) asks() map[string]int {
-	asks := make(map[string]int, len(p.needs))
+func (p *Planner) asks(now time.Time) map[string]ask {
+	asks := make(map[string]ask, len(p.needs))
 	for pool, n := range p.needs {
 		if spec, ok := p.pools[pool]; ok && !spec.Standby {
-			asks[pool] = n.Ask
+			asks[pool] = ask{urgent: n.Urgent, total: n.Ask}
 		}
 	}
 	for _, m := range p.machines {
-		if m.ordered && m.order.Kind == KindMove && asks[m.order.Pool] > 0 {
-			asks[m.order.Pool]--
+		if !m.ordered || m.State == StateDown || now.Sub(m.at) > p.Policy.withDefaults().MoveTime+expectTime {
+			continue
 		}
-		if m.ordered && m.order.Kind == KindMaintain && asks[m.Pool] > 0 {
-			asks[m.Pool]--
+		pool := m.Pool
+		if m.order.Kind == KindMove {
+			pool = m.order.Pool
+		}
+		if a := asks[pool]; a.total > 0 {
+			asks[pool] = a.less()
 		}
 	}
 	return asks
 }
 
-// neediest returns the pool that misses the most hosts and can take this one, or "".
-func (p *Planner) neediest(m *machine, asks map[string]int) string {
-	best := ""
+// ask is how many hosts a pool still misses.
+type ask struct{ urgent, total int }
+
+func (a ask) less() ask { return ask{max(0, a.urgent-1), a.total - 1} }
+
+// sizes counts the hosts of each pool, with those on their way to it.
+func (p *Planner) sizes() map[string]int {
+	sizes := make(map[string]int)
+	for _, m := range p.machines {
+		pool := m.Pool
+		if m.ordered && m.order.Kind == KindMove {
+			pool = m.order.Pool
+		}
+		sizes[pool]++
+	}
+	return sizes
+}
+
+// neediest returns the pool that gets the host next, or "": one with an urgent need first, then the one that misses
+// the most for each host that it has.
+func (p *Planner) neediest(m *machine, asks map[string]ask, size map[string]int) string {
+	best, bestRank := "", 0.0
 	for _, pool := range slices.Sorted(maps.Keys(asks)) {
-		if pool == m.Pool || asks[pool] <= 0 || p.impossible[[2]string{m.kind(), pool}] {
+		a := asks[pool]
+		if pool == m.Pool || a.total <= 0 || p.impossible[[2]string{m.kind(), pool}] {
 			continue
 		}
-		if best == "" || asks[pool] > asks[best] {
-			best = pool
+		rank := float64(a.total) / float64(size[pool]+1)
+		if a.urgent > 0 {
+			rank += urgentRank
+		}
+		if rank > bestRank {
+			best, bestRank = pool, rank
 		}
 	}
 	return best
 }
 
+// urgentRank is above the rank of any pool without an urgent need.
+const urgentRank = 1e6
+
+// recall withdraws workers of the largest pools for urgent needs that no free host can meet.
+func (p *Planner) recall(plan *Plan, now time.Time) {
+	missing := 0
+	for _, a := range p.asks(now) {
+		missing += a.urgent
+	}
+	var largest []*machine
+	size := p.sizes()
+	for _, m := range p.hosts() {
+		if p.pools[m.Pool].Standby && m.free(now) && !p.waits(m) {
+			missing-- // it is moved as soon as it can be
+		}
+		if !p.pools[m.Pool].Standby && m.free(now) && m.Worker != "" && p.needs[m.Pool].Urgent == 0 {
+			largest = append(largest, m)
+		}
+		if m.recalled && (m.ordered || missing <= 0) {
+			m.recalled = false
+		}
+	}
+	slices.SortStableFunc(largest, func(a, b *machine) int {
+		return cmp.Or(compareBool(b.recalled, a.recalled), cmp.Compare(size[b.Pool], size[a.Pool]))
+	})
+	for _, m := range largest {
+		if missing <= 0 || size[m.Pool] <= recallAbove {
+			return
+		}
+		missing--
+		m.recalled = true
+		plan.Withdraw = append(plan.Withdraw, m.Worker)
+	}
+}
+
+// recallAbove is the size of a pool from which on it gives hosts up for the urgent needs of others.
+const recallAbove = 5
+
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return 1
+	}
+	return -1
+}
+
 // standbyFor returns a pool of switched-off hosts that can take the host, or "".
 func (p *Planner) standbyFor(m *machine) string {
 	names := slices.SortedFunc(maps.Keys(p.pools), cmp.Compare[string])
--- a/core/capacity/planner.go
+++ b/core/capacity/planner.go
@@ -59,6 +59,8 @@
 	confirmed bool
 	// retry is when the host may get its next order.
 	retry time.Time
+	// recalled hosts are to be cleared for another pool's urgent need.
+	recalled bool
 	// worker is the host's worker when the order was given.
 	worker string
 }
@@ -173,8 +175,10 @@
 		p.planWave(w, &plan, now)
 	}
 	p.planMoves(&plan, now)
+	p.recall(&plan, now)
 	p.retryOrders(&plan, now)
 	slices.Sort(plan.Withdraw)
+	plan.Withdraw = slices.Compact(plan.Withdraw)
 	return plan
 }
 
--- a/core/capacity/planner_test.go
+++ b/core/capacity/planner_test.go
@@ -164,3 +164,44 @@
 		f.is.Equal(len(f.plan().Completed), 0)
 	})
 }
+
+func TestInbound(t *testing.T) {
+	// A rack goes dark while its hosts are on their way to a pool.
+	t.Run("host that does not come up is not counted on", func(t *testing.T) {
+		f := withPlanner(t, 1, 0, 2)
+		f.planner.SetNeed("busy", capacity.Need{Ask: 1})
+		first := f.plan().Orders
+		f.is.Equal(len(first), 1)
+		f.planner.Ended(first[0], capacity.OutcomeDone, f.now)
+		i := slices.IndexFunc(f.list, func(m capacity.Machine) bool { return m.Host == first[0].Host })
+		f.list[i].State = capacity.StateDown
+		f.planner.SetMachines(f.list, f.now)
+		f.is.Equal(len(f.plan().Orders), 1)
+	})
+}
+
+func TestUrgentNeeds(t *testing.T) {
+	// A pool's turn took all hosts; another pool then loses a worker of its lasting tasks.
+	t.Run("urgent need recalls a host from the largest pool", func(t *testing.T) {
+		f := withPlanner(t, 12, 2, 0)
+		f.planner.SetNeed("busy", capacity.Need{Ask: 20})
+		f.planner.SetNeed("calm", capacity.Need{Ask: 1, Urgent: 1})
+		plan := f.plan()
+		f.is.Equal(len(plan.Withdraw), 1)
+		f.is.True(slices.Contains(f.workers("busy"), plan.Withdraw[0]))
+		f.is.Equal(f.plan().Withdraw, plan.Withdraw)
+		f.planner.SetNeed("busy", capacity.Need{Ask: 20, Cleared: plan.Withdraw})
+		orders := f.plan().Orders
+		f.is.Equal(len(orders), 1)
+		f.is.Equal(orders[0].Pool, "calm")
+		f.is.Equal(len(f.plan().Withdraw), 0)
+	})
+	t.Run("urgent need comes before a larger one", func(t *testing.T) {
+		f := withPlanner(t, 2, 2, 1)
+		f.planner.SetNeed("busy", capacity.Need{Ask: 20})
+		f.planner.SetNeed("calm", capacity.Need{Ask: 1, Urgent: 1})
+		orders := f.plan().Orders
+		f.is.Equal(len(orders), 1)
+		f.is.Equal(orders[0].Pool, "calm")
+	})
+}
--- a/core/capacity/wave.go
+++ b/core/capacity/wave.go
@@ -55,38 +55,27 @@
 // withdraw asks pools to clear the workers of the next hosts: as many as the wave allows at once, from pools
 // that can do without them first.
 func (p *Planner) withdraw(w *wave, left []*machine, away int, plan *Plan, now time.Time) {
-	open := make(map[string]int)
-	size := make(map[string]int)
-	for _, m := range p.machines {
-		size[m.Pool]++
-	}
+	open := p.outOfService(w, left)
 	asked := 0
 	for _, m := range left {
 		if w.withdrawn[m.Host] && !m.ordered {
 			asked++
-			open[m.Pool]++
-		}
-	}
-	for _, m := range p.hosts() {
-		if m.ordered {
-			open[m.Pool]++
 		}
 	}
 	slices.SortStableFunc(left, func(a, b *machine) int {
 		return cmp.Or(cmp.Compare(p.strain(a), p.strain(b)), cmp.Compare(open[a.Pool], open[b.Pool]))
 	})
 	late := now.Sub(w.began) > time.Duration(float64(w.Within)*waveHaste)
+	sizes := p.sizes()
 	for _, m := range left {
 		if w.withdrawn[m.Host] || m.ordered || away+asked >= w.AtOnce || p.pools[m.Pool].Standby {
 			continue
 		}
-		limit := max(1, int(withdrawnShare*float64(size[m.Pool])), p.needs[m.Pool].Spare)
-		if !late && open[m.Pool] >= limit {
-			continue
+		if late || open[m.Pool] < p.withdrawable(m.Pool, sizes[m.Pool]) {
+			w.withdrawn[m.Host] = true
+			asked++
+			open[m.Pool]++
 		}
-		w.withdrawn[m.Host] = true
-		asked++
-		open[m.Pool]++
 	}
 	for _, m := range left {
 		if w.withdrawn[m.Host] && m.Worker != "" && !m.ordered {
@@ -95,6 +84,27 @@
 	}
 }
 
+// outOfService counts by pool the hosts that are withdrawn for the wave or have an order.
+func (p *Planner) outOfService(w *wave, left []*machine) map[string]int {
+	open := make(map[string]int)
+	for _, m := range left {
+		if w.withdrawn[m.Host] && !m.ordered {
+			open[m.Pool]++
+		}
+	}
+	for _, m := range p.machines {
+		if m.ordered {
+			open[m.Pool]++
+		}
+	}
+	return open
+}
+
+// withdrawable is how many hosts of a pool may be out of service at once while there is time.
+func (p *Planner) withdrawable(pool string, size int) int {
+	return max(1, int(withdrawnShare*float64(size)), p.needs[pool].Spare)
+}
+
 // strain orders hosts by how much their pools miss them.
 func (p *Planner) strain(m *machine) int {
 	n := p.needs[m.Pool]
--- a/core/event/level.go
+++ b/core/event/level.go
@@ -19,7 +19,7 @@
 	switch n {
 	case RequestAnswered, RequestNotRun, RequestUnknown, RequestRetried, RequestReplayed,
 		JobAccepted, JobStarted, JobFinished, JobCancelled,
-		WorkStarted, WorkRunEnded, WorkRunStopped:
+		WorkStarted, WorkRunEnded, WorkRunStopped, NeedStated, PlanStored:
 		return LevelDebug
 	case MemberLapsed, PeerLost, PeerRefused, StoreUnavailable, ClaimLost, TargetEjected,
 		JobUnknown, JobParked, JobCommitFailed, JobRowUnreadable, WorkerSuspected,
--- a/core/event/work.go
+++ b/core/event/work.go
@@ -30,6 +30,8 @@
 	WaveSeen
 	WaveCompleted
 	LinesLeftOut
+	NeedStated
+	PlanStored
 )
 
 var workEntries = []Entry{
@@ -61,4 +63,6 @@
 	{WaveSeen, "work", "Operators asked for the maintenance of hosts."},
 	{WaveCompleted, "work", "Every host of a maintenance wave has begun its maintenance."},
 	{LinesLeftOut, "work", "Log lines were left out to bound their volume."},
+	{NeedStated, "work", "A pool's holder told how many workers it misses, can spare and has cleared."},
+	{PlanStored, "work", "The plan for hosts was stored: workers to be cleared, and orders that follow."},
 }
--- a/core/work/board.go
+++ b/core/work/board.go
@@ -62,6 +62,10 @@
 	// durations holds what is learnt of tasks, by queue.
 	durations map[string]*durations
 	arriving  arrivals
+	// homeless counts the lasting steps with a task that found no worker in the last round.
+	homeless int
+	// cramped counts the lasting tasks that should leave a worker and found no other in the last round.
+	cramped int
 	// spareSince is since when the pool has had more workers than it needs.
 	spareSince time.Time
 }
--- a/core/work/load.go
+++ b/core/work/load.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"math"
 	"slices"
 	"time"
@@ -15,8 +16,11 @@
 	// earlyBuckets is a shorter window, in which arrivals count by earlyShare: the beginning of a turn shows in it first.
 	earlyBuckets = 4
 	earlyShare   = 0.9
-	// burnTime is the time in which a backlog should be worked off.
-	burnTime = 1200 * time.Millisecond
+	// burnTime is the time in which a backlog that can be in time should be worked off, lateBurn and missedBurn are
+	// those for work that is late and that nobody waits for any more: hosts are better lent to others meanwhile.
+	burnTime   = 1200 * time.Millisecond
+	lateBurn   = 3 * time.Second
+	missedBurn = 8 * time.Second
 	// growAt and shrinkAt are the shares of the pool's capacity that expected work may take before more
 	// workers are asked for, and below which some are spare.
 	growAt   = 0.85
@@ -32,10 +36,14 @@
 // Load is what a pool does with its workers.
 type Load struct {
 	// Ask is how many more workers it could use, Spare how many it can do without.
-	Ask   int
-	Spare int
+	Ask int
+	// Urgent is how many of those it needs for tasks that must not be away.
+	Urgent int
+	Spare  int
 	// Offer holds the spare workers that are best given up.
 	Offer []string
+	// Why gives the figures behind the numbers, for people who look back.
+	Why string
 }
 
 // arrivals measures the rate of arriving work in core-seconds a second. The bucket of the present moment is not full yet.
@@ -115,9 +123,20 @@
 			}
 		}
 		running += float64(busy) * cores
-		waiting += b.coreSeconds(g.job, s, g.left-busy)
+		waiting += b.coreSeconds(g.job, s, g.left-busy) / g.standing(now).burn().Seconds()
 	}
-	return lasting + math.Max(b.arriving.rate(now), running+waiting/burnTime.Seconds())
+	return lasting + math.Max(b.arriving.rate(now), running+waiting)
+}
+
+// burn is the time in which waiting work of a standing should be worked off.
+func (s standing) burn() time.Duration {
+	switch s {
+	case standingLate:
+		return lateBurn
+	case standingMissed:
+		return missedBurn
+	}
+	return burnTime
 }
 
 // Load tells what the pool does with its workers.
@@ -133,19 +152,23 @@
 	}
 	if len(usable) == 0 {
 		if len(b.groups) > 0 {
-			return Load{Ask: keepWorkers}
+			return Load{Ask: keepWorkers, Urgent: keepWorkers, Why: "no workers"}
 		}
 		return Load{}
 	}
 	each := cores / float64(len(usable))
 	need := b.expected(now)
-	var load Load
+	load := Load{Why: fmt.Sprintf("%d workers with %.0f cores, %.0f needed, %d steps without a place, %d tasks that can't leave", len(usable), cores, need, b.homeless, b.cramped)}
 	if need > cores*growAt {
 		load.Ask = int(math.Ceil((need/growAt - cores) / each))
 	}
-	load.Ask = max(load.Ask, keepWorkers-len(usable))
+	load.Urgent = max(0, keepWorkers-len(usable))
+	if b.homeless+b.cramped > 0 {
+		load.Urgent = max(load.Urgent, 1)
+	}
+	load.Ask = max(load.Ask, load.Urgent)
 	keep := max(keepWorkers, int(math.Ceil(need/shrinkAt/each)))
-	if len(usable) <= keep {
+	if len(usable) <= keep || load.Urgent > 0 {
 		b.spareSince = time.Time{}
 		return load
 	}
--- a/core/work/load_test.go
+++ b/core/work/load_test.go
@@ -72,3 +72,22 @@
 		f.is.Equal(f.board.Load(f.now).Ask, 1)
 	})
 }
+
+func TestHomelessTasks(t *testing.T) {
+	// Few workers are left at the end of a turn, and one of them is to be maintained: the others are full for the step.
+	t.Run("lasting task stays until there is another place, and asks for one", func(t *testing.T) {
+		f := withPool(t, 3)
+		j := lastingJob("j", 6)
+		j.Steps[0].SpreadLimit = 2
+		j.Steps[0].Demand.MilliCores = 100
+		f.board.Add(j, work.Progress{}, 11, false, f.now)
+		started := f.orders()
+		f.is.Equal(len(started), 6)
+		for _, id := range []string{"w00", "w01", "w02"} {
+			f.hear(id, running(started, id))
+		}
+		f.board.Withdraw(map[string]bool{"w00": true}, f.now)
+		f.is.Equal(len(stops(f.orders())), 0) // it would have nowhere to go
+		f.is.Equal(f.board.Load(f.now).Urgent, 1)
+	})
+}
--- a/core/work/place.go
+++ b/core/work/place.go
@@ -10,10 +10,8 @@
 	settled := b.settled(now)
 	b.sortGroups(now)
 	open := b.openWorkers(now)
-	if len(open) == 0 {
-		return nil
-	}
 	var orders []Order
+	b.homeless = 0
 	for _, g := range slices.Clone(b.groups) {
 		if (g.job.ambiguous && !settled) || !b.preceded(g.job, g.occurrence, g.step) {
 			continue
@@ -49,6 +47,9 @@
 		}
 		w := b.choose(g, open, nil)
 		if w == nil {
+			if g.spec().Lasting {
+				b.homeless++
+			}
 			break
 		}
 		orders = append(orders, b.start(t, w, now))
--- a/core/work/withdraw.go
+++ b/core/work/withdraw.go
@@ -44,6 +44,8 @@
 
 // evacuate gives up the runs that keep withdrawn workers from being cleared: lasting ones as their steps tolerate, others late.
 func (b *Board) evacuate(now time.Time) {
+	b.cramped = 0
+	open := b.openWorkers(now)
 	for _, w := range b.order {
 		if !w.withdrawn && !w.Draining {
 			continue
@@ -54,7 +56,11 @@
 			}
 			g := r.task.group
 			late := w.withdrawn && now.Sub(w.withdrawnAt) > withdrawPatience
-			if (g.spec().Lasting && g.tolerates()) || (!g.spec().Lasting && late && !g.spec().Gang) {
+			if g.spec().Lasting && b.choose(g, open, nil) == nil {
+				b.cramped++ // it would have nowhere to go
+				continue
+			}
+			if (g.spec().Lasting && g.tolerates(now)) || (!g.spec().Lasting && late && !g.spec().Gang) {
 				r.evacuated = true
 				b.unwanted[r] = true
 			}
@@ -62,23 +68,28 @@
 	}
 }
 
-// atWork reports whether the task works at full pace on a worker that it may stay on.
-func (t *task) atWork() bool {
+// atWork reports whether the task works at full pace on a worker that it may stay on, as of a moment ago.
+func (t *task) atWork(now time.Time) bool {
 	for _, r := range t.runs {
-		if r.phase == phaseRunning && r.percent >= fullPace && !r.evacuated && !r.stopping {
+		seen := r.worker.misses == 0 && now.Sub(r.worker.clock.heard) < seenTime
+		if seen && r.phase == phaseRunning && r.percent >= fullPace && !r.evacuated && !r.stopping {
 			return true
 		}
 	}
 	return false
 }
 
-const fullPace = 100
+const (
+	fullPace = 100
+	// seenTime is how old a worker's report may be to be believed: a little more than the longest time between two renewals.
+	seenTime = 1400 * time.Millisecond
+)
 
 // tolerates reports whether one more task of a lasting step may be taken away. A step that states no number loses one at a time.
-func (g *group) tolerates() bool {
+func (g *group) tolerates(now time.Time) bool {
 	away := 0
 	for _, t := range g.tasks {
-		if !t.atWork() {
+		if !t.atWork(now) {
 			away++
 		}
 	}
--- a/core/work/withdraw_test.go
+++ b/core/work/withdraw_test.go
@@ -62,6 +62,21 @@
 		f.board.Withdraw(map[string]bool{"a": true}, f.now)
 		f.is.Equal(len(stops(f.orders())), 0)
 	})
+	// A rack goes dark under one task of a step; its worker's last report says that all is well.
+	t.Run("no lasting task leaves while another's worker is silent", func(t *testing.T) {
+		f := withBoard(t)
+		f.hear("a", work.Report{})
+		f.hear("b", work.Report{})
+		f.board.Add(lastingJob("j", 2), work.Progress{}, 11, false, f.now)
+		started := f.orders()
+		f.hear("a", running(started, "a"))
+		f.hear("b", running(started, "b"))
+		f.board.Missed(life("b"))
+		f.board.Withdraw(map[string]bool{"a": true}, f.now)
+		f.is.Equal(len(stops(f.orders())), 0)
+		f.hear("b", running(started, "b"))
+		f.is.Equal(len(stops(f.orders())), 1)
+	})
 	t.Run("withdrawn worker gets no work and is cleared once it runs nothing", func(t *testing.T) {
 		f := withBoard(t)
 		f.hear("a", work.Report{})
--- a/io/runner/hosts.go
+++ b/io/runner/hosts.go
@@ -274,6 +274,7 @@
 	}
 	h.withdraw = plan.Withdraw
 	maps.Copy(h.stored, counts)
+	h.m.record(event.Event{Number: event.PlanStored, Pool: h.name, Detail: fmt.Sprintf("withdraw %v, orders %v", row.Withdraw, row.Orders)})
 	return true
 }
 
--- a/io/runner/need.go
+++ b/io/runner/need.go
@@ -1,11 +1,13 @@
 package runner
 
 import (
+	"fmt"
 	"maps"
 	"slices"
 	"time"
 
 	"siskincross/core/capacity"
+	"siskincross/core/event"
 	"siskincross/io/platform"
 )
 
@@ -21,16 +23,17 @@
 // needRow is what a pool's duty holder tells the holder of the duty for hosts.
 type needRow struct {
 	Ask     int      `json:"ask,omitempty"`
+	Urgent  int      `json:"urgent,omitempty"`
 	Spare   int      `json:"spare,omitempty"`
 	Cleared []string `json:"cleared,omitempty"`
 }
 
 func (r needRow) need() capacity.Need {
-	return capacity.Need{Ask: r.Ask, Spare: r.Spare, Cleared: r.Cleared}
+	return capacity.Need{Ask: r.Ask, Urgent: r.Urgent, Spare: r.Spare, Cleared: r.Cleared}
 }
 
 func (r needRow) equal(o needRow) bool {
-	return r.Ask == o.Ask && r.Spare == o.Spare && slices.Equal(r.Cleared, o.Cleared)
+	return r.Ask == o.Ask && r.Urgent == o.Urgent && r.Spare == o.Spare && slices.Equal(r.Cleared, o.Cleared)
 }
 
 func needKeyOf(pool string) platform.RowKey {
@@ -127,10 +130,12 @@
 	}
 	load := h.board.Load(now)
 	cleared := slices.DeleteFunc(h.board.Cleared(), func(id string) bool { return !h.clearing.wanted[id] })
-	need := needRow{Ask: load.Ask, Spare: load.Spare, Cleared: cleared}
+	need := needRow{Ask: load.Ask, Urgent: load.Urgent, Spare: load.Spare, Cleared: cleared}
 	if need.equal(h.need) {
 		return needRow{}, false
 	}
 	h.needAt = now
+	h.m.record(event.Event{Number: event.NeedStated, Pool: h.pool, Detail: fmt.Sprintf(
+		"asks for %d (%d urgent), spares %d, cleared %v, %s", need.Ask, need.Urgent, need.Spare, need.Cleared, load.Why)})
 	return need, true
 }
