--- a/core/work/order.go
+++ b/core/work/order.go
@@ -150,7 +150,6 @@
 		demand: spec.counted(), phase: phaseOrdered, started: now, checkpoint: t.checkpoint,
 	}
 	t.runs = append(t.runs, r)
-	t.group.job.begun = true
 	w.runs[r.name] = r
 	w.used = w.used.Plus(r.demand)
 	return Order{
@@ -220,6 +219,9 @@
 		}
 		r.confirmed = true
 		r.known = b.sequence
+		if r.task != nil {
+			r.task.group.job.begun = true
+		}
 	case VerdictUnknown:
 		b.doubt(r)
 	default:
