--- a/core/work/order.go
+++ b/core/work/order.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 	"time"
 )
@@ -31,6 +32,8 @@
 	Deadline time.Duration
 	// Percent is set for a change of pace.
 	Percent int
+	// Why tells what decided, for people who look back.
+	Why string
 }
 
 // Verdict is how an order was answered.
@@ -156,6 +159,7 @@
 		Kind: OrderStart, Contact: w.contact(), Epoch: b.Epoch, Run: r.name,
 		Spec: t.group.job.Spec, Checkpoint: t.checkpoint,
 		Deadline: w.clock.grant(now, b.policy.Lease),
+		Why:      fmt.Sprintf("%s after %s, worker had %d milli-cores free", t.group.standing(now), now.Sub(t.group.from).Round(time.Millisecond), w.free().Plus(r.demand).MilliCores),
 	}
 }
 
--- a/core/work/report.go
+++ b/core/work/report.go
@@ -109,12 +109,13 @@
 	return w != nil && w.misses >= silentMisses && len(w.runs) == 0 && w.answered
 }
 
-// Report takes in a worker's answer to the renewal with the sequence number.
-func (b *Board) Report(l Life, sequence uint64, report Report, now time.Time) {
+// Report takes in a worker's answer to the renewal with the sequence number. It returns the ends that are new.
+func (b *Board) Report(l Life, sequence uint64, report Report, now time.Time) []End {
 	w := b.workers[l]
 	if w == nil {
-		return
+		return nil
 	}
+	var taken []End
 	b.hear(w, report.Clock, now)
 	present := make(map[Run]bool, len(report.Active)+len(report.Ends))
 	for _, a := range report.Active {
@@ -126,11 +127,13 @@
 		if e.Number > w.taken {
 			w.taken = e.Number
 			b.takeEnd(w, e, now)
+			taken = append(taken, e)
 		}
 	}
 	if len(report.Ends) < EndsPerReport {
 		b.dropAbsent(w, present, sequence)
 	}
+	return taken
 }
 
 // hear notes that the worker answered a call that carried the board's epoch.
--- a/io/cli/timeline.go
+++ b/io/cli/timeline.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"os"
@@ -10,6 +11,7 @@
 	"github.com/urfave/cli/v3"
 
 	"siskincross/core/event"
+	"siskincross/io/logs"
 	"siskincross/io/timeline"
 )
 
@@ -24,6 +26,7 @@
 			&cli.StringFlag{Name: "pool", Usage: "only events of this `ORGANISATION/POOL`"},
 			&cli.StringFlag{Name: "job", Usage: "only events of this `JOB`"},
 			&cli.StringFlag{Name: "request", Usage: "only events of this `REQUEST`"},
+			&cli.StringSliceFlag{Name: "logs", Usage: "read the events from these log `FILE`s in place of the operators' interface", TakesFile: true},
 			&cli.StringFlag{Name: "html", Usage: "write a page with a lane for each process to this `FILE`", TakesFile: true},
 		),
 		Action: runTimeline,
@@ -31,14 +34,15 @@
 }
 
 func runTimeline(ctx context.Context, cmd *cli.Command) error {
-	events, err := operatorClient(cmd).Timeline(ctx, timeline.Filter{
+	filter := timeline.Filter{
 		Host:    cmd.String("host"),
 		Pool:    cmd.String("pool"),
 		Job:     cmd.String("job"),
 		Request: cmd.String("request"),
-	})
+	}
+	events, err := timelineEvents(ctx, cmd, filter)
 	if err != nil {
-		return operatorFailure(err)
+		return err
 	}
 	if path := cmd.String("html"); path != "" {
 		return writePage(path, events)
@@ -46,6 +50,31 @@
 	return show(cmd, events, func(w io.Writer) error { return writeEvents(w, events) })
 }
 
+// timelineEvents returns the events that match, from log files if any are named.
+func timelineEvents(ctx context.Context, cmd *cli.Command, filter timeline.Filter) ([]event.Event, error) {
+	paths := cmd.StringSlice("logs")
+	if len(paths) == 0 {
+		events, err := operatorClient(cmd).Timeline(ctx, filter)
+		if err != nil {
+			return nil, operatorFailure(err)
+		}
+		return events, nil
+	}
+	lists := make([][]event.Event, len(paths))
+	for i, path := range paths {
+		file, err := os.Open(path)
+		if err != nil {
+			return nil, failed(ExitUsage, "open the log: %w", err)
+		}
+		events, err := logs.Read(file)
+		if err := errors.Join(err, file.Close()); err != nil {
+			return nil, failed(ExitFailure, "%s: %w", path, err)
+		}
+		lists[i] = timeline.Select(events, filter)
+	}
+	return timeline.Merge(lists...), nil
+}
+
 func writePage(path string, events []event.Event) error {
 	file, err := os.Create(path)
 	if err != nil {
--- a/io/runner/contacts.go
+++ b/io/runner/contacts.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"strings"
 	"time"
 
 	"siskincross/core/event"
@@ -82,7 +83,12 @@
 	defer h.mu.Unlock()
 	switch {
 	case err == nil:
-		h.board.Report(life, renewal.Sequence, report, time.Now())
+		for _, e := range h.board.Report(life, renewal.Sequence, report, time.Now()) {
+			h.m.record(event.Event{
+				Number: event.WorkRunEnded, Pool: h.pool, Host: life.Worker, Job: string(e.Run.Task.Job),
+				Detail: fmt.Sprintf("%s: %s, end %d of the worker", e.Run, e.How, e.Number),
+			})
+		}
 	case errors.As(err, &stale):
 		h.lose(err.Error())
 		return false
@@ -127,6 +133,6 @@
 	}
 	h.m.record(event.Event{
 		Number: number, Pool: h.pool, Host: o.Life.Worker, Job: string(o.Run.Task.Job),
-		Detail: fmt.Sprintf("%s: %s", o.Run, a.Verdict),
+		Detail: strings.TrimSuffix(fmt.Sprintf("%s: %s, %s", o.Run, a.Verdict, o.Why), ", "),
 	})
 }
