--- a/io/runner/intake.go
+++ b/io/runner/intake.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -46,8 +47,6 @@
 type submission struct {
 	job work.Job
 	row []byte
-	// earlier holds other pools that served the queue before: a late repeat may be stored there.
-	earlier []string
 	// maybe is true once a commit with it had an unknown outcome.
 	maybe bool
 	ctx   context.Context
@@ -69,14 +68,15 @@
 	if err := job.Check(); err != nil {
 		return err
 	}
+	if m.commits.away() {
+		err := ErrNotAccepted{Reason: errStoreAway().Error(), RetryAfter: storeAway}
+		m.tellSubmit(q, job, err)
+		return err
+	}
 	s := &submission{job: job, row: encode(newSpecRow(job)), ctx: ctx, done: make(chan error, 1)}
-	m.mu.Lock()
-	for _, pool := range m.former[q.Key()] {
-		if pool != q.Pool {
-			s.earlier = append(s.earlier, pool)
-		}
+	if stored, err := m.storedBefore(ctx, q, job.ID); stored || err != nil {
+		return err
 	}
-	m.mu.Unlock()
 	m.enqueue(q.Pool, s)
 	select {
 	case err := <-s.done:
@@ -89,6 +89,27 @@
 	}
 }
 
+// storedBefore reports whether a job is stored in another pool that served its queue before: its repeat may come after
+// the queue was given to this one.
+func (m *Manager) storedBefore(ctx context.Context, q work.Queue, id work.ID) (bool, error) {
+	m.mu.Lock()
+	pools := slices.Clone(m.former[q.Key()])
+	m.mu.Unlock()
+	for _, pool := range pools {
+		if pool == q.Pool {
+			continue
+		}
+		_, ok, err := m.Rows.ReadOne(ctx, jobKey(pool, id), "accept")
+		if err != nil {
+			return false, ErrNotAccepted{Reason: err.Error(), RetryAfter: storeAway}
+		}
+		if ok {
+			return true, nil
+		}
+	}
+	return false, nil
+}
+
 func (m *Manager) tellSubmit(q work.Queue, job work.Job, err error) {
 	e := event.Event{Number: event.WorkAccepted, Pool: q.Pool, Job: string(job.ID), Detail: "queue " + q.Name}
 	var refused ErrNotAccepted
@@ -248,6 +269,9 @@
 			return state, nil
 		}
 	}
+	if m.reads.away() {
+		return 0, errStoreAway()
+	}
 	_, row, err := m.findJob(ctx, q, id)
 	if err != nil {
 		return 0, err
@@ -278,6 +302,9 @@
 
 // Cancel cancels a job. It returns nil once that is stored, or if the job is final; ErrNoJob, or ErrUnsure.
 func (m *Manager) Cancel(ctx context.Context, q work.Queue, id work.ID) error {
+	if m.commits.away() {
+		return ErrNotAccepted{Reason: errStoreAway().Error(), RetryAfter: storeAway}
+	}
 	var retry backoff
 	for {
 		done, err := m.cancelOnce(ctx, q, id)
@@ -336,6 +363,9 @@
 			return counts[q.Key()], nil
 		}
 	}
+	if m.reads.away() {
+		return 0, errStoreAway()
+	}
 	key := platform.RowKey{Table: countTable, Part: q.Pool, Key: pendingKey}
 	row, ok, err := m.Rows.ReadOne(ctx, key, "pending")
 	if err != nil || !ok {
--- a/io/runner/manager.go
+++ b/io/runner/manager.go
@@ -67,7 +67,9 @@
 	batches  map[string]*batch
 
 	workers directory
-	group   sync.WaitGroup
+	// commits and reads judge the store by our own calls.
+	commits, reads storeHealth
+	group          sync.WaitGroup
 }
 
 // heldRow is a pool's holder as the store has it.
@@ -93,6 +95,7 @@
 		m.hostRows.done = make(map[string][]string)
 		m.batches = make(map[string]*batch)
 		m.workers.changed = make(chan struct{})
+		m.Rows = m.observe(m.Rows)
 	})
 }
 
