Hand a duty over only while no worker's leases are waited for

Each takeover waits 6.1 s for lives that do not answer, and a hand-over to the member that is proposed begins the wait anew. Change: a holder hands over only when every life that may run something answers. Ruled out: a lease that never ends (silent workers are granted nothing).

--- a/core/work/board.go
+++ b/core/work/board.go
@@ -109,6 +109,20 @@
 	return len(b.unseen) == 0
 }
 
+// Quiet reports whether the next holder would have nothing to wait for: every life that may run something answers.
+func (b *Board) Quiet(now time.Time) bool {
+	b.init()
+	if !b.settled(now) {
+		return false
+	}
+	for _, w := range b.order {
+		if len(w.runs) > 0 && (w.misses > 0 || !w.listed) {
+			return false
+		}
+	}
+	return true
+}
+
 // succeeded reports whether a later life of the worker has answered.
 func (b *Board) succeeded(l Life) bool {
 	for _, w := range b.order {
--- a/core/work/takeover_test.go
+++ b/core/work/takeover_test.go
@@ -131,3 +131,26 @@
 		f.is.Equal(len(f.orders()), 1)
 	})
 }
+
+func TestQuiet(t *testing.T) {
+	// A worker is lost, its duty is taken over, and the member that would hold it by right is back.
+	t.Run("duty is not handed on while a lost worker's lease is waited for", func(t *testing.T) {
+		f := withBoard(t)
+		f.board.Expect(life("gone"), f.now)
+		f.hear("a", work.Report{})
+		f.hear("b", work.Report{})
+		f.is.True(!f.board.Quiet(f.now))
+		f.now = f.now.Add(7 * time.Second)
+		f.is.True(f.board.Quiet(f.now))
+	})
+	t.Run("nor while a worker with tasks is silent", func(t *testing.T) {
+		f := withBoard(t)
+		f.hear("a", work.Report{})
+		f.hear("b", work.Report{})
+		f.board.Add(chain("j", 1), work.Progress{}, 11, false, f.now)
+		worker := f.orders()[0].Life.Worker
+		f.is.True(f.board.Quiet(f.now))
+		f.board.Missed(life(worker))
+		f.is.True(!f.board.Quiet(f.now))
+	})
+}
--- a/io/runner/duties.go
+++ b/io/runner/duties.go
@@ -79,11 +79,23 @@
 	switch {
 	case step == duty.StepTake, row.Holder == m.Member && t == nil:
 		m.takeDuty(ctx, name, row)
-	case step == duty.StepHandOver && t != nil:
+	case step == duty.StepHandOver && t != nil && m.quiet(name):
 		m.handOver(ctx, t, to)
 	}
 }
 
+// quiet reports whether a duty can be handed over without a wait for leases. A new holder has to wait for every worker that
+// does not answer, and does not know how long that has been so.
+func (m *Manager) quiet(name string) bool {
+	h := m.holder(name)
+	if h == nil {
+		return true
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.ready && h.board.Quiet(time.Now())
+}
+
 // takeDuty writes ourselves as the holder of a pool's duty, and runs it.
 func (m *Manager) takeDuty(ctx context.Context, name string, row heldRow) {
 	next := holderRow{Holder: m.Member, Term: row.Term + 1}
