Wait for the end of a reboot in the stand-in's test, not for any answer

Seen by reading; 90 runs alone did not repeat it. Change: the test waits until the list shows the host live after its second boot, and checks that there was no third. Stricter than before.

--- a/io/standin/target_test.go
+++ b/io/standin/target_test.go
@@ -191,10 +191,14 @@
 		is := is.New(t)
 		p, services := withPlatform(t)
 		is.NoErr(services.Hosts.Reboot(context.Background(), "h1", "op1"))
+		awaitBoot(t, services, 2)
 		awaitAnswer(t, p, "h1")
 		is.NoErr(services.Hosts.Reboot(context.Background(), "h1", "op1"))
 		_, _, err := send(t, p, "h1", request{})
 		is.NoErr(err)
+		listings, err := services.Hosts.List(context.Background())
+		is.NoErr(err)
+		is.Equal(listings[0].Boot, 2)
 	})
 	t.Run("a hung host answers after it recovers", func(t *testing.T) {
 		is := is.New(t)
@@ -212,6 +216,21 @@
 	})
 }
 
+// awaitBoot waits until the list shows the first host live after its boot with this number. Its listener closes a moment after
+// a reboot begins, so an answer alone does not tell that the reboot is over.
+func awaitBoot(t *testing.T, services platform.Platform, boot int) {
+	t.Helper()
+	is := is.New(t)
+	for {
+		listings, err := services.Hosts.List(context.Background())
+		is.NoErr(err)
+		if listings[0].Boot == boot && listings[0].Condition == platform.ConditionLive {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
 // awaitAnswer waits until the target answers again.
 func awaitAnswer(t *testing.T, p *Platform, id host.ID) {
 	t.Helper()
