Keep the duty for hosts where it is, and leave alone only hosts with recent orders

A rack that went dark during maintenance held its wave's places. Ruled out: too few hosts. Tests: TestInherit.

--- a/core/capacity/planner.go
+++ b/core/capacity/planner.go
@@ -44,6 +44,8 @@
 	needs    map[string]Need
 	pools    map[string]work.Pool
 	waves    []*wave
+	// inherited holds orders of an earlier holder that may be under way, and until when their hosts get no other.
+	inherited map[string]inheritance
 	// impossible holds the moves that the platform said can't be, by a host's kind and pool.
 	impossible map[[2]string]bool
 }
@@ -65,6 +67,12 @@
 	worker string
 }
 
+// inheritance is an order of an earlier holder.
+type inheritance struct {
+	order Order
+	until time.Time
+}
+
 // wave is a maintenance wave with its progress.
 type wave struct {
 	work.Wave
@@ -88,6 +96,7 @@
 		p.machines = make(map[string]*machine)
 		p.needs = make(map[string]Need)
 		p.impossible = make(map[[2]string]bool)
+		p.inherited = make(map[string]inheritance)
 	}
 }
 
@@ -100,6 +109,25 @@
 	p.needs[pool] = n
 }
 
+// Inherit takes in an order that an earlier holder may have given a moment ago. Its host gets no other until the time, and
+// counts as away like after one of our own.
+func (p *Planner) Inherit(o Order, now, until time.Time) {
+	p.init()
+	p.inherited[o.Host] = inheritance{order: o, until: until}
+	if m := p.machines[o.Host]; m != nil {
+		p.heir(m, now)
+	}
+}
+
+func (p *Planner) heir(m *machine, now time.Time) {
+	i, ok := p.inherited[m.Host]
+	if !ok {
+		return
+	}
+	delete(p.inherited, m.Host)
+	m.order, m.ordered, m.confirmed, m.at, m.worker, m.retry = i.order, true, true, now, "", i.until
+}
+
 // AddWave takes in a wave, of which some hosts may have been maintained under an earlier holder.
 func (p *Planner) AddWave(w work.Wave, done []string, now time.Time) {
 	p.init()
@@ -138,6 +166,7 @@
 			p.machines[m.Host] = known
 		}
 		known.Machine = m
+		p.heir(known, now)
 		if m.Worker != "" {
 			p.byWorker[m.Worker] = known
 		}
@@ -152,13 +181,19 @@
 
 // settle ends an order whose host is back.
 func (m *machine) settle(policy Policy, now time.Time) {
-	if !m.ordered || !m.confirmed || m.State != StateUp {
+	if !m.ordered || !m.confirmed {
 		return
 	}
 	away := policy.MoveTime
 	if m.order.Kind == KindMaintain {
 		away = policy.MaintenanceTime
 	}
+	if m.State == StateDown && now.Sub(m.at) > away+expectTime {
+		m.ordered = false // it was lost for another cause
+	}
+	if m.State != StateUp {
+		return
+	}
 	if now.Sub(m.at) < away || (m.Worker != "" && m.Worker == m.worker) {
 		return
 	}
--- a/core/capacity/planner_test.go
+++ b/core/capacity/planner_test.go
@@ -205,3 +205,26 @@
 		f.is.Equal(orders[0].Pool, "calm")
 	})
 }
+
+func TestInherit(t *testing.T) {
+	// The duty for hosts changes hands in the middle of a turn of demand.
+	t.Run("hosts with orders of the earlier holder are left alone, others are not", func(t *testing.T) {
+		f := withPlanner(t, 1, 0, 2)
+		f.planner.SetNeed("busy", capacity.Need{Ask: 2})
+		f.planner.Inherit(capacity.Order{Kind: capacity.KindMove, Host: "off-00", Pool: "calm"}, f.now, f.now.Add(4*time.Second))
+		orders := f.plan().Orders
+		f.is.Equal(len(orders), 1)
+		f.is.Equal(orders[0].Host, "off-01")
+		f.carryOut(orders)
+		f.is.Equal(len(f.plan().Orders), 0)
+		f.now = f.now.Add(2 * time.Second)
+		f.planner.SetMachines(f.list, f.now)
+		f.is.Equal(len(f.plan().Orders), 1)
+	})
+	t.Run("maintenance that an earlier holder ordered counts as away", func(t *testing.T) {
+		f := withPlanner(t, 0, 0, 2)
+		f.planner.AddWave(work.Wave{Number: 1, Name: "1", Hosts: []string{"off-00", "off-01"}, Within: time.Minute, AtOnce: 1}, nil, f.now)
+		f.planner.Inherit(capacity.Order{Kind: capacity.KindMaintain, Host: "off-00", Wave: 1}, f.now, f.now.Add(4*time.Second))
+		f.is.Equal(len(f.plan().Orders), 0)
+	})
+}
--- a/io/runner/duties.go
+++ b/io/runner/duties.go
@@ -79,7 +79,8 @@
 	switch {
 	case step == duty.StepTake, row.Holder == m.Member && t == nil:
 		m.takeDuty(ctx, name, row)
-	case step == duty.StepHandOver && t != nil && m.quiet(name):
+	case step == duty.StepHandOver && t != nil && name != hostsDuty && m.quiet(name):
+		// The duty for hosts is light and stays: its hosts would stand still around a hand-over.
 		m.handOver(ctx, t, to)
 	}
 }
--- a/io/runner/hosts.go
+++ b/io/runner/hosts.go
@@ -1,6 +1,7 @@
 package runner
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"maps"
@@ -41,6 +42,7 @@
 type hostRows struct {
 	needs    map[string]needRow
 	withdraw map[string]bool
+	recent   []orderRow
 	// done holds the hosts of each wave that have begun their maintenance.
 	done map[string][]string
 }
@@ -49,8 +51,28 @@
 type planRow struct {
 	// Withdraw holds the workers that are to be cleared for maintenance.
 	Withdraw []string `json:"withdraw,omitempty"`
-	// Orders tells what was about to be ordered, for people who look back.
-	Orders []string `json:"orders,omitempty"`
+	// Recent holds the orders that were given a moment ago or follow this row: the next holder leaves their hosts alone
+	// for a while.
+	Recent []orderRow `json:"recent,omitempty"`
+}
+
+// orderRow is an order for a host.
+type orderRow struct {
+	Host string `json:"host"`
+	// Pool is where a move leads, Wave the number of the wave of a maintenance.
+	Pool string `json:"pool,omitempty"`
+	Wave int    `json:"wave,omitempty"`
+}
+
+func newOrderRow(o capacity.Order) orderRow {
+	return orderRow{Host: o.Host, Pool: o.Pool, Wave: o.Wave}
+}
+
+func (r orderRow) order() capacity.Order {
+	if r.Pool == "" {
+		return capacity.Order{Kind: capacity.KindMaintain, Host: r.Host, Wave: r.Wave}
+	}
+	return capacity.Order{Kind: capacity.KindMove, Host: r.Host, Pool: r.Pool}
 }
 
 type doneRow struct {
@@ -111,6 +133,7 @@
 	case row.Part == hostsDuty && row.Key == planKey:
 		var plan planRow
 		err := decode(row, &plan)
+		r.recent = plan.Recent
 		r.withdraw = make(map[string]bool, len(plan.Withdraw))
 		for _, id := range plan.Withdraw {
 			r.withdraw[id] = true
@@ -138,9 +161,9 @@
 	planner  capacity.Planner
 	listedAt time.Time
 	listed   bool
-	// quietUntil is when orders of an earlier holder are certainly past.
-	quietUntil time.Time
-	withdraw   []string
+	// recent holds the orders given lately, and when.
+	recent   map[orderRow]time.Time
+	withdraw []string
 	// told holds the waves' states that were written for operators, stored the numbers of hosts done that were stored.
 	told   map[string]bool
 	stored map[string]int
@@ -150,9 +173,7 @@
 func newHostsHolder(t *tenure) *hostsHolder {
 	h := &hostsHolder{tenure: t, told: make(map[string]bool), stored: make(map[string]int)}
 	h.planner.Policy = t.m.Capacity
-	if t.term > 0 {
-		h.quietUntil = time.Now().Add(t.m.OrderPause + intentTime)
-	}
+	h.recent = make(map[orderRow]time.Time)
 	t.run = h.rounds
 	return h
 }
@@ -174,8 +195,12 @@
 func (h *hostsHolder) load() bool {
 	var retry backoff
 	for {
-		_, err := h.m.readHosts(h.ctx)
+		version, err := h.m.readHosts(h.ctx)
+		if err == nil && version != 0 && version < h.epoch {
+			err = errStaleRead
+		}
 		if err == nil {
+			h.inherit(time.Now())
 			return true
 		}
 		h.m.record(event.Event{Number: event.WorkDutyFailed, Pool: h.name, Detail: "read the table of hosts: " + err.Error()})
@@ -185,17 +210,47 @@
 	}
 }
 
+// pause is how long a holder leaves a host alone that another holder gave an order for.
+func (h *hostsHolder) pause() time.Duration { return h.m.OrderPause + intentTime }
+
+// inherit takes in the orders that the earlier holder may have given a moment ago. It gave none that its plan did not name.
+func (h *hostsHolder) inherit(now time.Time) {
+	h.m.mu.Lock()
+	defer h.m.mu.Unlock()
+	for _, row := range h.m.hostRows.recent {
+		h.recent[row] = now
+		h.planner.Inherit(row.order(), now, now.Add(h.pause()))
+	}
+}
+
+// recentRows returns the orders of the last moments and those that follow, and forgets older ones.
+func (h *hostsHolder) recentRows(orders []capacity.Order, now time.Time) []orderRow {
+	for _, o := range orders {
+		h.recent[newOrderRow(o)] = now
+	}
+	var rows []orderRow
+	for row, at := range h.recent {
+		if now.Sub(at) > h.pause() {
+			delete(h.recent, row)
+			continue
+		}
+		rows = append(rows, row)
+	}
+	slices.SortFunc(rows, func(a, b orderRow) int { return cmp.Compare(a.Host, b.Host) })
+	return rows
+}
+
 // round takes in what is known, plans, stores the plan and gives the orders.
 func (h *hostsHolder) round() {
 	now := time.Now()
 	h.takeIn(now)
 	h.list(now)
-	if !h.listed || now.Before(h.quietUntil) {
+	if !h.listed {
 		return
 	}
 	plan := h.planner.Plan(now)
 	h.busy = len(plan.Withdraw) > 0 || len(plan.Orders) > 0 || h.planner.Busy()
-	if !h.storePlan(plan) {
+	if !h.storePlan(plan, now) {
 		for _, o := range plan.Orders {
 			h.planner.Ended(o, capacity.OutcomeRefused, now)
 		}
@@ -244,11 +299,8 @@
 
 // storePlan commits the plan and the progress of the waves if they changed or orders follow. Orders may be given only
 // after it: the commit proves that the duty is still ours.
-func (h *hostsHolder) storePlan(plan capacity.Plan) bool {
-	row := planRow{Withdraw: plan.Withdraw}
-	for _, o := range plan.Orders {
-		row.Orders = append(row.Orders, orderText(o))
-	}
+func (h *hostsHolder) storePlan(plan capacity.Plan, now time.Time) bool {
+	row := planRow{Withdraw: plan.Withdraw, Recent: h.recentRows(plan.Orders, now)}
 	tx := platform.Commit{Expected: []platform.Expectation{h.fence()}, Purpose: "hosts"}
 	if len(plan.Orders) > 0 || !slices.Equal(plan.Withdraw, h.withdraw) {
 		key := platform.RowKey{Table: hostsTable, Part: hostsDuty, Key: planKey}
@@ -274,7 +326,7 @@
 	}
 	h.withdraw = plan.Withdraw
 	maps.Copy(h.stored, counts)
-	h.m.record(event.Event{Number: event.PlanStored, Pool: h.name, Detail: fmt.Sprintf("withdraw %v, orders %v", row.Withdraw, row.Orders)})
+	h.m.record(event.Event{Number: event.PlanStored, Pool: h.name, Detail: fmt.Sprintf("withdraw %v, orders %v", row.Withdraw, plan.Orders)})
 	return true
 }
 
