--- a/core/event/work.go
+++ b/core/event/work.go
@@ -49,7 +49,7 @@
 	{WorkRunEnded, "work", "A worker reported the end of an attempt."},
 	{WorkRunStopped, "work", "A worker was told to stop an attempt that is no longer wanted."},
 	{WorkerListed, "work", "The directory names a new life of a worker."},
-	{WorkerLost, "work", "A life of a worker is over, or its leases are."},
+	{WorkerLost, "work", "A life of a worker is over, or is no longer listed and runs nothing."},
 	{WorkerSilent, "work", "A worker did not answer a renewal."},
 	{WorkerHeard, "work", "A worker that was silent answers again."},
 	{WorkCommitFailed, "work", "A commit of jobs' progress failed and is tried again."},
--- a/core/work/board.go
+++ b/core/work/board.go
@@ -301,8 +301,8 @@
 	return StateQueued, true
 }
 
-// List replaces what the directory says of the pool's workers.
-func (b *Board) List(listings []Listing, now time.Time) {
+// List replaces what the directory says of the pool's workers. It returns the lives that are new and those that are forgotten.
+func (b *Board) List(listings []Listing, now time.Time) (admitted []Listing, removed []Life) {
 	b.init()
 	for _, w := range b.order {
 		w.listed = false
@@ -314,6 +314,7 @@
 		w := b.workers[l.Life]
 		if w == nil {
 			w = b.admit(l)
+			admitted = append(admitted, l)
 		}
 		w.Listing = l
 		w.listed = true
@@ -321,8 +322,10 @@
 	for _, w := range slices.Clone(b.order) {
 		if !w.listed && len(w.runs) == 0 {
 			b.remove(w)
+			removed = append(removed, w.Life)
 		}
 	}
+	return admitted, removed
 }
 
 // admit begins to know a life. Orders whose answers were lost in an earlier life may be carried out in this one.
--- a/io/runner/holder.go
+++ b/io/runner/holder.go
@@ -264,7 +264,14 @@
 			kept = append(kept, l)
 		}
 	}
-	h.board.List(kept, now)
+	admitted, removed := h.board.List(kept, now)
+	for _, l := range admitted {
+		h.m.record(event.Event{Number: event.WorkerListed, Pool: h.pool, Host: l.Life.Worker, Detail: fmt.Sprintf(
+			"born %d, at %s in %s, rack %s, draining %t", l.Life.Born, l.Address, l.Zone, l.Rack, l.Draining)})
+	}
+	for _, life := range removed {
+		h.m.record(event.Event{Number: event.WorkerLost, Pool: h.pool, Host: life.Worker, Detail: fmt.Sprintf("born %d, no longer listed, runs nothing", life.Born)})
+	}
 }
 
 // wantedRoster returns the lives on which tasks may run: those that are listed and those that the board has, less the
