--- a/core/work/load.go
+++ b/core/work/load.go
@@ -18,15 +18,15 @@
 	earlyShare   = 0.9
 	// burnTime is the time in which a backlog that can be in time should be worked off, lateBurn and missedBurn are
 	// those for work that is late and that nobody waits for any more: hosts are better lent to others meanwhile.
-	burnTime   = 1200 * time.Millisecond
+	burnTime   = 1000 * time.Millisecond
 	lateBurn   = 3 * time.Second
 	missedBurn = 8 * time.Second
 	// growAt and shrinkAt are the shares of the pool's capacity that expected work may take before more
 	// workers are asked for, and below which some are spare.
-	growAt   = 0.85
+	growAt   = 0.78
 	shrinkAt = 0.70
 	// spareAfter is how long workers must have been spare before they are offered.
-	spareAfter = 500 * time.Millisecond
+	spareAfter = 150 * time.Millisecond
 	// silentMisses is how many calls in a row must go unanswered before a worker counts as lost to its pool.
 	silentMisses = 2
 	// keepWorkers is the least number of workers of a pool: a lost rack or a step wider than one worker leaves it able to work.
