Keep a worker on the roster until the ends that it listed are stored

A worker is now cleared, and forgotten when the directory loses it, only once its ends are stored. While a roster that leaves lives out is on its way to the store, those lives get no work.

--- a/core/work/board.go
+++ b/core/work/board.go
@@ -320,7 +320,7 @@
 		w.listed = true
 	}
 	for _, w := range slices.Clone(b.order) {
-		if !w.listed && len(w.runs) == 0 {
+		if !w.listed && w.empty() {
 			b.remove(w)
 			removed = append(removed, w.Life)
 		}
--- a/core/work/model_test.go
+++ b/core/work/model_test.go
@@ -65,6 +65,9 @@
 type modelBoard struct {
 	*work.Board
 	stopped bool
+	// roster is the stored roster as the board's owner knows it, leaving the workers that are to be cleared.
+	roster  map[work.Life]bool
+	leaving map[string]bool
 }
 
 // lateOrder is an order that waits in the life of a worker that received it, and ends with that life.
@@ -359,6 +362,7 @@
 // step plays one round of a board. Its orders arrive, get lost, or are carried out late.
 func (m *model) step(b *modelBoard) {
 	b.List(m.listings(b), m.now)
+	b.Withdraw(b.withdrawn(), m.now)
 	for _, o := range b.Orders(m.now, m.now) {
 		w := m.find(o.Life.Worker)
 		m.log("epoch %d orders %s %s at %v", o.Epoch, o.Kind, o.Run, o.Life)
@@ -392,12 +396,24 @@
 		}
 	}
 	if b.Epoch == m.fence {
-		for _, l := range list {
-			m.roster[l.Life] = true
+		m.roster = b.Roster(list, b.leaving)
+		b.roster = maps.Clone(m.roster)
+	}
+	cleared := b.ClearedLives()
+	return slices.DeleteFunc(list, func(l work.Listing) bool {
+		return !b.roster[l.Life] && !slices.Contains(cleared, l.Life)
+	})
+}
+
+// withdrawn returns the workers that get no work: those to be cleared, and those that the roster does not name any more.
+func (b *modelBoard) withdrawn() map[string]bool {
+	all := maps.Clone(b.leaving)
+	for _, life := range b.ClearedLives() {
+		if !b.roster[life] {
+			all[life.Worker] = true
 		}
-		return list
 	}
-	return slices.DeleteFunc(list, func(l work.Listing) bool { return !m.roster[l.Life] })
+	return all
 }
 
 // commit plays a commit of a board's changes.
@@ -482,7 +498,10 @@
 func (m *model) takeOver() {
 	m.version++
 	m.fence = m.version
-	b := &modelBoard{Board: &work.Board{Pool: modelPool, Epoch: m.fence, Term: m.term, Policy: work.Policy{MaxLease: modelLease}}}
+	b := &modelBoard{
+		Board:  &work.Board{Pool: modelPool, Epoch: m.fence, Term: m.term, Policy: work.Policy{MaxLease: modelLease}},
+		roster: maps.Clone(m.roster), leaving: make(map[string]bool),
+	}
 	m.term++
 	for life := range m.roster {
 		b.Expect(life, m.now)
@@ -554,6 +573,27 @@
 	m.boot(w, w.life.Worker)
 }
 
+// withdraw has a worker cleared, or takes that back.
+func (m *model) withdraw(*rapid.T) {
+	b, id := m.board(), m.worker().life.Worker
+	b.leaving[id] = !b.leaving[id]
+}
+
+// replace takes the duty over and plays the first moments of the new holder, which hears from some workers later than from others.
+func (m *model) replace(t *rapid.T) {
+	m.step(m.boards[len(m.boards)-1])
+	m.takeOver()
+	b := m.boards[len(m.boards)-1]
+	m.step(b)
+	for _, life := range b.Contacts() {
+		if rapid.Bool().Draw(t, "heard") {
+			m.renew(b, life, false)
+		}
+	}
+	m.step(b)
+	m.renewAll(t, b)
+}
+
 func (m *model) actions() map[string]func(*rapid.T) {
 	return map[string]func(*rapid.T){
 		"round1":   m.round,
@@ -569,6 +609,8 @@
 		"submit":   func(*rapid.T) { m.submit() },
 		"takeover": func(*rapid.T) { m.takeOver() },
 		"renew":    func(t *rapid.T) { m.renewAll(t, m.board()) },
+		"withdraw": m.withdraw,
+		"replace":  m.replace,
 		"cut": func(*rapid.T) {
 			w := m.worker()
 			w.reachable = !w.reachable
--- a/core/work/order.go
+++ b/core/work/order.go
@@ -314,13 +314,24 @@
 	return lives
 }
 
-// Roster returns the lives on which the board has started something or may do so.
-func (b *Board) Roster() []Life {
-	lives := b.Contacts()
-	for l := range b.unseen {
-		if b.workers[l] == nil {
-			lives = append(lives, l)
+// Roster returns the lives that the stored roster has to name before they get work: those that are listed and those that hold
+// something, less the cleared ones among the workers that are leaving.
+func (b *Board) Roster(listings []Listing, leaving map[string]bool) map[Life]bool {
+	b.init()
+	roster := make(map[Life]bool)
+	for _, life := range b.Contacts() {
+		roster[life] = true
+	}
+	for life := range b.unseen {
+		roster[life] = true
+	}
+	for _, l := range listings {
+		roster[l.Life] = true
+	}
+	for _, life := range b.ClearedLives() {
+		if leaving[life.Worker] {
+			delete(roster, life)
 		}
 	}
-	return lives
+	return roster
 }
--- a/core/work/withdraw.go
+++ b/core/work/withdraw.go
@@ -20,28 +20,30 @@
 	}
 }
 
-// Cleared returns the withdrawn workers that run nothing.
+// Cleared returns the withdrawn workers that hold nothing.
 func (b *Board) Cleared() []string {
 	var cleared []string
 	for _, w := range b.order {
-		if w.withdrawn && w.listed && w.answered && len(w.runs) == 0 {
+		if w.listed && w.cleared() {
 			cleared = append(cleared, w.Life.Worker)
 		}
 	}
 	return cleared
 }
 
-// ClearedLives returns the lives of the withdrawn workers that run nothing.
+// ClearedLives returns the lives of the withdrawn workers that hold nothing.
 func (b *Board) ClearedLives() []Life {
 	var lives []Life
 	for _, w := range b.order {
-		if w.withdrawn && w.answered && len(w.runs) == 0 {
+		if w.cleared() {
 			lives = append(lives, w.Life)
 		}
 	}
 	return lives
 }
 
+func (w *worker) cleared() bool { return w.withdrawn && w.answered && w.empty() }
+
 // evacuate gives up the runs that keep withdrawn workers from being cleared: lasting ones as their steps tolerate, others late.
 func (b *Board) evacuate(now time.Time) {
 	b.cramped = 0
--- a/core/work/withdraw_test.go
+++ b/core/work/withdraw_test.go
@@ -88,4 +88,23 @@
 			f.is.Equal(o.Life.Worker, "b")
 		}
 	})
+	// The holder freezes between the answer of a worker and the commit of what it told; the next holder has only the roster.
+	t.Run("worker stays on the roster until the ends that it listed are stored", func(t *testing.T) {
+		f := withBoard(t)
+		f.hear("a", work.Report{})
+		f.board.Add(chain("j", 2), work.Progress{}, 11, false, f.now)
+		f.is.Equal(len(f.orders()), 2)
+		f.hear("a", work.Report{Active: []work.Active{{Run: run("j", 0, 1, 1)}}, Ends: []work.End{{Number: 1, Run: run("j", 0, 0, 1)}}})
+		f.hear("a", work.Report{Ends: []work.End{{Number: 1, Run: run("j", 0, 0, 1)}, {Number: 2, Run: run("j", 0, 1, 1)}}})
+		leaving := map[string]bool{"a": true}
+		f.board.Withdraw(leaving, f.now)
+		f.is.Equal(len(f.board.Cleared()), 0)
+		f.is.True(f.board.Roster(nil, leaving)[life("a")])
+		f.board.List([]work.Listing{listing("b")}, f.now) // it is not forgotten if the directory loses it meanwhile
+		f.is.True(f.board.Roster(nil, leaving)[life("a")])
+		f.board.List([]work.Listing{listing("a"), listing("b")}, f.now)
+		f.board.Committed(f.board.Changes(10), 12)
+		f.is.Equal(f.board.Cleared(), []string{"a"})
+		f.is.True(!f.board.Roster(nil, leaving)[life("a")])
+	})
 }
--- a/core/work/worker.go
+++ b/core/work/worker.go
@@ -121,15 +121,31 @@
 	return label == "" || slices.Contains(w.Labels, label)
 }
 
+// empty reports whether nothing of the worker matters to a next holder: it runs nothing, and every end that it listed is stored.
+// A worker of which an end is only in our memory must stay known, or its task would be started again.
+func (w *worker) empty() bool {
+	if len(w.runs) > 0 {
+		return false
+	}
+	for _, e := range w.ends {
+		if !e.stored() {
+			return false
+		}
+	}
+	return true
+}
+
+// stored reports whether the consequences of the end are known to be stored.
+func (e pendingEnd) stored() bool { return e.job == nil || e.job.stored >= e.mark }
+
 // acknowledge moves the cursor over the ends whose consequences are stored.
 func (w *worker) acknowledge() uint64 {
 	i := 0
 	for ; i < len(w.ends); i++ {
-		e := w.ends[i]
-		if e.job != nil && e.job.stored < e.mark {
+		if !w.ends[i].stored() {
 			break
 		}
-		w.acknowledged = e.number
+		w.acknowledged = w.ends[i].number
 	}
 	w.ends = slices.Delete(w.ends, 0, i)
 	return w.acknowledged
--- a/io/runner/holder.go
+++ b/io/runner/holder.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -254,7 +255,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	cleared := h.board.ClearedLives()
-	wanted := h.wantedRoster(listings, cleared)
+	wanted := h.board.Roster(listings, h.clearing.wanted)
 	if !h.committing && !now.Before(h.retryAt) && h.rosterDue(wanted, now) {
 		h.commitRoster(wanted)
 	}
@@ -274,24 +275,6 @@
 	}
 }
 
-// wantedRoster returns the lives on which tasks may run: those that are listed and those that the board has, less the
-// cleared ones that get no work.
-func (h *holder) wantedRoster(listings []work.Listing, cleared []work.Life) map[work.Life]bool {
-	roster := make(map[work.Life]bool)
-	for _, life := range h.board.Roster() {
-		roster[life] = true
-	}
-	for _, l := range listings {
-		roster[l.Life] = true
-	}
-	for _, life := range cleared {
-		if h.clearing.wanted[life.Worker] {
-			delete(roster, life)
-		}
-	}
-	return roster
-}
-
 // rosterEvery is the least time between two writes of the roster that only leave lives out.
 const rosterEvery = 500 * time.Millisecond
 
@@ -313,6 +296,8 @@
 	for life := range roster {
 		row.Lives = append(row.Lives, lifeRow{Worker: life.Worker, Born: life.Born})
 	}
+	// From here on the stored roster may lack the lives that are left out: they must get no work meanwhile.
+	maps.DeleteFunc(h.roster, func(life work.Life, _ bool) bool { return !roster[life] })
 	h.committing = true
 	h.group.Go(func() {
 		_, err := h.m.Rows.Commit(h.ctx, platform.Commit{
