Count an adopted lasting task as at work only once its worker listed it after the stop time

The new test plays this and failed before. Ruled out: a late stop of the earlier holder (fenced), a second run of the task (none was there).

--- a/core/work/board.go
+++ b/core/work/board.go
@@ -12,6 +12,8 @@
 	Lease time.Duration
 	// MaxLease is the longest lease that workers grant to anybody.
 	MaxLease time.Duration
+	// StopTime is how long a worker may take to stop a task.
+	StopTime time.Duration
 }
 
 const (
@@ -20,10 +22,13 @@
 	// defaultLease leaves a new duty holder time to renew: a lapse of the old one's membership
 	// (two seconds), a takeover (half a second) and the pause between two renewals.
 	defaultLease = 5 * time.Second
+	// defaultStopTime is the platform's usual bound.
+	defaultStopTime = 400 * time.Millisecond
 )
 
 func (p Policy) withDefaults() Policy {
 	p.MaxLease = cmp.Or(p.MaxLease, defaultMaxLease)
+	p.StopTime = cmp.Or(p.StopTime, defaultStopTime)
 	p.Lease = min(cmp.Or(p.Lease, defaultLease), p.MaxLease)
 	return p
 }
--- a/core/work/report.go
+++ b/core/work/report.go
@@ -169,6 +169,7 @@
 		r.confirmed = true
 		r.known = b.sequence
 	}
+	r.seen = now
 	r.percent = a.Percent
 	r.load = a.Load
 	if a.Checkpoint != "" {
@@ -178,7 +179,7 @@
 
 // adopt takes in a run that an earlier holder started, or that nobody wants.
 func (b *Board) adopt(w *worker, name Run, now time.Time) *run {
-	r := &run{name: name, worker: w, phase: phaseRunning, started: now}
+	r := &run{name: name, worker: w, phase: phaseRunning, started: now, adopted: true}
 	if t := b.find(name.Task); t != nil && !t.done {
 		r.demand = t.group.spec().counted()
 		t.attempt = max(t.attempt, name.Attempt)
--- a/core/work/run.go
+++ b/core/work/run.go
@@ -36,10 +36,14 @@
 	// percent is the share of full speed at which the run works, load the worker's rough figure for it.
 	percent int
 	// evacuated runs are stopped because their worker is to be cleared.
-	evacuated  bool
-	load       int
-	pace       pacing
-	started    time.Time
+	evacuated bool
+	load      int
+	pace      pacing
+	started   time.Time
+	// seen is when the worker last listed the run.
+	seen time.Time
+	// adopted runs were started by an earlier holder, which may have told the worker to stop them.
+	adopted    bool
 	checkpoint string
 }
 
--- a/core/work/withdraw.go
+++ b/core/work/withdraw.go
@@ -62,7 +62,7 @@
 				b.cramped++ // it would have nowhere to go
 				continue
 			}
-			if (g.spec().Lasting && g.tolerates(now)) || (!g.spec().Lasting && late && !g.spec().Gang) {
+			if (g.spec().Lasting && b.tolerates(g, now)) || (!g.spec().Lasting && late && !g.spec().Gang) {
 				r.evacuated = true
 				b.unwanted[r] = true
 			}
@@ -71,16 +71,21 @@
 }
 
 // atWork reports whether the task works at full pace on a worker that it may stay on, as of a moment ago.
-func (t *task) atWork(now time.Time) bool {
+func (b *Board) atWork(t *task, now time.Time) bool {
 	for _, r := range t.runs {
-		seen := r.worker.misses == 0 && now.Sub(r.worker.clock.heard) < seenTime
-		if seen && r.phase == phaseRunning && r.percent >= fullPace && !r.evacuated && !r.stopping {
+		seen := r.worker.misses == 0 && now.Sub(r.seen) < seenTime
+		if seen && r.phase == phaseRunning && r.percent >= fullPace && !r.evacuated && !r.stopping && b.stays(r) {
 			return true
 		}
 	}
 	return false
 }
 
+// stays reports whether no order of an earlier holder can be stopping the run: its worker listed it after any such order was over.
+func (b *Board) stays(r *run) bool {
+	return !r.adopted || r.seen.Sub(r.started) >= b.policy.StopTime
+}
+
 const (
 	fullPace = 100
 	// seenTime is how old a worker's report may be to be believed: a little more than the longest time between two renewals.
@@ -88,10 +93,10 @@
 )
 
 // tolerates reports whether one more task of a lasting step may be taken away. A step that states no number loses one at a time.
-func (g *group) tolerates(now time.Time) bool {
+func (b *Board) tolerates(g *group, now time.Time) bool {
 	away := 0
 	for _, t := range g.tasks {
-		if !t.atWork(now) {
+		if !b.atWork(t, now) {
 			away++
 		}
 	}
--- a/core/work/withdraw_test.go
+++ b/core/work/withdraw_test.go
@@ -77,6 +77,23 @@
 		f.hear("b", running(started, "b"))
 		f.is.Equal(len(stops(f.orders())), 1)
 	})
+	// The earlier holder told a worker to stop a task a moment before it was replaced: the worker still lists the task.
+	t.Run("no lasting task leaves while another may be stopping on an earlier holder's order", func(t *testing.T) {
+		f := withBoard(t)
+		f.board.Expect(life("a"), f.now)
+		f.board.Add(lastingJob("j", 2), work.Progress{}, 5, true, f.now)
+		first := work.Report{Active: []work.Active{{Run: run("j", 0, 0, 1), Percent: 100}}}
+		second := work.Report{Active: []work.Active{{Run: run("j", 0, 1, 1), Percent: 100}}}
+		f.hear("a", first)
+		f.hear("b", second)
+		f.board.Withdraw(map[string]bool{"b": true}, f.now)
+		f.is.Equal(len(stops(f.orders())), 0)
+		f.now = f.now.Add(5 * hundred)
+		f.is.Equal(len(stops(f.orders())), 0) // nothing newer was heard
+		f.hear("a", first)
+		f.hear("b", second)
+		f.is.Equal(len(stops(f.orders())), 1)
+	})
 	t.Run("withdrawn worker gets no work and is cleared once it runs nothing", func(t *testing.T) {
 		f := withBoard(t)
 		f.hear("a", work.Report{})
