Foresee the rise of a turn of demand, and pack work that ends on the fullest workers

Jobs are now counted by queue in two windows, weighed with the queue's mean work, and a rise beyond one standard deviation is continued for the time of a move. Tasks that end go to the fullest worker that holds them.

--- a/core/work/board.go
+++ b/core/work/board.go
@@ -14,6 +14,8 @@
 	MaxLease time.Duration
 	// StopTime is how long a worker may take to stop a task.
 	StopTime time.Duration
+	// MoveTime is how long a host is away while it moves to another pool.
+	MoveTime time.Duration
 }
 
 const (
@@ -24,11 +26,14 @@
 	defaultLease = 5 * time.Second
 	// defaultStopTime is the platform's usual bound.
 	defaultStopTime = 400 * time.Millisecond
+	// defaultMoveTime is the platform's usual time.
+	defaultMoveTime = 1500 * time.Millisecond
 )
 
 func (p Policy) withDefaults() Policy {
 	p.MaxLease = cmp.Or(p.MaxLease, defaultMaxLease)
 	p.StopTime = cmp.Or(p.StopTime, defaultStopTime)
+	p.MoveTime = cmp.Or(p.MoveTime, defaultMoveTime)
 	p.Lease = min(cmp.Or(p.Lease, defaultLease), p.MaxLease)
 	return p
 }
@@ -66,7 +71,8 @@
 	ended endedJobs
 	// durations holds what is learnt of tasks, by queue.
 	durations map[string]*durations
-	arriving  arrivals
+	// arriving counts the jobs that come, by queue.
+	arriving map[string]*arrivals
 	// homeless counts the lasting steps with a task that found no worker in the last round.
 	homeless int
 	// cramped counts the lasting tasks that should leave a worker and found no other in the last round.
@@ -86,6 +92,7 @@
 	b.unseen = make(map[Life]time.Time)
 	b.unwanted = make(map[*run]bool)
 	b.durations = make(map[string]*durations)
+	b.arriving = make(map[string]*arrivals)
 }
 
 // Expect names a life on which an earlier holder may have started tasks. Jobs that are added before
--- a/core/work/load.go
+++ b/core/work/load.go
@@ -9,13 +9,6 @@
 )
 
 const (
-	// rateBucket and rateBuckets are the window over which the rate of arriving work is measured:
-	// short enough to see a turn of demand begin, long enough to see through single jobs.
-	rateBucket  = 100 * time.Millisecond
-	rateBuckets = 10
-	// earlyBuckets is a shorter window, in which arrivals count by earlyShare: the beginning of a turn shows in it first.
-	earlyBuckets = 4
-	earlyShare   = 0.9
 	// burnTime is the time in which a backlog that can be in time should be worked off, lateBurn and missedBurn are
 	// those for work that is late and that nobody waits for any more: hosts are better lent to others meanwhile.
 	burnTime   = 1000 * time.Millisecond
@@ -46,41 +39,6 @@
 	Why string
 }
 
-// arrivals measures the rate of arriving work in core-seconds a second. The bucket of the present moment is not full yet.
-type arrivals struct {
-	buckets [rateBuckets + 1]float64
-	at      int64
-}
-
-func (a *arrivals) roll(now time.Time) {
-	tick := now.UnixMilli() / rateBucket.Milliseconds()
-	a.at = max(a.at, tick-int64(len(a.buckets)))
-	for a.at < tick {
-		a.at++
-		a.buckets[a.at%int64(len(a.buckets))] = 0
-	}
-}
-
-func (a *arrivals) add(work float64, now time.Time) {
-	a.roll(now)
-	a.buckets[a.at%int64(len(a.buckets))] += work
-}
-
-// over returns the rate over the last n full buckets and the present one.
-func (a *arrivals) over(n int64, now time.Time) float64 {
-	sum := 0.0
-	for i := range n + 1 {
-		sum += a.buckets[(a.at-i)%int64(len(a.buckets))]
-	}
-	present := time.Duration(now.UnixMilli()%rateBucket.Milliseconds()) * time.Millisecond
-	return sum / (time.Duration(n)*rateBucket + present).Seconds()
-}
-
-func (a *arrivals) rate(now time.Time) float64 {
-	a.roll(now)
-	return math.Max(a.over(rateBuckets, now), earlyShare*a.over(earlyBuckets, now))
-}
-
 // coreSeconds is the work that is expected of a number of tasks of a step.
 func (b *Board) coreSeconds(j *job, s *Step, tasks int) float64 {
 	if s.Filling || s.Lasting {
@@ -98,11 +56,30 @@
 	return d
 }
 
-// arrive counts the work of a new job.
+// arrive counts a new job and its work.
 func (b *Board) arrive(j *job, now time.Time) {
+	total := 0.0
 	for i := range j.Steps {
-		b.arriving.add(b.coreSeconds(j, &j.Steps[i], j.Steps[i].Tasks), now)
+		total += b.coreSeconds(j, &j.Steps[i], j.Steps[i].Tasks)
+	}
+	if total == 0 {
+		return
+	}
+	a := b.arriving[j.Queue]
+	if a == nil {
+		a = &arrivals{}
+		b.arriving[j.Queue] = a
+	}
+	a.add(total, now)
+}
+
+// foreseen is the work, in core-seconds a second, that is expected to arrive once a host that is asked for now is there.
+func (b *Board) foreseen(now time.Time) float64 {
+	sum := 0.0
+	for _, a := range b.arriving {
+		sum += a.foreseen(b.policy.MoveTime+orderTime, now)
 	}
+	return sum
 }
 
 // expected returns the cores that the pool needs: those of lasting tasks, and the more of those for the work that
@@ -125,7 +102,7 @@
 		running += float64(busy) * cores
 		waiting += b.coreSeconds(g.job, s, g.left-busy) / g.standing(now).burn().Seconds()
 	}
-	return lasting + math.Max(b.arriving.rate(now), running+waiting)
+	return lasting + math.Max(b.foreseen(now), running+waiting)
 }
 
 // burn is the time in which waiting work of a standing should be worked off.
--- a/core/work/place.go
+++ b/core/work/place.go
@@ -171,7 +171,8 @@
 	scoreSameRack = 2.0
 )
 
-// score rates a worker for a task: near the data first, then the emptiest.
+// score rates a worker for a task: near the data first. Tasks that last go to the emptiest worker, so that the loss of one takes
+// few of them. Others go to the fullest, so that the rest empty soon and their hosts can be given to other pools.
 func (w *worker) score(spec *Step, need Resources, racks map[string]int) float64 {
 	score := 0.0
 	if spec.DataRack != "" && spec.DataRack == w.Rack {
@@ -181,7 +182,11 @@
 		score += scoreSameRack
 	}
 	left := w.free().Minus(need)
-	return score + share(left.MilliCores, w.Capacity.MilliCores) + share(left.MemoryMB, w.Capacity.MemoryMB)/4
+	empty := share(left.MilliCores, w.Capacity.MilliCores) + share(left.MemoryMB, w.Capacity.MemoryMB)/4
+	if spec.Lasting {
+		return score + empty
+	}
+	return score - empty
 }
 
 func share(part, whole int) float64 {
