--- a/core/work/load.go
+++ b/core/work/load.go
@@ -144,7 +144,7 @@
 		load.Urgent = max(load.Urgent, 1)
 	}
 	load.Ask = max(load.Ask, load.Urgent)
-	keep := max(keepWorkers, int(math.Ceil(need/shrinkAt/each)))
+	keep := max(keepWorkers, b.spreadOver(), int(math.Ceil(need/shrinkAt/each)))
 	if len(usable) <= keep || load.Urgent > 0 {
 		b.spareSince = time.Time{}
 		return load
@@ -160,6 +160,17 @@
 	return load
 }
 
+// spreadOver is how many workers the lasting steps need because of their spread limits.
+func (b *Board) spreadOver() int {
+	most := 0
+	for _, g := range b.groups {
+		if s := g.spec(); s.Lasting && s.SpreadLimit > 0 {
+			most = max(most, (g.left+s.SpreadLimit-1)/s.SpreadLimit)
+		}
+	}
+	return most
+}
+
 // cheapest returns the n workers whose loss disturbs least: those that run nothing, then those with the least work to move.
 func cheapest(workers []*worker, n int) []string {
 	sorted := slices.Clone(workers)
--- a/core/work/load_test.go
+++ b/core/work/load_test.go
@@ -124,6 +124,18 @@
 }
 
 func TestHomelessTasks(t *testing.T) {
+	// Seven tasks, two on a worker: the fourth worker is not spare, however little it has to do.
+	t.Run("workers that a lasting step is spread over are kept", func(t *testing.T) {
+		f := withPool(t, 5)
+		j := lastingJob("j", 7)
+		j.Steps[0].SpreadLimit = 2
+		j.Steps[0].Demand.MilliCores = 100
+		f.board.Add(j, work.Progress{}, 11, false, f.now)
+		f.orders()
+		f.board.Load(f.now)
+		f.now = f.now.Add(time.Second)
+		f.is.Equal(f.board.Load(f.now).Spare, 1)
+	})
 	// Few workers are left at the end of a turn, and one of them is to be maintained: the others are full for the step.
 	t.Run("lasting task stays until there is another place, and asks for one", func(t *testing.T) {
 		f := withPool(t, 3)
