Notice feeds that tell nothing by our own commits, and read the tables meanwhile

In a test with silent feeds all members also lapsed for each other, and a duty changed hands while its holder was well. A holder now knows from its own commits what the feed has to tell; after 300 ms without it the table is read, and no worker is spare meanwhile. Others' silence counts only while our own beats come back through the feed. A follower whose call fails reads its table anew. Jobs that this process stored itself are taken in at once.

--- a/core/event/work.go
+++ b/core/event/work.go
@@ -32,6 +32,7 @@
 	LinesLeftOut
 	NeedStated
 	PlanStored
+	FeedSilent
 )
 
 var workEntries = []Entry{
@@ -65,4 +66,5 @@
 	{LinesLeftOut, "work", "Log lines were left out to bound their volume."},
 	{NeedStated, "work", "A pool's holder told how many workers it misses, can spare and has cleared."},
 	{PlanStored, "work", "The plan for hosts was stored: workers to be cleared, and orders that follow."},
+	{FeedSilent, "work", "The store did not tell of a commit of ours to the table that is followed; the table was read instead."},
 }
--- a/io/runner/commits.go
+++ b/io/runner/commits.go
@@ -128,6 +128,7 @@
 		h.board.Committed(changes, version)
 		for _, c := range changes {
 			if c.Progress.State.Final() {
+				h.feed.committed(version, time.Now())
 				h.m.record(event.Event{
 					Number: event.WorkEnded, Pool: h.pool, Job: string(c.ID), Detail: c.Progress.State.String(),
 				})
--- a/io/runner/holder.go
+++ b/io/runner/holder.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"maps"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -49,6 +48,7 @@
 	failures  int
 	// floor is the version of our last commit: older readings are stale.
 	floor uint64
+	feed  queueFeed
 }
 
 func newHolder(t *tenure) *holder {
@@ -156,64 +156,6 @@
 	h.board.Add(job, p, version, earlier, time.Now())
 }
 
-// followQueue hears of new and cancelled jobs.
-func (h *holder) followQueue(version uint64) {
-	h.m.follow(h.ctx, follower{
-		table: queueTable(h.pool), wait: followWait, gather: queueGather, take: h.takeQueue,
-		read: func(ctx context.Context) (uint64, error) {
-			if version != 0 {
-				first := version
-				version = 0
-				return first, nil
-			}
-			return h.readQueue(ctx)
-		},
-	})
-}
-
-// queueGather is the least time between two answers about new jobs: a few milliseconds of
-// waiting save most calls of the store under load.
-const queueGather = 10 * time.Millisecond
-
-// readQueue reads the pool's jobs anew after the store forgot its history.
-func (h *holder) readQueue(ctx context.Context) (uint64, error) {
-	rows, version, err := h.readPart(ctx, queueTable(h.pool))
-	if err != nil {
-		return 0, err
-	}
-	present := make(map[work.ID]bool, len(rows))
-	for _, row := range rows {
-		present[work.ID(row.Key)] = true
-	}
-	h.mu.Lock()
-	for _, id := range h.board.JobsBefore(version) {
-		if !present[id] {
-			h.board.Cancel(id)
-		}
-	}
-	h.mu.Unlock()
-	h.takeQueue(rows)
-	return version, nil
-}
-
-func (h *holder) takeQueue(rows []platform.PartRow) {
-	h.mu.Lock()
-	for _, row := range rows {
-		switch {
-		case row.Part != h.pool:
-		case row.Key == fenceKey && row.Version > h.epoch:
-			h.lose("another member wrote the fence")
-		case strings.HasPrefix(row.Key, markPrefix):
-		case row.Deleted:
-			h.board.Cancel(work.ID(row.Key))
-		default:
-			h.add(row, nil, row.Version, row.Version < h.epoch)
-		}
-	}
-	h.mu.Unlock()
-	h.wake()
-}
-
 // rounds decides in rounds until the duty ends.
 func (h *holder) rounds() {
 	for {
@@ -244,6 +186,7 @@
 		h.group.Go(func() { h.send(o) })
 	}
 	h.store(now)
+	h.watchFeed(now)
 }
 
 // takeWorkers gives the board the workers of the directory, after the roster with them is stored.
@@ -300,7 +243,7 @@
 	maps.DeleteFunc(h.roster, func(life work.Life, _ bool) bool { return !roster[life] })
 	h.committing = true
 	h.group.Go(func() {
-		_, err := h.m.Rows.Commit(h.ctx, platform.Commit{
+		version, err := h.m.Rows.Commit(h.ctx, platform.Commit{
 			Expected: []platform.Expectation{h.fence()},
 			Writes:   []platform.RowWrite{{RowKey: markKey(h.pool, rosterKey), Value: encode(row)}},
 			Purpose:  "roster",
@@ -309,6 +252,7 @@
 		h.committing = false
 		if err == nil {
 			h.roster = roster
+			h.feed.committed(version, time.Now())
 		}
 		h.mu.Unlock()
 		h.settle(err)
--- a/io/runner/intake.go
+++ b/io/runner/intake.go
@@ -172,13 +172,16 @@
 func (m *Manager) storeGroup(pool string, group []*submission) {
 	var retry backoff
 	for len(group) > 0 {
-		_, err := m.Rows.Commit(m.ctx, acceptTransaction(pool, group))
+		version, err := m.Rows.Commit(m.ctx, acceptTransaction(pool, group))
 		var overtaken platform.ErrOvertaken
 		var unavailable platform.ErrUnavailable
 		var invalid platform.ErrInvalid
 		switch {
 		case err == nil:
 			finish(group, nil)
+			if h := m.holder(pool); h != nil {
+				h.accepted(group, version)
+			}
 			return
 		case errors.As(err, &overtaken):
 			group = dropStored(pool, group, overtaken)
--- a/io/runner/manager.go
+++ b/io/runner/manager.go
@@ -54,8 +54,9 @@
 	// members holds the rows of the members, ledger judges them.
 	members map[string]duty.Sighting
 	ledger  duty.Ledger
-	// beaten is when our own member row was last written, followed when the fleet table was last read.
-	beaten, followed time.Time
+	// beaten is when our own member row was last written, followed when the fleet table was last read, echoed when
+	// it last showed a newer beat of ours.
+	beaten, followed, echoed time.Time
 	// holderRows holds the holders of the pools' duties and the versions of their rows.
 	holderRows map[string]heldRow
 	// tenures holds the duties that this process holds, holders those for pools.
--- a/io/runner/members.go
+++ b/io/runner/members.go
@@ -17,8 +17,13 @@
 	// memberLease is how long a member row may stay unchanged. With a takeover it is below half of the shortest
 	// lease of tasks, so that their workers hear from the next holder in time.
 	memberLease = 2200 * time.Millisecond
+	// fleetWait is how long the store may hold back its answer about the members. Some member beats in any such time.
+	fleetWait = 400 * time.Millisecond
 	// fleetGather is the least time between two answers about the members.
 	fleetGather = 150 * time.Millisecond
+	// echoTime is how old the last beat of ours that the table of members has shown to us may be: a beat, the time
+	// between two answers, and an answer that is late. Older, and nothing is known of the others either.
+	echoTime = beatEvery + fleetGather + 500*time.Millisecond
 	// settledAfter is how long a member must be live before duties are handed over to it.
 	settledAfter = 5 * time.Second
 )
@@ -67,8 +72,8 @@
 // followFleet keeps the members and the holders of the duties up to date.
 func (m *Manager) followFleet(ctx context.Context) {
 	m.follow(ctx, follower{
-		table: fleetTable, wait: followWait, gather: fleetGather, take: m.takeFleet, read: m.readFleet,
-		heard: func() {
+		table: fleetTable, wait: fleetWait, gather: fleetGather, take: m.takeFleet, read: m.readFleet,
+		heard: func(uint64) {
 			m.mu.Lock()
 			m.followed = time.Now()
 			m.mu.Unlock()
@@ -143,6 +148,9 @@
 	var member duty.Member
 	err := json.Unmarshal(row.Value, &member)
 	if err == nil {
+		if name == m.Member && row.Version > m.members[name].Version {
+			m.echoed = time.Now()
+		}
 		m.members[name] = duty.Sighting{Member: member, Version: row.Version}
 	}
 	m.mu.Unlock()
@@ -196,7 +204,7 @@
 	for _, s := range m.members {
 		rows = append(rows, s)
 	}
-	connected := now.Sub(m.beaten) < memberLease && now.Sub(m.followed) < memberLease
+	connected := now.Sub(m.beaten) < memberLease && now.Sub(m.followed) < memberLease && now.Sub(m.echoed) < echoTime
 	if !connected {
 		elapsed = 0
 	}
--- a/io/runner/need.go
+++ b/io/runner/need.go
@@ -8,6 +8,7 @@
 
 	"siskincross/core/capacity"
 	"siskincross/core/event"
+	"siskincross/core/work"
 	"siskincross/io/platform"
 )
 
@@ -112,7 +113,7 @@
 	if h.m.Machines.Send == nil {
 		return
 	}
-	load := h.board.Load(now)
+	load := h.poolLoad(now)
 	h.clearing.update(maintenance, load.Offer, h.board.Cleared(), load.Ask > 0, now)
 	all := h.clearing.withdrawn()
 	for _, life := range h.board.ClearedLives() {
@@ -128,7 +129,7 @@
 	if h.m.Machines.Send == nil || now.Sub(h.needAt) < needEvery {
 		return needRow{}, false
 	}
-	load := h.board.Load(now)
+	load := h.poolLoad(now)
 	cleared := slices.DeleteFunc(h.board.Cleared(), func(id string) bool { return !h.clearing.wanted[id] })
 	need := needRow{Ask: load.Ask, Urgent: load.Urgent, Spare: load.Spare, Cleared: cleared}
 	if need.equal(h.need) {
@@ -139,3 +140,12 @@
 		"asks for %d (%d urgent), spares %d, cleared %v, %s", need.Ask, need.Urgent, need.Spare, need.Cleared, load.Why)})
 	return need, true
 }
+
+// poolLoad tells what the pool does with its workers. None are spare while new jobs may not have been told of.
+func (h *holder) poolLoad(now time.Time) work.Load {
+	load := h.board.Load(now)
+	if h.feed.silent(now) {
+		load.Spare, load.Offer = 0, nil
+	}
+	return load
+}
--- a/io/runner/operators.go
+++ b/io/runner/operators.go
@@ -24,8 +24,8 @@
 	gather time.Duration
 	read   func(ctx context.Context) (uint64, error)
 	take   func(rows []platform.PartRow)
-	// heard is called after every answer; nil means nobody cares.
-	heard func()
+	// heard is called after every answer with the version up to which the table is known; nil means nobody cares.
+	heard func(version uint64)
 	// idle tells that nobody needs the table now; nil means never.
 	idle func() bool
 }
@@ -62,6 +62,7 @@
 		case historyGone(err):
 			known = false
 		case err != nil:
+			known = false // a feed that does not answer may be silent for long while the table can be read
 			if !retry.pause(ctx) {
 				return
 			}
@@ -69,7 +70,7 @@
 		default:
 			retry = backoff{}
 			if f.heard != nil {
-				f.heard()
+				f.heard(version)
 			}
 		}
 		if f.gather > 0 && !sleep(ctx, f.gather) {
