Ask for waiting work by its slack, believe few jobs less, and offer the workers that will be empty first

Its jobs have seconds of slack, but their waiting work was to be worked off within one second; two large jobs in half a second were taken for a steep turn; and hosts were picked by how much ran on them, not by how long. Ruled out: hosts that are listed and gone (they are not counted after two missed renewals).

--- a/core/work/arrivals.go
+++ b/core/work/arrivals.go
@@ -13,6 +13,8 @@
 	longWindow  = 10
 	// rateBuckets are those of two windows that follow each other, and the present one, which is not full yet.
 	rateBuckets = 2*longWindow + 1
+	// fewJobs is how many jobs the short window must hold to be believed: with fewer, chance multiplies the rate.
+	fewJobs = 3
 	// doubtedDeviations is by how many standard deviations of a count a rise is taken as smaller than it looks.
 	doubtedDeviations = 1.0
 	// meanJobs bounds the weight of the past in the mean work of a job.
@@ -63,7 +65,11 @@
 func (a *arrivals) foreseen(after time.Duration, now time.Time) float64 {
 	a.roll(now)
 	present := time.Duration(now.UnixMilli()%rateBucket.Milliseconds()) * time.Millisecond
-	return a.mean * math.Max(a.extend(shortWindow, present, after), a.extend(longWindow, present, after))
+	rate := a.extend(longWindow, present, after)
+	if a.count(0, shortWindow+1) >= fewJobs {
+		rate = math.Max(rate, a.extend(shortWindow, present, after))
+	}
+	return a.mean * rate
 }
 
 // extend continues the rise between two windows in a row. Rises that chance explains count less, falls not at all.
--- a/core/work/load.go
+++ b/core/work/load.go
@@ -100,20 +100,24 @@
 			}
 		}
 		running += float64(busy) * cores
-		waiting += b.coreSeconds(g.job, s, g.left-busy) / g.standing(now).burn().Seconds()
+		waiting += b.coreSeconds(g.job, s, g.left-busy) / g.burn(now).Seconds()
 	}
 	return lasting + math.Max(b.foreseen(now), running+waiting)
 }
 
-// burn is the time in which waiting work of a standing should be worked off.
-func (s standing) burn() time.Duration {
-	switch s {
+// burn is the time in which the waiting work of a step should be worked off: before it would end too late, if it can be in time.
+func (g *group) burn(now time.Time) time.Duration {
+	switch g.standing(now) {
 	case standingLate:
 		return lateBurn
 	case standingMissed:
 		return missedBurn
 	}
-	return burnTime
+	if g.allowed == 0 {
+		return burnTime
+	}
+	slack := g.allowed - time.Duration(float64(g.tail)*tailMargin) - now.Sub(g.from)
+	return min(max(slack, burnTime), lateBurn)
 }
 
 // Load tells what the pool does with its workers.
@@ -156,7 +160,7 @@
 		return load
 	}
 	load.Spare = len(usable) - keep
-	load.Offer = cheapest(usable, load.Spare)
+	load.Offer = b.cheapest(usable, load.Spare, now)
 	return load
 }
 
@@ -171,12 +175,13 @@
 	return most
 }
 
-// cheapest returns the n workers whose loss disturbs least: those that run nothing, then those with the least work to move.
-func cheapest(workers []*worker, n int) []string {
+// cheapest returns the n workers whose loss disturbs least: those without lasting tasks that will be empty first.
+func (b *Board) cheapest(workers []*worker, n int, now time.Time) []string {
 	sorted := slices.Clone(workers)
 	slices.SortStableFunc(sorted, func(a, c *worker) int {
 		return cmp.Or(
 			cmp.Compare(a.lasting(), c.lasting()),
+			cmp.Compare(b.busyFor(a, now), b.busyFor(c, now)),
 			cmp.Compare(a.used.MilliCores, c.used.MilliCores),
 			cmp.Compare(a.Life.Worker, c.Life.Worker),
 		)
@@ -188,6 +193,19 @@
 	return ids
 }
 
+// busyFor is how long the tasks on the worker that end by themselves are expected to go on.
+func (b *Board) busyFor(w *worker, now time.Time) time.Duration {
+	longest := time.Duration(0)
+	for _, r := range w.runs {
+		if r.task == nil || r.task.group.spec().Lasting {
+			continue
+		}
+		g := r.task.group
+		longest = max(longest, b.learnt(g.job.Queue).expect(g.spec())-now.Sub(r.started))
+	}
+	return longest
+}
+
 // lasting counts the lasting tasks on the worker.
 func (w *worker) lasting() int {
 	n := 0
--- a/core/work/load_test.go
+++ b/core/work/load_test.go
@@ -82,6 +82,40 @@
 		}
 		f.is.Equal(len(busy), 2) // four cores each
 	})
+	// At the end of a turn one worker has several tasks that are nearly over, the others one each that has just begun.
+	t.Run("worker that will be empty first is given up first", func(t *testing.T) {
+		f := withPool(t, 4)
+		for i, estimate := range []time.Duration{time.Second, 10 * time.Second, 10 * time.Second, 10 * time.Second} {
+			j := chain(work.ID(fmt.Sprint("j", i)), 1)
+			if i == 0 {
+				j = chain("j0", 3)
+			}
+			j.Steps[0].Demand.MilliCores = 100
+			j.Steps[0].Estimate = estimate
+			j.Steps[0].DataRack = fmt.Sprintf("rack-w%02d", i)
+			f.board.Add(j, work.Progress{}, 11, false, f.now)
+		}
+		f.is.Equal(len(f.orders()), 6)
+		f.now = f.now.Add(3 * time.Second) // nothing has arrived for a while
+		f.board.Load(f.now)
+		f.now = f.now.Add(3 * hundred)
+		f.is.Equal(f.board.Load(f.now).Offer, []string{"w00"})
+	})
+	// Work that can wait for a while is no reason to take hosts from pools that are in need.
+	t.Run("waiting work asks for what it takes to end in time", func(t *testing.T) {
+		ask := func(slack time.Duration) int {
+			f := withPool(t, 3)
+			for i := range 30 {
+				j := chain(work.ID(fmt.Sprint("j", i)), 4)
+				j.Objective, j.Accepted = work.Objective{Factor: 1, Slack: slack}, f.now
+				f.board.Add(j, work.Progress{}, 5, true, f.now)
+			}
+			return f.board.Load(f.now).Ask
+		}
+		f := withBoard(t)
+		f.is.True(ask(time.Second) >= 20)
+		f.is.True(ask(5*time.Second) < ask(time.Second)/2)
+	})
 	t.Run("lasting tasks are spread, so that the loss of a worker takes few", func(t *testing.T) {
 		f := withPool(t, 4)
 		f.board.Add(lastingJob("j", 4), work.Progress{}, 11, false, f.now)
