Have hosts back from standby as soon as they are off, and switch none off too early

A host that was switched off counted as on its way for 2.5 to 2.9 s, since no worker tells that it is back; a new holder of the duty for hosts switched seven off before the pools' new holders had stated what they need; a need that fell for a tenth of a second sent five more away; and a round waited for the answers to all its orders. Hosts in standby are taken as up after the platform's time, a cleared host waits 0.4 s for the next ask, a new holder switches nothing off for 3 s, and orders are answered beside the rounds.

--- a/core/capacity/moves.go
+++ b/core/capacity/moves.go
@@ -20,12 +20,13 @@
 			continue
 		}
 		to := p.neediest(m, asks, size)
-		if to == "" && !standby {
+		if to == "" && !standby && p.idle(m, now) {
 			to = p.standbyFor(m)
 		}
 		if to == "" || to == m.Pool {
 			continue
 		}
+		m.unwanted = time.Time{}
 		if a := asks[to]; a.total > 0 {
 			asks[to] = a.less()
 			size[to]++
@@ -34,6 +35,18 @@
 	}
 }
 
+// switchOffDelay is how long nobody must have asked for a cleared host before it is switched off: needs swing within tenths
+// of a second, and a host that is switched off comes back only after two moves.
+const switchOffDelay = 400 * time.Millisecond
+
+// idle reports whether nobody has asked for a cleared host for a while.
+func (p *Planner) idle(m *machine, now time.Time) bool {
+	if m.unwanted.IsZero() {
+		m.unwanted = now
+	}
+	return now.Sub(m.unwanted) >= switchOffDelay && !now.Before(p.KeepUntil)
+}
+
 // waits reports whether the host is withdrawn for maintenance, which comes first.
 func (p *Planner) waits(m *machine) bool {
 	for _, w := range p.waves {
--- a/core/capacity/planner.go
+++ b/core/capacity/planner.go
@@ -21,8 +21,10 @@
 	defaultAway = 2 * time.Second
 	// joinTime is how long a host that is up again may take to appear in the directory of workers.
 	joinTime = time.Second
-	// retryAfter is the time between two tries of an order.
+	// retryAfter is the time between the answer to an order and the next try.
 	retryAfter = 400 * time.Millisecond
+	// answerTime is how long an order may be on its way before it is repeated: more than a call of the platform takes to time out.
+	answerTime = 1500 * time.Millisecond
 	// waveHaste is the part of a wave's time in which it should be over, so that a disruption near its end delays none.
 	waveHaste = 0.7
 	// withdrawnShare is the part of a busy pool's workers that may be withdrawn for maintenance at once.
@@ -38,6 +40,8 @@
 // Planner plans for all hosts. Its owner calls it from one goroutine. A zero Planner works.
 type Planner struct {
 	Policy Policy
+	// KeepUntil is the time before which no host is switched off: a new holder has not heard from all pools yet.
+	KeepUntil time.Time
 
 	machines map[string]*machine
 	byWorker map[string]*machine
@@ -61,6 +65,8 @@
 	confirmed bool
 	// retry is when the host may get its next order.
 	retry time.Time
+	// unwanted is since when nobody asks for the cleared host; the zero time while it is in use.
+	unwanted time.Time
 	// recalled hosts are to be cleared for another pool's urgent need.
 	recalled bool
 	// worker is the host's worker when the order was given.
@@ -202,9 +208,31 @@
 	}
 }
 
+// backSlack is what a host may need beyond the platform's time before it is up again.
+const backSlack = 50 * time.Millisecond
+
+// assumeBack ends the orders of switched-off hosts whose time is over. No worker tells of them, and the next list comes later.
+// An order for a host that is not up yet is refused and tried again.
+func (p *Planner) assumeBack(now time.Time) {
+	policy := p.Policy.withDefaults()
+	for _, m := range p.machines {
+		if !m.ordered || !m.confirmed {
+			continue
+		}
+		pool, away := m.Pool, policy.MaintenanceTime
+		if m.order.Kind == KindMove {
+			pool, away = m.order.Pool, policy.MoveTime
+		}
+		if p.pools[pool].Standby && m.State != StateDown && now.Sub(m.at) >= away+backSlack {
+			m.ordered, m.State, m.Pool, m.Worker = false, StateUp, pool, ""
+		}
+	}
+}
+
 // Plan decides. Orders that it returns count as given.
 func (p *Planner) Plan(now time.Time) Plan {
 	p.init()
+	p.assumeBack(now)
 	var plan Plan
 	for _, w := range p.waves {
 		p.planWave(w, &plan, now)
@@ -228,7 +256,7 @@
 
 func (p *Planner) give(m *machine, o Order, plan *Plan, now time.Time) {
 	m.order, m.ordered, m.confirmed, m.at, m.worker = o, true, false, now, m.Worker
-	m.retry = now.Add(retryAfter)
+	m.retry = now.Add(answerTime)
 	plan.Orders = append(plan.Orders, o)
 }
 
@@ -281,7 +309,7 @@
 func (p *Planner) retryOrders(plan *Plan, now time.Time) {
 	for _, m := range p.hosts() {
 		if m.ordered && !m.confirmed && !now.Before(m.retry) {
-			m.retry = now.Add(retryAfter)
+			m.retry = now.Add(answerTime)
 			plan.Orders = append(plan.Orders, m.order)
 		}
 	}
--- a/io/runner/hosts.go
+++ b/io/runner/hosts.go
@@ -7,6 +7,7 @@
 	"maps"
 	"slices"
 	"strings"
+	"sync"
 	"time"
 
 	"siskincross/core/capacity"
@@ -34,6 +35,9 @@
 	// intentTime is how long after a fenced commit orders may be sent. It is well below the time for which
 	// the next holder waits, so that no order of ours follows one of a later epoch.
 	intentTime = 700 * time.Millisecond
+	// keepTime is how long a new holder switches no host off: holders of pools may be replaced at the same time as the
+	// earlier holder of this duty, and state what they need only then.
+	keepTime = memberLease + 800*time.Millisecond
 	// hostsGather is the least time between two answers about the table of hosts.
 	hostsGather = 20 * time.Millisecond
 )
@@ -168,6 +172,10 @@
 	told   map[string]bool
 	stored map[string]int
 	busy   bool
+
+	// resultsMu guards the ends of orders that the loop has not taken in.
+	resultsMu sync.Mutex
+	results   []orderResult
 }
 
 func newHostsHolder(t *tenure) *hostsHolder {
@@ -200,7 +208,9 @@
 			err = errStaleRead
 		}
 		if err == nil {
-			h.inherit(time.Now())
+			now := time.Now()
+			h.inherit(now)
+			h.planner.KeepUntil = now.Add(keepTime)
 			return true
 		}
 		h.m.record(event.Event{Number: event.WorkDutyFailed, Pool: h.name, Detail: "read the table of hosts: " + err.Error()})
@@ -243,6 +253,7 @@
 // round takes in what is known, plans, stores the plan and gives the orders.
 func (h *hostsHolder) round() {
 	now := time.Now()
+	h.takeResults()
 	h.takeIn(now)
 	h.list(now)
 	if !h.listed {
@@ -337,39 +348,46 @@
 	return fmt.Sprintf("move %s to %s", o.Host, o.Pool)
 }
 
+// orderResult is how an order for a host ended.
+type orderResult struct {
+	order   capacity.Order
+	outcome capacity.Outcome
+	reason  string
+}
+
 // give sends orders, if the commit before them was recent by both clocks: a process that was frozen gives none.
+// The next rounds take in how they end.
 func (h *hostsHolder) give(orders []capacity.Order, decided time.Time) {
-	type result struct {
-		outcome capacity.Outcome
-		reason  string
-	}
-	results := make([]result, len(orders))
-	done := make(chan int)
-	late := time.Since(decided) > intentTime || time.Since(decided.Round(0)) > intentTime
-	for i, o := range orders {
-		go func() {
-			defer func() { done <- i }()
-			if late {
-				results[i] = result{capacity.OutcomeRefused, "the plan is too old"}
-				return
+	for _, o := range orders {
+		h.group.Go(func() {
+			result := orderResult{o, capacity.OutcomeRefused, "the plan is too old"}
+			if time.Since(decided) <= intentTime && time.Since(decided.Round(0)) <= intentTime {
+				order := platform.MachineOrder{Order: o, Holder: h.m.Node, Epoch: h.epoch}
+				result.outcome, result.reason = h.m.Machines.Send(h.ctx, order)
 			}
-			order := platform.MachineOrder{Order: o, Holder: h.m.Node, Epoch: h.epoch}
-			results[i].outcome, results[i].reason = h.m.Machines.Send(h.ctx, order)
-		}()
-	}
-	for range orders {
-		<-done
+			h.resultsMu.Lock()
+			h.results = append(h.results, result)
+			h.resultsMu.Unlock()
+			h.wake()
+		})
 	}
-	for i, o := range orders {
-		h.planner.Ended(o, results[i].outcome, time.Now())
-		e := event.Event{Number: event.MachineOrdered, Pool: o.Pool, Host: o.Host, Detail: orderText(o)}
-		if results[i].outcome != capacity.OutcomeDone {
+}
+
+// takeResults gives the planner the ends of orders.
+func (h *hostsHolder) takeResults() {
+	h.resultsMu.Lock()
+	results := h.results
+	h.results = nil
+	h.resultsMu.Unlock()
+	for _, r := range results {
+		h.planner.Ended(r.order, r.outcome, time.Now())
+		e := event.Event{Number: event.MachineOrdered, Pool: r.order.Pool, Host: r.order.Host, Detail: orderText(r.order)}
+		if r.outcome != capacity.OutcomeDone {
 			e.Number = event.MachineOrderFailed
-			e.Detail += ": " + results[i].outcome.String() + ": " + results[i].reason
+			e.Detail += ": " + r.outcome.String() + ": " + r.reason
 		}
 		h.m.record(e)
 	}
-	h.wake()
 }
 
 func (h *hostsHolder) waves() []work.Wave {
