--- a/io/runner/duties.go
+++ b/io/runner/duties.go
@@ -31,11 +31,15 @@
 		m.mu.Lock()
 		leaving := m.leaving
 		m.mu.Unlock()
-		if leaving || now.Sub(started) < firstDuty {
+		if leaving {
 			continue
 		}
 		for _, name := range m.dutyNames() {
-			m.look(ctx, name, duty.View{Self: m.Member, Live: live, Settled: settled})
+			if now.Sub(started) >= firstDuty {
+				m.look(ctx, name, duty.View{Self: m.Member, Live: live, Settled: settled})
+			} else {
+				m.resume(ctx, name)
+			}
 		}
 	}
 }
@@ -85,6 +89,17 @@
 	}
 }
 
+// resume takes a duty that an earlier incarnation of this entry host held: it has ended, and nobody else may know that yet.
+func (m *Manager) resume(ctx context.Context, name string) {
+	m.mu.Lock()
+	row, known := m.holderRows[name]
+	held := m.tenures[name] != nil
+	m.mu.Unlock()
+	if known && !held && row.Holder != m.Member && m.earlier(row.Holder) {
+		m.takeDuty(ctx, name, row)
+	}
+}
+
 // quiet reports whether a duty can be handed over without a wait for leases. A new holder has to wait for every worker that
 // does not answer, and does not know how long that has been so.
 func (m *Manager) quiet(name string) bool {
--- /dev/null
+++ b/io/runner/fake_test.go
@@ -0,0 +1,506 @@
+package runner_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"siskincross/core/event"
+	"siskincross/core/work"
+	"siskincross/io/platform"
+	"siskincross/io/runner"
+	"siskincross/io/timeline"
+)
+
+// fakeStore is a table service in memory, with the faults that the runner has to live with. It is used in virtual time.
+type fakeStore struct {
+	mu      sync.Mutex
+	version uint64
+	rows    map[platform.RowKey]platform.PartRow
+	history []platform.PartRow
+	changed chan struct{}
+	// silentFor names the entry hosts of which no call is answered, or all if it holds "*".
+	silentFor map[string]bool
+	// calls counts the calls by kind.
+	calls map[string]int
+}
+
+// answerTime is how long the store and the workers take for an answer.
+const answerTime = 4 * time.Millisecond
+
+func newFakeStore() *fakeStore {
+	return &fakeStore{
+		rows: make(map[platform.RowKey]platform.PartRow), changed: make(chan struct{}),
+		silentFor: make(map[string]bool), calls: make(map[string]int),
+	}
+}
+
+// callTime is after how long a call without an answer is given up.
+const callTime = 1500 * time.Millisecond
+
+// enter plays the way to the store. It returns an error for a call that gets no answer.
+func (s *fakeStore) enter(ctx context.Context, node, kind string) error {
+	s.mu.Lock()
+	s.calls[kind]++
+	silent := s.silentFor[node] || s.silentFor["*"]
+	s.mu.Unlock()
+	wait := answerTime
+	if silent {
+		wait = callTime
+	}
+	select {
+	case <-time.After(wait):
+	case <-ctx.Done():
+		return platform.ErrOutcomeUnknown{Service: "store", Reason: ctx.Err().Error()}
+	}
+	if silent {
+		return platform.ErrOutcomeUnknown{Service: "store", Reason: "no answer"}
+	}
+	return nil
+}
+
+// rowsFor returns the store as one entry host sees it.
+func (s *fakeStore) rowsFor(node string) platform.Rows {
+	return platform.Rows{
+		Commit: func(ctx context.Context, c platform.Commit) (uint64, error) {
+			if err := s.enter(ctx, node, "commit"); err != nil {
+				return 0, err
+			}
+			return s.commit(c)
+		},
+		Range: func(ctx context.Context, q platform.Range) (platform.Page, error) {
+			if err := s.enter(ctx, node, "range"); err != nil {
+				return platform.Page{}, err
+			}
+			return s.find(q), nil
+		},
+		Parts: func(ctx context.Context, table string) ([]string, error) {
+			if err := s.enter(ctx, node, "parts"); err != nil {
+				return nil, err
+			}
+			return s.parts(table), nil
+		},
+		Follow: func(ctx context.Context, table string, after uint64, wait time.Duration) (platform.Changes, error) {
+			if err := s.enter(ctx, node, "follow"); err != nil {
+				return platform.Changes{}, err
+			}
+			return s.follow(ctx, table, after, wait)
+		},
+	}
+}
+
+func (s *fakeStore) commit(c platform.Commit) (uint64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var current []platform.PartRow
+	stale := false
+	for _, e := range c.Expected {
+		row := s.rows[e.RowKey]
+		row.RowKey = e.RowKey
+		current = append(current, row)
+		stale = stale || row.Version != e.Version
+	}
+	if stale {
+		return 0, platform.ErrOvertaken{Rows: current}
+	}
+	s.version++
+	for _, w := range c.Writes {
+		row := platform.PartRow{RowKey: w.RowKey, Value: w.Value, Version: s.version}
+		s.rows[w.RowKey] = row
+		s.history = append(s.history, row)
+	}
+	for _, key := range c.Removes {
+		delete(s.rows, key)
+		s.history = append(s.history, platform.PartRow{RowKey: key, Version: s.version, Deleted: true})
+	}
+	close(s.changed)
+	s.changed = make(chan struct{})
+	return s.version, nil
+}
+
+func (s *fakeStore) find(q platform.Range) platform.Page {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	page := platform.Page{Version: s.version}
+	for key, row := range s.rows {
+		if key.Table == q.Table && key.Part == q.Part && key.Key >= q.From && (q.Until == "" || key.Key < q.Until) {
+			page.Rows = append(page.Rows, row)
+		}
+	}
+	slices.SortFunc(page.Rows, func(a, b platform.PartRow) int { return strings.Compare(a.Key, b.Key) })
+	return page
+}
+
+func (s *fakeStore) parts(table string) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var parts []string
+	for key := range s.rows {
+		if key.Table == table && !slices.Contains(parts, key.Part) {
+			parts = append(parts, key.Part)
+		}
+	}
+	slices.Sort(parts)
+	return parts
+}
+
+func (s *fakeStore) follow(ctx context.Context, table string, after uint64, wait time.Duration) (platform.Changes, error) {
+	over := time.After(wait)
+	for {
+		s.mu.Lock()
+		result := platform.Changes{Version: s.version}
+		for _, row := range s.history {
+			if row.Table == table && row.Version > after {
+				result.Rows = append(result.Rows, row)
+			}
+		}
+		changed := s.changed
+		s.mu.Unlock()
+		if len(result.Rows) > 0 {
+			return result, nil
+		}
+		select {
+		case <-changed:
+		case <-over:
+			return result, nil
+		case <-ctx.Done():
+			return result, platform.ErrOutcomeUnknown{Service: "store", Reason: ctx.Err().Error()}
+		}
+	}
+}
+
+// put writes a row as an operator or a worker would.
+func (s *fakeStore) put(key platform.RowKey, value any) {
+	encoded, err := json.Marshal(value)
+	if err != nil {
+		panic(err)
+	}
+	if _, err := s.commit(platform.Commit{Writes: []platform.RowWrite{{RowKey: key, Value: encoded}}}); err != nil {
+		panic(err)
+	}
+}
+
+// fakeWorker is a worker whose tasks each take a set time.
+type fakeWorker struct {
+	mu       sync.Mutex
+	listing  work.Listing
+	born     time.Time
+	fence    uint64
+	deadline time.Duration
+	runs     map[work.Run]time.Time
+	ends     []work.End
+	number   uint64
+	highest  map[work.Task]int
+	// dark workers answer nothing.
+	dark bool
+	// started holds when each task was first started.
+	started map[work.Task]time.Time
+}
+
+// taskTime is how long a task runs.
+const taskTime = 300 * time.Millisecond
+
+func (w *fakeWorker) clock() time.Duration { return time.Since(w.born) }
+
+func (w *fakeWorker) settle() {
+	for run, until := range w.runs {
+		how := work.HowDone
+		switch {
+		case w.clock() > w.deadline:
+			how = work.HowLapsed
+		case time.Now().Before(until):
+			continue
+		}
+		delete(w.runs, run)
+		w.highest[run.Task] = max(w.highest[run.Task], run.Attempt)
+		w.number++
+		w.ends = append(w.ends, work.End{Number: w.number, Run: run, How: how})
+	}
+}
+
+var errDark = errors.New("no answer")
+
+// fakeSite is a deployment in virtual time: a store, workers of one pool and entry hosts.
+type fakeSite struct {
+	t       *testing.T
+	is      *is.I
+	store   *fakeStore
+	workers map[string]*fakeWorker
+	hosts   map[string]*fakeHost
+}
+
+// fakeHost is a running entry host.
+type fakeHost struct {
+	manager *runner.Manager
+	stop    context.CancelFunc
+	done    <-chan error
+	mu      sync.Mutex
+	events  []event.Event
+}
+
+const (
+	fakePool  = "desk"
+	fakeTable = "op"
+)
+
+// withFakeSite runs a test in virtual time on a site with entry hosts "e0", "e1" and so on, and workers "w0", "w1" and so on of ten cores.
+func withFakeSite(t *testing.T, hosts, workers int, test func(*fakeSite)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		s := &fakeSite{
+			t: t, is: is.New(t), store: newFakeStore(), workers: make(map[string]*fakeWorker), hosts: make(map[string]*fakeHost),
+		}
+		s.store.put(platform.RowKey{Table: fakeTable, Key: "config"}, 1)
+		for i := range workers {
+			s.addWorker(fmt.Sprintf("w%d", i))
+		}
+		for i := range hosts {
+			s.start(fmt.Sprintf("e%d", i))
+		}
+		time.Sleep(10 * time.Second)
+		test(s)
+		for name := range s.hosts {
+			s.kill(name)
+		}
+	})
+}
+
+func (s *fakeSite) addWorker(id string) {
+	w := &fakeWorker{
+		listing: work.Listing{
+			Life: work.Life{Worker: id, Born: time.Now().UnixMilli()}, Address: id, Pool: fakePool, Rack: "rack-" + id,
+			Capacity: work.Resources{MilliCores: 10_000, MemoryMB: 10_000},
+		},
+		born: time.Now(), runs: make(map[work.Run]time.Time), highest: make(map[work.Task]int), started: make(map[work.Task]time.Time),
+	}
+	s.workers[id] = w
+	s.store.put(platform.RowKey{Table: "workers", Key: id}, w.listing)
+}
+
+func (s *fakeSite) catalogue() work.Catalogue {
+	return work.Catalogue{Version: 1, Pools: map[string]work.Pool{fakePool: {Name: fakePool, Guarded: true}}}.
+		WithQueues([]work.Queue{s.queue()})
+}
+
+func (s *fakeSite) queue() work.Queue {
+	return work.Queue{Name: "q", Host: "h", Prefix: "/q/", Pool: fakePool, Attempts: 2}
+}
+
+// start runs an entry host.
+func (s *fakeSite) start(name string) {
+	h := &fakeHost{}
+	rows := s.store.rowsFor(name)
+	h.manager = &runner.Manager{
+		Rows: rows, Executors: platform.Executors{Renew: s.renew, Send: s.send},
+		Directory: platform.Directory{
+			List: func(ctx context.Context) ([]work.Listing, uint64, error) {
+				found, version, err := rows.ReadAll(ctx, platform.Range{Table: "workers"})
+				return decodeListings(found), version, err
+			},
+			Follow: func(ctx context.Context, after uint64, wait time.Duration) (platform.DirectoryChanges, error) {
+				changes, err := rows.Follow(ctx, "workers", after, wait)
+				result := platform.DirectoryChanges{Version: changes.Version}
+				for _, row := range changes.Rows {
+					if row.Deleted {
+						result.Gone = append(result.Gone, row.Key)
+					}
+				}
+				result.Listed = decodeListings(changes.Rows)
+				return result, err
+			},
+		},
+		Operators: platform.Operators{
+			Table: fakeTable,
+			DecodeCatalogue: func(row platform.PartRow) (work.Catalogue, bool, error) {
+				return s.catalogue(), row.Key == "config", nil
+			},
+			DecodeWave: func(platform.PartRow) (work.Wave, bool, error) { return work.Wave{}, false, nil },
+		},
+		Node: name, Member: fmt.Sprintf("%s/%d", name, time.Now().UnixNano()), Zone: "z",
+		Recorder: &timeline.Recorder{Process: name, Sink: h.note},
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	h.stop = stop
+	h.done = h.manager.Start(ctx)
+	s.hosts[name] = h
+}
+
+func (h *fakeHost) note(e event.Event) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.events = append(h.events, e)
+}
+
+// count returns how often an entry host recorded an event.
+func (h *fakeHost) count(n event.Number) int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	found := 0
+	for _, e := range h.events {
+		if e.Number == n {
+			found++
+		}
+	}
+	return found
+}
+
+// kill ends an entry host without a word to anybody.
+func (s *fakeSite) kill(name string) {
+	h := s.hosts[name]
+	delete(s.hosts, name)
+	h.stop()
+	s.is.NoErr(<-h.done)
+}
+
+func decodeListings(rows []platform.PartRow) []work.Listing {
+	var list []work.Listing
+	for _, row := range rows {
+		var l work.Listing
+		if !row.Deleted && json.Unmarshal(row.Value, &l) == nil {
+			list = append(list, l)
+		}
+	}
+	return list
+}
+
+func (s *fakeSite) renew(ctx context.Context, r work.Renewal) (work.Report, error) {
+	w := s.workers[r.Life.Worker]
+	if err := w.wait(ctx, answerTime); err != nil {
+		return work.Report{}, err
+	}
+	for end := time.Now().Add(r.Wait); time.Now().Before(end); {
+		w.mu.Lock()
+		w.settle()
+		ended := len(w.ends) > 0 && w.ends[len(w.ends)-1].Number > r.Acknowledged
+		w.mu.Unlock()
+		if ended {
+			break
+		}
+		if err := w.wait(ctx, 10*time.Millisecond); err != nil {
+			return work.Report{}, err
+		}
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if r.Epoch < w.fence {
+		return work.Report{}, platform.ErrStaleEpoch{Host: r.Life.Worker, Epoch: r.Epoch}
+	}
+	w.fence = r.Epoch
+	w.deadline = max(w.deadline, r.Deadline)
+	w.settle()
+	w.ends = slices.DeleteFunc(w.ends, func(e work.End) bool { return e.Number <= r.Acknowledged })
+	report := work.Report{Clock: w.clock(), Ends: slices.Clone(w.ends)}
+	for run := range w.runs {
+		report.Active = append(report.Active, work.Active{Run: run, Percent: 100})
+	}
+	return report, nil
+}
+
+// wait plays the way to a worker. A dark one does not answer before the call is given up.
+func (w *fakeWorker) wait(ctx context.Context, d time.Duration) error {
+	w.mu.Lock()
+	dark := w.dark
+	w.mu.Unlock()
+	if dark {
+		d = time.Second
+	}
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	if dark {
+		return errDark
+	}
+	return nil
+}
+
+func (s *fakeSite) send(ctx context.Context, o work.Order) work.Answer {
+	w := s.workers[o.Life.Worker]
+	if w.wait(ctx, answerTime) != nil {
+		return work.Answer{Verdict: work.VerdictUnknown}
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if o.Epoch < w.fence {
+		return work.Answer{Verdict: work.VerdictFenced, Clock: w.clock()}
+	}
+	w.fence = o.Epoch
+	w.settle()
+	switch {
+	case o.Kind == work.OrderStop:
+		if _, on := w.runs[o.Run]; on {
+			delete(w.runs, o.Run)
+			w.number++
+			w.ends = append(w.ends, work.End{Number: w.number, Run: o.Run, How: work.HowStopped})
+		}
+	case o.Run.Attempt <= w.highest[o.Run.Task]:
+		return work.Answer{Verdict: work.VerdictOld, Clock: w.clock()}
+	default:
+		w.deadline = max(w.deadline, o.Deadline)
+		w.runs[o.Run] = time.Now().Add(taskTime)
+		if _, known := w.started[o.Run.Task]; !known {
+			w.started[o.Run.Task] = time.Now()
+		}
+	}
+	return work.Answer{Clock: w.clock()}
+}
+
+// job is a job of one step.
+func job(id string, tasks int) work.Job {
+	return work.Job{ID: work.ID(id), Steps: []work.Step{{
+		Tasks: tasks, Demand: work.Resources{MilliCores: 1000, MemoryMB: 10}, Estimate: taskTime,
+	}}}
+}
+
+// submit hands a job in at an entry host.
+func (s *fakeSite) submit(host, id string, tasks int) error {
+	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+	defer cancel()
+	return s.hosts[host].manager.Submit(ctx, s.queue(), job(id, tasks))
+}
+
+// completed waits for a job's end as an entry host shows it, and returns how long that took.
+func (s *fakeSite) completed(host, id string, longest time.Duration) time.Duration {
+	s.t.Helper()
+	began := time.Now()
+	for time.Since(began) < longest {
+		state, err := s.hosts[host].manager.State(context.Background(), s.queue(), work.ID(id))
+		if err == nil && state == work.StateCompleted {
+			return time.Since(began)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	s.t.Fatalf("job %s is not completed at %s after %s", id, host, longest)
+	return 0
+}
+
+// holder returns the entry host that holds the pool's duty.
+func (s *fakeSite) holder() string {
+	page := s.store.find(platform.Range{Table: "fleet", Part: fakePool, From: "holder"})
+	var row struct{ Holder string }
+	s.is.Equal(len(page.Rows), 1)
+	s.is.NoErr(json.Unmarshal(page.Rows[0].Value, &row))
+	name, _, _ := strings.Cut(row.Holder, "/")
+	return name
+}
+
+// other returns an entry host that is not the one named.
+func (s *fakeSite) other(than string) string {
+	for _, name := range []string{"e0", "e1", "e2"} {
+		if name != than && s.hosts[name] != nil {
+			return name
+		}
+	}
+	s.t.Fatalf("there is no other entry host than %s", than)
+	return ""
+}
--- a/io/runner/members.go
+++ b/io/runner/members.go
@@ -164,10 +164,15 @@
 	}
 }
 
+// earlier reports whether a member is an earlier incarnation of this entry host.
+func (m *Manager) earlier(member string) bool {
+	node, _, _ := strings.Cut(member, "/")
+	return node == m.Node && member != m.Member
+}
+
 // buryPredecessor removes our own earlier incarnation: it has ended, since we run in its place.
 func (m *Manager) buryPredecessor(name string) {
-	node, _, _ := strings.Cut(name, "/")
-	if node != m.Node || name == m.Member {
+	if !m.earlier(name) {
 		return
 	}
 	m.group.Go(func() {
