Judge the store by part and by silence, ask it whether it is back, and be unready without it

Entry hosts noticed it after 1.6 to 3.1 s, since three calls had to run out of time, and kept callers waiting meanwhile; its return showed 0.6 s late in commits and 1.3 s late in feeds, which hung on connections that deliver nothing more. An entry host that alone is cut off stayed in the balancer's rotation. Calls are now tracked by part: 700 ms without any answer means away, the same as three failures in a row; submissions that wait unsent behind such a call are refused; a part that is away is asked every 250 ms; with its first answer older calls are given up and all that waits goes on. Without the store an entry host answers the balancer's check with 503. Tests in virtual time: silence of the store for all and for one, submissions behind a silent commit, a slow store.

--- a/io/runner/directory.go
+++ b/io/runner/directory.go
@@ -57,7 +57,7 @@
 			}
 		case historyGone(err):
 			known = false
-		case !retry.pause(ctx):
+		case !m.pause(ctx, &retry):
 			return
 		}
 	}
--- a/io/runner/fake_test.go
+++ b/io/runner/fake_test.go
@@ -30,8 +30,8 @@
 	changed chan struct{}
 	// silentFor names the entry hosts of which no call is answered, or all if it holds "*".
 	silentFor map[string]bool
-	// calls counts the calls by kind.
-	calls map[string]int
+	// answers is how long an answer takes.
+	answers time.Duration
 }
 
 // answerTime is how long the store and the workers take for an answer.
@@ -40,20 +40,26 @@
 func newFakeStore() *fakeStore {
 	return &fakeStore{
 		rows: make(map[platform.RowKey]platform.PartRow), changed: make(chan struct{}),
-		silentFor: make(map[string]bool), calls: make(map[string]int),
+		silentFor: make(map[string]bool), answers: answerTime,
 	}
 }
 
 // callTime is after how long a call without an answer is given up.
 const callTime = 1500 * time.Millisecond
 
+// silence has the store answer an entry host, or all of them, no more, or again.
+func (s *fakeStore) silence(node string, silent bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.silentFor[node] = silent
+}
+
 // enter plays the way to the store. It returns an error for a call that gets no answer.
-func (s *fakeStore) enter(ctx context.Context, node, kind string) error {
+func (s *fakeStore) enter(ctx context.Context, node string) error {
 	s.mu.Lock()
-	s.calls[kind]++
 	silent := s.silentFor[node] || s.silentFor["*"]
+	wait := s.answers
 	s.mu.Unlock()
-	wait := answerTime
 	if silent {
 		wait = callTime
 	}
@@ -72,25 +78,25 @@
 func (s *fakeStore) rowsFor(node string) platform.Rows {
 	return platform.Rows{
 		Commit: func(ctx context.Context, c platform.Commit) (uint64, error) {
-			if err := s.enter(ctx, node, "commit"); err != nil {
+			if err := s.enter(ctx, node); err != nil {
 				return 0, err
 			}
 			return s.commit(c)
 		},
 		Range: func(ctx context.Context, q platform.Range) (platform.Page, error) {
-			if err := s.enter(ctx, node, "range"); err != nil {
+			if err := s.enter(ctx, node); err != nil {
 				return platform.Page{}, err
 			}
 			return s.find(q), nil
 		},
 		Parts: func(ctx context.Context, table string) ([]string, error) {
-			if err := s.enter(ctx, node, "parts"); err != nil {
+			if err := s.enter(ctx, node); err != nil {
 				return nil, err
 			}
 			return s.parts(table), nil
 		},
 		Follow: func(ctx context.Context, table string, after uint64, wait time.Duration) (platform.Changes, error) {
-			if err := s.enter(ctx, node, "follow"); err != nil {
+			if err := s.enter(ctx, node); err != nil {
 				return platform.Changes{}, err
 			}
 			return s.follow(ctx, table, after, wait)
--- a/io/runner/holder.go
+++ b/io/runner/holder.go
@@ -77,7 +77,7 @@
 			return true
 		}
 		h.m.record(event.Event{Number: event.WorkDutyFailed, Pool: h.pool, Detail: "read the pool's rows: " + err.Error()})
-		if !retry.pause(h.ctx) {
+		if !h.m.pause(h.ctx, &retry) {
 			return false
 		}
 	}
--- a/io/runner/hosts.go
+++ b/io/runner/hosts.go
@@ -214,7 +214,7 @@
 			return true
 		}
 		h.m.record(event.Event{Number: event.WorkDutyFailed, Pool: h.name, Detail: "read the table of hosts: " + err.Error()})
-		if !retry.pause(h.ctx) {
+		if !h.m.pause(h.ctx, &retry) {
 			return false
 		}
 	}
--- a/io/runner/intake.go
+++ b/io/runner/intake.go
@@ -68,7 +68,7 @@
 	if err := job.Check(); err != nil {
 		return err
 	}
-	if m.commits.away() {
+	if m.health.away(q.Pool) {
 		err := ErrNotAccepted{Reason: errStoreAway().Error(), RetryAfter: storeAway}
 		m.tellSubmit(q, job, err)
 		return err
@@ -156,6 +156,24 @@
 	}
 }
 
+// refuseWaiting refuses the submissions that wait behind a commit that the store does not answer: none of them was sent.
+func (m *Manager) refuseWaiting() {
+	m.mu.Lock()
+	waiting := make(map[string]*batch, len(m.batches))
+	for pool, b := range m.batches {
+		if m.health.away(pool) {
+			waiting[pool] = b
+		}
+	}
+	m.mu.Unlock()
+	for _, b := range waiting {
+		b.mu.Lock()
+		finish(b.waiting, ErrNotAccepted{Reason: errStoreAway().Error(), RetryAfter: storeAway})
+		b.waiting = nil
+		b.mu.Unlock()
+	}
+}
+
 // next takes the oldest submissions that fit into one transaction.
 func (b *batch) next() []*submission {
 	size, n := 0, 0
@@ -194,7 +212,7 @@
 			}
 		}
 		group = dropExpired(group, err)
-		if len(group) > 0 && !retry.pause(m.ctx) {
+		if len(group) > 0 && !m.pause(m.ctx, &retry) {
 			finish(group, ErrUnsure{"the process ends"})
 			return
 		}
@@ -272,7 +290,7 @@
 			return state, nil
 		}
 	}
-	if m.reads.away() {
+	if m.health.away(q.Pool) {
 		return 0, errStoreAway()
 	}
 	_, row, err := m.findJob(ctx, q, id)
@@ -305,7 +323,7 @@
 
 // Cancel cancels a job. It returns nil once that is stored, or if the job is final; ErrNoJob, or ErrUnsure.
 func (m *Manager) Cancel(ctx context.Context, q work.Queue, id work.ID) error {
-	if m.commits.away() {
+	if m.health.away(q.Pool) {
 		return ErrNotAccepted{Reason: errStoreAway().Error(), RetryAfter: storeAway}
 	}
 	var retry backoff
@@ -314,7 +332,7 @@
 		if done {
 			return err
 		}
-		if !retry.pause(ctx) {
+		if !m.pause(ctx, &retry) {
 			return ErrUnsure{err.Error()}
 		}
 	}
@@ -366,7 +384,7 @@
 			return counts[q.Key()], nil
 		}
 	}
-	if m.reads.away() {
+	if m.health.away(q.Pool) {
 		return 0, errStoreAway()
 	}
 	key := platform.RowKey{Table: countTable, Part: q.Pool, Key: pendingKey}
--- a/io/runner/manager.go
+++ b/io/runner/manager.go
@@ -68,9 +68,11 @@
 	batches  map[string]*batch
 
 	workers directory
-	// commits and reads judge the store by our own calls.
-	commits, reads storeHealth
-	group          sync.WaitGroup
+	// health judges the store by our own calls.
+	health storeHealth
+	// back is closed and replaced when a part of the store answers again.
+	back  chan struct{}
+	group sync.WaitGroup
 }
 
 // heldRow is a pool's holder as the store has it.
@@ -96,6 +98,7 @@
 		m.hostRows.done = make(map[string][]string)
 		m.batches = make(map[string]*batch)
 		m.workers.changed = make(chan struct{})
+		m.back = make(chan struct{})
 		m.Rows = m.observe(m.Rows)
 	})
 }
@@ -105,7 +108,7 @@
 	m.init()
 	m.ctx = ctx
 	ended := make(chan error, 1)
-	for _, loop := range []func(context.Context){m.followOperators, m.followFleet, m.runBeats, m.runDuties, m.followWorkers, m.followHosts} {
+	for _, loop := range []func(context.Context){m.followOperators, m.followFleet, m.runBeats, m.runDuties, m.followWorkers, m.followHosts, m.watchStore} {
 		m.group.Go(func() { loop(ctx) })
 	}
 	go func() {
@@ -141,13 +144,28 @@
 // backoff counts failures of calls of one kind. The zero value has seen none.
 type backoff struct{ failures int }
 
-// pause waits longer after each failure. It reports false if ctx ended.
-func (b *backoff) pause(ctx context.Context) bool {
+// pause waits longer after each failure, but no longer than until the store is back. It reports false if ctx ended.
+func (m *Manager) pause(ctx context.Context, b *backoff) bool {
 	wait := min(firstRetry<<min(b.failures, 10), lastRetry)
 	b.failures++
-	return sleep(ctx, jitter(wait))
+	m.mu.Lock()
+	back := m.back
+	m.mu.Unlock()
+	timer := time.NewTimer(jitter(wait))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-back:
+		b.failures = 0
+	case <-timer.C:
+	}
+	return true
 }
 
+// Serving reports whether callers' requests can be served: there is a configuration, and the store answers.
+func (m *Manager) Serving() bool { return m.Catalogue().Version != 0 && !m.health.gone() }
+
 func sleep(ctx context.Context, d time.Duration) bool {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
--- a/io/runner/members.go
+++ b/io/runner/members.go
@@ -40,7 +40,7 @@
 		beat++
 		started := time.Now()
 		if err := m.beat(ctx, beat); err != nil {
-			if !retry.pause(ctx) {
+			if !m.pause(ctx, &retry) {
 				return
 			}
 			continue
--- a/io/runner/observe.go
+++ b/io/runner/observe.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"sync"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -12,92 +11,123 @@
 	"siskincross/io/platform"
 )
 
-const (
-	// awayFailures is how many calls of one kind in a row must fail before the store counts as away:
-	// single lost answers come also while it serves.
-	awayFailures = 3
-)
-
-// storeHealth judges the store by our own calls of one kind. The zero value holds it to be there.
-type storeHealth struct {
-	mu       sync.Mutex
-	failures int
-}
-
-// note takes in how a call ended. It reports whether that changed the judgement.
-func (s *storeHealth) note(failed bool) (changed, away bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	before := s.failures >= awayFailures
-	if failed {
-		s.failures++
-	} else {
-		s.failures = 0
-	}
-	after := s.failures >= awayFailures
-	return before != after, after
-}
-
-// away reports whether a call is expected to fail. Heartbeats and followers go on calling, and notice the return.
-func (s *storeHealth) away() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.failures >= awayFailures
-}
-
 // errStoreAway is returned at once for callers' requests while the store does not answer us.
 func errStoreAway() error {
 	return platform.ErrUnavailable{Service: "table service", Reason: "it does not answer this entry host at the moment"}
 }
 
-// observe wraps the store so that calls are counted by purpose and timed, and its loss and return are told.
+// observe wraps the store so that calls are counted by purpose and timed, and its loss and return are noticed.
 func (m *Manager) observe(rows platform.Rows) platform.Rows {
 	return platform.Rows{
 		Commit: func(ctx context.Context, c platform.Commit) (uint64, error) {
-			began := time.Now()
-			version, err := rows.Commit(ctx, c)
-			m.observed(&m.commits, "commit", c.Purpose, began, err)
+			callCtx, call := m.health.begin(ctx, partOf(c), false)
+			version, err := rows.Commit(callCtx, c)
+			m.observed(ctx, call, "commit", c.Purpose, err)
 			return version, err
 		},
 		Range: func(ctx context.Context, q platform.Range) (platform.Page, error) {
-			began := time.Now()
-			page, err := rows.Range(ctx, q)
-			m.observed(&m.reads, "read", q.Purpose, began, err)
+			callCtx, call := m.health.begin(ctx, q.Part, false)
+			page, err := rows.Range(callCtx, q)
+			m.observed(ctx, call, "read", q.Purpose, err)
 			return page, err
 		},
 		Parts: func(ctx context.Context, table string) ([]string, error) {
-			began := time.Now()
-			parts, err := rows.Parts(ctx, table)
-			m.observed(&m.reads, "read", "parts", began, err)
+			callCtx, call := m.health.begin(ctx, everyPart, false)
+			parts, err := rows.Parts(callCtx, table)
+			m.observed(ctx, call, "read", "parts", err)
 			return parts, err
 		},
 		Follow: func(ctx context.Context, table string, after uint64, wait time.Duration) (platform.Changes, error) {
-			changes, err := rows.Follow(ctx, table, after, wait)
-			m.scope.Tagged(map[string]string{"call": "follow", "purpose": table, "outcome": outcomeOf(err)}).Counter("store_calls").Inc(1)
+			callCtx, call := m.health.begin(ctx, everyPart, true)
+			changes, err := rows.Follow(callCtx, table, after, wait)
+			m.observed(ctx, call, "follow", table, err)
 			return changes, err
 		},
 	}
 }
 
+// partOf returns the part that a transaction touches.
+func partOf(c platform.Commit) string {
+	switch {
+	case len(c.Writes) > 0:
+		return c.Writes[0].Part
+	case len(c.Removes) > 0:
+		return c.Removes[0].Part
+	case len(c.Expected) > 0:
+		return c.Expected[0].Part
+	}
+	return ""
+}
+
 // latencyBuckets span an answer of the store, from its usual milliseconds to a call's time.
 var latencyBuckets = tally.MustMakeExponentialDurationBuckets(2*time.Millisecond, 2, 11)
 
-func (m *Manager) observed(health *storeHealth, call, purpose string, began time.Time, err error) {
+// observed takes in how a call ended. One that its maker no longer wanted tells nothing of the store.
+func (m *Manager) observed(ctx context.Context, call *storeCall, kind, purpose string, err error) {
 	outcome := outcomeOf(err)
-	m.scope.Tagged(map[string]string{"call": call, "purpose": purpose, "outcome": outcome}).Counter("store_calls").Inc(1)
-	m.scope.Tagged(map[string]string{"call": call}).Histogram("store_latency", latencyBuckets).RecordDuration(time.Since(began))
-	if errors.Is(err, context.Canceled) {
-		return
+	m.scope.Tagged(map[string]string{"call": kind, "purpose": purpose, "outcome": outcome}).Counter("store_calls").Inc(1)
+	if !call.waits {
+		m.scope.Tagged(map[string]string{"call": kind}).Histogram("store_latency", latencyBuckets).RecordDuration(time.Since(call.began))
 	}
-	changed, away := health.note(outcome == "unavailable" || outcome == "unknown")
-	if !changed {
+	answered := outcome != "unavailable" && outcome != "unknown"
+	if change, ok := m.health.end(call, answered, !errors.Is(ctx.Err(), context.Canceled)); ok {
+		m.tellStore(change, err)
+	}
+}
+
+// tellStore records a change of what is believed of the store, and acts on it.
+func (m *Manager) tellStore(change judgement, cause error) {
+	part := change.part
+	if part == "" {
+		part = "the shared part"
+	}
+	if !change.away {
+		m.record(event.Event{Number: event.StoreRecovered, Pool: change.part, Detail: "calls of " + part + " are answered again"})
+		m.storeBack(change.part)
 		return
 	}
-	number, detail := event.StoreRecovered, call+"s are answered again"
-	if away {
-		number, detail = event.StoreUnavailable, call+"s: "+err.Error()
+	detail := "no call is answered"
+	if cause != nil {
+		detail = cause.Error()
+	}
+	m.record(event.Event{Number: event.StoreUnavailable, Pool: change.part, Detail: "calls of " + part + ": " + detail})
+	m.refuseWaiting()
+}
+
+// storeBack has everything that waits for another try of the store go on at once.
+func (m *Manager) storeBack(part string) {
+	m.mu.Lock()
+	close(m.back)
+	m.back = make(chan struct{})
+	h := m.holders[part]
+	m.mu.Unlock()
+	if h != nil {
+		h.mu.Lock()
+		h.retryAt, h.failures = time.Time{}, 0
+		h.mu.Unlock()
+		h.wake()
+	}
+}
+
+// watchStore notices calls that stay without an answer, and the return of parts that are away.
+func (m *Manager) watchStore(ctx context.Context) {
+	for sleep(ctx, healthEvery) {
+		changes, probes := m.health.look(time.Now())
+		for _, change := range changes {
+			m.tellStore(change, nil)
+		}
+		for _, part := range probes {
+			m.group.Go(func() { m.probeStore(ctx, part) })
+		}
+	}
+}
+
+// probeStore makes a call of a part for what its end tells of the store: observe takes that in, an error too.
+func (m *Manager) probeStore(ctx context.Context, part string) {
+	key := platform.RowKey{Table: fleetTable, Part: part, Key: holderKey}
+	if _, _, err := m.Rows.ReadOne(ctx, key, "probe"); err != nil {
+		return
 	}
-	m.record(event.Event{Number: number, Detail: detail})
 }
 
 func outcomeOf(err error) string {
--- a/io/runner/operators.go
+++ b/io/runner/operators.go
@@ -63,7 +63,7 @@
 			known = false
 		case err != nil:
 			known = false // a feed that does not answer may be silent for long while the table can be read
-			if !retry.pause(ctx) {
+			if !m.pause(ctx, &retry) {
 				return
 			}
 			continue
