--- a/core/capacity/planner.go
+++ b/core/capacity/planner.go
@@ -76,7 +76,8 @@
 // inheritance is an order of an earlier holder.
 type inheritance struct {
 	order Order
-	until time.Time
+	// given is the latest time at which the order can have been given.
+	given, until time.Time
 }
 
 // wave is a maintenance wave with its progress.
@@ -115,23 +116,23 @@
 	p.needs[pool] = n
 }
 
-// Inherit takes in an order that an earlier holder may have given a moment ago. Its host gets no other until the time, and
+// Inherit takes in an order that an earlier holder may have given up to a moment. Its host gets no other until the time, and
 // counts as away like after one of our own.
-func (p *Planner) Inherit(o Order, now, until time.Time) {
+func (p *Planner) Inherit(o Order, given, until time.Time) {
 	p.init()
-	p.inherited[o.Host] = inheritance{order: o, until: until}
+	p.inherited[o.Host] = inheritance{order: o, given: given, until: until}
 	if m := p.machines[o.Host]; m != nil {
-		p.heir(m, now)
+		p.heir(m)
 	}
 }
 
-func (p *Planner) heir(m *machine, now time.Time) {
+func (p *Planner) heir(m *machine) {
 	i, ok := p.inherited[m.Host]
 	if !ok {
 		return
 	}
 	delete(p.inherited, m.Host)
-	m.order, m.ordered, m.confirmed, m.at, m.worker, m.retry = i.order, true, true, now, "", i.until
+	m.order, m.ordered, m.confirmed, m.at, m.worker, m.retry = i.order, true, true, i.given, "", i.until
 }
 
 // AddWave takes in a wave, of which some hosts may have been maintained under an earlier holder.
@@ -172,7 +173,7 @@
 			p.machines[m.Host] = known
 		}
 		known.Machine = m
-		p.heir(known, now)
+		p.heir(known)
 		if m.Worker != "" {
 			p.byWorker[m.Worker] = known
 		}
--- a/core/capacity/planner_test.go
+++ b/core/capacity/planner_test.go
@@ -262,6 +262,17 @@
 		f.planner.SetMachines(f.list, f.now)
 		f.is.Equal(len(f.plan().Orders), 1)
 	})
+	// All entry hosts are killed and start again: what was ordered before that is over when the next holder begins.
+	t.Run("order of a while ago leaves its host alone only as long as it matters", func(t *testing.T) {
+		f := withPlanner(t, 1, 0, 1)
+		f.planner.Policy.MoveTime = 1500 * time.Millisecond
+		f.planner.SetNeed("busy", capacity.Need{Ask: 1})
+		given := f.now.Add(-3 * time.Second)
+		f.planner.Inherit(capacity.Order{Kind: capacity.KindMove, Host: "off-00", Pool: "off"}, given, given.Add(3700*time.Millisecond))
+		f.is.Equal(len(f.plan().Orders), 0)
+		f.now = f.now.Add(700 * time.Millisecond)
+		f.is.Equal(len(f.plan().Orders), 1)
+	})
 	t.Run("maintenance that an earlier holder ordered counts as away", func(t *testing.T) {
 		f := withPlanner(t, 0, 0, 2)
 		f.planner.AddWave(work.Wave{Number: 1, Name: "1", Hosts: []string{"off-00", "off-01"}, Within: time.Minute, AtOnce: 1}, nil, f.now)
--- a/io/platform/rows.go
+++ b/io/platform/rows.go
@@ -19,6 +19,9 @@
 	// Follow waits up to wait for changes of a table later than a version. It returns
 	// ErrHistoryGone if the service no longer knows all of them.
 	Follow func(ctx context.Context, table string, after uint64, wait time.Duration) (Changes, error)
+	// Now estimates the service's steady clock from its last answer. It is behind by no more than that answer took.
+	// It returns false before the first answer.
+	Now func() (time.Duration, bool)
 }
 
 // RowKey names a row.
--- a/io/runner/fake_test.go
+++ b/io/runner/fake_test.go
@@ -101,6 +101,7 @@
 			}
 			return s.follow(ctx, table, after, wait)
 		},
+		Now: func() (time.Duration, bool) { return time.Duration(time.Now().UnixNano()), true },
 	}
 }
 
--- a/io/runner/hosts.go
+++ b/io/runner/hosts.go
@@ -35,6 +35,8 @@
 	// intentTime is how long after a fenced commit orders may be sent. It is well below the time for which
 	// the next holder waits, so that no order of ours follows one of a later epoch.
 	intentTime = 700 * time.Millisecond
+	// orderSlack is by how much our estimate of the store's clock may be behind: the longest that its answers take.
+	orderSlack = 500 * time.Millisecond
 	// keepTime is how long a new holder switches no host off: holders of pools may be replaced at the same time as the
 	// earlier holder of this duty, and state what they need only then.
 	keepTime = memberLease + 800*time.Millisecond
@@ -66,6 +68,8 @@
 	// Pool is where a move leads, Wave the number of the wave of a maintenance.
 	Pool string `json:"pool,omitempty"`
 	Wave int    `json:"wave,omitempty"`
+	// AtMillis is the latest time at which the order can have been given, by the store's clock; zero if that is not known.
+	AtMillis int64 `json:"at-millis,omitempty"`
 }
 
 func newOrderRow(o capacity.Order) orderRow {
@@ -166,7 +170,7 @@
 	listedAt time.Time
 	listed   bool
 	// recent holds the orders given lately, and when.
-	recent   map[orderRow]time.Time
+	recent   map[capacity.Order]time.Time
 	withdraw []string
 	// told holds the waves' states that were written for operators, stored the numbers of hosts done that were stored.
 	told   map[string]bool
@@ -181,7 +185,7 @@
 func newHostsHolder(t *tenure) *hostsHolder {
 	h := &hostsHolder{tenure: t, told: make(map[string]bool), stored: make(map[string]int)}
 	h.planner.Policy = t.m.Capacity
-	h.recent = make(map[orderRow]time.Time)
+	h.recent = make(map[capacity.Order]time.Time)
 	t.run = h.rounds
 	return h
 }
@@ -228,22 +232,40 @@
 	h.m.mu.Lock()
 	defer h.m.mu.Unlock()
 	for _, row := range h.m.hostRows.recent {
-		h.recent[row] = now
-		h.planner.Inherit(row.order(), now, now.Add(h.pause()))
+		given := h.givenAt(row, now)
+		until := given.Add(h.pause())
+		if until.After(now) {
+			h.recent[row.order()] = given
+			h.planner.Inherit(row.order(), given, until)
+		}
 	}
 }
 
+// givenAt is the latest time at which an order of an earlier holder can have been given, by our clock.
+func (h *hostsHolder) givenAt(row orderRow, now time.Time) time.Time {
+	clock, known := h.m.Rows.Now()
+	if !known || row.AtMillis == 0 {
+		return now
+	}
+	return now.Add(-max(0, clock-millis(row.AtMillis)))
+}
+
 // recentRows returns the orders of the last moments and those that follow, and forgets older ones.
 func (h *hostsHolder) recentRows(orders []capacity.Order, now time.Time) []orderRow {
 	for _, o := range orders {
-		h.recent[newOrderRow(o)] = now
+		h.recent[o] = now
 	}
+	clock, known := h.m.Rows.Now()
 	var rows []orderRow
-	for row, at := range h.recent {
+	for order, at := range h.recent {
 		if now.Sub(at) > h.pause() {
-			delete(h.recent, row)
+			delete(h.recent, order)
 			continue
 		}
+		row := newOrderRow(order)
+		if known {
+			row.AtMillis = (clock - now.Sub(at) + orderSlack).Milliseconds()
+		}
 		rows = append(rows, row)
 	}
 	slices.SortFunc(rows, func(a, b orderRow) int { return cmp.Compare(a.Host, b.Host) })
--- a/io/runner/observe.go
+++ b/io/runner/observe.go
@@ -43,6 +43,7 @@
 			m.observed(ctx, call, "follow", table, err)
 			return changes, err
 		},
+		Now: rows.Now,
 	}
 }
 
