Count a maintained host as down until it is listed as up, and one whose order got no answer as well

Found while reading: an order without an answer whose next try is refused, because the host is busy with the first, counted as refused; it now stays on its way. A new test for each.

--- a/core/capacity/planner.go
+++ b/core/capacity/planner.go
@@ -61,8 +61,8 @@
 	order   Order
 	ordered bool
 	at      time.Time
-	// confirmed is true once the platform said that the order was carried out.
-	confirmed bool
+	// confirmed is true once the platform said that the order was carried out, unsure once a try of it got no answer.
+	confirmed, unsure bool
 	// retry is when the host may get its next order.
 	retry time.Time
 	// unwanted is since when nobody asks for the cleared host; the zero time while it is in use.
@@ -177,7 +177,7 @@
 		if m.Worker != "" {
 			p.byWorker[m.Worker] = known
 		}
-		known.settle(p.Policy.withDefaults(), now)
+		known.settle(p.Policy.withDefaults(), p.pools[m.Pool].Standby, now)
 	}
 	for host := range p.machines {
 		if !present[host] {
@@ -187,7 +187,7 @@
 }
 
 // settle ends an order whose host is back.
-func (m *machine) settle(policy Policy, now time.Time) {
+func (m *machine) settle(policy Policy, standby bool, now time.Time) {
 	if !m.ordered || !m.confirmed {
 		return
 	}
@@ -204,7 +204,7 @@
 	if now.Sub(m.at) < away || (m.Worker != "" && m.Worker == m.worker) {
 		return
 	}
-	if now.Sub(m.at) >= away+joinTime || m.Worker != "" {
+	if standby || now.Sub(m.at) >= away+joinTime || m.Worker != "" {
 		m.ordered = false
 	}
 }
@@ -212,20 +212,15 @@
 // backSlack is what a host may need beyond the platform's time before it is up again.
 const backSlack = 50 * time.Millisecond
 
-// assumeBack ends the orders of switched-off hosts whose time is over. No worker tells of them, and the next list comes later.
-// An order for a host that is not up yet is refused and tried again.
+// assumeBack ends the moves of hosts that were switched off, once their time is over. No worker tells of them, and the next list
+// comes later. An order for a host that is not up yet is refused and tried again. Maintenance waits for the list: the
+// wave's bound on hosts that are down allows no guess.
 func (p *Planner) assumeBack(now time.Time) {
-	policy := p.Policy.withDefaults()
+	away := p.Policy.withDefaults().MoveTime
 	for _, m := range p.machines {
-		if !m.ordered || !m.confirmed {
-			continue
-		}
-		pool, away := m.Pool, policy.MaintenanceTime
-		if m.order.Kind == KindMove {
-			pool, away = m.order.Pool, policy.MoveTime
-		}
-		if p.pools[pool].Standby && m.State != StateDown && now.Sub(m.at) >= away+backSlack {
-			m.ordered, m.State, m.Pool, m.Worker = false, StateUp, pool, ""
+		moved := m.ordered && m.confirmed && m.order.Kind == KindMove && p.pools[m.order.Pool].Standby
+		if moved && m.State != StateDown && now.Sub(m.at) >= away+backSlack {
+			m.ordered, m.State, m.Pool, m.Worker = false, StateUp, m.order.Pool, ""
 		}
 	}
 }
@@ -256,7 +251,7 @@
 }
 
 func (p *Planner) give(m *machine, o Order, plan *Plan, now time.Time) {
-	m.order, m.ordered, m.confirmed, m.at, m.worker = o, true, false, now, m.Worker
+	m.order, m.ordered, m.confirmed, m.unsure, m.at, m.worker = o, true, false, false, now, m.Worker
 	m.retry = now.Add(answerTime)
 	plan.Orders = append(plan.Orders, o)
 }
@@ -274,7 +269,10 @@
 		m.at = now
 		p.began(o)
 	case OutcomeRefused:
-		m.ordered = false
+		// A host that is busy with an earlier try of the order refuses the next one.
+		m.ordered = m.unsure
+	case OutcomeUnknown:
+		m.unsure = true
 	case OutcomeImpossible:
 		m.ordered = false
 		if o.Kind == KindMove {
--- a/core/capacity/planner_test.go
+++ b/core/capacity/planner_test.go
@@ -196,6 +196,31 @@
 		f.is.Equal(len(plan.Withdraw)+len(plan.Orders), 0)
 		f.is.Equal(plan.Completed, []string{"1"})
 	})
+	// The answer to an order is lost; the host, which is down for it, refuses the next try.
+	t.Run("host that may be down for the wave counts as down", func(t *testing.T) {
+		f := withPlanner(t, 0, 0, 3)
+		f.planner.AddWave(work.Wave{Number: 1, Name: "1", Hosts: []string{"off-00", "off-01", "off-02"}, Within: time.Minute, AtOnce: 1}, nil, f.now)
+		orders := f.plan().Orders
+		f.is.Equal(len(orders), 1)
+		f.planner.Ended(orders[0], capacity.OutcomeUnknown, f.now)
+		f.now = f.now.Add(time.Second)
+		f.is.Equal(f.plan().Orders, orders)
+		f.planner.Ended(orders[0], capacity.OutcomeRefused, f.now)
+		f.now = f.now.Add(time.Second)
+		f.is.Equal(f.plan().Orders, orders)
+	})
+	t.Run("maintained host counts as down until the platform lists it as up", func(t *testing.T) {
+		f := withPlanner(t, 0, 0, 2)
+		f.planner.Policy.MaintenanceTime = 2 * time.Second
+		f.planner.AddWave(work.Wave{Number: 1, Name: "1", Hosts: []string{"off-00", "off-01"}, Within: time.Minute, AtOnce: 1}, nil, f.now)
+		orders := f.plan().Orders
+		f.is.Equal(len(orders), 1)
+		f.planner.Ended(orders[0], capacity.OutcomeDone, f.now)
+		f.now = f.now.Add(2100 * time.Millisecond)
+		f.is.Equal(len(f.plan().Orders), 0)
+		f.planner.SetMachines(f.list, f.now)
+		f.is.Equal(len(f.plan().Orders), 1)
+	})
 	t.Run("wave is not completed while an order's outcome is unknown", func(t *testing.T) {
 		f := withPlanner(t, 0, 0, 1)
 		f.planner.AddWave(work.Wave{Number: 1, Name: "1", Hosts: []string{"off-00"}, Within: time.Minute, AtOnce: 1}, nil, f.now)
