--- a/io/runner/fake_test.go
+++ b/io/runner/fake_test.go
@@ -347,19 +347,6 @@
 	h.events = append(h.events, e)
 }
 
-// count returns how often an entry host recorded an event.
-func (h *fakeHost) count(n event.Number) int {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	found := 0
-	for _, e := range h.events {
-		if e.Number == n {
-			found++
-		}
-	}
-	return found
-}
-
 // kill ends an entry host without a word to anybody.
 func (s *fakeSite) kill(name string) {
 	h := s.hosts[name]
