Ask the policy service which workers may run a step, and start with its tickets

The board now names the steps and workers to ask about (most urgent steps first, at most two calls on their way, as many workers as the waiting tasks need by the share approved so far), the loops make the calls, and starts carry the tickets. Denied workers are not asked about again; tickets that are over or refused are.

Ruled out: asking about all workers at once, since a call takes time for each worker named and calls are answered in turn; storing tickets, since a next holder gets the same answer for a call.

--- a/core/event/work.go
+++ b/core/event/work.go
@@ -33,6 +33,8 @@
 	NeedStated
 	PlanStored
 	FeedSilent
+	WorkAdvised
+	WorkAdviceFailed
 )
 
 var workEntries = []Entry{
@@ -67,4 +69,6 @@
 	{NeedStated, "work", "A pool's holder told how many workers it misses, can spare and has cleared."},
 	{PlanStored, "work", "The plan for hosts was stored: workers to be cleared, and orders that follow."},
 	{FeedSilent, "work", "The store did not tell of a commit of ours to the table that is followed; the table was read instead."},
+	{WorkAdvised, "work", "The policy service told which of some workers may run a step."},
+	{WorkAdviceFailed, "work", "The policy service did not answer an inquiry, or refused it; it is asked again."},
 }
--- a/core/work/board.go
+++ b/core/work/board.go
@@ -73,6 +73,11 @@
 	durations map[string]*durations
 	// arriving counts the jobs that come, by queue.
 	arriving map[string]*arrivals
+	// approving holds what is learnt of the policy service's answers, by queue.
+	approving map[string]approvalShare
+	// inquiring counts the calls of the policy service that are on their way; there are none before inquireAfter.
+	inquiring    int
+	inquireAfter time.Time
 	// homeless counts the lasting steps with a task that found no worker in the last round.
 	homeless int
 	// cramped counts the lasting tasks that should leave a worker and found no other in the last round.
@@ -93,6 +98,7 @@
 	b.unwanted = make(map[*run]bool)
 	b.durations = make(map[string]*durations)
 	b.arriving = make(map[string]*arrivals)
+	b.approving = make(map[string]approvalShare)
 }
 
 // Expect names a life on which an earlier holder may have started tasks. Jobs that are added before
--- a/core/work/model_test.go
+++ b/core/work/model_test.go
@@ -25,6 +25,8 @@
 	modelSlow = 0.98
 	// modelLease is the longest lease that the model's workers grant.
 	modelLease = 6 * time.Second
+	// modelValidity is how long a ticket counts.
+	modelValidity = 2 * time.Second
 )
 
 type modelRun struct {
@@ -90,6 +92,7 @@
 	late    []lateOrder
 	serial  int
 	judge   judge
+	tickets map[string]modelTicket
 }
 
 // judge holds what really happened.
@@ -107,6 +110,7 @@
 func newModel(t *rapid.T) *model {
 	m := &model{
 		t: t, now: time.Unix(1_000_000, 0), version: 1, jobs: make(map[work.ID]*storedJob), roster: make(map[work.Life]bool),
+		tickets: make(map[string]modelTicket),
 		judge: judge{
 			done: make(map[work.Task]bool), noted: make(map[work.Task]bool), failed: make(map[work.Run]bool),
 			failedBefore: make(map[work.Task][][]work.Run), notedRuns: make(map[work.Run]bool), ended: make(map[work.Run]bool),
@@ -227,6 +231,8 @@
 		return work.VerdictOld
 	case o.Deadline <= clock:
 		return work.VerdictLate
+	case !m.ticketed(w, o):
+		return work.VerdictNoTicket
 	case len(w.runs) >= modelCores:
 		return work.VerdictNoRoom
 	}
@@ -241,6 +247,41 @@
 	return work.VerdictOK
 }
 
+// ticketed reports whether an order has the ticket that its step needs, and checks that no other worker's was used.
+func (m *model) ticketed(w *modelWorker, o work.Order) bool {
+	if !m.jobs[o.Run.Task.Job].job.Advice.Needed() {
+		return true
+	}
+	ticket, ok := m.tickets[o.Ticket]
+	if !ok || ticket.life.Worker != o.Life.Worker || ticket.step != o.Run.Task.Step || ticket.job != o.Run.Task.Job {
+		m.t.Fatalf("%s on %v has the ticket %q, given for %v", o.Run, w.life, o.Ticket, ticket)
+	}
+	return ticket.life == w.life && m.now.Before(ticket.until)
+}
+
+// modelTicket is what a ticket of the policy service was given for.
+type modelTicket struct {
+	life  work.Life
+	job   work.ID
+	step  int
+	until time.Time
+}
+
+// advise plays the policy service: it allows half of the workers, and answers some calls late or not at all.
+func (m *model) advise(b *modelBoard) {
+	for _, q := range b.Inquiries(m.now) {
+		a := work.Advised{Tickets: make(map[string]string), Failed: rapid.IntRange(0, 4).Draw(m.t, "unadvised") == 0}
+		for _, life := range q.Workers {
+			if (int(life.Worker[1])+q.Step)%2 == 0 {
+				name := fmt.Sprintf("ticket %d", len(m.tickets))
+				m.tickets[name] = modelTicket{m.find(life.Worker).life, q.Job, q.Step, m.now.Add(modelValidity)}
+				a.Tickets[life.Worker] = name
+			}
+		}
+		b.Advised(q, a, m.now)
+	}
+}
+
 // judgeStart checks what must hold when a task starts.
 func (m *model) judgeStart(w *modelWorker, r work.Run) {
 	for _, other := range m.workers {
@@ -363,6 +404,7 @@
 func (m *model) step(b *modelBoard) {
 	b.List(m.listings(b), m.now)
 	b.Withdraw(b.withdrawn(), m.now)
+	defer m.advise(b)
 	for _, o := range b.Orders(m.now, m.now) {
 		w := m.find(o.Life.Worker)
 		m.log("epoch %d orders %s %s at %v", o.Epoch, o.Kind, o.Run, o.Life)
@@ -523,6 +565,9 @@
 		}
 		job.Steps = append(job.Steps, step)
 	}
+	if rapid.IntRange(0, 2).Draw(m.t, "advice") == 0 {
+		job.Advice = work.Advice{Validity: modelValidity}
+	}
 	m.jobs[job.ID] = &storedJob{job: job, version: m.version}
 	m.boards[len(m.boards)-1].Add(job, work.Progress{}, m.version, false, m.now)
 }
--- a/core/work/order.go
+++ b/core/work/order.go
@@ -91,6 +91,9 @@
 	b.init()
 	b.endLapsed(now)
 	b.openTimed(wall)
+	for _, g := range b.groups {
+		g.searching = false
+	}
 	b.evacuate(now)
 	orders := b.stops(now)
 	return append(orders, b.place(now)...)
@@ -157,7 +160,7 @@
 	w.used = w.used.Plus(r.demand)
 	return Order{
 		Kind: OrderStart, Contact: w.contact(), Epoch: b.Epoch, Run: r.name,
-		Spec: t.group.job.Spec, Checkpoint: t.checkpoint,
+		Spec: t.group.job.Spec, Checkpoint: t.checkpoint, Ticket: t.group.approvals[w.Life].ticket,
 		Deadline: w.clock.grant(now, b.policy.Lease),
 		Why:      fmt.Sprintf("%s after %s, worker had %d milli-cores free", t.group.standing(now), now.Sub(t.group.from).Round(time.Millisecond), w.free().Plus(r.demand).MilliCores),
 	}
@@ -231,6 +234,9 @@
 	default:
 		if r.task != nil {
 			r.task.notBefore = now.Add(refusedPause)
+			if a.Verdict == VerdictNoTicket {
+				r.task.group.ticketRefused(r.worker.Life)
+			}
 		}
 		b.release(r)
 	}
--- a/core/work/place.go
+++ b/core/work/place.go
@@ -45,9 +45,10 @@
 		if !t.startable(now) {
 			continue
 		}
-		w := b.choose(g, open, nil)
+		w := b.choose(g, open, nil, now)
 		if w == nil {
-			if g.spec().Lasting {
+			g.searching = true
+			if g.spec().Lasting && (!g.needsAdvice() || len(g.approvals) > 0) {
 				b.homeless++
 			}
 			break
@@ -73,8 +74,9 @@
 	extra := make(map[*worker]int)
 	chosen := make([]*worker, len(g.tasks))
 	for i := range g.tasks {
-		chosen[i] = b.choose(g, open, extra)
+		chosen[i] = b.choose(g, open, extra, now)
 		if chosen[i] == nil {
+			g.searching = true
 			return nil
 		}
 		extra[chosen[i]]++
@@ -99,9 +101,9 @@
 	return ""
 }
 
-// choose returns the best worker with room for one more task of the step, or nil. Extra counts tasks
+// choose returns the best worker with room for one more task of the step and the approval that it needs, or nil. Extra counts tasks
 // of the step that are about to be placed.
-func (b *Board) choose(g *group, open []*worker, extra map[*worker]int) *worker {
+func (b *Board) choose(g *group, open []*worker, extra map[*worker]int, now time.Time) *worker {
 	spec := g.spec()
 	demand := spec.counted()
 	racks := g.racks(extra)
@@ -113,7 +115,7 @@
 		for range planned {
 			need = need.Plus(demand)
 		}
-		if !w.hasLabel(spec.Label) || !w.free().Holds(need) {
+		if !w.hasLabel(spec.Label) || !w.free().Holds(need) || !g.admits(w, now) {
 			continue
 		}
 		if spec.SpreadLimit > 0 && g.on(w)+planned >= spec.SpreadLimit {
--- a/core/work/run.go
+++ b/core/work/run.go
@@ -96,6 +96,12 @@
 	// and tail the expected time from this step's start to that end.
 	from          time.Time
 	allowed, tail time.Duration
+	// approvals holds what the policy service said of workers, if the step needs its approval.
+	approvals map[Life]approval
+	// inquiring is true while the policy service is asked about the step.
+	inquiring bool
+	// searching is true if a task found no place in the last round.
+	searching bool
 }
 
 func (g *group) spec() *Step { return &g.job.Steps[g.step] }
--- a/core/work/task.go
+++ b/core/work/task.go
@@ -22,7 +22,12 @@
 
 // String returns "job.occurrence.step.index".
 func (t Task) String() string {
-	return string(t.Job) + "." + strconv.Itoa(t.Occurrence) + "." + strconv.Itoa(t.Step) + "." + strconv.Itoa(t.Index)
+	return StepName(t.Job, t.Occurrence, t.Step) + "." + strconv.Itoa(t.Index)
+}
+
+// StepName returns "job.occurrence.step".
+func StepName(job ID, occurrence, step int) string {
+	return string(job) + "." + strconv.Itoa(occurrence) + "." + strconv.Itoa(step)
 }
 
 // String returns the task's name and the attempt.
--- a/core/work/urgency.go
+++ b/core/work/urgency.go
@@ -32,7 +32,7 @@
 	tails := make([]time.Duration, len(j.Steps))
 	learnt := b.learnt(j.Queue)
 	for i := len(j.Steps) - 1; i >= 0; i-- {
-		tails[i] += learnt.expect(&j.Steps[i])
+		tails[i] += learnt.expect(&j.Steps[i]) + j.Advice.adviceTime(inquiryWorkers)
 		for _, before := range j.Steps[i].After {
 			tails[before] = max(tails[before], tails[i])
 		}
--- a/io/runner/holder.go
+++ b/io/runner/holder.go
@@ -175,6 +175,7 @@
 	h.mu.Lock()
 	h.withdraw(withdrawn, now)
 	orders := h.board.Orders(now, now)
+	inquiries := h.board.Inquiries(now)
 	for _, life := range h.board.Contacts() {
 		if !h.contacts[life] {
 			h.contacts[life] = true
@@ -185,6 +186,9 @@
 	for _, o := range orders {
 		h.group.Go(func() { h.send(o) })
 	}
+	for _, q := range inquiries {
+		h.group.Go(func() { h.inquire(q) })
+	}
 	h.store(now)
 	h.watchFeed(now)
 }
