Slow the work that fills a worker while a task with a target beside it misses it

Each worker's filling work is slowed to 35%, 12% and a halt by the newest figures, 0.6 s apart, and hastened by 10% a time once the tail is under three quarters of its target. Orders are repeated when unanswered and told again after 2 s while below full pace, since an earlier one may be carried out late; a next holder tells it to what it finds.

Ruled out: stopping the filling tasks (their work is lost, and lasting ones count as away).

--- a/core/event/work.go
+++ b/core/event/work.go
@@ -35,6 +35,7 @@
 	FeedSilent
 	WorkAdvised
 	WorkAdviceFailed
+	WorkPaced
 )
 
 var workEntries = []Entry{
@@ -71,4 +72,5 @@
 	{FeedSilent, "work", "The store did not tell of a commit of ours to the table that is followed; the table was read instead."},
 	{WorkAdvised, "work", "The policy service told which of some workers may run a step."},
 	{WorkAdviceFailed, "work", "The policy service did not answer an inquiry, or refused it; it is asked again."},
+	{WorkPaced, "work", "A worker was told to slow or hasten a task that fills beside one with a target."},
 }
--- a/core/work/order.go
+++ b/core/work/order.go
@@ -96,6 +96,7 @@
 	}
 	b.evacuate(now)
 	orders := b.stops(now)
+	orders = append(orders, b.paces(now)...)
 	return append(orders, b.place(now)...)
 }
 
@@ -187,7 +188,7 @@
 	case OrderStop:
 		b.stopAnswered(r, a, now)
 	case OrderPace:
-		b.paceAnswered(r, o, a)
+		b.paceAnswered(r, o, a, now)
 	}
 	return true
 }
@@ -265,14 +266,6 @@
 	r.known = b.sequence
 }
 
-func (b *Board) paceAnswered(r *run, o Order, a Answer) {
-	r.pace.sending = false
-	if a.Verdict == VerdictOK {
-		r.pace.told = o.Percent
-		r.pace.set = true
-	}
-}
-
 // Missed notes a renewal without an answer.
 func (b *Board) Missed(l Life) {
 	if w := b.workers[l]; w != nil {
--- a/core/work/place.go
+++ b/core/work/place.go
@@ -174,7 +174,7 @@
 )
 
 // score rates a worker for a task: near the data first. Tasks that last go to the emptiest worker, so that the loss of one takes
-// few of them. Others go to the fullest, so that the rest empty soon and their hosts can be given to other pools.
+// few of them. Tasks that fill go where the fewest do, and where none had to be slowed. Others go to the fullest, so that the rest empty soon and their hosts can be given to other pools.
 func (w *worker) score(spec *Step, need Resources, racks map[string]int) float64 {
 	score := 0.0
 	if spec.DataRack != "" && spec.DataRack == w.Rack {
@@ -185,7 +185,10 @@
 	}
 	left := w.free().Minus(need)
 	empty := share(left.MilliCores, w.Capacity.MilliCores) + share(left.MemoryMB, w.Capacity.MemoryMB)/4
-	if spec.Lasting {
+	switch {
+	case spec.Filling:
+		return score + empty - float64(w.fills()+w.filling.slowed/leastPace)
+	case spec.Lasting:
 		return score + empty
 	}
 	return score - empty
--- a/core/work/report.go
+++ b/core/work/report.go
@@ -95,6 +95,9 @@
 
 // patience shortens the wait for the worker's next end while something on it is to be seen sooner.
 func (w *worker) patience(wait time.Duration) time.Duration {
+	if _, serves := w.strain(); serves && w.fills() > 0 {
+		wait = min(wait, servingLook)
+	}
 	for _, r := range w.runs {
 		if r.task != nil && r.task.group.spec().Lasting && r.percent < fullPace {
 			return min(wait, startupLook)
@@ -122,6 +125,7 @@
 		present[a.Run] = true
 		b.takeActive(w, a, now)
 	}
+	w.balance(now)
 	for _, e := range report.Ends {
 		present[e.Run] = true
 		if e.Number > w.taken {
--- a/core/work/run.go
+++ b/core/work/run.go
@@ -49,10 +49,13 @@
 
 // pacing is what a run was told about its pace.
 type pacing struct {
-	// told is the percentage that the worker confirmed, if set; runs begin at full pace.
-	told    int
-	set     bool
+	// told is the percentage that the worker confirmed at that time, if set; runs begin at full pace.
+	told int
+	at   time.Time
+	set  bool
+	// sending is true while an order is on its way; after a failed one there is none before retry.
 	sending bool
+	retry   time.Time
 }
 
 // task is a task of an opened step.
--- a/core/work/worker.go
+++ b/core/work/worker.go
@@ -98,6 +98,7 @@
 	// withdrawn workers get no new work, because their host is to leave the pool or be maintained.
 	withdrawn   bool
 	withdrawnAt time.Time
+	filling     filling
 }
 
 // pendingEnd is an end taken in whose consequences are not known to be stored.
--- a/io/runner/contacts.go
+++ b/io/runner/contacts.go
@@ -125,7 +125,7 @@
 	case o.Kind == work.OrderStop:
 		number = event.WorkRunStopped
 	case o.Kind == work.OrderPace:
-		return
+		number = event.WorkPaced
 	case a.Verdict == work.VerdictUnknown:
 		number = event.WorkStartUnsure
 	case a.Verdict != work.VerdictOK:
