--- a/core/work/advice_test.go
+++ b/core/work/advice_test.go
@@ -73,6 +73,7 @@
 		f.orders()
 		f.inquire("w00")
 		f.now = f.now.Add(3 * time.Second)
+		f.hear("w00", work.Report{})
 		f.assertNoStart(f.orders())
 		f.is.Equal(len(f.inquire("w00")), 1)
 		f.assertStarts(f.orders(), "w00", 1)
--- a/core/work/order.go
+++ b/core/work/order.go
@@ -83,6 +83,9 @@
 	unhealthyPause = 500 * time.Millisecond
 	// stopRetry is the time between two stop orders for one run, about a call's timeout.
 	stopRetry = 700 * time.Millisecond
+	// startRepeats is how often a start without an answer is sent again before its run is given up: a worker takes a repeat
+	// as the same start, and a second loss in a row is rare unless the worker is cut off.
+	startRepeats = 1
 )
 
 // Orders returns what has to be sent now: stops first, then changes of pace, then starts.
@@ -95,7 +98,7 @@
 		g.searching = false
 	}
 	b.evacuate(now)
-	orders := b.stops(now)
+	orders := append(b.stops(now), b.repeats()...)
 	orders = append(orders, b.paces(now)...)
 	return append(orders, b.place(now)...)
 }
@@ -159,12 +162,34 @@
 	t.runs = append(t.runs, r)
 	w.runs[r.name] = r
 	w.used = w.used.Plus(r.demand)
-	return Order{
+	r.order = Order{
 		Kind: OrderStart, Contact: w.contact(), Epoch: b.Epoch, Run: r.name,
 		Spec: t.group.job.Spec, Checkpoint: t.checkpoint, Ticket: t.group.approvals[w.Life].ticket,
 		Deadline: w.clock.grant(now, b.policy.Lease),
 		Why:      fmt.Sprintf("%s after %s, worker had %d milli-cores free", t.group.standing(now), now.Sub(t.group.from).Round(time.Millisecond), w.free().Plus(r.demand).MilliCores),
 	}
+	return r.order
+}
+
+// repeats returns the starts that got no answer and are sent again. A life that is not listed any more gets none: a later life of
+// the worker has not seen the epoch of a next holder, and would carry out what that one has settled otherwise.
+func (b *Board) repeats() []Order {
+	var orders []Order
+	for _, w := range b.order {
+		for _, r := range sortedRuns(w) {
+			if !r.unsure {
+				continue
+			}
+			r.unsure = false
+			if r.task == nil || !w.listed {
+				b.doubt(r)
+				continue
+			}
+			r.repeats++
+			orders = append(orders, r.order)
+		}
+	}
+	return orders
 }
 
 // Answered takes in how an order was answered. It reports false if the duty is another's now.
@@ -220,8 +245,9 @@
 }
 
 func (b *Board) startAnswered(r *run, a Answer, now time.Time) {
-	switch a.Verdict {
-	case VerdictOK:
+	switch {
+	case a.Verdict == VerdictOK || (a.Verdict == VerdictOld && r.repeats > 0):
+		// A repeat that is too old met a worker on which the run has ended: a report will tell how.
 		if r.phase == phaseOrdered {
 			r.phase = phaseRunning
 		}
@@ -230,8 +256,14 @@
 		if r.task != nil {
 			r.task.group.job.begun = true
 		}
-	case VerdictUnknown:
+	case a.Verdict == VerdictUnknown:
+		if r.repeats < startRepeats && r.phase == phaseOrdered {
+			r.unsure = true
+			return
+		}
 		b.doubt(r)
+	case r.repeats > 0:
+		b.doubt(r) // the first order may be carried out at any time
 	default:
 		if r.task != nil {
 			r.task.notBefore = now.Add(refusedPause)
--- a/core/work/run.go
+++ b/core/work/run.go
@@ -29,6 +29,10 @@
 	known uint64
 	// confirmed is true if known counts.
 	confirmed bool
+	// order is the start order. It is sent again if unsure is true: there was no answer to it. Repeats counts how often it was.
+	order   Order
+	unsure  bool
+	repeats int
 	// stopping is true while a stop order is on its way.
 	stopping bool
 	// retry is when the next stop order may be sent.
--- a/core/work/takeover_test.go
+++ b/core/work/takeover_test.go
@@ -146,6 +146,68 @@
 	})
 }
 
+// The process of a holder stands still, and another one may have taken its duty over meanwhile.
+func TestStall(t *testing.T) {
+	f := withBoard(t)
+	f.hear("a", work.Report{})
+	f.hear("b", work.Report{})
+	f.now = f.now.Add(6 * time.Second)
+	f.board.Add(chain("j", 1), work.Progress{}, 11, false, f.now)
+	f.assertNoStart(f.orders())
+	f.hear("b", work.Report{})
+	f.is.Equal(f.orders()[0].Life.Worker, "b")
+}
+
+func TestRepeat(t *testing.T) {
+	begin := func(t *testing.T) (*fixture, work.Order) {
+		f := withBoard(t)
+		f.hear("a", work.Report{})
+		f.hear("b", work.Report{})
+		f.board.Add(chain("j", 1), work.Progress{}, 11, false, f.now)
+		first := f.board.Orders(f.now, f.now)[0]
+		f.board.Answered(first, work.Answer{Verdict: work.VerdictUnknown}, f.now)
+		orders := f.board.Orders(f.now, f.now)
+		f.is.Equal(len(orders), 1)
+		f.is.Equal(orders[0], first)
+		return f, first
+	}
+	t.Run("start without an answer is repeated, and runs", func(t *testing.T) {
+		f, o := begin(t)
+		f.board.Answered(o, work.Answer{Clock: time.Second}, f.now)
+		f.is.Equal(len(f.board.Orders(f.now, f.now)), 0)
+		f.hear(o.Life.Worker, work.Report{Active: []work.Active{{Run: o.Run}}})
+		f.is.Equal(len(f.board.Orders(f.now, f.now)), 0)
+	})
+	t.Run("second loss gives the run up", func(t *testing.T) {
+		f, o := begin(t)
+		f.board.Answered(o, work.Answer{Verdict: work.VerdictUnknown}, f.now)
+		f.is.Equal(f.board.Orders(f.now, f.now)[0].Kind, work.OrderStop)
+	})
+	// The first order was carried out, and the task ended before the repeat came.
+	t.Run("repeat that is too old waits for the report of the end", func(t *testing.T) {
+		f, o := begin(t)
+		f.board.Answered(o, work.Answer{Verdict: work.VerdictOld, Clock: time.Second}, f.now)
+		f.assertNoStart(f.orders())
+		f.hear(o.Life.Worker, work.Report{Ends: []work.End{{Number: 1, Run: o.Run}}})
+		f.assertNoStart(f.orders())
+		f.is.Equal(len(f.board.Changes(1)), 1)
+	})
+	t.Run("refused repeat is stopped, since the first order may be carried out yet", func(t *testing.T) {
+		f, o := begin(t)
+		f.board.Answered(o, work.Answer{Verdict: work.VerdictNoRoom, Clock: time.Second}, f.now)
+		f.is.Equal(f.board.Orders(f.now, f.now)[0].Kind, work.OrderStop)
+	})
+	t.Run("life that is over gets no repeat", func(t *testing.T) {
+		f := withBoard(t)
+		f.hear("a", work.Report{})
+		f.board.Add(chain("j", 1), work.Progress{}, 11, false, f.now)
+		first := f.board.Orders(f.now, f.now)[0]
+		f.board.Answered(first, work.Answer{Verdict: work.VerdictUnknown}, f.now)
+		f.board.List([]work.Listing{listing("b")}, f.now)
+		f.assertNoStart(f.board.Orders(f.now, f.now))
+	})
+}
+
 func TestQuiet(t *testing.T) {
 	// A worker is lost, its duty is taken over, and the member that would hold it by right is back.
 	t.Run("duty is not handed on while a lost worker's lease is waited for", func(t *testing.T) {
--- a/core/work/worker.go
+++ b/core/work/worker.go
@@ -111,9 +111,14 @@
 
 func (w *worker) contact() Contact { return Contact{Life: w.Life, Address: w.Address} }
 
+// heardTime is how old a worker's last answer may be for a start: the longest time between two renewals, and that of a call. A
+// holder that stood still for longer may have been replaced, and its workers tell it so.
+const heardTime = 2500 * time.Millisecond
+
 // open reports whether the worker may be given new work.
 func (w *worker) open(now time.Time) bool {
-	return w.listed && w.answered && !w.Draining && !w.withdrawn && w.misses == 0 && !now.Before(w.closed)
+	return w.listed && w.answered && !w.Draining && !w.withdrawn && w.misses == 0 && !now.Before(w.closed) &&
+		now.Sub(w.clock.heard) < heardTime
 }
 
 func (w *worker) free() Resources { return w.Capacity.Minus(w.used) }
