Look more often at workers that left a call unanswered

For five seconds after a call without an answer a worker with tasks is asked to answer within 0.25 s. Ruled out: shorter waits always (each look is priced).

--- a/core/work/ended_test.go
+++ b/core/work/ended_test.go
@@ -41,13 +41,13 @@
 		if silent == "a" {
 			other = "b"
 		}
-		f.board.Missed(life(silent))
+		f.board.Missed(life(silent), f.now)
 		for range 60 {
 			f.hear(other, work.Report{})
 			f.now = f.now.Add(hundred)
 			_, ok := f.board.Renew(life(silent), 0, f.now)
 			f.is.True(ok)
-			f.board.Missed(life(silent))
+			f.board.Missed(life(silent), f.now)
 		}
 		orders = f.orders()
 		f.is.Equal(len(orders), 1)
--- a/core/work/load_test.go
+++ b/core/work/load_test.go
@@ -151,7 +151,7 @@
 	t.Run("silent workers are not the pool's", func(t *testing.T) {
 		f := withPool(t, 3)
 		for range 2 {
-			f.board.Missed(life("w00"))
+			f.board.Missed(life("w00"), f.now)
 		}
 		f.is.Equal(f.board.Load(f.now).Ask, 1)
 	})
--- a/core/work/model_test.go
+++ b/core/work/model_test.go
@@ -351,7 +351,7 @@
 	}
 	w := m.find(life.Worker)
 	if !w.alive || !w.reachable {
-		b.Missed(life)
+		b.Missed(life, m.now)
 		return
 	}
 	m.settle(w)
@@ -367,7 +367,7 @@
 	m.acknowledge(w, renewal.Acknowledged)
 	w.deadline = max(w.deadline, min(renewal.Deadline, w.clock(m.now)+modelLease))
 	if lost {
-		b.Missed(life)
+		b.Missed(life, m.now)
 		return
 	}
 	report := work.Report{Clock: w.clock(m.now), Ends: slices.Clone(w.ends)}
--- a/core/work/order.go
+++ b/core/work/order.go
@@ -222,7 +222,7 @@
 func (b *Board) heed(w *worker, a Answer, now time.Time) {
 	switch a.Verdict {
 	case VerdictUnknown, VerdictNotSent:
-		w.misses++
+		w.miss(now)
 	case VerdictGone:
 		b.Gone(w.Life)
 	case VerdictReborn:
@@ -299,9 +299,9 @@
 }
 
 // Missed notes a renewal without an answer.
-func (b *Board) Missed(l Life) {
+func (b *Board) Missed(l Life, now time.Time) {
 	if w := b.workers[l]; w != nil {
-		w.misses++
+		w.miss(now)
 	}
 }
 
--- a/core/work/report.go
+++ b/core/work/report.go
@@ -85,16 +85,27 @@
 	if !w.clock.heard.IsZero() && w.misses == 0 {
 		// A worker that does not answer gets no more time: its leases must come to an end that is known.
 		renewal.Deadline = w.clock.grant(now, b.policy.Lease)
-		renewal.Wait = w.patience(wait)
+		renewal.Wait = w.patience(wait, now)
 	}
 	return renewal, true
 }
 
+const (
+	// wary is how long after a call without an answer a worker is looked at more often: what ended on it is heard of only with the
+	// next answer, and a call that waits for an end can't be told from one that is lost.
+	wary = 5 * time.Second
+	// waryLook is the time between two looks then.
+	waryLook = 250 * time.Millisecond
+)
+
 // startupLook is the time between two looks at a worker on which a lasting task has not begun to work.
 const startupLook = 200 * time.Millisecond
 
 // patience shortens the wait for the worker's next end while something on it is to be seen sooner.
-func (w *worker) patience(wait time.Duration) time.Duration {
+func (w *worker) patience(wait time.Duration, now time.Time) time.Duration {
+	if len(w.runs) > 0 && now.Sub(w.missed) < wary {
+		wait = min(wait, waryLook)
+	}
 	if _, serves := w.strain(); serves && w.fills() > 0 {
 		wait = min(wait, servingLook)
 	}
--- a/core/work/takeover_test.go
+++ b/core/work/takeover_test.go
@@ -135,7 +135,7 @@
 		f.board.Add(chain("j", 1), work.Progress{}, 5, true, f.now)
 		f.hear("a", work.Report{Active: []work.Active{{Run: run("j", 0, 0, 1)}}})
 		f.hear("b", work.Report{})
-		f.board.Missed(life("a"))
+		f.board.Missed(life("a"), f.now)
 		f.assertNoStart(f.orders())
 		f.now = f.now.Add(5900 * time.Millisecond)
 		f.hear("b", work.Report{})
@@ -226,7 +226,7 @@
 		f.board.Add(chain("j", 1), work.Progress{}, 11, false, f.now)
 		worker := f.orders()[0].Life.Worker
 		f.is.True(f.board.Quiet(f.now))
-		f.board.Missed(life(worker))
+		f.board.Missed(life(worker), f.now)
 		f.is.True(!f.board.Quiet(f.now))
 	})
 }
--- a/core/work/withdraw_test.go
+++ b/core/work/withdraw_test.go
@@ -71,7 +71,7 @@
 		started := f.orders()
 		f.hear("a", running(started, "a"))
 		f.hear("b", running(started, "b"))
-		f.board.Missed(life("b"))
+		f.board.Missed(life("b"), f.now)
 		f.board.Withdraw(map[string]bool{"a": true}, f.now)
 		f.is.Equal(len(stops(f.orders())), 0)
 		f.hear("b", running(started, "b"))
--- a/core/work/worker.go
+++ b/core/work/worker.go
@@ -90,6 +90,8 @@
 	ends                []pendingEnd
 	// misses counts calls without an answer since the last one with.
 	misses int
+	// missed is when the last call without an answer was given up.
+	missed time.Time
 	// closed is when the worker may get new work again, after it refused or failed.
 	closed time.Time
 	// failedInRow counts failed runs of different jobs since the last run that was done.
@@ -121,6 +123,12 @@
 		now.Sub(w.clock.heard) < heardTime
 }
 
+// miss notes a call without an answer.
+func (w *worker) miss(now time.Time) {
+	w.misses++
+	w.missed = now
+}
+
 func (w *worker) free() Resources { return w.Capacity.Minus(w.used) }
 
 func (w *worker) hasLabel(label string) bool {
--- a/io/runner/contacts.go
+++ b/io/runner/contacts.go
@@ -100,7 +100,7 @@
 			h.board.Gone(life)
 		}
 	default:
-		h.board.Missed(life)
+		h.board.Missed(life, time.Now())
 	}
 	return true
 }
