Call a worker again at once after a first renewal without an answer

Cause: the pause of 0.15 s after it is for workers that are gone; a single loss is over with the next call.

--- a/core/work/report.go
+++ b/core/work/report.go
@@ -123,6 +123,14 @@
 	return w != nil && w.misses >= silentMisses && len(w.runs) == 0 && w.answered
 }
 
+// Misses is how many calls in a row the worker left without an answer.
+func (b *Board) Misses(l Life) int {
+	if w := b.workers[l]; w != nil {
+		return w.misses
+	}
+	return 0
+}
+
 // Report takes in a worker's answer to the renewal with the sequence number. It returns the ends that are new.
 func (b *Board) Report(l Life, sequence uint64, report Report, now time.Time) []End {
 	w := b.workers[l]
--- a/io/runner/contacts.go
+++ b/io/runner/contacts.go
@@ -17,7 +17,7 @@
 	renewWait = 1000 * time.Millisecond
 	// renewGap is the least time between two renewals, so that ends come in groups.
 	renewGap = 25 * time.Millisecond
-	// missedGap is the pause after a renewal without an answer.
+	// missedGap is the pause after a renewal without an answer, if it was not the first.
 	missedGap = 150 * time.Millisecond
 	// idleGap is that pause for a worker that runs nothing and has been silent for a while: most of these are gone.
 	idleGap = time.Second
@@ -60,8 +60,11 @@
 func (h *holder) missedGap(life work.Life) time.Duration {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.board.Idle(life) {
+	switch {
+	case h.board.Idle(life):
 		return idleGap
+	case h.board.Misses(life) <= 1:
+		return renewGap
 	}
 	return missedGap
 }
