--- a/io/runner/contacts.go
+++ b/io/runner/contacts.go
@@ -1,6 +1,7 @@
 package runner
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"strings"
@@ -38,7 +39,7 @@
 		if !ok {
 			return
 		}
-		report, err := h.m.Executors.Renew(h.ctx, renewal)
+		report, err := h.m.renew(h.ctx, renewal)
 		if h.ctx.Err() != nil || !h.takeReport(life, renewal, report, err) {
 			return
 		}
@@ -56,6 +57,30 @@
 	}
 }
 
+// renew makes a call that renews a worker, within the time that workers usually take.
+func (m *Manager) renew(ctx context.Context, r work.Renewal) (work.Report, error) {
+	callCtx, cancel := context.WithTimeout(ctx, r.Wait+m.patience.limit())
+	defer cancel()
+	began := time.Now()
+	report, err := m.Executors.Renew(callCtx, r)
+	if r.Wait == 0 && ctx.Err() == nil {
+		m.patience.took(time.Since(began), err == nil)
+	}
+	return report, err
+}
+
+// send carries out an order within the time that workers usually take.
+func (m *Manager) send(ctx context.Context, o work.Order) work.Answer {
+	callCtx, cancel := context.WithTimeout(ctx, m.patience.limit())
+	defer cancel()
+	began := time.Now()
+	answer := m.Executors.Send(callCtx, o)
+	if ctx.Err() == nil && answer.Verdict != work.VerdictNotSent {
+		m.patience.took(time.Since(began), answer.Verdict != work.VerdictUnknown)
+	}
+	return answer
+}
+
 // missedGap is the pause after a renewal without an answer.
 func (h *holder) missedGap(life work.Life) time.Duration {
 	h.mu.Lock()
@@ -110,7 +135,7 @@
 
 // send carries out one order and tells the board its outcome.
 func (h *holder) send(o work.Order) {
-	answer := h.m.Executors.Send(h.ctx, o)
+	answer := h.m.send(h.ctx, o)
 	h.tellOrder(o, answer)
 	h.mu.Lock()
 	ours := h.board.Answered(o, answer, time.Now())
--- a/io/runner/manager.go
+++ b/io/runner/manager.go
@@ -68,6 +68,8 @@
 	batches  map[string]*batch
 
 	workers directory
+	// patience is learnt from all calls to workers.
+	patience patience
 	// health judges the store by our own calls.
 	health storeHealth
 	// back is closed and replaced when a part of the store answers again.
--- /dev/null
+++ b/io/runner/patience.go
@@ -0,0 +1,46 @@
+package runner
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// leastPatience is the least time that a worker is given for an answer: workers answer within milliseconds, and what waits
+	// for an answer that is lost waits as long.
+	leastPatience = 200 * time.Millisecond
+	// mostPatience is the most: the bound of the platform's client.
+	mostPatience = time.Second
+	// patienceFactor is how many times the usual time an answer may take.
+	patienceFactor = 10
+	// usualStep is by which part the usual time follows each answer: from one millisecond to a hundred within fifty answers.
+	usualStep = 1.1
+	// leastUsual keeps the usual time from falling so low that it rises too late.
+	leastUsual = time.Millisecond
+)
+
+// patience learns the median of the times that workers take to answer, as this process sees them: a process that is slow
+// itself must not take its own slowness for lost answers. The zero value has learnt nothing.
+type patience struct {
+	mu    sync.Mutex
+	usual time.Duration
+}
+
+// took takes in how long an answer took. A call without an answer counts as longer than any.
+func (p *patience) took(d time.Duration, answered bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.usual = max(p.usual, leastUsual)
+	if !answered || d > p.usual {
+		p.usual = min(time.Duration(float64(p.usual)*usualStep), mostPatience)
+		return
+	}
+	p.usual = max(time.Duration(float64(p.usual)/usualStep), leastUsual)
+}
+
+// limit is how long the next call may take.
+func (p *patience) limit() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return min(max(patienceFactor*p.usual, leastPatience), mostPatience)
+}
