Learn the usual time of answers from starts alone

Cause: in a log of the time allowed, it stood at its bound of 1 s on calm holders too: renewals of hosts that had moved away counted as late answers.

--- a/io/runner/contacts.go
+++ b/io/runner/contacts.go
@@ -61,12 +61,7 @@
 func (m *Manager) renew(ctx context.Context, r work.Renewal) (work.Report, error) {
 	callCtx, cancel := context.WithTimeout(ctx, r.Wait+m.patience.limit())
 	defer cancel()
-	began := time.Now()
-	report, err := m.Executors.Renew(callCtx, r)
-	if r.Wait == 0 && ctx.Err() == nil {
-		m.patience.took(time.Since(began), err == nil)
-	}
-	return report, err
+	return m.Executors.Renew(callCtx, r)
 }
 
 // send carries out an order within the time that workers usually take.
@@ -75,7 +70,8 @@
 	defer cancel()
 	began := time.Now()
 	answer := m.Executors.Send(callCtx, o)
-	if ctx.Err() == nil && answer.Verdict != work.VerdictNotSent {
+	if o.Kind == work.OrderStart && ctx.Err() == nil && answer.Verdict != work.VerdictNotSent {
+		// Only starts: they go to workers that answered a moment ago. Other calls also go to workers that are gone.
 		m.patience.took(time.Since(began), answer.Verdict != work.VerdictUnknown)
 	}
 	return answer
