Look for work that fills, and for starts to repeat, only where there is any

Cause: both loops went over all runs in every round, 4% of a holder's processor time in a profile of 300 jobs over loopback (0.08 s of 1.9 s; with stand-ins).

--- a/core/work/board.go
+++ b/core/work/board.go
@@ -78,6 +78,10 @@
 	// inquiring counts the calls of the policy service that are on their way; there are none before inquireAfter.
 	inquiring    int
 	inquireAfter time.Time
+	// unsure counts the runs whose start is to be sent again.
+	unsure int
+	// shared is true once a job came with tasks that fill or that have a target.
+	shared bool
 	// homeless counts the lasting steps with a task that found no worker in the last round.
 	homeless int
 	// cramped counts the lasting tasks that should leave a worker and found no other in the last round.
@@ -174,6 +178,7 @@
 		begun: p.State == StateRunning, arrived: now,
 	}
 	b.jobs[spec.ID] = j
+	b.shared = b.shared || spec.shares()
 	if j.Repeat.Count > 0 {
 		j.timed = true
 		b.timed++
--- a/core/work/job.go
+++ b/core/work/job.go
@@ -190,6 +190,16 @@
 	return false
 }
 
+// shares reports whether any step fills workers or has a target that filling tasks may harm.
+func (j Job) shares() bool {
+	for _, s := range j.Steps {
+		if s.Filling || s.TailTarget > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // Chain is the longest chain of estimated work of one occurrence.
 func (j Job) Chain() time.Duration {
 	ends := make([]time.Duration, len(j.Steps))
--- a/core/work/order.go
+++ b/core/work/order.go
@@ -174,6 +174,10 @@
 // repeats returns the starts that got no answer and are sent again. A life that is not listed any more gets none: a later life of
 // the worker has not seen the epoch of a next holder, and would carry out what that one has settled otherwise.
 func (b *Board) repeats() []Order {
+	if b.unsure == 0 {
+		return nil
+	}
+	b.unsure = 0
 	var orders []Order
 	for _, w := range b.order {
 		for _, r := range sortedRuns(w) {
@@ -259,6 +263,7 @@
 	case a.Verdict == VerdictUnknown:
 		if r.repeats < startRepeats && r.phase == phaseOrdered {
 			r.unsure = true
+			b.unsure++
 			return
 		}
 		b.doubt(r)
--- a/core/work/pace.go
+++ b/core/work/pace.go
@@ -80,6 +80,9 @@
 
 // paces returns an order for each filling task whose worker does not have it at the pace that it should have.
 func (b *Board) paces(now time.Time) []Order {
+	if !b.shared {
+		return nil
+	}
 	var orders []Order
 	for _, w := range b.order {
 		if w.misses > 0 || w.fills() == 0 {
--- a/core/work/report.go
+++ b/core/work/report.go
@@ -85,7 +85,7 @@
 	if !w.clock.heard.IsZero() && w.misses == 0 {
 		// A worker that does not answer gets no more time: its leases must come to an end that is known.
 		renewal.Deadline = w.clock.grant(now, b.policy.Lease)
-		renewal.Wait = w.patience(wait, now)
+		renewal.Wait = b.patience(w, wait, now)
 	}
 	return renewal, true
 }
@@ -102,12 +102,14 @@
 const startupLook = 200 * time.Millisecond
 
 // patience shortens the wait for the worker's next end while something on it is to be seen sooner.
-func (w *worker) patience(wait time.Duration, now time.Time) time.Duration {
+func (b *Board) patience(w *worker, wait time.Duration, now time.Time) time.Duration {
 	if len(w.runs) > 0 && now.Sub(w.missed) < wary {
 		wait = min(wait, waryLook)
 	}
-	if _, serves := w.strain(); serves && w.fills() > 0 {
-		wait = min(wait, servingLook)
+	if b.shared {
+		if _, serves := w.strain(); serves && w.fills() > 0 {
+			wait = min(wait, servingLook)
+		}
 	}
 	for _, r := range w.runs {
 		if r.task != nil && r.task.group.spec().Lasting && r.percent < fullPace {
@@ -144,7 +146,9 @@
 		present[a.Run] = true
 		b.takeActive(w, a, now)
 	}
-	w.balance(now)
+	if b.shared {
+		w.balance(now)
+	}
 	for _, e := range report.Ends {
 		present[e.Run] = true
 		if e.Number > w.taken {
