Renew workers less often while their answers take long

Cause: a holder on a slow entry host spends its processor on renewals, each of which brings few ends, and its starts wait for it. The pause between two renewals of a worker is now twice the usual time of an answer, 25 ms at least and 250 ms at most.

--- a/io/runner/contacts.go
+++ b/io/runner/contacts.go
@@ -47,7 +47,7 @@
 			silent = err != nil
 			h.tellSilence(life, err)
 		}
-		gap := renewGap
+		gap := h.m.patience.pause()
 		if err != nil {
 			gap = h.missedGap(life)
 		}
--- a/io/runner/patience.go
+++ b/io/runner/patience.go
@@ -13,6 +13,9 @@
 	mostPatience = time.Second
 	// patienceFactor is how many times the usual time an answer may take.
 	patienceFactor = 10
+	// pauseFactor is how many times the usual time of an answer lies between two renewals of a worker, mostPause the most.
+	pauseFactor = 2
+	mostPause   = 250 * time.Millisecond
 	// usualStep is by which part the usual time follows each answer: from one millisecond to a hundred within fifty answers.
 	usualStep = 1.1
 	// leastUsual keeps the usual time from falling so low that it rises too late.
@@ -38,6 +41,14 @@
 	p.usual = max(time.Duration(float64(p.usual)/usualStep), leastUsual)
 }
 
+// pause is the time between two renewals of a worker: longer while answers take longer, so that a process that is short of its
+// processor hears of more ends with each call.
+func (p *patience) pause() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return min(max(pauseFactor*p.usual, renewGap), mostPause)
+}
+
 // limit is how long the next call may take.
 func (p *patience) limit() time.Duration {
 	p.mu.Lock()
--- a/io/runner/patience_test.go
+++ b/io/runner/patience_test.go
@@ -24,10 +24,12 @@
 			p.took(slow, true)
 		}
 		is.True(p.limit() > 8*slow)
+		is.True(p.pause() > renewGap) // and asked for in larger groups
 		for range 100 {
 			p.took(quick, true)
 		}
 		is.Equal(p.limit(), leastPatience)
+		is.Equal(p.pause(), renewGap)
 	})
 	t.Run("no answer at all has the longest wait", func(t *testing.T) {
 		is := is.New(t)
