Spread duties evenly over entry hosts

Cause: names alone gave one entry host up to four of six duties, and one processor share for four pools. Duties stay where they are unless their holder is gone or has more than its even share.

--- a/core/duty/decide.go
+++ b/core/duty/decide.go
@@ -23,6 +23,19 @@
 	Live []string
 	// Settled holds the live members that are no longer new. Duties are handed over only to these.
 	Settled []string
+	// Spread holds the member that should hold each duty; nil if the members' names alone decide.
+	Spread map[string]string
+}
+
+// proposed returns which of some members should hold a duty.
+func (v View) proposed(name string, members []string) string {
+	if v.Spread == nil {
+		return Propose(name, members)
+	}
+	if member := v.Spread[name]; slices.Contains(members, member) {
+		return member
+	}
+	return ""
 }
 
 //go:generate go run github.com/dmarkham/enumer@v1.7.2 -type=Step -transform=kebab -text -json -trimprefix=Step -output=step_enumer.go
@@ -45,7 +58,7 @@
 // A duty is taken only from a holder that is not live. Two members whose views
 // differ may both try; the version of the pool's row lets one of them succeed.
 func Decide(p pool.Pool, v View) (Step, string) {
-	proposed := Propose(p.Name, v.Live)
+	proposed := v.proposed(p.Name, v.Live)
 	switch {
 	case p.Holder == v.Self:
 		return decideOwn(p, v)
@@ -56,8 +69,8 @@
 }
 
 func decideOwn(p pool.Pool, v View) (Step, string) {
-	settled := Propose(p.Name, v.Settled)
-	if settled == "" || settled == v.Self || settled != Propose(p.Name, v.Live) {
+	settled := v.proposed(p.Name, v.Settled)
+	if settled == "" || settled == v.Self || settled != v.proposed(p.Name, v.Live) {
 		return StepNone, ""
 	}
 	return StepHandOver, settled
--- a/io/runner/duties.go
+++ b/io/runner/duties.go
@@ -34,9 +34,11 @@
 		if leaving {
 			continue
 		}
-		for _, name := range m.dutyNames() {
+		names := m.dutyNames()
+		spread := m.spread(names, live)
+		for _, name := range names {
 			if now.Sub(started) >= firstDuty {
-				m.look(ctx, name, duty.View{Self: m.Member, Live: live, Settled: settled})
+				m.look(ctx, name, duty.View{Self: m.Member, Live: live, Settled: settled, Spread: spread})
 			} else {
 				m.resume(ctx, name)
 			}
@@ -61,6 +63,17 @@
 	return kept
 }
 
+// spread returns which member should hold each duty by the holders known.
+func (m *Manager) spread(names, live []string) map[string]string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	holders := make(map[string]string, len(names))
+	for _, name := range names {
+		holders[name] = m.holderRows[name].Holder
+	}
+	return duty.Spread(holders, live)
+}
+
 // look does what is due about one duty.
 func (m *Manager) look(ctx context.Context, name string, view duty.View) {
 	m.mu.Lock()
