Send at most five starts at a time to one worker

Cause: six calls at once go to one worker, and the fullest worker gets the next task; in a burst the calls waited for each other and were given up before they were sent, which counts as lost.

--- a/core/work/order.go
+++ b/core/work/order.go
@@ -162,6 +162,7 @@
 	t.runs = append(t.runs, r)
 	w.runs[r.name] = r
 	w.used = w.used.Plus(r.demand)
+	w.unanswered++
 	r.order = Order{
 		Kind: OrderStart, Contact: w.contact(), Epoch: b.Epoch, Run: r.name,
 		Spec: t.group.job.Spec, Checkpoint: t.checkpoint, Ticket: t.group.approvals[w.Life].ticket,
@@ -190,6 +191,7 @@
 				continue
 			}
 			r.repeats++
+			w.unanswered++
 			orders = append(orders, r.order)
 		}
 	}
@@ -205,6 +207,9 @@
 	if w == nil {
 		return true
 	}
+	if o.Kind == OrderStart {
+		w.unanswered--
+	}
 	b.heed(w, a, now)
 	r := w.runs[o.Run]
 	if a.Verdict == VerdictGone || a.Verdict == VerdictReborn || r == nil {
--- a/core/work/place.go
+++ b/core/work/place.go
@@ -5,6 +5,10 @@
 	"time"
 )
 
+// mostUnanswered is how many starts may be on their way to one worker: as many calls to it are made at once, and more would wait
+// for these and be given up unsent. Workers answer within milliseconds, so that this allows a thousand a second.
+const mostUnanswered = 5
+
 // place starts the tasks that may run now, in the order of their jobs.
 func (b *Board) place(now time.Time) []Order {
 	settled := b.settled(now)
@@ -115,7 +119,7 @@
 		for range planned {
 			need = need.Plus(demand)
 		}
-		if !w.hasLabel(spec.Label) || !w.free().Holds(need) || !g.admits(w, now) {
+		if !w.hasLabel(spec.Label) || !w.free().Holds(need) || !g.admits(w, now) || (!spec.Lasting && w.unanswered >= mostUnanswered) {
 			continue
 		}
 		if spec.SpreadLimit > 0 && g.on(w)+planned >= spec.SpreadLimit {
--- a/core/work/worker.go
+++ b/core/work/worker.go
@@ -88,6 +88,8 @@
 	// taken is the number of the last end taken in, acknowledged that of the last one that may be forgotten.
 	taken, acknowledged uint64
 	ends                []pendingEnd
+	// unanswered counts the starts that are on their way.
+	unanswered int
 	// misses counts calls without an answer since the last one with.
 	misses int
 	// missed is when the last call without an answer was given up.
