--- a/io/cli/serve.go
+++ b/io/cli/serve.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"net/http"
 	"os/signal"
 	"runtime/debug"
@@ -55,21 +54,3 @@
 	}
 	return nil
 }
-
-func checkCommand() *cli.Command {
-	return &cli.Command{
-		Name:   "check",
-		Usage:  "validates an entry host's settings without starting it",
-		Flags:  []cli.Flag{settingsFlag()},
-		Action: runCheck,
-	}
-}
-
-func runCheck(_ context.Context, cmd *cli.Command) error {
-	s, err := settings.Load(cmd.String("settings"))
-	if err != nil {
-		return failed(ExitUsage, "%w", err)
-	}
-	_, err = fmt.Fprintf(cmd.Root().Writer, "settings of entry host %s of deployment %s are valid\n", s.Name, s.Deployment)
-	return err
-}
