Read a part of the store before it is judged away for silence

A pool's transactions wait for each other there (four a second for six entry hosts and the holder) and the store turns what waits longer than a second away with 429; the judgement of silence came on top and refused what would have been stored. What binds is one part a pool: accepting into a part for each entry host would take six times as much.

--- a/io/runner/health.go
+++ b/io/runner/health.go
@@ -13,6 +13,9 @@
 	// silentAfter is how long calls may stay without any answer before a part of the store counts as away: longer than
 	// its answers take when it is slow, and far shorter than callers wait.
 	silentAfter = 700 * time.Millisecond
+	// doubtAfter is how long calls may stay without an answer before the part is asked for a row: transactions of a part that is
+	// slow wait for each other, while a row is read at once.
+	doubtAfter = 300 * time.Millisecond
 	// healthEvery is the time between two looks at calls that are not answered.
 	healthEvery = 100 * time.Millisecond
 	// probeEvery is the time between two calls that ask a part that is away whether it is back.
@@ -130,11 +133,16 @@
 
 // silent reports whether calls of the part stay without an answer.
 func (s *storeHealth) silent(name string, p *partHealth, now time.Time) bool {
-	if now.Sub(p.answered) <= silentAfter {
+	return s.overdue(name, p, silentAfter, now)
+}
+
+// overdue reports whether a call of the part has had no answer for a time, and no other call of the part had one since.
+func (s *storeHealth) overdue(name string, p *partHealth, after time.Duration, now time.Time) bool {
+	if now.Sub(p.answered) <= after {
 		return false
 	}
 	for c := range s.open {
-		if c.part == name && !c.waits && now.Sub(c.began) > silentAfter {
+		if c.part == name && !c.waits && now.Sub(c.began) > after {
 			return true
 		}
 	}
@@ -153,7 +161,7 @@
 		}
 	}
 	for name, p := range s.parts {
-		if p.away && now.Sub(p.probed) >= probeEvery {
+		if (p.away || s.overdue(name, p, doubtAfter, now)) && now.Sub(p.probed) >= probeEvery {
 			p.probed = now
 			probes = append(probes, name)
 		}
