Give calls of the store up by the usual time of its answers

Calls that do not wait are given up after ten times the median of the store's answers, 0.3 s at least and 2.5 s at most; a lost one is repeated, and the conflict tells that it took effect. A part is silent now also by calls that were given up, from the first of them on. Test: lost answers of the store delay acceptance by less than a second, in TestStoreHealth, fails without.

--- a/io/runner/fake_test.go
+++ b/io/runner/fake_test.go
@@ -30,6 +30,8 @@
 	changed chan struct{}
 	// silentFor names the entry hosts of which no call is answered, or all if it holds "*".
 	silentFor map[string]bool
+	// loseEvery loses the answer of each so many commits, after they took effect; zero loses none.
+	loseEvery, commits int
 	// answers is how long an answer takes.
 	answers time.Duration
 }
@@ -81,7 +83,12 @@
 			if err := s.enter(ctx, node); err != nil {
 				return 0, err
 			}
-			return s.commit(c)
+			version, err := s.commit(c)
+			if s.losesAnswer() {
+				<-ctx.Done()
+				return 0, platform.ErrOutcomeUnknown{Service: "store", Reason: ctx.Err().Error()}
+			}
+			return version, err
 		},
 		Range: func(ctx context.Context, q platform.Range) (platform.Page, error) {
 			if err := s.enter(ctx, node); err != nil {
@@ -105,6 +112,14 @@
 	}
 }
 
+// losesAnswer reports whether the answer to the commit just made is lost.
+func (s *fakeStore) losesAnswer() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.commits++
+	return s.loseEvery > 0 && s.commits%s.loseEvery == 0
+}
+
 func (s *fakeStore) commit(c platform.Commit) (uint64, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/io/runner/health.go
+++ b/io/runner/health.go
@@ -40,6 +40,8 @@
 // partHealth is what calls told of one part.
 type partHealth struct {
 	failures int
+	// failing is when the first of these calls began.
+	failing  time.Time
 	answered time.Time
 	probed   time.Time
 	// away is the judgement that was told last.
@@ -98,6 +100,9 @@
 	}
 	p := s.part(c.part)
 	if !answered {
+		if p.failures == 0 {
+			p.failing = c.began
+		}
 		p.failures++
 		return s.judge(c.part, now)
 	}
@@ -141,6 +146,9 @@
 	if now.Sub(p.answered) <= after {
 		return false
 	}
+	if p.failures > 0 && now.Sub(p.failing) > after {
+		return true
+	}
 	for c := range s.open {
 		if c.part == name && !c.waits && now.Sub(c.began) > after {
 			return true
--- a/io/runner/manager.go
+++ b/io/runner/manager.go
@@ -70,6 +70,8 @@
 	workers directory
 	// patience is learnt from all calls to workers.
 	patience patience
+	// storePatience is learnt from all calls of the store that do not wait.
+	storePatience patience
 	// health judges the store by our own calls.
 	health storeHealth
 	// back is closed and replaced when a part of the store answers again.
@@ -89,6 +91,7 @@
 		if m.scope == nil {
 			m.scope = tally.NoopScope
 		}
+		m.storePatience.least, m.storePatience.most = leastStorePatience, mostStorePatience
 		m.waves = make(map[string]work.Wave)
 		m.former = make(map[string][]string)
 		m.members = make(map[string]duty.Sighting)
--- a/io/runner/observe.go
+++ b/io/runner/observe.go
@@ -21,12 +21,16 @@
 	return platform.Rows{
 		Commit: func(ctx context.Context, c platform.Commit) (uint64, error) {
 			callCtx, call := m.health.begin(ctx, partOf(c), false)
+			callCtx, done := context.WithTimeout(callCtx, m.storePatience.limit())
+			defer done()
 			version, err := rows.Commit(callCtx, c)
 			m.observed(ctx, call, "commit", c.Purpose, err)
 			return version, err
 		},
 		Range: func(ctx context.Context, q platform.Range) (platform.Page, error) {
 			callCtx, call := m.health.begin(ctx, q.Part, false)
+			callCtx, done := context.WithTimeout(callCtx, m.storePatience.limit())
+			defer done()
 			page, err := rows.Range(callCtx, q)
 			m.observed(ctx, call, "read", q.Purpose, err)
 			return page, err
@@ -68,6 +72,9 @@
 	outcome := outcomeOf(err)
 	m.scope.Tagged(map[string]string{"call": kind, "purpose": purpose, "outcome": outcome}).Counter("store_calls").Inc(1)
 	if !call.waits {
+		if !errors.Is(ctx.Err(), context.Canceled) {
+			m.storePatience.took(time.Since(call.began), outcome != "unknown")
+		}
 		m.scope.Tagged(map[string]string{"call": kind}).Histogram("store_latency", latencyBuckets).RecordDuration(time.Since(call.began))
 	}
 	answered := outcome != "unavailable" && outcome != "unknown"
--- a/io/runner/patience.go
+++ b/io/runner/patience.go
@@ -1,6 +1,7 @@
 package runner
 
 import (
+	"cmp"
 	"sync"
 	"time"
 )
@@ -22,9 +23,19 @@
 	leastUsual = time.Millisecond
 )
 
-// patience learns the median of the times that workers take to answer, as this process sees them: a process that is slow
+// Bounds of the time that the store is given. A transaction may wait for a second of others when the store is slow; an answer that
+// is lost costs its callers the whole time.
+const (
+	leastStorePatience = 300 * time.Millisecond
+	mostStorePatience  = 2500 * time.Millisecond
+)
+
+// patience learns the median of the times that others take to answer, as this process sees them: a process that is slow
 // itself must not take its own slowness for lost answers. The zero value has learnt nothing.
 type patience struct {
+	// least and most bound the time that a call may take; zero means those for workers.
+	least, most time.Duration
+
 	mu    sync.Mutex
 	usual time.Duration
 }
@@ -35,7 +46,7 @@
 	defer p.mu.Unlock()
 	p.usual = max(p.usual, leastUsual)
 	if !answered || d > p.usual {
-		p.usual = min(time.Duration(float64(p.usual)*usualStep), mostPatience)
+		p.usual = min(time.Duration(float64(p.usual)*usualStep), cmp.Or(p.most, mostPatience))
 		return
 	}
 	p.usual = max(time.Duration(float64(p.usual)/usualStep), leastUsual)
@@ -53,5 +64,5 @@
 func (p *patience) limit() time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return min(max(patienceFactor*p.usual, leastPatience), mostPatience)
+	return min(max(patienceFactor*p.usual, cmp.Or(p.least, leastPatience)), cmp.Or(p.most, mostPatience))
 }
