Let the last of an earlier holder's orders for a host count at takeover

The planner kept the one told last, in an order that varied; where that was the move, the host did not count as down, and one or two too many were ordered. The later order counts now, and of two given at the same moment the maintenance. Ruled out: rows older than the last plan (the plan at 4.99 s had all ten), the store's clock (dates are half a second late on purpose).

--- a/core/capacity/planner.go
+++ b/core/capacity/planner.go
@@ -117,15 +117,33 @@
 }
 
 // Inherit takes in an order that an earlier holder may have given up to a moment. Its host gets no other until the time, and
-// counts as away like after one of our own.
+// counts as away like after one of our own. Of several for one host the last one counts.
 func (p *Planner) Inherit(o Order, given, until time.Time) {
 	p.init()
-	p.inherited[o.Host] = inheritance{order: o, given: given, until: until}
-	if m := p.machines[o.Host]; m != nil {
+	next := inheritance{order: o, given: given, until: until}
+	known, ok := p.inherited[o.Host]
+	m := p.machines[o.Host]
+	if m != nil && m.ordered {
+		known, ok = inheritance{order: m.order, given: m.at}, true
+	}
+	if ok && !next.follows(known) {
+		return
+	}
+	p.inherited[o.Host] = next
+	if m != nil {
 		p.heir(m)
 	}
 }
 
+// follows reports whether the order counts instead of another one for the same host: the later one does. Of two that may have been
+// given at the same moment a maintenance counts, since the wave's bound allows no guess.
+func (i inheritance) follows(other inheritance) bool {
+	if !i.given.Equal(other.given) {
+		return i.given.After(other.given)
+	}
+	return i.order.Kind == KindMaintain
+}
+
 func (p *Planner) heir(m *machine) {
 	i, ok := p.inherited[m.Host]
 	if !ok {
--- a/core/capacity/planner_test.go
+++ b/core/capacity/planner_test.go
@@ -298,6 +298,26 @@
 		f.now = f.now.Add(700 * time.Millisecond)
 		f.is.Equal(len(f.plan().Orders), 1)
 	})
+	// A host is switched off, and maintained a second later; then the duty changes hands.
+	for _, first := range []string{"move", "maintenance"} {
+		t.Run("maintenance after a move counts as away, told with the "+first+" first", func(t *testing.T) {
+			f := withPlanner(t, 0, 0, 2)
+			f.planner.AddWave(work.Wave{Number: 1, Name: "1", Hosts: []string{"off-00", "off-01"}, Within: time.Minute, AtOnce: 1}, nil, f.now)
+			move := func() {
+				at := f.now.Add(-2 * time.Second)
+				f.planner.Inherit(capacity.Order{Kind: capacity.KindMove, Host: "off-00", Pool: "off"}, at, at.Add(4*time.Second))
+			}
+			if first == "move" {
+				move()
+			}
+			at := f.now.Add(-time.Second)
+			f.planner.Inherit(capacity.Order{Kind: capacity.KindMaintain, Host: "off-00", Wave: 1}, at, at.Add(4*time.Second))
+			if first != "move" {
+				move()
+			}
+			f.is.Equal(len(f.plan().Orders), 0)
+		})
+	}
 	t.Run("maintenance that an earlier holder ordered counts as away", func(t *testing.T) {
 		f := withPlanner(t, 0, 0, 2)
 		f.planner.AddWave(work.Wave{Number: 1, Name: "1", Hosts: []string{"off-00", "off-01"}, Within: time.Minute, AtOnce: 1}, nil, f.now)
