Give the duties of a member that is gone to steady members

A duty given up at 31.1 s could as well be meant for a member that the store had turned away for 0.4 s.

Change: the duties of a holder that is gone are spread over members observed for a whole lease whose heartbeat isn't overdue; over all live ones only if there are none. Surplus of a member goes to any live one as before, once it is settled.

Ruled out: lost heartbeats of the others (their rows changed on time), and the takeover itself (0.2 s once begun).

Test: TestTakeover, "taken by one that has been there for long", fails without the change (not done within 10 s); TestSpread, TestLedger.

--- a/core/duty/duty_test.go
+++ b/core/duty/duty_test.go
@@ -63,6 +63,13 @@
 		is.Equal(l.Live(), []string{"a", "b"})
 		is.Equal(l.Settled(5*time.Second), []string{"a"})
 	})
+	t.Run("members that are new or whose heartbeat is overdue are not steady", func(t *testing.T) {
+		is := is.New(t)
+		comes := func(poll int) uint64 { return uint64(max(0, poll-6)) }
+		l := polled(10, map[string]func(int) uint64{"a": beating, "b": stopped(7), "c": comes})
+		is.Equal(l.Live(), []string{"a", "b", "c"})
+		is.Equal(l.Steady(2*time.Second), []string{"a"})
+	})
 	t.Run("a deleted row is gone at once", func(t *testing.T) {
 		is := is.New(t)
 		leaves := func(poll int) uint64 {
--- a/core/duty/member.go
+++ b/core/duty/member.go
@@ -97,6 +97,12 @@
 	return l.names(func(r record) bool { return l.isLive(r) && r.observed >= d })
 }
 
+// Steady returns the names of the live members that have been observed for at least the lease and whose rows changed less than
+// fresh ago, sorted.
+func (l Ledger) Steady(fresh time.Duration) []string {
+	return l.names(func(r record) bool { return l.isLive(r) && r.observed >= l.Lease && r.unchanged < fresh })
+}
+
 // LongLapsed returns the names of the members that lapsed at least d ago, sorted.
 func (l Ledger) LongLapsed(d time.Duration) []string {
 	return l.names(func(r record) bool { return r.unchanged >= l.Lease+d })
--- a/io/runner/duties.go
+++ b/io/runner/duties.go
@@ -72,7 +72,7 @@
 	for _, name := range names {
 		holders[name] = m.holderRows[name].Holder
 	}
-	return duty.Spread(holders, live)
+	return duty.Spread(holders, live, m.ledger.Steady(echoTime))
 }
 
 // look does what is due about one duty.
--- a/io/runner/duties_test.go
+++ b/io/runner/duties_test.go
@@ -52,4 +52,21 @@
 			s.is.True(s.completed(next, "j", 10*time.Second) < 4*time.Second)
 		})
 	})
+	// Entry hosts are replaced one after the other, and the holder is killed: those that have just started can't know yet that it is gone.
+	t.Run("duty of an entry host that is gone is taken by one that has been there for long", func(t *testing.T) {
+		withFakeSite(t, 6, 2, func(s *fakeSite) {
+			lost := s.holder()
+			s.kill(lost)
+			time.Sleep(1500 * time.Millisecond)
+			stays := s.other(lost)
+			for _, name := range []string{"e0", "e1", "e2", "e3", "e4", "e5"} {
+				if name != lost && name != stays {
+					s.kill(name)
+					s.start(name)
+				}
+			}
+			s.is.NoErr(s.submit(stays, "j", 4))
+			s.is.True(s.completed(stays, "j", 10*time.Second) < 2500*time.Millisecond)
+		})
+	})
 }
