--- /dev/null
+++ b/io/runner/hostrows.go
@@ -0,0 +1,140 @@
+package runner
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"siskincross/core/capacity"
+	"siskincross/core/event"
+	"siskincross/io/platform"
+)
+
+const (
+	// hostsTable holds the pools' needs, each in its pool's part, and the plan for hosts in the duty's part.
+	hostsTable = "hosts"
+	needKey    = "need"
+	planKey    = "plan"
+	donePrefix = "wave/"
+	// hostsGather is the least time between two answers about the table of hosts.
+	hostsGather = 20 * time.Millisecond
+)
+
+// hostRows is what the table of hosts says.
+type hostRows struct {
+	needs    map[string]needRow
+	withdraw map[string]bool
+	recent   []orderRow
+	// done holds the hosts of each wave that have begun their maintenance.
+	done map[string][]string
+}
+
+// planRow is the plan of the holder of the duty for hosts.
+type planRow struct {
+	// Withdraw holds the workers that are to be cleared for maintenance.
+	Withdraw []string `json:"withdraw,omitempty"`
+	// Recent holds the orders that were given a moment ago or follow this row: the next holder leaves their hosts alone
+	// for a while.
+	Recent []orderRow `json:"recent,omitempty"`
+}
+
+// orderRow is an order for a host.
+type orderRow struct {
+	Host string `json:"host"`
+	// Pool is where a move leads, Wave the number of the wave of a maintenance.
+	Pool string `json:"pool,omitempty"`
+	Wave int    `json:"wave,omitempty"`
+	// AtMillis is the latest time at which the order can have been given, by the store's clock; zero if that is not known.
+	AtMillis int64 `json:"at-millis,omitempty"`
+}
+
+func newOrderRow(o capacity.Order) orderRow {
+	return orderRow{Host: o.Host, Pool: o.Pool, Wave: o.Wave}
+}
+
+func (r orderRow) order() capacity.Order {
+	if r.Pool == "" {
+		return capacity.Order{Kind: capacity.KindMaintain, Host: r.Host, Wave: r.Wave}
+	}
+	return capacity.Order{Kind: capacity.KindMove, Host: r.Host, Pool: r.Pool}
+}
+
+type doneRow struct {
+	Hosts []string `json:"hosts"`
+}
+
+// followHosts keeps the table of hosts up to date while this process holds a duty.
+func (m *Manager) followHosts(ctx context.Context) {
+	m.follow(ctx, follower{
+		table: hostsTable, wait: followWait, gather: hostsGather, take: m.takeHosts, read: m.readHosts,
+		idle: func() bool { return !m.holdsAny() },
+	})
+}
+
+func (m *Manager) readHosts(ctx context.Context) (uint64, error) {
+	parts, err := m.Rows.Parts(ctx, hostsTable)
+	if err != nil {
+		return 0, err
+	}
+	lowest := uint64(0)
+	for _, part := range parts {
+		rows, version, err := m.Rows.ReadAll(ctx, platform.Range{Table: hostsTable, Part: part, Purpose: "hosts"})
+		if err != nil {
+			return 0, err
+		}
+		m.takeHosts(rows)
+		if lowest == 0 || version < lowest {
+			lowest = version
+		}
+	}
+	return lowest, nil
+}
+
+func (m *Manager) takeHosts(rows []platform.PartRow) {
+	m.mu.Lock()
+	for _, row := range rows {
+		if err := m.hostRows.take(row); err != nil {
+			m.record(event.Event{Number: event.WorkRowUnreadable, Detail: err.Error()})
+		}
+	}
+	m.mu.Unlock()
+	for _, t := range m.tenureList() {
+		t.wake()
+	}
+}
+
+func (r *hostRows) take(row platform.PartRow) error {
+	if row.Deleted {
+		return nil
+	}
+	name, isDone := strings.CutPrefix(row.Key, donePrefix)
+	switch {
+	case row.Part != hostsDuty && row.Key == needKey:
+		var need needRow
+		err := decode(row, &need)
+		r.needs[row.Part] = need
+		return err
+	case row.Part == hostsDuty && row.Key == planKey:
+		var plan planRow
+		err := decode(row, &plan)
+		r.recent = plan.Recent
+		r.withdraw = make(map[string]bool, len(plan.Withdraw))
+		for _, id := range plan.Withdraw {
+			r.withdraw[id] = true
+		}
+		return err
+	case row.Part == hostsDuty && isDone:
+		var done doneRow
+		err := decode(row, &done)
+		r.done[name] = done.Hosts
+		return err
+	}
+	return nil
+}
+
+// withdrawn returns the workers that are to be cleared for maintenance.
+func (m *Manager) withdrawn() map[string]bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.hostRows.withdraw
+}
