Take workers off the roster before their hosts may be moved

At 33.8 s the holder named seven spare workers as cleared, at 34.4 s their hosts were moved, at 34.5 s every entry host was killed. The roster that the next holder read still named them, so it waited the longest lease (6 s) for workers that were gone, and started none of the jobs accepted before. At 41.9 s it handed the duty over to spread it, again with such workers on the roster, and the next holder waited until 48 s.

Change: the need that names a worker as cleared and the roster without it are stored in one transaction. A next holder reads the stored need and starts nothing, for two seconds, on the workers that it names: orders may follow it. It also replaces that row even if its own need is empty. A duty is handed over for balance only while the stored roster names no life that is over.

Ruled out: starts left unsure by the hand-over (their workers answered the next holder at once), the store (it answered from 35.7 s on).

Tests: TestClearedWorkers; "off the roster" (9 of the named workers were on it) and "starts nothing" fail without the change, "go on at once" did not.

--- a/core/work/roster.go
+++ b/core/work/roster.go
@@ -33,6 +33,9 @@
 	return admitted, removed
 }
 
+// Known reports whether the board has a life, listed or not.
+func (b *Board) Known(l Life) bool { return b.workers[l] != nil }
+
 // admit begins to know a life. Orders whose answers were lost in an earlier life may be carried out in this one.
 func (b *Board) admit(l Listing) *worker {
 	w := &worker{Listing: l, runs: make(map[Run]*run)}
--- a/io/runner/commits.go
+++ b/io/runner/commits.go
@@ -52,8 +52,16 @@
 		changes = h.board.Changes(changesPerCommit)
 		h.changedAt = time.Time{}
 	}
+	var roster map[work.Life]bool
+	if needDue {
+		roster = h.dueRoster(need)
+	}
+	side := h.sideRows(counts, countsDue, need, needDue)
+	if roster != nil {
+		side = append(side, h.replaceRoster(roster))
+	}
 	h.committing = true
-	h.group.Go(func() { h.commit(changes, h.sideRows(counts, countsDue, need, needDue)) })
+	h.group.Go(func() { h.commit(changes, side, roster) })
 }
 
 // sideRows returns the rows that are written beside jobs' progress.
@@ -66,7 +74,7 @@
 	}
 	if needDue {
 		rows = append(rows, platform.RowWrite{RowKey: needKeyOf(h.pool), Value: encode(need)})
-		h.need = need
+		h.need, h.needKnown = need, true
 		h.clearing.report(need.Cleared)
 	}
 	return rows
@@ -85,8 +93,8 @@
 	return counts, true
 }
 
-// commit stores changes and other rows in one transaction.
-func (h *holder) commit(changes []work.Change, side []platform.RowWrite) {
+// commit stores changes and other rows, that of a roster among them if there is one, in one transaction.
+func (h *holder) commit(changes []work.Change, side []platform.RowWrite, roster map[work.Life]bool) {
 	tx := platform.Commit{Expected: []platform.Expectation{h.fence()}, Writes: side, Purpose: "progress"}
 	for _, c := range changes {
 		value, err := c.Progress.Encode()
@@ -109,7 +117,10 @@
 	case err == nil:
 		h.clearing.stored(h.need.Cleared, time.Now())
 	default:
-		h.pending, h.need = nil, needRow{}
+		h.pending, h.needKnown = nil, false
+	}
+	if roster != nil && err == nil {
+		h.rosterStored(roster)
 	}
 	h.mu.Unlock()
 	h.settle(err)
--- a/io/runner/duties.go
+++ b/io/runner/duties.go
@@ -97,7 +97,7 @@
 	switch {
 	case step == duty.StepTake, row.Holder == m.Member && t == nil:
 		m.takeDuty(ctx, name, row)
-	case step == duty.StepHandOver && t != nil && name != hostsDuty && m.quiet(name):
+	case step == duty.StepHandOver && t != nil && name != hostsDuty && m.quiet(name) && m.rosterKept(name):
 		// The duty for hosts is light and stays: its hosts would stand still around a hand-over.
 		m.handOver(ctx, t, to)
 	}
@@ -135,7 +135,7 @@
 	listings, _, _ := m.workers.pool(name)
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return !h.committing && maps.Equal(h.roster, h.board.Roster(listings, h.clearing.wanted))
+	return !h.committing && maps.Equal(h.stored, h.board.Roster(listings, h.clearing.withdrawn()))
 }
 
 // takeDuty writes ourselves as the holder of a pool's duty, and runs it.
--- a/io/runner/fake_test.go
+++ b/io/runner/fake_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/matryer/is"
 
+	"siskincross/core/capacity"
 	"siskincross/core/event"
 	"siskincross/core/work"
 	"siskincross/io/platform"
@@ -34,6 +35,8 @@
 	loseEvery, commits int
 	// answers is how long an answer takes.
 	answers time.Duration
+	// committed, if set, sees the rows after each commit.
+	committed func(rows map[platform.RowKey]platform.PartRow)
 }
 
 // answerTime is how long the store and the workers take for an answer.
@@ -146,6 +149,9 @@
 	}
 	close(s.changed)
 	s.changed = make(chan struct{})
+	if s.committed != nil {
+		s.committed(s.rows)
+	}
 	return s.version, nil
 }
 
@@ -258,6 +264,8 @@
 	store   *fakeStore
 	workers map[string]*fakeWorker
 	hosts   map[string]*fakeHost
+	// movable sites have hosts that can be moved to other pools, though nobody asks for any.
+	movable bool
 }
 
 // fakeHost is a running entry host.
@@ -276,11 +284,22 @@
 
 // withFakeSite runs a test in virtual time on a site with entry hosts "e0", "e1" and so on, and workers "w0", "w1" and so on of ten cores.
 func withFakeSite(t *testing.T, hosts, workers int, test func(*fakeSite)) {
+	t.Helper()
+	playSite(t, fakeSite{}, hosts, workers, test)
+}
+
+// withMovableSite is withFakeSite for a site whose hosts can be moved to other pools.
+func withMovableSite(t *testing.T, hosts, workers int, test func(*fakeSite)) {
+	t.Helper()
+	playSite(t, fakeSite{movable: true}, hosts, workers, test)
+}
+
+func playSite(t *testing.T, site fakeSite, hosts, workers int, test func(*fakeSite)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		s := &fakeSite{
-			t: t, is: is.New(t), store: newFakeStore(), workers: make(map[string]*fakeWorker), hosts: make(map[string]*fakeHost),
-		}
+		s := &site
+		s.t, s.is, s.store = t, is.New(t), newFakeStore()
+		s.workers, s.hosts = make(map[string]*fakeWorker), make(map[string]*fakeHost)
 		s.store.put(platform.RowKey{Table: fakeTable, Key: "config"}, 1)
 		for i := range workers {
 			s.addWorker(fmt.Sprintf("w%d", i))
@@ -350,6 +369,14 @@
 		Node: name, Member: fmt.Sprintf("%s/%d", name, time.Now().UnixNano()), Zone: "z",
 		Recorder: &timeline.Recorder{Process: name, Sink: h.note},
 	}
+	if s.movable {
+		h.manager.Machines = platform.Machines{
+			List: func(context.Context) ([]capacity.Machine, error) { return nil, nil },
+			Send: func(context.Context, platform.MachineOrder) (capacity.Outcome, string) {
+				return capacity.OutcomeDone, ""
+			},
+		}
+	}
 	ctx, stop := context.WithCancel(context.Background())
 	h.stop = stop
 	h.done = h.manager.Start(ctx)
--- a/io/runner/holder.go
+++ b/io/runner/holder.go
@@ -33,15 +33,19 @@
 	// ready is true once the stored jobs and the workers were read.
 	ready    bool
 	contacts map[work.Life]bool
-	// roster holds the lives that the stored roster has.
+	// roster holds the lives that the stored roster has and that may get work, stored those that it may have: those that are being
+	// taken out, and those of a commit that failed, are in stored alone.
 	roster     map[work.Life]bool
+	stored     map[work.Life]bool
 	rosterAt   time.Time
 	committing bool
 	// changedAt is when the oldest change that waits for its commit came up.
 	changedAt time.Time
 	pending   map[string]int
 	pendingAt time.Time
+	// need is what was stored last. It is to be written again while needKnown is false.
 	need      needRow
+	needKnown bool
 	needAt    time.Time
 	clearing  clearing
 	retryAt   time.Time
@@ -55,7 +59,7 @@
 	h := &holder{
 		tenure: t, pool: t.name, floor: t.epoch,
 		board:    &work.Board{Pool: t.name, Epoch: t.epoch, Term: t.term, Policy: t.m.Policy},
-		contacts: make(map[work.Life]bool), roster: make(map[work.Life]bool), clearing: newClearing(),
+		contacts: make(map[work.Life]bool), roster: make(map[work.Life]bool), stored: make(map[work.Life]bool), clearing: newClearing(),
 	}
 	t.run = func() {
 		if h.takeOver() {
@@ -97,8 +101,13 @@
 	for _, row := range progress {
 		stored[row.Key] = row
 	}
+	need, err := h.readNeed()
+	if err != nil {
+		return 0, err
+	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.clearing.report(need.Cleared)
 	for _, row := range specs {
 		if row.Key == rosterKey {
 			h.expect(row)
@@ -138,6 +147,7 @@
 	for _, l := range roster.Lives {
 		life := work.Life{Worker: l.Worker, Born: l.Born}
 		h.roster[life] = true
+		h.stored[life] = true
 		h.board.Expect(life, time.Now())
 	}
 }
@@ -201,8 +211,9 @@
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	listings = h.clearing.admissible(listings, h.board.Known)
 	cleared := h.board.ClearedLives()
-	wanted := h.board.Roster(listings, h.clearing.wanted)
+	wanted := h.board.Roster(listings, h.clearing.withdrawn())
 	if !h.committing && !now.Before(h.retryAt) && h.rosterDue(wanted, now) {
 		h.commitRoster(wanted)
 	}
@@ -238,24 +249,16 @@
 
 // commitRoster stores the lives on which tasks may run from now on. The caller holds the lock.
 func (h *holder) commitRoster(roster map[work.Life]bool) {
-	h.rosterAt = time.Now()
-	var row rosterRow
-	for life := range roster {
-		row.Lives = append(row.Lives, lifeRow{Worker: life.Worker, Born: life.Born})
-	}
-	// From here on the stored roster may lack the lives that are left out: they must get no work meanwhile.
-	maps.DeleteFunc(h.roster, func(life work.Life, _ bool) bool { return !roster[life] })
+	write := h.replaceRoster(roster)
 	h.committing = true
 	h.group.Go(func() {
 		version, err := h.m.Rows.Commit(h.ctx, platform.Commit{
-			Expected: []platform.Expectation{h.fence()},
-			Writes:   []platform.RowWrite{{RowKey: markKey(h.pool, rosterKey), Value: encode(row)}},
-			Purpose:  "roster",
+			Expected: []platform.Expectation{h.fence()}, Writes: []platform.RowWrite{write}, Purpose: "roster",
 		})
 		h.mu.Lock()
 		h.committing = false
 		if err == nil {
-			h.roster = roster
+			h.rosterStored(roster)
 			h.feed.committed(version, time.Now())
 		}
 		h.mu.Unlock()
@@ -264,6 +267,24 @@
 	})
 }
 
+// replaceRoster returns the row of a new roster that is about to be stored. The caller holds the lock.
+func (h *holder) replaceRoster(roster map[work.Life]bool) platform.RowWrite {
+	h.rosterAt = time.Now()
+	var row rosterRow
+	for life := range roster {
+		row.Lives = append(row.Lives, lifeRow{Worker: life.Worker, Born: life.Born})
+		h.stored[life] = true
+	}
+	// From here on the stored roster may lack the lives that are left out: they must get no work meanwhile.
+	maps.DeleteFunc(h.roster, func(life work.Life, _ bool) bool { return !roster[life] })
+	return platform.RowWrite{RowKey: markKey(h.pool, rosterKey), Value: encode(row)}
+}
+
+// rosterStored notes that a roster is stored. The caller holds the lock.
+func (h *holder) rosterStored(roster map[work.Life]bool) {
+	h.roster, h.stored = roster, maps.Clone(roster)
+}
+
 // settle notes how a commit ended: a failed fence ends the duty, another failure delays the next commit.
 func (h *holder) settle(err error) {
 	var overtaken platform.ErrOvertaken
--- a/io/runner/need.go
+++ b/io/runner/need.go
@@ -92,6 +92,14 @@
 	return all
 }
 
+// admissible leaves out the listed workers for which an order of an earlier holder's need may be on its way, until the board knows them.
+func (c *clearing) admissible(listings []work.Listing, known func(work.Life) bool) []work.Listing {
+	return slices.DeleteFunc(listings, func(l work.Listing) bool {
+		_, reported := c.reported[l.Life.Worker]
+		return reported && !c.wanted[l.Life.Worker] && !known(l.Life)
+	})
+}
+
 // report notes that a need with these cleared workers is about to be stored.
 func (c *clearing) report(cleared []string) {
 	for _, id := range cleared {
@@ -132,7 +140,7 @@
 	load := h.poolLoad(now)
 	cleared := slices.DeleteFunc(h.board.Cleared(), func(id string) bool { return !h.clearing.wanted[id] })
 	need := needRow{Ask: load.Ask, Urgent: load.Urgent, Spare: load.Spare, Cleared: cleared}
-	if need.equal(h.need) {
+	if h.needKnown && need.equal(h.need) {
 		return needRow{}, false
 	}
 	h.needAt = now
@@ -141,6 +149,42 @@
 	return need, true
 }
 
+// dueRoster returns the roster that has to be stored together with a need: once a need names a worker as cleared, its host may be moved,
+// and a next holder would wait for each such worker that is on the roster. The caller holds the lock.
+func (h *holder) dueRoster(need needRow) map[work.Life]bool {
+	if !slices.ContainsFunc(need.Cleared, h.mayBeRostered) {
+		return nil
+	}
+	listings, _, _ := h.m.workers.pool(h.pool)
+	return h.board.Roster(h.clearing.admissible(listings, h.board.Known), h.clearing.withdrawn())
+}
+
+// mayBeRostered reports whether the stored roster may have a life of the worker.
+func (h *holder) mayBeRostered(worker string) bool {
+	for life := range h.stored {
+		if life.Worker == worker {
+			return true
+		}
+	}
+	return false
+}
+
+// readNeed reads what the earlier holder told the holder of the duty for hosts: orders may still follow it.
+func (h *holder) readNeed() (needRow, error) {
+	if h.m.Machines.Send == nil {
+		return needRow{}, nil
+	}
+	row, ok, err := h.m.Rows.ReadOne(h.ctx, needKeyOf(h.pool), "takeover")
+	if err != nil || !ok {
+		return needRow{}, err
+	}
+	var need needRow
+	if err := decode(row, &need); err != nil {
+		h.m.record(event.Event{Number: event.WorkRowUnreadable, Pool: h.pool, Detail: err.Error()})
+	}
+	return need, nil
+}
+
 // poolLoad tells what the pool does with its workers. None are spare while new jobs may not have been told of.
 func (h *holder) poolLoad(now time.Time) work.Load {
 	load := h.board.Load(now)
--- /dev/null
+++ b/io/runner/need_test.go
@@ -0,0 +1,104 @@
+package runner_test
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	"siskincross/io/platform"
+)
+
+// cleared returns the workers that the stored need of the pool names as cleared.
+func cleared(rows map[platform.RowKey]platform.PartRow) []string {
+	var need struct{ Cleared []string }
+	if json.Unmarshal(rows[platform.RowKey{Table: "hosts", Part: fakePool, Key: "need"}].Value, &need) != nil {
+		return nil
+	}
+	return need.Cleared
+}
+
+// rostered returns the workers on the stored roster of the pool.
+func rostered(rows map[platform.RowKey]platform.PartRow) map[string]bool {
+	var roster struct{ Lives []struct{ Worker string } }
+	names := make(map[string]bool)
+	if json.Unmarshal(rows[platform.RowKey{Table: "queue-" + fakePool, Part: fakePool, Key: "!roster"}].Value, &roster) == nil {
+		for _, life := range roster.Lives {
+			names[life.Worker] = true
+		}
+	}
+	return names
+}
+
+func (s *fakeSite) cleared() []string {
+	s.store.mu.Lock()
+	defer s.store.mu.Unlock()
+	return cleared(s.store.rows)
+}
+
+func TestClearedWorkers(t *testing.T) {
+	t.Run("worker that is named as cleared is off the roster, so that a next holder need not wait for it", func(t *testing.T) {
+		withMovableSite(t, 3, 6, func(s *fakeSite) {
+			named, both := 0, 0
+			s.store.committed = func(rows map[platform.RowKey]platform.PartRow) {
+				onRoster := rostered(rows)
+				for _, id := range cleared(rows) {
+					named++
+					if onRoster[id] {
+						both++
+					}
+				}
+			}
+			for range 3 {
+				s.is.NoErr(s.submit("e0", time.Now().String(), 60))
+				time.Sleep(6 * time.Second)
+			}
+			s.is.True(named > 0)
+			s.is.Equal(both, 0)
+		})
+	})
+	// The hosts of spare workers are moved, and the holder is killed in the same moment.
+	t.Run("jobs go on at once though hosts were moved just before their holder was lost", func(t *testing.T) {
+		withMovableSite(t, 3, 6, func(s *fakeSite) {
+			lost := s.holder()
+			next := s.other(lost)
+			s.is.NoErr(s.submit(next, "first", 60))
+			for len(s.cleared()) > 0 {
+				time.Sleep(10 * time.Millisecond)
+			}
+			for len(s.cleared()) == 0 {
+				time.Sleep(10 * time.Millisecond)
+			}
+			for _, id := range s.cleared() {
+				s.darken(id)
+			}
+			s.kill(lost)
+			s.is.NoErr(s.submit(next, "j", 4))
+			s.is.True(s.completed(next, "j", 20*time.Second) < 4*time.Second)
+		})
+	})
+	t.Run("next holder starts nothing on the workers that the earlier one named as cleared", func(t *testing.T) {
+		withMovableSite(t, 3, 6, func(s *fakeSite) {
+			lost := s.holder()
+			next := s.other(lost)
+			s.is.NoErr(s.submit(next, "first", 60))
+			for len(s.cleared()) > 0 {
+				time.Sleep(10 * time.Millisecond)
+			}
+			for len(s.cleared()) == 0 {
+				time.Sleep(10 * time.Millisecond)
+			}
+			named := s.cleared()
+			s.kill(lost)
+			time.Sleep(time.Second)
+			began := time.Now()
+			s.is.NoErr(s.submit(next, "j", 50))
+			s.completed(next, "j", 20*time.Second)
+			for _, id := range named {
+				for task, at := range s.workers[id].started {
+					// Orders that follow the earlier need may come until two seconds after the next holder replaced it.
+					s.is.True(string(task.Job) != "j" || at.Sub(began) > 3*time.Second)
+				}
+			}
+		})
+	})
+}
