Ask for no more cores than waiting tasks take at once

Waiting work was divided by the time in which it should be done even if its tasks are longer than that: tasks of 4 s with a second left counted four times the cores that they can use.

Ruled out: the ranking of pools (it follows the asks); hosts that were cleared and not moved (all moved within 0.3 s of an ask for them).

Test: TestLoad, "no more cores than its tasks take at once", fails without.

Forecasts from few large jobs still ask for too much.

--- a/core/work/load.go
+++ b/core/work/load.go
@@ -100,7 +100,8 @@
 			}
 		}
 		running += float64(busy) * cores
-		waiting += b.coreSeconds(g.job, s, g.left-busy) / g.burn(now).Seconds()
+		// More cores than all waiting tasks take at once would not end them sooner.
+		waiting += min(b.coreSeconds(g.job, s, g.left-busy)/g.burn(now).Seconds(), float64(g.left-busy)*cores)
 	}
 	return lasting + math.Max(b.foreseen(now), running+waiting)
 }
--- a/core/work/load_test.go
+++ b/core/work/load_test.go
@@ -116,6 +116,17 @@
 		f.is.True(ask(time.Second) >= 20)
 		f.is.True(ask(5*time.Second) < ask(time.Second)/2)
 	})
+	// A few long tasks come at once: more cores than they take would not end them sooner.
+	t.Run("waiting work asks for no more cores than its tasks take at once", func(t *testing.T) {
+		f := withPool(t, 3)
+		j := chain("j", 20)
+		j.Steps[0].Estimate = 30 * time.Second
+		f.board.Add(j, work.Progress{}, 5, true, f.now) // accepted before, so that it doesn't count as demand that grows
+		f.now = f.now.Add(3 * time.Second)
+		ask := f.board.Load(f.now).Ask
+		f.is.True(ask >= 2) // 20 tasks of one core at 12 cores
+		f.is.True(ask <= 4)
+	})
 	t.Run("lasting tasks are spread, so that the loss of a worker takes few", func(t *testing.T) {
 		f := withPool(t, 4)
 		f.board.Add(lastingJob("j", 4), work.Progress{}, 11, false, f.now)
