Give the count of waiting jobs an age, and count the rows where it is old

A holder counted by its board however long ago the store had told it of new jobs, and a stored count had no time: while its holder was slow, or gone and not yet replaced, others told an old one.

Change: the stored count has the store's time and is written each second while the pool has jobs. A holder that has heard nothing new for a second and a half, and whoever reads a count older than 2 s (the platform's bound), count the rows of the jobs themselves, one reading at a time for each pool.

Ruled out: jobs counted as begun too early (a task counts once its worker accepted it or it was reported).

--- a/core/work/board.go
+++ b/core/work/board.go
@@ -312,6 +312,9 @@
 	return counts
 }
 
+// Empty reports whether the board has no job that is not final.
+func (b *Board) Empty() bool { return len(b.jobs) == 0 }
+
 // State returns the state of a job that the board holds.
 func (b *Board) State(id ID) (State, bool) {
 	j := b.jobs[id]
--- a/io/runner/commits.go
+++ b/io/runner/commits.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"maps"
 	"time"
 
 	"siskincross/core/event"
@@ -17,8 +16,6 @@
 	finalDelay = 8 * time.Millisecond
 	// changeDelay is how long other progress waits. Its ends are not acknowledged meanwhile, which delays nobody.
 	changeDelay = 120 * time.Millisecond
-	// pendingEvery is the least time between two writes of the count of waiting jobs, half of the age that it may have.
-	pendingEvery = time.Second
 )
 
 // store begins a commit of what changed, if one is due.
@@ -38,13 +35,13 @@
 	if final {
 		delay = finalDelay
 	}
-	counts, countsDue := h.duePending(now)
+	count, countDue := h.dueCount(now)
 	need, needDue := h.dueNeed(now)
 	if changed && now.Sub(h.changedAt) < delay {
 		changed = false
 		time.AfterFunc(delay, h.wake)
 	}
-	if !changed && !countsDue && !needDue {
+	if !changed && !countDue && !needDue {
 		return
 	}
 	var changes []work.Change
@@ -56,7 +53,7 @@
 	if needDue {
 		roster = h.dueRoster(need)
 	}
-	side := h.sideRows(counts, countsDue, need, needDue)
+	side := h.sideRows(count, countDue, need, needDue)
 	if roster != nil {
 		side = append(side, h.replaceRoster(roster))
 	}
@@ -65,12 +62,12 @@
 }
 
 // sideRows returns the rows that are written beside jobs' progress.
-func (h *holder) sideRows(counts map[string]int, countsDue bool, need needRow, needDue bool) []platform.RowWrite {
+func (h *holder) sideRows(count countRow, countDue bool, need needRow, needDue bool) []platform.RowWrite {
 	var rows []platform.RowWrite
-	if countsDue {
+	if countDue {
 		key := platform.RowKey{Table: countTable, Part: h.pool, Key: pendingKey}
-		rows = append(rows, platform.RowWrite{RowKey: key, Value: encode(counts)})
-		h.pending = counts
+		rows = append(rows, platform.RowWrite{RowKey: key, Value: encode(count)})
+		h.counted = count.Waiting
 	}
 	if needDue {
 		rows = append(rows, platform.RowWrite{RowKey: needKeyOf(h.pool), Value: encode(need)})
@@ -80,19 +77,6 @@
 	return rows
 }
 
-// duePending returns the counts of waiting jobs if they have to be written.
-func (h *holder) duePending(now time.Time) (map[string]int, bool) {
-	if now.Sub(h.pendingAt) < pendingEvery {
-		return nil, false
-	}
-	counts := h.board.Pending()
-	if h.pending != nil && maps.Equal(counts, h.pending) {
-		return nil, false
-	}
-	h.pendingAt = now
-	return counts, true
-}
-
 // commit stores changes and other rows, that of a roster among them if there is one, in one transaction.
 func (h *holder) commit(changes []work.Change, side []platform.RowWrite, roster map[work.Life]bool) {
 	tx := platform.Commit{Expected: []platform.Expectation{h.fence()}, Writes: side, Purpose: "progress"}
@@ -117,7 +101,7 @@
 	case err == nil:
 		h.clearing.stored(h.need.Cleared, time.Now())
 	default:
-		h.pending, h.needKnown = nil, false
+		h.counted, h.needKnown = nil, false
 	}
 	if roster != nil && err == nil {
 		h.rosterStored(roster)
--- a/io/runner/feed.go
+++ b/io/runner/feed.go
@@ -79,6 +79,8 @@
 	// due is the version of a commit of ours that the feed has to tell of, since when; zero if there is none.
 	due   uint64
 	since time.Time
+	// heardAt is when the feed told last, be it that there is nothing new.
+	heardAt time.Time
 	// reading is true while the table is read because the feed is silent.
 	reading bool
 }
@@ -91,8 +93,8 @@
 }
 
 // heard notes that the table is known up to a version.
-func (f *queueFeed) heard(version uint64) {
-	f.told = max(f.told, version)
+func (f *queueFeed) heard(version uint64, now time.Time) {
+	f.told, f.heardAt = max(f.told, version), now
 	if f.told >= f.due {
 		f.due = 0
 	}
@@ -104,7 +106,7 @@
 func (h *holder) feedHeard(version uint64) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.feed.heard(version)
+	h.feed.heard(version, time.Now())
 }
 
 // watchFeed reads the pool's jobs while their feed is silent.
@@ -127,7 +129,7 @@
 		h.feed.reading = false
 		h.feed.since = time.Now()
 		if err == nil {
-			h.feed.heard(version)
+			h.feed.heard(version, time.Now())
 		}
 	})
 }
--- a/io/runner/holder.go
+++ b/io/runner/holder.go
@@ -41,8 +41,9 @@
 	committing bool
 	// changedAt is when the oldest change that waits for its commit came up.
 	changedAt time.Time
-	pending   map[string]int
-	pendingAt time.Time
+	// counted is the count of waiting jobs that was stored last.
+	counted   map[string]int
+	countedAt time.Time
 	// need is what was stored last. It is to be written again while needKnown is false.
 	need      needRow
 	needKnown bool
@@ -119,6 +120,7 @@
 		}
 	}
 	h.ready = true
+	h.feed.heardAt = time.Now()
 	return version, nil
 }
 
--- a/io/runner/intake.go
+++ b/io/runner/intake.go
@@ -373,28 +373,3 @@
 	}
 	return true, nil
 }
-
-// Pending returns how many jobs of a queue have no task started, as of a second or two ago.
-func (m *Manager) Pending(ctx context.Context, q work.Queue) (int, error) {
-	if h := m.holder(q.Pool); h != nil {
-		h.mu.Lock()
-		ready, counts := h.ready, h.board.Pending()
-		h.mu.Unlock()
-		if ready {
-			return counts[q.Key()], nil
-		}
-	}
-	if m.health.away(q.Pool) {
-		return 0, errStoreAway()
-	}
-	key := platform.RowKey{Table: countTable, Part: q.Pool, Key: pendingKey}
-	row, ok, err := m.Rows.ReadOne(ctx, key, "pending")
-	if err != nil || !ok {
-		return 0, err
-	}
-	var counts map[string]int
-	if err := decode(row, &counts); err != nil {
-		return 0, err
-	}
-	return counts[q.Key()], nil
-}
--- a/io/runner/manager.go
+++ b/io/runner/manager.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/uber-go/tally/v4"
+	"golang.org/x/sync/singleflight"
 
 	"siskincross/core/capacity"
 	"siskincross/core/duty"
@@ -42,6 +43,9 @@
 	// Scope takes the metrics; nil means none.
 	Scope tally.Scope
 
+	// counting holds the readings of pools' waiting jobs that are on their way.
+	counting singleflight.Group
+
 	once  sync.Once
 	scope tally.Scope
 	ctx   context.Context
--- a/io/runner/rows.go
+++ b/io/runner/rows.go
@@ -22,11 +22,12 @@
 
 	memberPrefix = "member/"
 	holderKey    = "holder"
-	// Keys of a queue table that are no jobs begin with markPrefix, which no ID does.
-	markPrefix = "!"
-	fenceKey   = markPrefix + "fence"
-	rosterKey  = markPrefix + "roster"
-	pendingKey = "pending"
+	// Keys of a queue table that are no jobs begin with markPrefix, which no ID does; firstJobKey is above them all.
+	markPrefix  = "!"
+	firstJobKey = "\""
+	fenceKey    = markPrefix + "fence"
+	rosterKey   = markPrefix + "roster"
+	pendingKey  = "pending"
 )
 
 func queueTable(pool string) string { return queueTablePrefix + pool }
