Give each life of the model's workers its own time of birth

The trace: w1 was booted twice in the same millisecond of the model's clock, so both lives had the same name; a start that waited in the first was carried out in the second, which had seen no epoch. A platform's worker can't begin twice in a millisecond.

Change: a life's time of birth is above that of the one before. No check was changed.

--- a/core/work/model_test.go
+++ b/core/work/model_test.go
@@ -128,7 +128,8 @@
 func (m *model) boot(w *modelWorker, id string) {
 	m.log("%s boots", id)
 	*w = modelWorker{
-		life: work.Life{Worker: id, Born: m.now.UnixMilli()}, alive: true, reachable: w.reachable, born: m.now,
+		// Two lives of a worker never begin in the same millisecond.
+		life: work.Life{Worker: id, Born: max(m.now.UnixMilli(), w.life.Born+1)}, alive: true, reachable: w.reachable, born: m.now,
 		rate: []float64{1, modelSlow}[m.serial%2], runs: make(map[work.Run]*modelRun), barred: make(map[work.Task]int),
 		lapsesAt: make(map[uint64]int),
 	}
