Try a failed task on another worker

Workers that fail part of their tasks while reporting that they are well cost whole jobs this way; three failures in a row of different jobs hardly ever come.

Change: an attempt that failed on a worker counts against it for that task, more than any difference in load and less than the data's rack; two count more than the rack.

--- a/core/work/place.go
+++ b/core/work/place.go
@@ -49,7 +49,7 @@
 		if !t.startable(now) {
 			continue
 		}
-		w := b.choose(g, open, nil, now)
+		w := b.choose(g, open, nil, t.failedOn, now)
 		if w == nil {
 			g.searching = true
 			if g.spec().Lasting && (!g.needsAdvice() || len(g.approvals) > 0) {
@@ -78,7 +78,7 @@
 	extra := make(map[*worker]int)
 	chosen := make([]*worker, len(g.tasks))
 	for i := range g.tasks {
-		chosen[i] = b.choose(g, open, extra, now)
+		chosen[i] = b.choose(g, open, extra, g.tasks[i].failedOn, now)
 		if chosen[i] == nil {
 			g.searching = true
 			return nil
@@ -106,8 +106,8 @@
 }
 
 // choose returns the best worker with room for one more task of the step and the approval that it needs, or nil. Extra counts tasks
-// of the step that are about to be placed.
-func (b *Board) choose(g *group, open []*worker, extra map[*worker]int, now time.Time) *worker {
+// of the step that are about to be placed, failedOn the attempts of the task that failed, by worker.
+func (b *Board) choose(g *group, open []*worker, extra map[*worker]int, failedOn map[string]int, now time.Time) *worker {
 	spec := g.spec()
 	demand := spec.counted()
 	racks := g.racks(extra)
@@ -125,7 +125,7 @@
 		if spec.SpreadLimit > 0 && g.on(w)+planned >= spec.SpreadLimit {
 			continue
 		}
-		score := w.score(spec, need, racks)
+		score := w.score(spec, need, racks) - scoreFailed*float64(failedOn[w.Life.Worker])
 		if best == nil || score > bestScore {
 			best, bestScore = w, score
 		}
@@ -171,10 +171,12 @@
 }
 
 // Weights of a worker's score. A rack outweighs any difference in load: on another
-// rack a task takes a multiple of its time.
+// rack a task takes a multiple of its time. An attempt that failed on a worker outweighs the load, so that the next one goes to another
+// worker of the rack if there is one; after two, it goes to another rack.
 const (
 	scoreDataRack = 4.0
 	scoreSameRack = 2.0
+	scoreFailed   = 3.0
 )
 
 // score rates a worker for a task: near the data first. Tasks that last go to the emptiest worker, so that the loss of one takes
--- a/core/work/report.go
+++ b/core/work/report.go
@@ -280,6 +280,10 @@
 		j.change(j.progress.WithFailure(e.Run))
 		b.markDirty(j)
 		t.failures = j.progress.Failures(t.name())
+		if t.failedOn == nil {
+			t.failedOn = make(map[string]int)
+		}
+		t.failedOn[w.Life.Worker]++
 		if t.failures >= max(1, j.Attempts) {
 			b.end(j, StateFailed)
 		}
--- a/core/work/run.go
+++ b/core/work/run.go
@@ -75,6 +75,8 @@
 	// notBefore delays the next attempt after a refusal.
 	notBefore time.Time
 	failures  int
+	// failedOn counts the failed attempts that this holder heard of, by worker.
+	failedOn map[string]int
 }
 
 func (t *task) name() Task {
--- a/core/work/withdraw.go
+++ b/core/work/withdraw.go
@@ -58,7 +58,7 @@
 			}
 			g := r.task.group
 			late := w.withdrawn && now.Sub(w.withdrawnAt) > withdrawPatience
-			if g.spec().Lasting && b.choose(g, open, nil, now) == nil {
+			if g.spec().Lasting && b.choose(g, open, nil, nil, now) == nil {
 				g.searching = true
 				b.cramped++ // it would have nowhere to go
 				continue
