Count workers that a new holder has not heard from yet as the pool's

An urgent need takes cleared hosts first and withdraws workers of the largest pools.

None is offered as spare while one is unheard.

Test: TestLoad, "have not been heard from yet", fails without.

--- a/core/work/load.go
+++ b/core/work/load.go
@@ -121,36 +121,41 @@
 	return min(max(slack, burnTime), lateBurn)
 }
 
-// Load tells what the pool does with its workers.
+// Load tells what the pool does with its workers. Those that have not been heard from yet count as its own, so that a new holder does
+// not ask for hosts in their place, but none is offered meanwhile.
 func (b *Board) Load(now time.Time) Load {
 	b.init()
-	var usable []*worker
-	cores := 0.0
+	var heard []*worker
+	present, cores := 0, 0.0
 	for _, w := range b.order {
-		if w.listed && w.answered && !w.Draining && !w.withdrawn && w.misses < silentMisses {
-			usable = append(usable, w)
-			cores += float64(w.Capacity.MilliCores) / 1000
+		if !w.listed || w.Draining || w.withdrawn || w.misses >= silentMisses {
+			continue
+		}
+		present++
+		cores += float64(w.Capacity.MilliCores) / 1000
+		if w.answered {
+			heard = append(heard, w)
 		}
 	}
-	if len(usable) == 0 {
+	if present == 0 {
 		if len(b.groups) > 0 {
 			return Load{Ask: keepWorkers, Urgent: keepWorkers, Why: "no workers"}
 		}
 		return Load{}
 	}
-	each := cores / float64(len(usable))
+	each := cores / float64(present)
 	need := b.expected(now)
-	load := Load{Why: fmt.Sprintf("%d workers with %.0f cores, %.0f needed, %d steps without a place, %d tasks that can't leave", len(usable), cores, need, b.homeless, b.cramped)}
+	load := Load{Why: fmt.Sprintf("%d workers with %.0f cores, %.0f needed, %d steps without a place, %d tasks that can't leave", present, cores, need, b.homeless, b.cramped)}
 	if need > cores*growAt {
 		load.Ask = int(math.Ceil((need/growAt - cores) / each))
 	}
-	load.Urgent = max(0, keepWorkers-len(usable))
+	load.Urgent = max(0, keepWorkers-present)
 	if b.homeless+b.cramped > 0 {
 		load.Urgent = max(load.Urgent, 1)
 	}
 	load.Ask = max(load.Ask, load.Urgent)
 	keep := max(keepWorkers, b.spreadOver(), int(math.Ceil(need/shrinkAt/each)))
-	if len(usable) <= keep || load.Urgent > 0 {
+	if present <= keep || len(heard) < present || load.Urgent > 0 {
 		b.spareSince = time.Time{}
 		return load
 	}
@@ -160,8 +165,8 @@
 	if now.Sub(b.spareSince) < spareAfter {
 		return load
 	}
-	load.Spare = len(usable) - keep
-	load.Offer = b.cheapest(usable, load.Spare, now)
+	load.Spare = present - keep
+	load.Offer = b.cheapest(heard, load.Spare, now)
 	return load
 }
 
--- a/core/work/load_test.go
+++ b/core/work/load_test.go
@@ -159,6 +159,22 @@
 			f.is.True(!busy[id])
 		}
 	})
+	// A new holder knows the jobs and has called the workers, which have not answered yet.
+	t.Run("workers that have not been heard from yet are the pool's, and none of them is spare", func(t *testing.T) {
+		f := withBoard(t)
+		var list []work.Listing
+		for i := range 6 {
+			list = append(list, listing(fmt.Sprintf("w%02d", i)))
+		}
+		f.board.List(list, f.now)
+		f.board.Add(chain("j", 2), work.Progress{}, 5, true, f.now)
+		for range 5 {
+			load := f.board.Load(f.now)
+			f.is.Equal(load.Ask, 0)
+			f.is.Equal(load.Spare, 0)
+			f.now = f.now.Add(hundred)
+		}
+	})
 	t.Run("silent workers are not the pool's", func(t *testing.T) {
 		f := withPool(t, 3)
 		for range 2 {
