Wait while transactions of a part wait for each other, instead of refusing

Cause: with a store fifty times slower a pool's part takes four transactions a second and refuses more than a second of them with 429.

Change: a 429 gives the store's calls the most time (2.5 s) for three seconds. Submissions refused so go back to the front of their batch for 1.5 s at most, so that the next transaction takes more of them. It does not count as a failure of the part; the part is probed by a read for a second, which tells whether this entry host is turned away.

--- a/io/platform/http.go
+++ b/io/platform/http.go
@@ -198,7 +198,7 @@
 func settle(what call, err error) error {
 	var unknown ErrOutcomeUnknown
 	if !what.write && errors.As(err, &unknown) {
-		return ErrUnavailable(unknown)
+		return ErrUnavailable{Service: unknown.Service, Reason: unknown.Reason}
 	}
 	return err
 }
--- a/io/runner/fake_test.go
+++ b/io/runner/fake_test.go
@@ -35,6 +35,10 @@
 	loseEvery, commits int
 	// answers is how long an answer takes.
 	answers time.Duration
+	// txTime is how long a transaction takes; those of a part come one after another until, by part, and are refused while more than
+	// a second of them waits.
+	txTime time.Duration
+	until  map[string]time.Time
 	// committed, if set, sees the rows after each commit.
 	committed func(rows map[platform.RowKey]platform.PartRow)
 }
@@ -79,6 +83,39 @@
 	return nil
 }
 
+// await plays the line of transactions of a part. One that is given up is not carried out here, but takes its time.
+func (s *fakeStore) await(ctx context.Context, c platform.Commit) error {
+	s.mu.Lock()
+	if s.txTime == 0 {
+		s.mu.Unlock()
+		return nil
+	}
+	part := ""
+	if len(c.Writes) > 0 {
+		part = c.Writes[0].Part
+	}
+	wait := max(0, time.Until(s.until[part]))
+	if wait > time.Second {
+		s.mu.Unlock()
+		return platform.ErrUnavailable{Service: "store", Reason: "too many wait", Busy: true}
+	}
+	s.until[part] = time.Now().Add(wait + s.txTime)
+	s.mu.Unlock()
+	select {
+	case <-time.After(wait + s.txTime):
+		return nil
+	case <-ctx.Done():
+		return platform.ErrOutcomeUnknown{Service: "store", Reason: ctx.Err().Error()}
+	}
+}
+
+// slow has each transaction of a part take a time.
+func (s *fakeStore) slow(txTime time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.txTime, s.until = txTime, make(map[string]time.Time)
+}
+
 // rowsFor returns the store as one entry host sees it.
 func (s *fakeStore) rowsFor(node string) platform.Rows {
 	return platform.Rows{
@@ -86,6 +123,9 @@
 			if err := s.enter(ctx, node); err != nil {
 				return 0, err
 			}
+			if err := s.await(ctx, c); err != nil {
+				return 0, err
+			}
 			version, err := s.commit(c)
 			if c.Purpose == "accept" && s.losesAnswer() {
 				<-ctx.Done()
--- a/io/runner/health.go
+++ b/io/runner/health.go
@@ -20,6 +20,8 @@
 	healthEvery = 100 * time.Millisecond
 	// probeEvery is the time between two calls that ask a part that is away whether it is back.
 	probeEvery = 250 * time.Millisecond
+	// crowdedTime is how long a part is probed after a transaction was refused because too many waited.
+	crowdedTime = time.Second
 	// sameAnswer is by how much a call may have begun before one that is answered and still be believed to be on its way.
 	sameAnswer = 100 * time.Millisecond
 	// everyPart stands for calls that concern rows of all parts.
@@ -44,6 +46,8 @@
 	failing  time.Time
 	answered time.Time
 	probed   time.Time
+	// crowded is when a transaction was last refused because too many waited.
+	crowded time.Time
 	// away is the judgement that was told last.
 	away bool
 }
@@ -114,6 +118,13 @@
 	return s.judge(c.part, now)
 }
 
+// crowded notes that a transaction of the part was refused because too many waited. That alone does not make the part away.
+func (s *storeHealth) crowded(part string, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.part(part).crowded = now
+}
+
 // giveUp ends the calls of the part that began before one that was answered, and all that wait: a connection on which an
 // answer was lost delivers nothing more.
 func (s *storeHealth) giveUp(answered *storeCall) {
@@ -169,7 +180,7 @@
 		}
 	}
 	for name, p := range s.parts {
-		if (p.away || s.overdue(name, p, doubtAfter, now)) && now.Sub(p.probed) >= probeEvery {
+		if (p.away || s.overdue(name, p, doubtAfter, now) || now.Sub(p.crowded) < crowdedTime) && now.Sub(p.probed) >= probeEvery {
 			p.probed = now
 			probes = append(probes, name)
 		}
--- a/io/runner/intake.go
+++ b/io/runner/intake.go
@@ -41,6 +41,11 @@
 	bytesPerCommit = 500_000
 	// storeAway is the Retry-After while the store refuses calls: its short disturbances are over by then.
 	storeAway = time.Second
+	// busyTime is how long a submission waits for its part of the store while too many transactions wait there: a second of them is in
+	// front, and the next one takes all submissions of this entry host.
+	busyTime = 1500 * time.Millisecond
+	// busyPause is the time between two tries meanwhile.
+	busyPause = 300 * time.Millisecond
 )
 
 // submission is a caller's job on its way to the store.
@@ -49,6 +54,7 @@
 	row []byte
 	// maybe is true once a commit with it had an unknown outcome.
 	maybe bool
+	came  time.Time
 	ctx   context.Context
 	done  chan error
 }
@@ -73,7 +79,7 @@
 		m.tellSubmit(q, job, err)
 		return err
 	}
-	s := &submission{job: job, row: encode(newSpecRow(job)), ctx: ctx, done: make(chan error, 1)}
+	s := &submission{job: job, row: encode(newSpecRow(job)), came: time.Now(), ctx: ctx, done: make(chan error, 1)}
 	if stored, err := m.storedBefore(ctx, q, job.ID); stored || err != nil {
 		return err
 	}
@@ -152,10 +158,17 @@
 			return
 		}
 		b.mu.Unlock()
-		m.storeGroup(pool, group)
+		m.storeGroup(pool, b, group)
 	}
 }
 
+// putBack has submissions wait again, before those that came later.
+func (b *batch) putBack(group []*submission) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.waiting = append(group, b.waiting...)
+}
+
 // refuseWaiting refuses the submissions that wait behind a commit that the store does not answer: none of them was sent.
 func (m *Manager) refuseWaiting() {
 	m.mu.Lock()
@@ -186,8 +199,9 @@
 	return group
 }
 
-// storeGroup commits a group until the outcome of each submission is known or its caller's time is over.
-func (m *Manager) storeGroup(pool string, group []*submission) {
+// storeGroup commits a group until the outcome of each submission is known or its caller's time is over. While too many transactions
+// wait at the store, it puts the group back into the batch instead, so that the next one takes more submissions.
+func (m *Manager) storeGroup(pool string, b *batch, group []*submission) {
 	var retry backoff
 	for len(group) > 0 {
 		version, err := m.Rows.Commit(m.ctx, acceptTransaction(pool, group))
@@ -204,6 +218,13 @@
 		case errors.As(err, &overtaken):
 			group = dropStored(pool, group, overtaken)
 			continue
+		case errors.As(err, &unavailable) && unavailable.Busy:
+			group = dropExpired(refuseOld(group, err), err)
+			b.putBack(group)
+			if len(group) > 0 {
+				sleep(m.ctx, jitter(busyPause))
+			}
+			return
 		case errors.As(err, &unavailable), errors.As(err, &invalid):
 			group = refuseNew(group, err)
 		default:
@@ -267,6 +288,19 @@
 	return kept
 }
 
+// refuseOld refuses the submissions that have waited for long and of which no commit can have taken effect.
+func refuseOld(group []*submission, err error) []*submission {
+	kept := group[:0]
+	for _, s := range group {
+		if !s.maybe && time.Since(s.came) > busyTime {
+			s.done <- ErrNotAccepted{Reason: err.Error(), RetryAfter: storeAway}
+			continue
+		}
+		kept = append(kept, s)
+	}
+	return kept
+}
+
 // dropExpired gives up the submissions whose callers' time is over.
 func dropExpired(group []*submission, err error) []*submission {
 	kept := group[:0]
--- a/io/runner/observe.go
+++ b/io/runner/observe.go
@@ -77,12 +77,25 @@
 		}
 		m.scope.Tagged(map[string]string{"call": kind}).Histogram("store_latency", latencyBuckets).RecordDuration(time.Since(call.began))
 	}
+	counts := !errors.Is(ctx.Err(), context.Canceled)
+	if kind == "commit" && isBusy(err) {
+		// The store serves, but transactions of the part wait for each other; or it turns this entry host away, which a probe tells.
+		counts = false
+		m.storePatience.stretch()
+		m.health.crowded(call.part, time.Now())
+	}
 	answered := outcome != "unavailable" && outcome != "unknown"
-	if change, ok := m.health.end(call, answered, !errors.Is(ctx.Err(), context.Canceled)); ok {
+	if change, ok := m.health.end(call, answered, counts); ok {
 		m.tellStore(change, err)
 	}
 }
 
+// isBusy reports whether a call was refused because there was too much to do.
+func isBusy(err error) bool {
+	var unavailable platform.ErrUnavailable
+	return errors.As(err, &unavailable) && unavailable.Busy
+}
+
 // tellStore records a change of what is believed of the store, and acts on it.
 func (m *Manager) tellStore(change judgement, cause error) {
 	part := change.part
--- a/io/runner/patience.go
+++ b/io/runner/patience.go
@@ -19,6 +19,8 @@
 	mostPause   = 250 * time.Millisecond
 	// usualStep is by which part the usual time follows each answer: from one millisecond to a hundred within fifty answers.
 	usualStep = 1.1
+	// stretchTime is how long calls are given the most after one was told to wait: a few of the calls that wait a second each.
+	stretchTime = 3 * time.Second
 	// leastUsual keeps the usual time from falling so low that it rises too late.
 	leastUsual = time.Millisecond
 )
@@ -38,6 +40,8 @@
 
 	mu    sync.Mutex
 	usual time.Duration
+	// stretched is until when calls are given the most.
+	stretched time.Time
 }
 
 // took takes in how long an answer took. A call without an answer counts as longer than any.
@@ -52,6 +56,14 @@
 	p.usual = max(time.Duration(float64(p.usual)/usualStep), leastUsual)
 }
 
+// stretch gives calls the most time for a while: the other side told that calls wait for each other. A call that is given up
+// goes on waiting there, and its repeat waits behind it.
+func (p *patience) stretch() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.stretched = time.Now().Add(stretchTime)
+}
+
 // pause is the time between two renewals of a worker: longer while answers take longer, so that a process that is short of its
 // processor hears of more ends with each call.
 func (p *patience) pause() time.Duration {
@@ -64,5 +76,8 @@
 func (p *patience) limit() time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if time.Now().Before(p.stretched) {
+		return cmp.Or(p.most, mostPatience)
+	}
 	return min(max(patienceFactor*p.usual, cmp.Or(p.least, leastPatience)), cmp.Or(p.most, mostPatience))
 }
