Do not refuse submissions that were put back and may be stored

Submissions that wait for the next try because their part is crowded may have been in a commit without an answer; when the part was then judged away, all that waited were told that their job was not accepted, though it may be stored and run.

Change: only those are refused of which no commit can have taken effect.

--- a/io/runner/intake.go
+++ b/io/runner/intake.go
@@ -169,7 +169,7 @@
 	b.waiting = append(group, b.waiting...)
 }
 
-// refuseWaiting refuses the submissions that wait behind a commit that the store does not answer: none of them was sent.
+// refuseWaiting refuses the submissions that wait behind a commit that the store does not answer, and were not sent themselves.
 func (m *Manager) refuseWaiting() {
 	m.mu.Lock()
 	waiting := make(map[string]*batch, len(m.batches))
@@ -180,13 +180,17 @@
 	}
 	m.mu.Unlock()
 	for _, b := range waiting {
-		b.mu.Lock()
-		finish(b.waiting, ErrNotAccepted{Reason: errStoreAway().Error(), RetryAfter: storeAway})
-		b.waiting = nil
-		b.mu.Unlock()
+		b.refuse(errStoreAway())
 	}
 }
 
+// refuse refuses the waiting submissions of which no commit can have taken effect.
+func (b *batch) refuse(err error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.waiting = refuseNew(b.waiting, err)
+}
+
 // next takes the oldest submissions that fit into one transaction.
 func (b *batch) next() []*submission {
 	size, n := 0, 0
