--- a/io/runner/intake_test.go
+++ b/io/runner/intake_test.go
@@ -26,7 +26,7 @@
 				time.Sleep(25 * time.Millisecond)
 			}
 			group.Wait()
-			s.is.True(accepted >= 100)
+			s.is.True(accepted >= 60) // pauses vary, 80 to 103 are; without the wait it is one
 		})
 	})
 }
