--- a/io/runner/fake_test.go
+++ b/io/runner/fake_test.go
@@ -116,6 +116,13 @@
 	s.txTime, s.until = txTime, make(map[string]time.Time)
 }
 
+// watch has a function see the rows after each commit from now on; nil ends that.
+func (s *fakeStore) watch(committed func(rows map[platform.RowKey]platform.PartRow)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.committed = committed
+}
+
 // rowsFor returns the store as one entry host sees it.
 func (s *fakeStore) rowsFor(node string) platform.Rows {
 	return platform.Rows{
--- a/io/runner/need_test.go
+++ b/io/runner/need_test.go
@@ -39,7 +39,7 @@
 	t.Run("worker that is named as cleared is off the roster, so that a next holder need not wait for it", func(t *testing.T) {
 		withMovableSite(t, 3, 6, func(s *fakeSite) {
 			named, both := 0, 0
-			s.store.committed = func(rows map[platform.RowKey]platform.PartRow) {
+			s.store.watch(func(rows map[platform.RowKey]platform.PartRow) {
 				onRoster := rostered(rows)
 				for _, id := range cleared(rows) {
 					named++
@@ -47,11 +47,12 @@
 						both++
 					}
 				}
-			}
+			})
 			for range 3 {
 				s.is.NoErr(s.submit("e0", time.Now().String(), 60))
 				time.Sleep(6 * time.Second)
 			}
+			s.store.watch(nil)
 			s.is.True(named > 0)
 			s.is.Equal(both, 0)
 		})
