--- a/io/runner/need_test.go
+++ b/io/runner/need_test.go
@@ -35,6 +35,18 @@
 	return cleared(s.store.rows)
 }
 
+// clearedAfterWork keeps all workers busy for a while, and returns those that are named as cleared in the moment when any are again.
+func (s *fakeSite) clearedAfterWork(host string) []string {
+	s.is.NoErr(s.submit(host, "first", 60))
+	for len(s.cleared()) > 0 {
+		time.Sleep(10 * time.Millisecond)
+	}
+	for len(s.cleared()) == 0 {
+		time.Sleep(10 * time.Millisecond)
+	}
+	return s.cleared()
+}
+
 func TestClearedWorkers(t *testing.T) {
 	t.Run("worker that is named as cleared is off the roster, so that a next holder need not wait for it", func(t *testing.T) {
 		withMovableSite(t, 3, 6, func(s *fakeSite) {
@@ -62,14 +74,8 @@
 		withMovableSite(t, 3, 6, func(s *fakeSite) {
 			lost := s.holder()
 			next := s.other(lost)
-			s.is.NoErr(s.submit(next, "first", 60))
-			for len(s.cleared()) > 0 {
-				time.Sleep(10 * time.Millisecond)
-			}
-			for len(s.cleared()) == 0 {
-				time.Sleep(10 * time.Millisecond)
-			}
-			for _, id := range s.cleared() {
+			named := s.clearedAfterWork(next)
+			for _, id := range named {
 				s.darken(id)
 			}
 			s.kill(lost)
@@ -81,14 +87,7 @@
 		withMovableSite(t, 3, 6, func(s *fakeSite) {
 			lost := s.holder()
 			next := s.other(lost)
-			s.is.NoErr(s.submit(next, "first", 60))
-			for len(s.cleared()) > 0 {
-				time.Sleep(10 * time.Millisecond)
-			}
-			for len(s.cleared()) == 0 {
-				time.Sleep(10 * time.Millisecond)
-			}
-			named := s.cleared()
+			named := s.clearedAfterWork(next)
 			s.kill(lost)
 			time.Sleep(time.Second)
 			began := time.Now()
