Tell why a run counts as over without a report of its end, and keep rare lines

On call, a task that ran twice could not be told from one whose worker was lost: runs were taken as over because of a lease, a life or a report without a line. Each now has an event with the reason, the age of the last answer, the lease and the unanswered calls.

Each kind now has a bound of its own (TestBounded, failed before: no work-given-up line).

--- a/core/event/work.go
+++ b/core/event/work.go
@@ -36,6 +36,7 @@
 	WorkAdvised
 	WorkAdviceFailed
 	WorkPaced
+	WorkGivenUp
 )
 
 var workEntries = []Entry{
@@ -73,4 +74,5 @@
 	{WorkAdvised, "work", "The policy service told which of some workers may run a step."},
 	{WorkAdviceFailed, "work", "The policy service did not answer an inquiry, or refused it; it is asked again."},
 	{WorkPaced, "work", "A worker was told to slow or hasten a task that fills beside one with a target."},
+	{WorkGivenUp, "work", "An attempt counts as over without a report of its end; its task may be started again."},
 }
--- a/core/work/board.go
+++ b/core/work/board.go
@@ -51,6 +51,8 @@
 	// Term counts the holders of the duty.
 	Term   int
 	Policy Policy
+	// GaveUp is told of each run that the board takes as over without a report of its end; nil means nobody is.
+	GaveUp func(GivenUp)
 
 	ready    bool
 	policy   Policy
--- a/core/work/order.go
+++ b/core/work/order.go
@@ -121,7 +121,7 @@
 			continue
 		}
 		for _, r := range sortedRuns(w) {
-			b.release(r)
+			b.giveUp(r, CauseLeaseOver, now)
 		}
 	}
 }
@@ -281,7 +281,7 @@
 				r.task.group.ticketRefused(r.worker.Life)
 			}
 		}
-		b.release(r)
+		b.giveUp(r, CauseRefused, now)
 	}
 }
 
@@ -323,7 +323,7 @@
 	}
 	delete(b.unseen, l)
 	for _, r := range sortedRuns(w) {
-		b.release(r)
+		b.giveUp(r, CauseLifeOver, time.Time{})
 	}
 	if !w.listed {
 		b.remove(w)
--- a/core/work/progress.go
+++ b/core/work/progress.go
@@ -8,7 +8,7 @@
 	"slices"
 )
 
-//go:generate go run github.com/dmarkham/enumer@v1.7.2 -type=State,How,Verdict,OrderKind,standing -transform=kebab -text -json -trimprefix=State,How,Verdict,Order,standing -output=work_enumer.go
+//go:generate go run github.com/dmarkham/enumer@v1.7.2 -type=State,How,Verdict,OrderKind,Cause,standing -transform=kebab -text -json -trimprefix=State,How,Verdict,Order,Cause,standing -output=work_enumer.go
 
 // State is a job's state as its caller sees it.
 type State int
--- a/core/work/report.go
+++ b/core/work/report.go
@@ -158,7 +158,7 @@
 		}
 	}
 	if len(report.Ends) < EndsPerReport {
-		b.dropAbsent(w, present, sequence)
+		b.dropAbsent(w, present, sequence, now)
 	}
 	return taken
 }
@@ -175,10 +175,10 @@
 }
 
 // dropAbsent ends the runs that the worker confirmed before the renewal was sent and does not have.
-func (b *Board) dropAbsent(w *worker, present map[Run]bool, sequence uint64) {
+func (b *Board) dropAbsent(w *worker, present map[Run]bool, sequence uint64, now time.Time) {
 	for _, r := range sortedRuns(w) {
 		if r.confirmed && r.known < sequence && !present[r.name] {
-			b.release(r)
+			b.giveUp(r, CauseAbsent, now)
 		}
 	}
 }
--- a/core/work/roster.go
+++ b/core/work/roster.go
@@ -70,7 +70,7 @@
 		b.unwanted[r] = true
 		return
 	}
-	b.release(r)
+	b.giveUp(r, CauseLifeOver, time.Time{})
 }
 
 // detach takes a run off its worker.
--- a/io/logs/bounded.go
+++ b/io/logs/bounded.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -13,13 +14,13 @@
 	"siskincross/core/event"
 )
 
-// Bounded writes log lines without ever blocking those who log, and bounds their number. Lines of
-// single tasks and requests have a bound of their own, so that a busy hour does not push out the few that
-// tell what happened to the fleet. What is left out is counted in a line of its own.
+// Bounded writes log lines without ever blocking those who log, and bounds their number. Debug events
+// share one bound, every other kind has a bound of its own, so that no frequent kind pushes out a rare one.
+// What is left out is counted in a line of its own.
 type Bounded struct {
 	// Logger tells what is written, and where.
 	Logger Logger
-	// Lines bounds the lines a second of debug events, Burst how many may come at once. Other events may be a quarter as many.
+	// Lines bounds the lines a second of debug events, Burst how many may come at once. Each other kind may have a quarter of that.
 	Lines float64
 	Burst int
 	// Process names the process in the lines about lines that were left out.
@@ -28,7 +29,9 @@
 	queue   chan event.Event
 	dropped atomic.Int64
 	detail  *rate.Limiter
-	others  *rate.Limiter
+	// mu guards others, the bounds of the kinds that are not debug.
+	mu     sync.Mutex
+	others map[event.Number]*rate.Limiter
 }
 
 const (
@@ -44,7 +47,7 @@
 func (b *Bounded) Start(ctx context.Context) <-chan error {
 	b.queue = make(chan event.Event, boundedQueue)
 	b.detail = rate.NewLimiter(rate.Limit(b.Lines), b.Burst)
-	b.others = rate.NewLimiter(rate.Limit(b.Lines/4), b.Burst)
+	b.others = make(map[event.Number]*rate.Limiter)
 	done := make(chan error, 1)
 	go func() { done <- b.run(ctx) }()
 	return done
@@ -52,11 +55,7 @@
 
 // Sink queues an event, or counts it as left out. It never blocks.
 func (b *Bounded) Sink(e event.Event) {
-	limiter := b.others
-	if e.Number.Level() == event.LevelDebug {
-		limiter = b.detail
-	}
-	if !limiter.Allow() {
+	if !b.limiter(e.Number).Allow() {
 		b.dropped.Add(1)
 		return
 	}
@@ -67,6 +66,24 @@
 	}
 }
 
+// kindShare is the part of the bound of debug events that each other kind may have.
+const kindShare = 4
+
+// limiter returns the bound of a kind of event.
+func (b *Bounded) limiter(n event.Number) *rate.Limiter {
+	if n.Level() == event.LevelDebug {
+		return b.detail
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	limiter := b.others[n]
+	if limiter == nil {
+		limiter = rate.NewLimiter(rate.Limit(b.Lines/kindShare), max(1, b.Burst/kindShare))
+		b.others[n] = limiter
+	}
+	return limiter
+}
+
 // Dropped is how many lines were left out and not told yet.
 func (b *Bounded) Dropped() int64 { return b.dropped.Load() }
 
--- a/io/logs/bounded_test.go
+++ b/io/logs/bounded_test.go
@@ -56,6 +56,17 @@
 		is.Equal(strings.Count(out.String(), "work-duty-taken"), 1)
 		is.True(strings.Contains(out.String(), "lines-left-out"))
 	})
+	t.Run("kind that is frequent does not push out another", func(t *testing.T) {
+		is := is.New(t)
+		out := &lockedBuffer{}
+		is.NoErr(<-withBounded(out, func(b *logs.Bounded) {
+			for range 1000 {
+				b.Sink(event.Event{Number: event.WorkStartUnsure})
+			}
+			b.Sink(event.Event{Number: event.WorkGivenUp})
+		}))
+		is.Equal(strings.Count(out.String(), "work-given-up"), 1)
+	})
 	t.Run("reader that stands still blocks nobody", func(t *testing.T) {
 		is := is.New(t)
 		reader, writer := io.Pipe() // nobody reads yet
--- a/io/runner/contacts.go
+++ b/io/runner/contacts.go
@@ -143,6 +143,18 @@
 	h.wake()
 }
 
+// tellGivenUp records why a run counts as over. A refusal has a line of its own.
+func (h *holder) tellGivenUp(g work.GivenUp) {
+	if g.Cause == work.CauseRefused {
+		return
+	}
+	h.m.record(event.Event{
+		Number: event.WorkGivenUp, Pool: h.pool, Host: g.Life.Worker, Job: string(g.Run.Task.Job),
+		Detail: fmt.Sprintf("%s: %s, wanted %t, heard %s ago, clock at least %s, last lease to %s, %d calls unanswered",
+			g.Run, g.Cause, g.Wanted, g.Heard.Round(time.Millisecond), g.Clock.Round(time.Millisecond), g.Granted.Round(time.Millisecond), g.Misses),
+	})
+}
+
 func (h *holder) tellOrder(o work.Order, a work.Answer) {
 	number := event.WorkStarted
 	switch {
--- a/io/runner/holder.go
+++ b/io/runner/holder.go
@@ -62,6 +62,7 @@
 		board:    &work.Board{Pool: t.name, Epoch: t.epoch, Term: t.term, Policy: t.m.Policy},
 		contacts: make(map[work.Life]bool), roster: make(map[work.Life]bool), stored: make(map[work.Life]bool), clearing: newClearing(),
 	}
+	h.board.GaveUp = h.tellGivenUp
 	t.run = func() {
 		if h.takeOver() {
 			h.rounds()
