Give duties to entry hosts in proportion to what they may use

Cause: Spread knew members by name alone. Member rows now carry the processor share, link and memory of the boot settings (absent or zero is unknown), and Spread weighs them: a member's load is the weight of its duties over what its processor, link and memory allow, whichever is least. Capacities do not change in a process's life and each move lowers the load, so nothing flaps. The duty for hosts counts a quarter, and is not handed over, as before.

Open: weights of pools are equal; neither the configuration nor anything else that all members see at the same time tells their demand.

--- a/core/duty/member.go
+++ b/core/duty/member.go
@@ -14,6 +14,8 @@
 	Name    string `json:"name"`
 	Zone    string `json:"zone"`
 	Address string `json:"address"`
+	// Capacity is what the member's process may use.
+	Capacity Capacity `json:"capacity,omitzero"`
 	// Leaving members are about to end. They get no duties, and the row only tells
 	// which rows they wrote last.
 	Leaving bool `json:"leaving,omitempty"`
--- a/io/runner/duties.go
+++ b/io/runner/duties.go
@@ -18,6 +18,8 @@
 	// firstDuty is how long a starting member waits before it takes duties, so that members
 	// that start together have seen each other.
 	firstDuty = 1200 * time.Millisecond
+	// hostsWeight is the work of the duty for hosts relative to that for a pool: it calls no workers and starts no tasks.
+	hostsWeight = 0.25
 )
 
 // runDuties takes and gives up duties until ctx ends.
@@ -68,11 +70,20 @@
 func (m *Manager) spread(names, live []string) map[string]string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	holders := make(map[string]string, len(names))
+	duties := make(map[string]duty.Duty, len(names))
 	for _, name := range names {
-		holders[name] = m.holderRows[name].Holder
+		duties[name] = duty.Duty{Holder: m.holderRows[name].Holder}
+		if name == hostsDuty {
+			duties[name] = duty.Duty{Holder: m.holderRows[name].Holder, Weight: hostsWeight, Stays: true}
+		}
+	}
+	capacities := make(map[string]duty.Capacity, len(live))
+	for _, member := range live {
+		if sighting, ok := m.ledger.Member(member); ok {
+			capacities[member] = sighting.Member.Capacity
+		}
 	}
-	return duty.Spread(holders, live, m.ledger.Steady(echoTime))
+	return duty.Spread(duties, duty.Fleet{Live: live, Steady: m.ledger.Steady(echoTime), Capacities: capacities})
 }
 
 // look does what is due about one duty.
--- a/io/runner/fake_test.go
+++ b/io/runner/fake_test.go
@@ -15,6 +15,7 @@
 	"github.com/matryer/is"
 
 	"siskincross/core/capacity"
+	"siskincross/core/duty"
 	"siskincross/core/event"
 	"siskincross/core/work"
 	"siskincross/io/platform"
@@ -313,6 +314,8 @@
 	hosts   map[string]*fakeHost
 	// movable sites have hosts that can be moved to other pools, though nobody asks for any.
 	movable bool
+	// capacities holds the entry hosts' capacities where they are known.
+	capacities map[string]duty.Capacity
 }
 
 // fakeHost is a running entry host.
@@ -414,6 +417,7 @@
 			DecodeWave: func(platform.PartRow) (work.Wave, bool, error) { return work.Wave{}, false, nil },
 		},
 		Node: name, Member: fmt.Sprintf("%s/%d", name, time.Now().UnixNano()), Zone: "z",
+		MilliCores: s.capacities[name].MilliCores, LinkMbps: s.capacities[name].LinkMbps, MemoryMB: s.capacities[name].MemoryMB,
 		Recorder: &timeline.Recorder{Process: name, Sink: h.note},
 	}
 	if s.movable {
@@ -577,6 +581,15 @@
 	return name
 }
 
+// term returns how many times the pool's duty was taken or handed over.
+func (s *fakeSite) term() int {
+	page := s.store.find(platform.Range{Table: "fleet", Part: fakePool, From: "holder"})
+	var row struct{ Term int }
+	s.is.Equal(len(page.Rows), 1)
+	s.is.NoErr(json.Unmarshal(page.Rows[0].Value, &row))
+	return row.Term
+}
+
 // darken has a worker answer nothing more, and the directory forget it.
 func (s *fakeSite) darken(id string) {
 	w := s.workers[id]
--- a/io/runner/manager.go
+++ b/io/runner/manager.go
@@ -33,6 +33,8 @@
 	Node   string
 	Member string
 	Zone   string
+	// MilliCores, LinkMbps and MemoryMB are what this process may use; zero if unknown.
+	MilliCores, LinkMbps, MemoryMB int
 	// Capacity holds the figures of the plan for hosts, OrderPause how long another holder's orders must be past.
 	Capacity   capacity.Policy
 	OrderPause time.Duration
--- a/io/runner/members.go
+++ b/io/runner/members.go
@@ -62,7 +62,10 @@
 	if leaving {
 		return nil
 	}
-	row := duty.Member{Name: m.Member, Zone: m.Zone, Beat: count}
+	row := duty.Member{
+		Name: m.Member, Zone: m.Zone, Beat: count,
+		Capacity: duty.Capacity{MilliCores: m.MilliCores, LinkMbps: m.LinkMbps, MemoryMB: m.MemoryMB},
+	}
 	_, err := m.Rows.Commit(ctx, platform.Commit{
 		Writes: []platform.RowWrite{{RowKey: m.memberKey(m.Member), Value: encode(row)}}, Purpose: "heartbeat",
 	})
