Decide about a pool's steps without repeating comparisons

Cause: a step without a place walked all workers although a step that needs no more had found none in the same round; steps were judged against their objective at each comparison of the sort; the order in which spare workers are offered counted each worker's tasks at each comparison; whether a later life is known was looked for among all workers, for each listed worker.

Ruled out: an index of workers by free room.

--- a/core/work/board.go
+++ b/core/work/board.go
@@ -86,6 +86,8 @@
 	shared bool
 	// homeless counts the lasting steps with a task that found no worker in the last round.
 	homeless int
+	// full holds the demands for which no worker had room in this round.
+	full []Resources
 	// cramped counts the lasting tasks that should leave a worker and found no other in the last round.
 	cramped int
 	// spareSince is since when the pool has had more workers than it needs.
@@ -149,23 +151,11 @@
 
 // succeeded reports whether a later life of the worker has answered.
 func (b *Board) succeeded(l Life) bool {
-	for _, w := range b.order {
-		if w.Life.Worker == l.Worker && w.Life.Born > l.Born && w.answered {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(b.laterLives(l), func(w *worker) bool { return w.answered })
 }
 
 // reborn reports whether the worker of a life is known to have started again since.
-func (b *Board) reborn(l Life) bool {
-	for _, w := range b.order {
-		if w.Life.Worker == l.Worker && w.Life.Born > l.Born {
-			return true
-		}
-	}
-	return false
-}
+func (b *Board) reborn(l Life) bool { return len(b.laterLives(l)) > 0 }
 
 // Add takes a job in. Version is that of its stored progress. Earlier tells that it was
 // accepted before this board's epoch, so that an earlier holder may have started it.
--- a/core/work/load.go
+++ b/core/work/load.go
@@ -183,18 +183,26 @@
 
 // cheapest returns the n workers whose loss disturbs least: those without lasting tasks that will be empty first.
 func (b *Board) cheapest(workers []*worker, n int, now time.Time) []string {
-	sorted := slices.Clone(workers)
-	slices.SortStableFunc(sorted, func(a, c *worker) int {
+	type candidate struct {
+		*worker
+		lasting int
+		busy    time.Duration
+	}
+	sorted := make([]candidate, 0, len(workers))
+	for _, w := range workers {
+		sorted = append(sorted, candidate{w, w.lasting(), b.busyFor(w, now)})
+	}
+	slices.SortStableFunc(sorted, func(a, c candidate) int {
 		return cmp.Or(
-			cmp.Compare(a.lasting(), c.lasting()),
-			cmp.Compare(b.busyFor(a, now), b.busyFor(c, now)),
+			cmp.Compare(a.lasting, c.lasting),
+			cmp.Compare(a.busy, c.busy),
 			cmp.Compare(a.used.MilliCores, c.used.MilliCores),
 			cmp.Compare(a.Life.Worker, c.Life.Worker),
 		)
 	})
 	ids := make([]string, 0, n)
-	for _, w := range sorted[:n] {
-		ids = append(ids, w.Life.Worker)
+	for _, c := range sorted[:n] {
+		ids = append(ids, c.Life.Worker)
 	}
 	return ids
 }
--- a/core/work/place.go
+++ b/core/work/place.go
@@ -16,6 +16,7 @@
 	open := b.openWorkers(now)
 	var orders []Order
 	b.homeless = 0
+	b.full = b.full[:0]
 	for _, g := range slices.Clone(b.groups) {
 		if (g.job.ambiguous && !settled) || !b.preceded(g.job, g.occurrence, g.step) {
 			continue
@@ -37,7 +38,10 @@
 
 // sortGroups orders the open steps by how urgent they are.
 func (b *Board) sortGroups(now time.Time) {
-	slices.SortFunc(b.groups, func(a, c *group) int { return compareGroups(a, c, now) })
+	for _, g := range b.groups {
+		g.stands = g.standing(now)
+	}
+	slices.SortFunc(b.groups, compareGroups)
 }
 
 func (b *Board) placeGroup(g *group, open []*worker, now time.Time) []Order {
@@ -110,6 +114,9 @@
 func (b *Board) choose(g *group, open []*worker, extra map[*worker]int, failedOn map[string]int, now time.Time) *worker {
 	spec := g.spec()
 	demand := spec.counted()
+	if b.isFull(g, demand) {
+		return nil
+	}
 	racks := g.racks(extra)
 	var best *worker
 	var bestScore float64
@@ -130,9 +137,27 @@
 			best, bestScore = w, score
 		}
 	}
+	if best == nil {
+		b.noteFull(g, demand)
+	}
 	return best
 }
 
+// isFull reports whether no worker had room for as much or less in this round: places are only taken until it ends.
+func (b *Board) isFull(g *group, demand Resources) bool {
+	if g.spec().Lasting {
+		return false // a worker with many starts on its way takes it all the same
+	}
+	return slices.ContainsFunc(b.full, demand.Holds)
+}
+
+// noteFull notes that no worker has room for a demand, if nothing else kept the step from one.
+func (b *Board) noteFull(g *group, demand Resources) {
+	if spec := g.spec(); spec.Label == "" && spec.SpreadLimit == 0 && !spec.Gang && !g.needsAdvice() {
+		b.full = append(b.full, demand)
+	}
+}
+
 // on counts the runs of the group on a worker.
 func (g *group) on(w *worker) int {
 	n := 0
--- a/core/work/place_test.go
+++ b/core/work/place_test.go
@@ -1,7 +1,11 @@
 package work_test
 
 import (
+	"fmt"
 	"testing"
+	"time"
+
+	"github.com/matryer/is"
 
 	"siskincross/core/work"
 )
@@ -47,3 +51,42 @@
 		f.is.Equal(failOn(f, first, 1).Life, first.Life)
 	})
 }
+
+// TestNoRoom guards against steps that are passed over because another step found no place in the same round.
+func TestNoRoom(t *testing.T) {
+	started := func(t *testing.T, first func(*work.Step)) []work.Order {
+		f := withPool(t, 2)
+		earlier, later := chain("a", 1), chain("b", 1)
+		first(&earlier.Steps[0])
+		f.board.Add(earlier, work.Progress{}, 11, false, f.now)
+		f.board.Add(later, work.Progress{}, 12, false, f.now)
+		return f.orders()
+	}
+	for name, first := range map[string]func(*work.Step){
+		"step that needs less than one without a place is started":           func(s *work.Step) { s.Demand.MilliCores = 5000 },
+		"step that needs less memory than one without a place is started":    func(s *work.Step) { s.Demand.MemoryMB = 1 << 20 },
+		"step without a label is started after one whose label nobody has":   func(s *work.Step) { s.Label = "none" },
+		"step is started after a gang that is too large":                     func(s *work.Step) { s.Gang, s.Tasks = true, 9 },
+		"step that spreads is followed by one that does not":                 func(s *work.Step) { s.SpreadLimit, s.Tasks = 1, 3 },
+		"lasting step without a place does not keep those that end from any": func(s *work.Step) { s.Lasting, s.Demand.MilliCores = true, 5000 },
+	} {
+		t.Run(name, func(t *testing.T) {
+			begun := make(map[work.ID]bool)
+			for _, o := range started(t, first) {
+				begun[o.Run.Task.Job] = true
+			}
+			is.New(t).True(begun["b"])
+		})
+	}
+	t.Run("steps that need as much as one without a place wait for room", func(t *testing.T) {
+		f := withPool(t, 1)
+		for i := range 6 {
+			f.board.Add(chain(work.ID(fmt.Sprint("j", i)), 2), work.Progress{}, 11, false, f.now)
+		}
+		f.is.Equal(len(f.orders()), 4) // a worker of four cores
+		f.is.Equal(len(f.orders()), 0)
+		f.now = f.now.Add(time.Second)
+		f.endAll(time.Second)
+		f.is.Equal(len(f.orders()), 4)
+	})
+}
--- a/core/work/roster.go
+++ b/core/work/roster.go
@@ -51,12 +51,25 @@
 		}
 	}
 	b.order = append(b.order, w)
-	slices.SortFunc(b.order, func(a, c *worker) int {
-		return cmp.Or(cmp.Compare(a.Life.Worker, c.Life.Worker), cmp.Compare(a.Life.Born, c.Life.Born))
-	})
+	slices.SortFunc(b.order, func(a, c *worker) int { return compareLives(a.Life, c.Life) })
 	return w
 }
 
+// compareLives is the order in which the board keeps its workers.
+func compareLives(a, c Life) int {
+	return cmp.Or(cmp.Compare(a.Worker, c.Worker), cmp.Compare(a.Born, c.Born))
+}
+
+// laterLives returns the known lives of the same worker that began after one.
+func (b *Board) laterLives(l Life) []*worker {
+	from, _ := slices.BinarySearchFunc(b.order, Life{Worker: l.Worker, Born: l.Born + 1}, func(w *worker, l Life) int { return compareLives(w.Life, l) })
+	until := from
+	for until < len(b.order) && b.order[until].Life.Worker == l.Worker {
+		until++
+	}
+	return b.order[from:until]
+}
+
 // bury ends a run of a life that is over. If its order may still be on its way, the run is doubtful in the next life.
 func (b *Board) bury(r *run, next *worker) {
 	if r.phase == phaseOrdered || r.phase == phaseDoubtful {
--- a/core/work/run.go
+++ b/core/work/run.go
@@ -105,6 +105,9 @@
 	// and tail the expected time from this step's start to that end.
 	from          time.Time
 	allowed, tail time.Duration
+	// due is when it should end, stands how it stands against that as of the last round.
+	due    time.Time
+	stands standing
 	// approvals holds what the policy service said of workers, if the step needs its approval.
 	approvals map[Life]approval
 	// inquiring is true while the policy service is asked about the step.
--- a/core/work/urgency.go
+++ b/core/work/urgency.go
@@ -56,6 +56,7 @@
 	g.tail = j.tails[g.step]
 	g.allowed = time.Duration(j.Objective.Factor*float64(j.chain)) + j.Objective.Slack
 	g.from = from
+	g.due = from.Add(g.allowed)
 }
 
 // standing judges a step now.
@@ -78,14 +79,9 @@
 
 // compareGroups orders steps: by standing, then by the queues' priority, then those first that must end first. Among
 // steps that are late already, the ones that became late last come first: they have the best chance to end before they are missed.
-func compareGroups(a, c *group, now time.Time) int {
-	x, y := a.standing(now), c.standing(now)
-	return cmp.Or(
-		cmp.Compare(x, y),
-		cmp.Compare(a.job.Priority, c.job.Priority),
-		a.from.Add(a.allowed).Compare(c.from.Add(c.allowed)),
-		cmp.Compare(a.job.ID, c.job.ID),
-		cmp.Compare(a.occurrence, c.occurrence),
-		cmp.Compare(a.step, c.step),
-	)
+func compareGroups(a, c *group) int {
+	if first := cmp.Or(cmp.Compare(a.stands, c.stands), cmp.Compare(a.job.Priority, c.job.Priority), a.due.Compare(c.due)); first != 0 {
+		return first
+	}
+	return cmp.Or(cmp.Compare(a.job.ID, c.job.ID), cmp.Compare(a.occurrence, c.occurrence), cmp.Compare(a.step, c.step))
 }
