Let a page of the store arrive as long as it takes, and go on with a reading that failed

Cause: every call of the store had ten times the median answer time, 0.3 to 2.5 s, also one that carries up to a megabyte. Over 10 Mbit/s a page takes a second; the reading of a new holder was given up in its first page and begun anew, while small calls kept the median low.

Ruled out: the store (its other calls of the same second were answered), and membership (the duty was held; only its rows were not read).

Now a call is given up when its answer does not begin in the usual time, or when nothing more of it comes for a second; the median follows the time to an answer's beginning. A part whose answer keeps arriving is not taken for silent. Readings are counted by purpose: rows, bytes, time; work-duty-taken tells them.

--- a/io/platform/rows.go
+++ b/io/platform/rows.go
@@ -71,6 +71,8 @@
 	Limit int
 	// Purpose names the mechanism that reads, for the metrics.
 	Purpose string
+	// Arriving is called when more of the answer has come; nil means nobody cares.
+	Arriving func()
 }
 
 // Page is a part of the rows of a range.
@@ -122,22 +124,11 @@
 
 // ReadAll returns all rows of a part between two keys, page by page, with the version of the first page.
 func (r Rows) ReadAll(ctx context.Context, q Range) ([]PartRow, uint64, error) {
-	var rows []PartRow
-	var version uint64
-	for {
-		page, err := r.Range(ctx, q)
-		if err != nil {
-			return nil, 0, err
-		}
-		if version == 0 {
-			version = page.Version
-		}
-		rows = append(rows, page.Rows...)
-		if !page.More || len(page.Rows) == 0 {
-			return rows, version, nil
-		}
-		q.From = page.Rows[len(page.Rows)-1].Key + "\x00"
+	reading := Reading{Query: q}
+	if err := reading.Continue(ctx, r); err != nil {
+		return nil, 0, err
 	}
+	return reading.Rows, reading.Version, nil
 }
 
 // ReadOne returns a row, and false if it does not exist.
--- a/io/runner/fake_test.go
+++ b/io/runner/fake_test.go
@@ -40,6 +40,11 @@
 	// a second of them waits.
 	txTime time.Duration
 	until  map[string]time.Time
+	// links holds each entry host's link if bandwidth, in bytes a second, bounds them.
+	links     map[string]*fakeLink
+	bandwidth int
+	// lostPages loses the answer of each so many pages that a takeover reads; zero loses none.
+	lostPages, pages int
 	// committed, if set, sees the rows after each commit.
 	committed func(rows map[platform.RowKey]platform.PartRow)
 }
@@ -145,7 +150,12 @@
 			if err := s.enter(ctx, node); err != nil {
 				return platform.Page{}, err
 			}
-			return s.find(q), nil
+			if s.losesPage(q) {
+				<-ctx.Done()
+				return platform.Page{}, platform.ErrOutcomeUnknown{Service: "store", Reason: ctx.Err().Error()}
+			}
+			page := s.find(q)
+			return page, s.transfer(ctx, node, wireSize(page.Rows), q.Arriving)
 		},
 		Parts: func(ctx context.Context, table string) ([]string, error) {
 			if err := s.enter(ctx, node); err != nil {
@@ -157,7 +167,11 @@
 			if err := s.enter(ctx, node); err != nil {
 				return platform.Changes{}, err
 			}
-			return s.follow(ctx, table, after, wait)
+			changes, err := s.follow(ctx, table, after, wait)
+			if err != nil {
+				return changes, err
+			}
+			return changes, s.transfer(ctx, node, wireSize(changes.Rows), nil)
 		},
 		Now: func() (time.Duration, bool) { return time.Duration(time.Now().UnixNano()), true },
 	}
@@ -212,7 +226,8 @@
 			page.Rows = append(page.Rows, row)
 		}
 	}
-	slices.SortFunc(page.Rows, func(a, b platform.PartRow) int { return strings.Compare(a.Key, b.Key) })
+	sortRows(page.Rows)
+	page.Rows, page.More = paged(page.Rows, q.Limit)
 	return page
 }
 
@@ -278,8 +293,9 @@
 	highest  map[work.Task]int
 	// dark workers answer nothing.
 	dark bool
-	// started holds when each task was first started.
+	// started holds when each task was first started, done how often it ended as done.
 	started map[work.Task]time.Time
+	done    map[work.Task]int
 }
 
 // taskTime is how long a task runs.
@@ -296,6 +312,9 @@
 		case time.Now().Before(until):
 			continue
 		}
+		if how == work.HowDone {
+			w.done[run.Task]++
+		}
 		delete(w.runs, run)
 		w.highest[run.Task] = max(w.highest[run.Task], run.Attempt)
 		w.number++
@@ -357,11 +376,13 @@
 		for i := range hosts {
 			s.start(fmt.Sprintf("e%d", i))
 		}
+		defer func() { // a test that fails ends here too
+			for name := range s.hosts {
+				s.kill(name)
+			}
+		}()
 		time.Sleep(10 * time.Second)
 		test(s)
-		for name := range s.hosts {
-			s.kill(name)
-		}
 	})
 }
 
@@ -372,6 +393,7 @@
 			Capacity: work.Resources{MilliCores: 10_000, MemoryMB: 10_000},
 		},
 		born: time.Now(), runs: make(map[work.Run]time.Time), highest: make(map[work.Task]int), started: make(map[work.Task]time.Time),
+		done: make(map[work.Task]int),
 	}
 	s.workers[id] = w
 	s.store.put(platform.RowKey{Table: "workers", Key: id}, w.listing)
@@ -550,10 +572,13 @@
 }
 
 // submit hands a job in at an entry host.
-func (s *fakeSite) submit(host, id string, tasks int) error {
+func (s *fakeSite) submit(host, id string, tasks int) error { return s.hand(host, job(id, tasks)) }
+
+// hand is submit for any job.
+func (s *fakeSite) hand(host string, j work.Job) error {
 	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
 	defer cancel()
-	return s.hosts[host].manager.Submit(ctx, s.queue(), job(id, tasks))
+	return s.hosts[host].manager.Submit(ctx, s.queue(), j)
 }
 
 // completed waits for a job's end as an entry host shows it, and returns how long that took.
--- a/io/runner/health.go
+++ b/io/runner/health.go
@@ -59,6 +59,8 @@
 	// waits is true for calls that the store holds back until there is something to tell.
 	waits  bool
 	cancel context.CancelFunc
+	// first and heard are when the first and the last bytes of the answer came, began before that.
+	first, heard time.Time
 	// given is true once the call was given up because later calls are answered.
 	given bool
 }
@@ -72,7 +74,8 @@
 // begin notes a call. Its context ends early if the call turns out to be lost.
 func (s *storeHealth) begin(ctx context.Context, part string, waits bool) (context.Context, *storeCall) {
 	ctx, cancel := context.WithCancel(ctx)
-	c := &storeCall{part: part, began: time.Now(), waits: waits, cancel: cancel}
+	now := time.Now()
+	c := &storeCall{part: part, began: now, heard: now, waits: waits, cancel: cancel}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.open == nil {
@@ -83,6 +86,26 @@
 	return ctx, c
 }
 
+// hear notes that more of the answer to a call has come.
+func (s *storeHealth) hear(c *storeCall) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c.heard = time.Now()
+	if c.first.IsZero() {
+		c.first = c.heard
+	}
+}
+
+// latency returns how long the answer to a call that has ended took to begin.
+func (s *storeHealth) latency(c *storeCall) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if c.first.IsZero() {
+		return time.Since(c.began)
+	}
+	return c.first.Sub(c.began)
+}
+
 func (s *storeHealth) part(name string) *partHealth {
 	p := s.parts[name]
 	if p == nil {
@@ -129,7 +152,7 @@
 // answer was lost delivers nothing more.
 func (s *storeHealth) giveUp(answered *storeCall) {
 	for c := range s.open {
-		if (c.part == answered.part || c.waits) && c.began.Before(answered.began.Add(-sameAnswer)) {
+		if (c.part == answered.part || c.waits) && c.heard.Before(answered.began.Add(-sameAnswer)) {
 			c.given = true
 			c.cancel()
 		}
@@ -161,7 +184,7 @@
 		return true
 	}
 	for c := range s.open {
-		if c.part == name && !c.waits && now.Sub(c.began) > after {
+		if c.part == name && !c.waits && now.Sub(c.heard) > after {
 			return true
 		}
 	}
--- a/io/runner/holder.go
+++ b/io/runner/holder.go
@@ -1,7 +1,6 @@
 package runner
 
 import (
-	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -71,75 +70,6 @@
 	return h
 }
 
-// takeOver reads what is stored of the pool until it succeeds. It reports false if the duty ended.
-func (h *holder) takeOver() bool {
-	var retry backoff
-	for {
-		version, err := h.load()
-		if err == nil {
-			h.m.record(event.Event{Number: event.WorkDutyTaken, Pool: h.pool, Detail: fmt.Sprintf(
-				"epoch %d, term %d, %d workers on the roster", h.epoch, h.board.Term, len(h.roster))})
-			h.group.Go(func() { h.followQueue(version) })
-			return true
-		}
-		h.m.record(event.Event{Number: event.WorkDutyFailed, Pool: h.pool, Detail: "read the pool's rows: " + err.Error()})
-		if !h.m.pause(h.ctx, &retry) {
-			return false
-		}
-	}
-}
-
-// load reads the roster, the jobs and their progress. Earlier holders are fenced already.
-func (h *holder) load() (uint64, error) {
-	specs, version, err := h.readPart(h.ctx, queueTable(h.pool))
-	if err != nil {
-		return 0, err
-	}
-	progress, _, err := h.readPart(h.ctx, jobTable)
-	if err != nil {
-		return 0, err
-	}
-	stored := make(map[string]platform.PartRow, len(progress))
-	for _, row := range progress {
-		stored[row.Key] = row
-	}
-	need, err := h.readNeed()
-	if err != nil {
-		return 0, err
-	}
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.clearing.report(need.Cleared)
-	for _, row := range specs {
-		if row.Key == rosterKey {
-			h.expect(row)
-		}
-	}
-	for _, row := range specs {
-		if p, ok := stored[row.Key]; ok {
-			h.add(row, p.Value, p.Version, true)
-		}
-	}
-	h.ready = true
-	h.feed.heardAt = time.Now()
-	return version, nil
-}
-
-// errStaleRead is returned for rows that are older than a commit of this holder.
-var errStaleRead = errors.New("the store answered with rows older than our last commit")
-
-// readPart reads the pool's rows of a table, as of our last commit or later.
-func (h *holder) readPart(ctx context.Context, table string) ([]platform.PartRow, uint64, error) {
-	h.mu.Lock()
-	floor := h.floor
-	h.mu.Unlock()
-	rows, version, err := h.m.Rows.ReadAll(ctx, platform.Range{Table: table, Part: h.pool, Purpose: "takeover"})
-	if err == nil && version < floor {
-		err = errStaleRead
-	}
-	return rows, version, err
-}
-
 // expect takes in the roster of the earlier holder.
 func (h *holder) expect(row platform.PartRow) {
 	var roster rosterRow
--- /dev/null
+++ b/io/runner/link_test.go
@@ -0,0 +1,132 @@
+package runner_test
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"time"
+
+	"siskincross/io/platform"
+)
+
+// Bounds of the store's pages.
+const (
+	pageRows  = 500
+	pageBytes = 1 << 20
+	// rowOverhead is what a row's names and version add to its value on the wire, in bytes.
+	rowOverhead = 130
+	// linkChunk is how many bytes of an answer come at once.
+	linkChunk = 16 << 10
+)
+
+// fakeLink is an entry host's link: the answers to its calls share its bandwidth.
+type fakeLink struct {
+	bytesPerSecond int
+	until          time.Time
+}
+
+// narrow has the answers to all entry hosts come over links of a bandwidth from now on, one link each.
+func (s *fakeStore) narrow(bytesPerSecond int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.links, s.bandwidth = make(map[string]*fakeLink), bytesPerSecond
+}
+
+// losePages has each so many pages that a takeover reads be lost on its way.
+func (s *fakeStore) losePages(every int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lostPages = every
+}
+
+// losesPage reports whether the answer to a reading is lost.
+func (s *fakeStore) losesPage(q platform.Range) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.lostPages == 0 || q.Purpose != "takeover" {
+		return false
+	}
+	s.pages++
+	return s.pages%s.lostPages == 0
+}
+
+// transfer plays the way of an answer to an entry host.
+func (s *fakeStore) transfer(ctx context.Context, node string, size int, arriving func()) error {
+	for size > 0 {
+		chunk := min(size, linkChunk)
+		size -= chunk
+		wait := s.reserve(node, chunk)
+		if wait == 0 {
+			continue
+		}
+		select {
+		case <-time.After(wait):
+		case <-ctx.Done():
+			return platform.ErrOutcomeUnknown{Service: "store", Reason: ctx.Err().Error()}
+		}
+		if arriving != nil {
+			arriving()
+		}
+	}
+	return nil
+}
+
+// reserve takes up the entry host's link for some bytes, and returns how long it takes until they are there.
+func (s *fakeStore) reserve(node string, size int) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.bandwidth == 0 {
+		return 0
+	}
+	link := s.links[node]
+	if link == nil {
+		link = &fakeLink{bytesPerSecond: s.bandwidth}
+		s.links[node] = link
+	}
+	now := time.Now()
+	if link.until.Before(now) {
+		link.until = now
+	}
+	link.until = link.until.Add(time.Duration(size) * time.Second / time.Duration(link.bytesPerSecond))
+	return link.until.Sub(now)
+}
+
+// wireSize is about how many bytes rows take in an answer.
+func wireSize(rows []platform.PartRow) int {
+	size := 0
+	for _, row := range rows {
+		size += rowOverhead + len(row.Value)*4/3
+	}
+	return size
+}
+
+// paged returns the first page of sorted rows, as the store bounds it.
+func paged(rows []platform.PartRow, limit int) ([]platform.PartRow, bool) {
+	most := pageRows
+	if limit > 0 {
+		most = min(most, limit)
+	}
+	size := 0
+	for i, row := range rows {
+		size += len(row.Value)
+		if i == most || (i > 0 && size > pageBytes) {
+			return rows[:i], true
+		}
+	}
+	return rows, false
+}
+
+// preload stores rows as if they had been there for long: no feed tells of them.
+func (s *fakeStore) preload(rows []platform.PartRow) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, row := range rows {
+		s.version++
+		row.Version = s.version
+		s.rows[row.RowKey] = row
+	}
+}
+
+func sortRows(rows []platform.PartRow) {
+	slices.SortFunc(rows, func(a, b platform.PartRow) int { return strings.Compare(a.Key, b.Key) })
+}
--- a/io/runner/observe.go
+++ b/io/runner/observe.go
@@ -29,10 +29,12 @@
 		},
 		Range: func(ctx context.Context, q platform.Range) (platform.Page, error) {
 			callCtx, call := m.health.begin(ctx, q.Part, false)
-			callCtx, done := context.WithTimeout(callCtx, m.storePatience.limit())
+			callCtx, arriving, done := m.whileArriving(callCtx, call)
 			defer done()
+			q.Arriving = arriving
 			page, err := rows.Range(callCtx, q)
 			m.observed(ctx, call, "read", q.Purpose, err)
+			m.countRead(q.Purpose, page, time.Since(call.began))
 			return page, err
 		},
 		Parts: func(ctx context.Context, table string) ([]string, error) {
@@ -51,6 +53,41 @@
 	}
 }
 
+// arrivalPatience is the longest pause within an answer: several times that of a packet that is sent again within a zone.
+const arrivalPatience = time.Second
+
+// whileArriving returns a context that ends when the answer to a call does not begin within the usual time, or when nothing more of it
+// comes: an answer that carries much takes as long as the link needs. The function arriving notes that something came.
+func (m *Manager) whileArriving(ctx context.Context, call *storeCall) (limited context.Context, arriving, done func()) {
+	limited, cancel := context.WithCancelCause(ctx)
+	timer := time.AfterFunc(m.storePatience.limit(), func() { cancel(context.DeadlineExceeded) })
+	arriving = func() {
+		timer.Reset(arrivalPatience)
+		m.health.hear(call)
+	}
+	return limited, arriving, func() {
+		timer.Stop()
+		cancel(nil)
+	}
+}
+
+// countRead counts what a reading carried and how long it took, by purpose.
+func (m *Manager) countRead(purpose string, page platform.Page, took time.Duration) {
+	scope := m.scope.Tagged(map[string]string{"purpose": purpose})
+	scope.Counter("store_read_rows").Inc(int64(len(page.Rows)))
+	scope.Counter("store_read_bytes").Inc(int64(sizeOf(page.Rows)))
+	scope.Histogram("store_read_time", latencyBuckets).RecordDuration(took)
+}
+
+// sizeOf is how many bytes of values rows have.
+func sizeOf(rows []platform.PartRow) int {
+	size := 0
+	for _, row := range rows {
+		size += len(row.Value)
+	}
+	return size
+}
+
 // partOf returns the part that a transaction touches.
 func partOf(c platform.Commit) string {
 	switch {
@@ -73,7 +110,7 @@
 	m.scope.Tagged(map[string]string{"call": kind, "purpose": purpose, "outcome": outcome}).Counter("store_calls").Inc(1)
 	if !call.waits {
 		if !errors.Is(ctx.Err(), context.Canceled) {
-			m.storePatience.took(time.Since(call.began), outcome != "unknown")
+			m.storePatience.took(m.health.latency(call), outcome != "unknown")
 		}
 		m.scope.Tagged(map[string]string{"call": kind}).Histogram("store_latency", latencyBuckets).RecordDuration(time.Since(call.began))
 	}
--- /dev/null
+++ b/io/runner/takeover.go
@@ -0,0 +1,122 @@
+package runner
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"siskincross/core/event"
+	"siskincross/io/platform"
+)
+
+// takeover is the reading of what is stored of a pool. It goes on where it stopped after a failure.
+type takeover struct {
+	h     *holder
+	began time.Time
+	// progress is read before specs: earlier holders are fenced, so only a cancel changes it, and that removes the specification too.
+	progress, specs platform.Reading
+	need            needRow
+	needRead        bool
+}
+
+func newTakeover(h *holder) *takeover {
+	t := &takeover{h: h, began: time.Now()}
+	t.progress.Query = platform.Range{Table: jobTable, Part: h.pool, Purpose: "takeover"}
+	t.specs.Query = platform.Range{Table: queueTable(h.pool), Part: h.pool, Purpose: "takeover"}
+	return t
+}
+
+// takeOver reads what is stored of the pool until it succeeds. It reports false if the duty ended.
+func (h *holder) takeOver() bool {
+	t := newTakeover(h)
+	var retry backoff
+	for {
+		before := t.size()
+		err := t.read(h.ctx)
+		if err == nil {
+			t.finish()
+			h.group.Go(func() { h.followQueue(t.specs.Version) })
+			return true
+		}
+		h.m.record(event.Event{Number: event.WorkDutyFailed, Pool: h.pool, Detail: fmt.Sprintf(
+			"read the pool's rows, %d so far: %v", t.size(), err)})
+		if t.size() > before {
+			retry = backoff{}
+		}
+		if !h.m.pause(h.ctx, &retry) {
+			return false
+		}
+	}
+}
+
+// size is how many rows have been read.
+func (t *takeover) size() int { return len(t.progress.Rows) + len(t.specs.Rows) }
+
+// read goes on reading the progress of the jobs, their specifications with the roster, and the need.
+func (t *takeover) read(ctx context.Context) error {
+	if err := t.progress.Continue(ctx, t.h.m.Rows); err != nil {
+		return err
+	}
+	if err := t.specs.Continue(ctx, t.h.m.Rows); err != nil {
+		return err
+	}
+	if !t.needRead {
+		need, err := t.h.readNeed()
+		if err != nil {
+			return err
+		}
+		t.need, t.needRead = need, true
+	}
+	if t.progress.Version < t.h.epoch || t.specs.Version < t.h.epoch {
+		again := newTakeover(t.h)
+		t.progress, t.specs = again.progress, again.specs
+		return errStaleRead
+	}
+	return nil
+}
+
+// finish gives the board what was read.
+func (t *takeover) finish() {
+	h := t.h
+	stored := make(map[string]platform.PartRow, len(t.progress.Rows))
+	for _, row := range t.progress.Rows {
+		stored[row.Key] = row
+	}
+	h.mu.Lock()
+	h.clearing.report(t.need.Cleared)
+	jobs := 0
+	for _, row := range t.specs.Rows {
+		switch p, ok := stored[row.Key]; {
+		case row.Key == rosterKey:
+			h.expect(row)
+		case row.Key < firstJobKey:
+		case ok:
+			h.add(row, p.Value, p.Version, true)
+			jobs++
+		}
+	}
+	h.ready = true
+	h.feed.heardAt = time.Now()
+	roster := len(h.roster)
+	h.mu.Unlock()
+	h.m.record(event.Event{Number: event.WorkDutyTaken, Pool: h.pool, Detail: fmt.Sprintf(
+		"epoch %d, term %d, %d workers on the roster, %d jobs, %d bytes read in %s",
+		h.epoch, h.board.Term, roster, jobs, sizeOf(t.progress.Rows)+sizeOf(t.specs.Rows),
+		time.Since(t.began).Round(time.Millisecond))})
+}
+
+// errStaleRead is returned for rows that are older than a commit of this holder.
+var errStaleRead = errors.New("the store answered with rows older than our last commit")
+
+// readPart reads the pool's rows of a table, as of our last commit or later.
+func (h *holder) readPart(ctx context.Context, table string) ([]platform.PartRow, uint64, error) {
+	h.mu.Lock()
+	floor := h.floor
+	h.mu.Unlock()
+	rows, version, err := h.m.Rows.ReadAll(ctx, platform.Range{Table: table, Part: h.pool, Purpose: "feed"})
+	if err == nil && version < floor {
+		err = errStaleRead
+	}
+	return rows, version, err
+}
