Run the jobs that are accepted while a new holder reads

A new holder reads the progress of the pool's jobs first and then their specifications, page by page. A job accepted in between has a specification and, as far as was read, no progress; it was left out, and the feed begins after the specifications, so that nobody heard of it again: accepted and never run. It is taken in as a job that nothing was done of.

--- a/io/runner/takeover.go
+++ b/io/runner/takeover.go
@@ -15,6 +15,7 @@
 	h     *holder
 	began time.Time
 	// progress is read before specs: earlier holders are fenced, so only a cancel changes it, and that removes the specification too.
+	// A specification without progress is that of a job accepted meanwhile.
 	progress, specs platform.Reading
 	need            needRow
 	needRead        bool
@@ -94,6 +95,9 @@
 		case ok:
 			h.add(row, p.Value, p.Version, true)
 			jobs++
+		default: // accepted since its progress would have been read, so no earlier holder knew it
+			h.add(row, nil, row.Version, false)
+			jobs++
 		}
 	}
 	h.ready = true
--- a/io/runner/takeover_test.go
+++ b/io/runner/takeover_test.go
@@ -91,6 +91,30 @@
 			})
 		}
 	})
+	// A job that is accepted while the new holder reads is in its first reading of one table and not in that of the other.
+	t.Run("jobs accepted while a new holder reads are run", func(t *testing.T) {
+		withFakeSite(t, 3, 8, func(s *fakeSite) {
+			s.fill(1000, 0)
+			s.store.narrow(smallLink)
+			holder := s.holder()
+			s.kill(holder)
+			entry := s.other(holder)
+			var group sync.WaitGroup
+			var accepted []string
+			for i := range 60 {
+				id := fmt.Sprintf("%016x", 0xa000+i*7919)
+				accepted = append(accepted, id)
+				group.Go(func() { s.is.NoErr(s.submit(entry, id, 1)) })
+				time.Sleep(100 * time.Millisecond)
+			}
+			group.Wait()
+			s.store.narrow(1000 * largeLink)
+			time.Sleep(60 * time.Second)
+			for _, id := range accepted {
+				s.is.True(s.completed(entry, id, time.Second) < time.Second)
+			}
+		})
+	})
 	// A page that is lost on its way cost the whole reading.
 	t.Run("reading goes on from the page that it has reached", func(t *testing.T) {
 		withFakeSite(t, 3, 2, func(s *fakeSite) {
