Read only jobs that are not final at a takeover

Cause: a new holder read the pool's whole `job` table, where the states of ended jobs stay so that callers can ask for them, for the progress of the few that had not ended. Counting waiting jobs read it as well.

Now what is done of a job lies in a row of its own (`progress`) while the job has begun and is not final. It is written and removed in the transactions that write the job's state and expect its version, as before; so its version is that of the state, and without such a row the specification has it. A takeover reads `progress` and the specifications. Conditions, fences, accept, cancel and reads of states are as they were.

Ruled out: moving ended jobs to another table (accept would have to expect two rows of each job, and each question about an ended job would take two calls); reading single rows of the jobs with a specification (a call each).

"Next holder knows what is done" and "job leaves its state alone behind" pass on the old code where they apply; the one fails when a takeover ignores progress, the other when progress is not removed.

--- a/io/runner/commits.go
+++ b/io/runner/commits.go
@@ -10,8 +10,10 @@
 )
 
 const (
-	// changesPerCommit keeps a transaction below the store's 100 entries: a job takes up to three.
-	changesPerCommit = 30
+	// changesPerCommit is the most jobs in a transaction, entriesPerCommit the most entries for them: the store takes 100, of which the
+	// fence and rows that are no jobs' need up to four.
+	changesPerCommit = 32
+	entriesPerCommit = 96
 	// finalDelay is how long a job's end waits for others to be stored with.
 	finalDelay = 8 * time.Millisecond
 	// changeDelay is how long other progress waits. Its ends are not acknowledged meanwhile, which delays nobody.
@@ -46,7 +48,7 @@
 	}
 	var changes []work.Change
 	if changed {
-		changes = h.board.Changes(changesPerCommit)
+		changes = h.fitting(h.board.Changes(changesPerCommit))
 		h.changedAt = time.Time{}
 	}
 	var roster map[work.Life]bool
@@ -79,20 +81,8 @@
 
 // commit stores changes and other rows, that of a roster among them if there is one, in one transaction.
 func (h *holder) commit(changes []work.Change, side []platform.RowWrite, roster map[work.Life]bool) {
-	tx := platform.Commit{Expected: []platform.Expectation{h.fence()}, Writes: side, Purpose: "progress"}
-	for _, c := range changes {
-		value, err := c.Progress.Encode()
-		if err != nil {
-			h.m.record(event.Event{Number: event.WorkCommitFailed, Pool: h.pool, Job: string(c.ID), Detail: err.Error()})
-			continue
-		}
-		key := jobKey(h.pool, c.ID)
-		tx.Expected = append(tx.Expected, platform.Expectation{RowKey: key, Version: c.Version})
-		tx.Writes = append(tx.Writes, platform.RowWrite{RowKey: key, Value: value})
-		if c.Progress.State.Final() {
-			tx.Removes = append(tx.Removes, specKey(h.pool, c.ID))
-		}
-	}
+	tx := h.transaction(changes)
+	tx.Writes = append(tx.Writes, side...)
 	version, err := h.m.Rows.Commit(h.ctx, tx)
 	h.committed(changes, version, err)
 	h.mu.Lock()
@@ -111,6 +101,60 @@
 	h.wake()
 }
 
+// transaction returns the commit of changes of jobs: the states of all, and what is done of those that are not final.
+func (h *holder) transaction(changes []work.Change) platform.Commit {
+	tx := platform.Commit{Expected: []platform.Expectation{h.fence()}, Purpose: "progress"}
+	for _, c := range changes {
+		details, err := c.Progress.Encode()
+		if err != nil {
+			h.m.record(event.Event{Number: event.WorkCommitFailed, Pool: h.pool, Job: string(c.ID), Detail: err.Error()})
+			continue
+		}
+		key := jobKey(h.pool, c.ID)
+		tx.Expected = append(tx.Expected, platform.Expectation{RowKey: key, Version: c.Version})
+		tx.Writes = append(tx.Writes, platform.RowWrite{RowKey: key, Value: stateValue(c.Progress.State)})
+		switch {
+		case !c.Progress.State.Final():
+			tx.Writes = append(tx.Writes, platform.RowWrite{RowKey: progressKey(h.pool, c.ID), Value: details})
+			h.noteDetails(c.ID)
+		case h.hasDetails(c.ID):
+			tx.Removes = append(tx.Removes, specKey(h.pool, c.ID), progressKey(h.pool, c.ID))
+		default:
+			tx.Removes = append(tx.Removes, specKey(h.pool, c.ID))
+		}
+	}
+	return tx
+}
+
+// fitting returns the first changes that fit into one transaction; the others wait. The caller holds the lock.
+func (h *holder) fitting(changes []work.Change) []work.Change {
+	entries := 0
+	for i, c := range changes {
+		entries += 3 // an expectation, the state, and the progress or the removal of the specification
+		if c.Progress.State.Final() && h.detailed[c.ID] {
+			entries++
+		}
+		if entries > entriesPerCommit {
+			h.board.NotCommitted(changes[i:])
+			return changes[:i]
+		}
+	}
+	return changes
+}
+
+// noteDetails notes that a job may have a row of its progress from now on.
+func (h *holder) noteDetails(id work.ID) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.detailed[id] = true
+}
+
+func (h *holder) hasDetails(id work.ID) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.detailed[id]
+}
+
 // committed tells the board how a commit ended.
 func (h *holder) committed(changes []work.Change, version uint64, err error) {
 	h.mu.Lock()
@@ -123,6 +167,7 @@
 		h.board.Committed(changes, version)
 		for _, c := range changes {
 			if c.Progress.State.Final() {
+				delete(h.detailed, c.ID)
 				h.feed.committed(version, time.Now())
 				h.m.record(event.Event{
 					Number: event.WorkEnded, Pool: h.pool, Job: string(c.ID), Detail: c.Progress.State.String(),
--- a/io/runner/count.go
+++ b/io/runner/count.go
@@ -93,17 +93,13 @@
 	if err != nil {
 		return nil, err
 	}
-	progress, _, err := m.Rows.ReadAll(ctx, platform.Range{Table: jobTable, Part: pool, Purpose: "pending"})
+	progress, _, err := m.Rows.ReadAll(ctx, platform.Range{Table: progressTable, Part: pool, Purpose: "pending"})
 	if err != nil {
 		return nil, err
 	}
 	begun := make(map[string]bool, len(progress))
 	for _, row := range progress {
-		p, err := work.DecodeProgress(work.ID(row.Key), row.Value)
-		if err != nil {
-			m.record(event.Event{Number: event.WorkRowUnreadable, Pool: pool, Job: row.Key, Detail: err.Error()})
-		}
-		begun[row.Key] = err == nil && p.State != work.StateQueued
+		begun[row.Key] = true
 	}
 	waiting := make(map[string]int)
 	for _, row := range specs {
--- a/io/runner/feed.go
+++ b/io/runner/feed.go
@@ -60,6 +60,7 @@
 		case strings.HasPrefix(row.Key, markPrefix):
 		case row.Deleted:
 			h.board.Cancel(work.ID(row.Key))
+			delete(h.detailed, work.ID(row.Key))
 		default:
 			h.add(row, nil, row.Version, row.Version < h.epoch)
 		}
--- a/io/runner/holder.go
+++ b/io/runner/holder.go
@@ -53,6 +53,8 @@
 	// floor is the version of our last commit: older readings are stale.
 	floor uint64
 	feed  queueFeed
+	// detailed holds the jobs that may have a row of their progress.
+	detailed map[work.ID]bool
 }
 
 func newHolder(t *tenure) *holder {
@@ -60,6 +62,7 @@
 		tenure: t, pool: t.name, floor: t.epoch,
 		board:    &work.Board{Pool: t.name, Epoch: t.epoch, Term: t.term, Policy: t.m.Policy},
 		contacts: make(map[work.Life]bool), roster: make(map[work.Life]bool), stored: make(map[work.Life]bool), clearing: newClearing(),
+		detailed: make(map[work.ID]bool),
 	}
 	h.board.GaveUp = h.tellGivenUp
 	t.run = func() {
--- a/io/runner/intake.go
+++ b/io/runner/intake.go
@@ -246,15 +246,11 @@
 
 func acceptTransaction(pool string, group []*submission) platform.Commit {
 	tx := platform.Commit{Purpose: "accept"}
-	progress, err := work.Progress{}.Encode()
-	if err != nil {
-		panic(err) // an empty progress is always encodable
-	}
 	for _, s := range group {
 		key := jobKey(pool, s.job.ID)
 		tx.Expected = append(tx.Expected, platform.Expectation{RowKey: key})
 		tx.Writes = append(tx.Writes,
-			platform.RowWrite{RowKey: key, Value: progress},
+			platform.RowWrite{RowKey: key, Value: stateValue(work.StateQueued)},
 			platform.RowWrite{RowKey: specKey(pool, s.job.ID), Value: s.row})
 	}
 	return tx
@@ -389,14 +385,14 @@
 	if p.State.Final() {
 		return true, nil
 	}
-	value, err := p.WithState(work.StateCancelled).Encode()
-	if err != nil {
-		return true, err
+	removes := []platform.RowKey{specKey(pool, id)}
+	if p.State == work.StateRunning {
+		removes = append(removes, progressKey(pool, id))
 	}
 	_, err = m.Rows.Commit(ctx, platform.Commit{
 		Expected: []platform.Expectation{{RowKey: row.RowKey, Version: row.Version}},
-		Writes:   []platform.RowWrite{{RowKey: row.RowKey, Value: value}},
-		Removes:  []platform.RowKey{specKey(pool, id)},
+		Writes:   []platform.RowWrite{{RowKey: row.RowKey, Value: stateValue(work.StateCancelled)}},
+		Removes:  removes,
 		Purpose:  "cancel",
 	})
 	if err != nil {
--- a/io/runner/rows.go
+++ b/io/runner/rows.go
@@ -12,8 +12,11 @@
 const (
 	// fleetTable holds the members, in the empty part, and the holder of each pool's duty, in the pool's part.
 	fleetTable = "fleet"
-	// jobTable holds the progress of jobs by ID.
+	// jobTable holds the state of all jobs by ID.
 	jobTable = "job"
+	// progressTable holds what is done of the jobs that have begun and are not final, by ID. A row is written in one transaction with
+	// the job's state, so both have one version.
+	progressTable = "progress"
 	// countTable holds how many jobs wait, by queue.
 	countTable = "count"
 	// queueTablePrefix begins the table with the specifications of one pool's jobs that are not
@@ -36,6 +39,10 @@
 	return platform.RowKey{Table: jobTable, Part: pool, Key: string(id)}
 }
 
+func progressKey(pool string, id work.ID) platform.RowKey {
+	return platform.RowKey{Table: progressTable, Part: pool, Key: string(id)}
+}
+
 func specKey(pool string, id work.ID) platform.RowKey {
 	return platform.RowKey{Table: queueTable(pool), Part: pool, Key: string(id)}
 }
@@ -108,6 +115,15 @@
 	ToleratedLoss  *int   `json:"tolerated-loss,omitempty"`
 }
 
+// stateValue is the value of a job's row of its state.
+func stateValue(s work.State) []byte {
+	value, err := work.Progress{}.WithState(s).Encode()
+	if err != nil {
+		panic(err) // a state without details is always encodable
+	}
+	return value
+}
+
 func newSpecRow(j work.Job) specRow {
 	row := specRow{
 		Queue: j.Queue, Spec: j.Spec, AcceptedMillis: j.Accepted.UnixMilli(), Priority: j.Priority, Attempts: j.Attempts,
--- a/io/runner/takeover.go
+++ b/io/runner/takeover.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"siskincross/core/event"
+	"siskincross/core/work"
 	"siskincross/io/platform"
 )
 
@@ -23,7 +24,7 @@
 
 func newTakeover(h *holder) *takeover {
 	t := &takeover{h: h, began: time.Now()}
-	t.progress.Query = platform.Range{Table: jobTable, Part: h.pool, Purpose: "takeover"}
+	t.progress.Query = platform.Range{Table: progressTable, Part: h.pool, Purpose: "takeover"}
 	t.specs.Query = platform.Range{Table: queueTable(h.pool), Part: h.pool, Purpose: "takeover"}
 	return t
 }
@@ -93,10 +94,14 @@
 			h.expect(row)
 		case row.Key < firstJobKey:
 		case ok:
+			h.detailed[work.ID(row.Key)] = true
 			h.add(row, p.Value, p.Version, true)
 			jobs++
-		default: // accepted since its progress would have been read, so no earlier holder knew it
-			h.add(row, nil, row.Version, false)
+		default:
+			// It has not begun, or was accepted since its progress would have been read. Both rows of a job are stored at once, so this
+			// is also the version of its state.
+			h.add(row, nil, row.Version, row.Version < h.epoch)
+			jobs++
 			jobs++
 		}
 	}
@@ -105,8 +110,8 @@
 	roster := len(h.roster)
 	h.mu.Unlock()
 	h.m.record(event.Event{Number: event.WorkDutyTaken, Pool: h.pool, Detail: fmt.Sprintf(
-		"epoch %d, term %d, %d workers on the roster, %d jobs, %d bytes read in %s",
-		h.epoch, h.board.Term, roster, jobs, sizeOf(t.progress.Rows)+sizeOf(t.specs.Rows),
+		"epoch %d, term %d, %d workers on the roster, %d jobs, %d of them begun, %d bytes read in %s",
+		h.epoch, h.board.Term, roster, jobs, len(h.detailed), sizeOf(t.progress.Rows)+sizeOf(t.specs.Rows),
 		time.Since(t.began).Round(time.Millisecond))})
 }
 
--- a/io/runner/takeover_test.go
+++ b/io/runner/takeover_test.go
@@ -1,6 +1,7 @@
 package runner_test
 
 import (
+	"context"
 	"fmt"
 	"strings"
 	"sync"
@@ -45,6 +46,19 @@
 	s.store.preload(rows)
 }
 
+// ends counts how often each task ended as done.
+func (s *fakeSite) ends() map[work.Task]int {
+	counts := make(map[work.Task]int)
+	for _, w := range s.workers {
+		w.mu.Lock()
+		for task, n := range w.done {
+			counts[task] += n
+		}
+		w.mu.Unlock()
+	}
+	return counts
+}
+
 // nextStart waits for the next start of a task that was never started before, and returns how long that took, or the longest time.
 func (s *fakeSite) nextStart(longest time.Duration) time.Duration {
 	s.t.Helper()
@@ -79,7 +93,7 @@
 		for _, c := range []struct {
 			link    int
 			longest time.Duration
-		}{{smallLink, noticeTime + 4*time.Second}, {largeLink, 3 * time.Second}} {
+		}{{smallLink, noticeTime + 3*time.Second}, {largeLink, 3 * time.Second}} {
 			withFakeSite(t, manyHosts, 2, func(s *fakeSite) {
 				s.fill(2000, 0)
 				s.store.narrow(c.link)
@@ -115,6 +129,36 @@
 			}
 		})
 	})
+	// Each takeover read the rows of all jobs of the day.
+	t.Run("jobs that have ended cost a takeover nothing", func(t *testing.T) {
+		for _, ended := range []int{1_000, 100_000} {
+			withFakeSite(t, manyHosts, 2, func(s *fakeSite) {
+				s.fill(100, ended)
+				s.store.narrow(smallLink)
+				time.Sleep(time.Second)
+				s.kill(s.holder())
+				took := s.nextStart(30 * time.Second)
+				t.Log(ended, "ended jobs and 100 queued ones: first start after", took)
+				s.is.True(took < 3*time.Second)
+			})
+		}
+	})
+	// All entry hosts lose power, and all read what they need at the same time.
+	t.Run("all entry hosts start anew with a hundred thousand rows in the store", func(t *testing.T) {
+		withFakeSite(t, manyHosts, 2, func(s *fakeSite) {
+			s.fill(500, 100_000)
+			s.store.narrow(smallLink)
+			for i := range manyHosts {
+				s.kill(fmt.Sprintf("e%d", i))
+			}
+			for i := range manyHosts {
+				s.start(fmt.Sprintf("e%d", i))
+			}
+			took := s.nextStart(30 * time.Second)
+			t.Log("100,000 ended and 500 queued jobs: first start after", took)
+			s.is.True(took < 5*time.Second)
+		})
+	})
 	// A page that is lost on its way cost the whole reading.
 	t.Run("reading goes on from the page that it has reached", func(t *testing.T) {
 		withFakeSite(t, 3, 2, func(s *fakeSite) {
@@ -123,7 +167,35 @@
 			s.kill(s.holder())
 			took := s.nextStart(30 * time.Second)
 			t.Log("2,000 queued jobs, every second page lost: first start after", took)
-			s.is.True(took < noticeTime+5*time.Second)
+			s.is.True(took < noticeTime+4*time.Second)
+		})
+	})
+	t.Run("next holder knows what is done", func(t *testing.T) {
+		withFakeSite(t, 3, 2, func(s *fakeSite) {
+			s.is.NoErr(s.submit("e0", "j", 50))
+			time.Sleep(700 * time.Millisecond) // two rounds of tasks are done, and stored
+			lost := s.holder()
+			s.kill(lost)
+			done := s.ends()
+			s.completed(s.other(lost), "j", 20*time.Second)
+			s.is.True(len(done) >= 20)
+			for task, n := range s.ends() {
+				s.is.True(n == 1 || done[task] == 0) // none that was done before ran again
+			}
+		})
+	})
+	t.Run("job leaves its state alone behind, however it ends", func(t *testing.T) {
+		withFakeSite(t, 3, 2, func(s *fakeSite) {
+			for _, id := range []string{"done", "cancelled"} {
+				s.is.NoErr(s.submit("e0", id, 50))
+			}
+			time.Sleep(700 * time.Millisecond)
+			s.is.NoErr(s.hosts["e1"].manager.Cancel(context.Background(), s.queue(), "cancelled"))
+			s.completed("e2", "done", 20*time.Second)
+			time.Sleep(time.Second)
+			s.is.Equal(len(s.store.find(platform.Range{Table: "progress", Part: fakePool}).Rows), 0)
+			s.is.Equal(len(s.store.find(platform.Range{Table: "queue-" + fakePool, Part: fakePool, From: "a"}).Rows), 0)
+			s.is.Equal(len(s.store.find(platform.Range{Table: "job", Part: fakePool}).Rows), 2)
 		})
 	})
 }
