--- a/io/runner/takeover.go
+++ b/io/runner/takeover.go
@@ -16,7 +16,7 @@
 	h     *holder
 	began time.Time
 	// progress is read before specs: earlier holders are fenced, so only a cancel changes it, and that removes the specification too.
-	// A specification without progress is that of a job accepted meanwhile.
+	// A specification without progress is that of a job that has not begun, or was accepted meanwhile.
 	progress, specs platform.Reading
 	need            needRow
 	needRead        bool
@@ -98,11 +98,10 @@
 			h.add(row, p.Value, p.Version, true)
 			jobs++
 		default:
-			// It has not begun, or was accepted since its progress would have been read. Both rows of a job are stored at once, so this
-			// is also the version of its state.
+			// Both rows of a job are stored at once, so this is also the version of its state. No earlier holder knew a job that was
+			// accepted since the takeover.
 			h.add(row, nil, row.Version, row.Version < h.epoch)
 			jobs++
-			jobs++
 		}
 	}
 	h.ready = true
