Look at the pool's workers when they may have changed, and pace rounds by their cost

Cause: the holder gave its board all workers of the directory, computed the roster and the pool's load and cloned the sets of withdrawn workers in each round, 200 times a second, whether anything had changed or not; each answer of the directory, one that tells nothing new too, asked for a round; and a process that is short of its processor began the next round 4 ms after one that had taken many times as long.

Change: workers and withdrawals are looked at together when the directory or the stored roster changed, and every 25 ms. The pause after a round is twice the time that it took, 4 to 40 ms. Why the looks may be apart from rounds: a life that leaves the roster is a cleared one, which stays withdrawn; and a life that is listed anew is withdrawn in the same look, before any order.

--- a/core/work/worker.go
+++ b/core/work/worker.go
@@ -28,6 +28,12 @@
 	Host string
 }
 
+// Equal reports whether two listings say the same.
+func (l Listing) Equal(o Listing) bool {
+	return l.Life == o.Life && l.Address == o.Address && l.Pool == o.Pool && l.Zone == o.Zone && l.Rack == o.Rack &&
+		slices.Equal(l.Labels, o.Labels) && l.Capacity == o.Capacity && l.Draining == o.Draining && l.Host == o.Host
+}
+
 // Contact is where and to which life of a worker a call goes.
 type Contact struct {
 	Life    Life
--- a/io/runner/directory.go
+++ b/io/runner/directory.go
@@ -29,8 +29,9 @@
 	back    time.Time
 	// known is true once the whole directory was read.
 	known bool
-	// changed is closed and replaced when listings change.
+	// changed is closed and replaced when listings change, changes counts how often that was.
 	changed chan struct{}
+	changes uint64
 }
 
 // followWorkers keeps the directory up to date while this process holds a duty.
@@ -118,7 +119,10 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.hear(now)
+	changed := false
 	for _, l := range changes.Listed {
+		old, known := d.listings[l.Life.Worker]
+		changed = changed || !known || !old.Equal(l)
 		d.listings[l.Life.Worker] = l
 		delete(d.doubted, l.Life.Worker)
 	}
@@ -126,15 +130,19 @@
 		if l, ok := d.listings[id]; ok {
 			delete(d.listings, id)
 			d.lose(id, l, now)
+			changed = true
 		}
 	}
 	for id, until := range d.doubted {
 		if now.After(until) {
 			delete(d.doubted, id)
 			delete(d.listings, id)
+			changed = true
 		}
 	}
-	d.notify()
+	if changed {
+		d.notify()
+	}
 }
 
 // lose drops an entry, or keeps it for a while if it may have lapsed only because the directory was away.
@@ -158,9 +166,10 @@
 func (d *directory) notify() {
 	close(d.changed)
 	d.changed = make(chan struct{})
+	d.changes++
 }
 
-// pool returns a pool's workers, whether the directory was read, and a channel that is closed at the next change.
+// pool returns a pool's workers, whether the directory was read, and a channel that is closed at the next change. The caller may change the list.
 func (d *directory) pool(name string) ([]work.Listing, bool, <-chan struct{}) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -172,3 +181,10 @@
 	}
 	return listings, d.known, d.changed
 }
+
+// watch returns how often the listings have changed, and a channel that is closed at the next change.
+func (d *directory) watch() (uint64, <-chan struct{}) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.changes, d.changed
+}
--- a/io/runner/fake_test.go
+++ b/io/runner/fake_test.go
@@ -335,6 +335,8 @@
 	movable bool
 	// capacities holds the entry hosts' capacities where they are known.
 	capacities map[string]duty.Capacity
+	// executors replaces the calls to workers if its fields are set.
+	executors platform.Executors
 }
 
 // fakeHost is a running entry host.
@@ -412,8 +414,12 @@
 func (s *fakeSite) start(name string) {
 	h := &fakeHost{}
 	rows := s.store.rowsFor(name)
+	executors := s.executors
+	if executors.Send == nil {
+		executors = platform.Executors{Renew: s.renew, Send: s.send}
+	}
 	h.manager = &runner.Manager{
-		Rows: rows, Executors: platform.Executors{Renew: s.renew, Send: s.send},
+		Rows: rows, Executors: executors,
 		Directory: platform.Directory{
 			List: func(ctx context.Context) ([]work.Listing, uint64, error) {
 				found, version, err := rows.ReadAll(ctx, platform.Range{Table: "workers"})
--- a/io/runner/holder.go
+++ b/io/runner/holder.go
@@ -19,6 +19,13 @@
 	stepGap = 4 * time.Millisecond
 	// stepEvery is the longest time between two rounds.
 	stepEvery = 100 * time.Millisecond
+	// roundFactor is how many times as long as a round the pause after it is, mostRoundGap the most: no more than a third of the
+	// time goes into decisions, and tasks that ended are still followed by others soon.
+	roundFactor  = 2
+	mostRoundGap = 40 * time.Millisecond
+	// lookEvery is the longest time between two looks at the pool's workers while the directory tells of no change: which of them are
+	// spare changes with every round, and matters for hosts that are moved within a second.
+	lookEvery = 25 * time.Millisecond
 )
 
 // holder carries out the decisions about one pool while this process holds its duty.
@@ -38,6 +45,11 @@
 	stored     map[work.Life]bool
 	rosterAt   time.Time
 	committing bool
+	// lookedAt is when the board was last given the workers, listedAs the count of the directory's changes then. The workers are to
+	// be looked at anew at once if unlisted is true: the stored roster has changed.
+	lookedAt time.Time
+	listedAs uint64
+	unlisted bool
 	// changedAt is when the oldest change that waits for its commit came up.
 	changedAt time.Time
 	// counted is the count of waiting jobs that was stored last.
@@ -105,21 +117,25 @@
 // rounds decides in rounds until the duty ends.
 func (h *holder) rounds() {
 	for {
-		_, _, changed := h.m.workers.pool(h.pool)
-		h.step()
-		if !sleep(h.ctx, stepGap) || !h.awaitRound(changed, stepEvery) {
+		changes, changed := h.m.workers.watch()
+		began := time.Now()
+		h.step(changes)
+		if !sleep(h.ctx, roundGap(time.Since(began))) || !h.awaitRound(changed, stepEvery) {
 			return
 		}
 	}
 }
 
-// step is one round: take in the workers, decide, send and store what follows.
-func (h *holder) step() {
+// roundGap is the pause after a round that took a time: a process that is short of its processor decides about more at once.
+func roundGap(took time.Duration) time.Duration {
+	return min(max(stepGap, roundFactor*took), mostRoundGap)
+}
+
+// step is one round: take in the workers, decide, send and store what follows. Changes is the count of the directory's changes.
+func (h *holder) step(changes uint64) {
 	now := time.Now()
-	h.takeWorkers(now)
-	withdrawn := h.m.withdrawn()
+	h.lookAtWorkers(changes, now)
 	h.mu.Lock()
-	h.withdraw(withdrawn, now)
 	orders := h.board.Orders(now, now)
 	inquiries := h.board.Inquiries(now)
 	for _, life := range h.board.Contacts() {
@@ -139,6 +155,25 @@
 	h.watchFeed(now)
 }
 
+// lookAtWorkers takes in which workers there are and which of them are to be cleared, if either may have changed. A worker that is
+// listed anew gets no work before it is known whether it is to be cleared, so one never goes without the other.
+func (h *holder) lookAtWorkers(changes uint64, now time.Time) {
+	h.mu.Lock()
+	due := h.unlisted || changes != h.listedAs || now.Sub(h.lookedAt) >= lookEvery
+	if due {
+		h.unlisted, h.listedAs, h.lookedAt = false, changes, now
+	}
+	h.mu.Unlock()
+	if !due {
+		return
+	}
+	h.takeWorkers(now)
+	withdrawn := h.m.withdrawn()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.withdraw(withdrawn, now)
+}
+
 // takeWorkers gives the board the workers of the directory, after the roster with them is stored.
 func (h *holder) takeWorkers(now time.Time) {
 	listings, known, _ := h.m.workers.pool(h.pool)
@@ -213,12 +248,14 @@
 	}
 	// From here on the stored roster may lack the lives that are left out: they must get no work meanwhile.
 	maps.DeleteFunc(h.roster, func(life work.Life, _ bool) bool { return !roster[life] })
+	h.unlisted = true
 	return platform.RowWrite{RowKey: markKey(h.pool, rosterKey), Value: encode(row)}
 }
 
 // rosterStored notes that a roster is stored. The caller holds the lock.
 func (h *holder) rosterStored(roster map[work.Life]bool) {
 	h.roster, h.stored = roster, maps.Clone(roster)
+	h.unlisted = true
 }
 
 // settle notes how a commit ended: a failed fence ends the duty, another failure delays the next commit.
--- /dev/null
+++ b/io/runner/load_bench_test.go
@@ -0,0 +1,170 @@
+package runner_test
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"siskincross/core/work"
+	"siskincross/io/platform"
+)
+
+const (
+	// benchJobs is how many jobs arrive in a second, benchWidth how many tasks each has, benchTask how long these run.
+	benchJobs  = 77
+	benchWidth = 13
+	benchTask  = 800 * time.Millisecond
+	// benchAnswer is how long a worker takes for an answer.
+	benchAnswer = time.Millisecond
+	// benchHistory is how many changes the store remembers.
+	benchHistory = 500
+	// benchWarm is how many seconds of load pass before: workers that were spare are used again meanwhile.
+	benchWarm = 5
+	// benchCalm is the time after the start before anything is measured: the duty is taken meanwhile.
+	benchCalm = 10 * time.Second
+)
+
+// benchWorker is a worker that costs next to nothing: its runs end by timers, and renewals wait for an end.
+type benchWorker struct {
+	fakeWorker
+	ended chan struct{}
+}
+
+// renew answers at the first end, or after the wait.
+func (w *benchWorker) renew(ctx context.Context, r work.Renewal) (work.Report, error) {
+	time.Sleep(benchAnswer)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for len(w.ends) > 0 && w.ends[0].Number <= r.Acknowledged {
+		w.ends = w.ends[1:]
+	}
+	if len(w.ends) == 0 && r.Wait > 0 {
+		ended := w.ended
+		w.mu.Unlock()
+		timer := time.NewTimer(r.Wait)
+		select {
+		case <-ended:
+		case <-timer.C:
+		case <-ctx.Done():
+		}
+		timer.Stop()
+		w.mu.Lock()
+	}
+	report := work.Report{Clock: w.clock(), Ends: append([]work.End(nil), w.ends...)}
+	for run := range w.runs {
+		report.Active = append(report.Active, work.Active{Run: run, Percent: 100})
+	}
+	return report, nil
+}
+
+func (w *benchWorker) send(o work.Order) work.Answer {
+	time.Sleep(benchAnswer)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if o.Kind == work.OrderStart {
+		w.runs[o.Run] = time.Time{}
+		time.AfterFunc(benchTask, func() { w.end(o.Run) })
+	}
+	return work.Answer{Clock: w.clock()}
+}
+
+func (w *benchWorker) end(run work.Run) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	delete(w.runs, run)
+	w.number++
+	w.ends = append(w.ends, work.End{Number: w.number, Run: run})
+	close(w.ended)
+	w.ended = make(chan struct{})
+}
+
+// benchSite is an entry host that holds the duty of a pool in its turn, in real time.
+type benchSite struct {
+	site    *fakeSite
+	workers map[string]*benchWorker
+	// starts and renewals count the calls to workers.
+	starts, renewals atomic.Int64
+}
+
+// newBenchSite starts the entry host and the workers, of 32 cores each.
+func newBenchSite(b *testing.B, workers int) *benchSite {
+	s := &benchSite{
+		site:    &fakeSite{is: is.New(b), store: newFakeStore(), hosts: make(map[string]*fakeHost), movable: true},
+		workers: make(map[string]*benchWorker),
+	}
+	s.site.store.watch(func(map[platform.RowKey]platform.PartRow) {
+		if h := s.site.store.history; len(h) > 2*benchHistory {
+			s.site.store.history = append([]platform.PartRow(nil), h[len(h)-benchHistory:]...)
+		}
+	})
+	s.site.store.put(platform.RowKey{Table: fakeTable, Key: "config"}, 1)
+	for i := range workers {
+		id := fmt.Sprintf("w%03d", i)
+		w := &benchWorker{ended: make(chan struct{})}
+		w.born, w.runs = time.Now(), make(map[work.Run]time.Time)
+		w.listing = work.Listing{
+			Life: work.Life{Worker: id, Born: time.Now().UnixMilli()}, Address: id, Pool: fakePool, Rack: fmt.Sprintf("rack-%d", i/12),
+			Capacity: work.Resources{MilliCores: 32_000, MemoryMB: 131_072},
+		}
+		s.workers[id] = w
+		s.site.store.put(platform.RowKey{Table: "workers", Key: id}, w.listing)
+	}
+	s.site.executors = platform.Executors{
+		Renew: func(ctx context.Context, r work.Renewal) (work.Report, error) {
+			s.renewals.Add(1)
+			return s.workers[r.Life.Worker].renew(ctx, r)
+		},
+		Send: func(_ context.Context, o work.Order) work.Answer {
+			if o.Kind == work.OrderStart {
+				s.starts.Add(1)
+			}
+			return s.workers[o.Life.Worker].send(o)
+		},
+	}
+	s.site.start("e0")
+	return s
+}
+
+// processorTime is what this process has used.
+func processorTime(is *is.I) time.Duration {
+	var usage syscall.Rusage
+	is.NoErr(syscall.Getrusage(syscall.RUSAGE_SELF, &usage))
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+// BenchmarkHolder measures the processor time that the holder of a pool in its turn takes, without that of its calls.
+// One operation is a second.
+func BenchmarkHolder(b *testing.B) {
+	for _, workers := range []int{60, 120, 250} {
+		b.Run(fmt.Sprint(workers, " workers"), func(b *testing.B) {
+			s := newBenchSite(b, workers)
+			defer s.site.kill("e0")
+			time.Sleep(benchCalm)
+			is := is.New(b)
+			job := 0
+			play := func(seconds int) {
+				ticker := time.NewTicker(time.Second / benchJobs)
+				defer ticker.Stop()
+				for range seconds * benchJobs {
+					<-ticker.C
+					job++
+					is.NoErr(s.site.submit("e0", fmt.Sprintf("%016x", job), benchWidth))
+				}
+			}
+			play(benchWarm)
+			starts, renewals := s.starts.Load(), s.renewals.Load()
+			began := processorTime(is)
+			b.ResetTimer()
+			play(b.N)
+			used := processorTime(is) - began
+			b.ReportMetric(float64(used.Milliseconds())/float64(b.N), "cpu-ms/s")
+			b.ReportMetric(float64(s.starts.Load()-starts)/float64(b.N), "starts/s")
+			b.ReportMetric(float64(s.renewals.Load()-renewals)/float64(b.N), "renewals/s")
+		})
+	}
+}
