--- a/core/work/task.go
+++ b/core/work/task.go
@@ -41,17 +41,18 @@
 
 // ParseTask parses what Task.String returns.
 func ParseTask(text string) (Task, error) {
-	parts := strings.Split(text, ".")
-	if len(parts) != 4 || parts[0] == "" {
+	job, rest, found := strings.Cut(text, ".")
+	if !found || job == "" {
 		return Task{}, ErrTaskName{text}
 	}
 	var numbers [3]int
-	for i, part := range parts[1:] {
+	for i := range numbers {
+		part, more, found := strings.Cut(rest, ".")
 		n, err := strconv.Atoi(part)
-		if err != nil || n < 0 {
+		if last := i == len(numbers)-1; err != nil || n < 0 || found == last {
 			return Task{}, ErrTaskName{text}
 		}
-		numbers[i] = n
+		numbers[i], rest = n, more
 	}
-	return Task{Job: ID(parts[0]), Occurrence: numbers[0], Step: numbers[1], Index: numbers[2]}, nil
+	return Task{Job: ID(job), Occurrence: numbers[0], Step: numbers[1], Index: numbers[2]}, nil
 }
