Count what the control costs the store by the number of entry hosts

A test in virtual time counts the calls of all entry hosts, and the rows and bytes delivered to them, by purpose, without any job.

The fake store finds changes after a version by search.

--- a/io/runner/fake_test.go
+++ b/io/runner/fake_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"slices"
+	"sort"
 	"strings"
 	"sync"
 	"testing"
@@ -249,8 +250,8 @@
 	for {
 		s.mu.Lock()
 		result := platform.Changes{Version: s.version}
-		for _, row := range s.history {
-			if row.Table == table && row.Version > after {
+		for _, row := range s.history[s.historyAfter(after):] {
+			if row.Table == table {
 				result.Rows = append(result.Rows, row)
 			}
 		}
@@ -269,6 +270,11 @@
 	}
 }
 
+// historyAfter returns where the changes later than a version begin. The caller holds the lock.
+func (s *fakeStore) historyAfter(version uint64) int {
+	return sort.Search(len(s.history), func(i int) bool { return s.history[i].Version > version })
+}
+
 // put writes a row as an operator or a worker would.
 func (s *fakeStore) put(key platform.RowKey, value any) {
 	encoded, err := json.Marshal(value)
@@ -337,6 +343,12 @@
 	capacities map[string]duty.Capacity
 	// executors replaces the calls to workers if its fields are set.
 	executors platform.Executors
+	// census, if set, counts the calls of the store.
+	census *census
+	// morePools is how many pools there are beside fakePool, without workers and queues.
+	morePools int
+	// apart is the time between the starts of two entry hosts.
+	apart time.Duration
 }
 
 // fakeHost is a running entry host.
@@ -377,6 +389,7 @@
 		}
 		for i := range hosts {
 			s.start(fmt.Sprintf("e%d", i))
+			time.Sleep(s.apart)
 		}
 		defer func() { // a test that fails ends here too
 			for name := range s.hosts {
@@ -402,8 +415,7 @@
 }
 
 func (s *fakeSite) catalogue() work.Catalogue {
-	return work.Catalogue{Version: 1, Pools: map[string]work.Pool{fakePool: {Name: fakePool, Guarded: true}}}.
-		WithQueues([]work.Queue{s.queue()})
+	return catalogueOf(s.queue(), s.morePools)
 }
 
 func (s *fakeSite) queue() work.Queue {
@@ -418,6 +430,9 @@
 	if executors.Send == nil {
 		executors = platform.Executors{Renew: s.renew, Send: s.send}
 	}
+	if s.census != nil {
+		rows = s.census.observe(name, rows)
+	}
 	h.manager = &runner.Manager{
 		Rows: rows, Executors: executors,
 		Directory: platform.Directory{
--- /dev/null
+++ b/io/runner/scale_test.go
@@ -0,0 +1,68 @@
+package runner_test
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"siskincross/core/work"
+)
+
+// measured is how long the use of the store is counted.
+const measured = 30 * time.Second
+
+// settling is how long a deployment is left alone before its use of the store is counted.
+const settling = 20 * time.Second
+
+// startsApart is the time between the starts of two entry hosts: they do not renew their rows in step.
+const startsApart = 37 * time.Millisecond
+
+// idleUse returns the use of the store a second by the control of a deployment without jobs.
+func idleUse(t *testing.T, hosts, pools int) (use map[string]tally, sum tally) {
+	t.Helper()
+	counted := &census{}
+	playSite(t, fakeSite{census: counted, morePools: pools - 1, movable: true, apart: startsApart}, hosts, 2, func(s *fakeSite) {
+		time.Sleep(settling)
+		counted.reset()
+		time.Sleep(measured)
+		use, sum = maps.Clone(counted.byPurpose), counted.total()
+	})
+	return use, sum
+}
+
+// perSecond tells a use of the store a second.
+func (t tally) perSecond() string {
+	seconds := measured.Seconds()
+	return fmt.Sprintf("%.1f calls, %.0f rows, %.1f KB a second", float64(t.calls)/seconds, float64(t.rows)/seconds, float64(t.bytes)/seconds/1000)
+}
+
+// logUse logs a use of the store by purpose.
+func logUse(t *testing.T, hosts int, use map[string]tally, sum tally) {
+	t.Helper()
+	t.Logf("%d entry hosts: %s", hosts, sum.perSecond())
+	for _, purpose := range slices.Sorted(maps.Keys(use)) {
+		t.Logf("  %-18s %s", purpose, use[purpose].perSecond())
+	}
+}
+
+// catalogueOf returns a configuration with further pools beside the one that has a queue.
+func catalogueOf(queue work.Queue, morePools int) work.Catalogue {
+	pools := map[string]work.Pool{fakePool: {Name: fakePool, Guarded: true}}
+	for i := range morePools {
+		name := fmt.Sprintf("desk%02d", i)
+		pools[name] = work.Pool{Name: name, Guarded: true}
+	}
+	return work.Catalogue{Version: 1, Pools: pools}.WithQueues([]work.Queue{queue})
+}
+
+// TestControlOfIdleEntryHosts logs what the control costs the store without any job.
+func TestControlOfIdleEntryHosts(t *testing.T) {
+	for _, hosts := range []int{7, 29, 44, 100} {
+		t.Run(fmt.Sprint(hosts), func(t *testing.T) {
+			use, sum := idleUse(t, hosts, 4)
+			logUse(t, hosts, use, sum)
+		})
+	}
+}
