Have most entry hosts stand by, and count waiting jobs once for all

Callers saw slow answers on sites of many small entry hosts, whose control cost grew with the square of their number. Each entry host renewed its row every 0.7 s and followed the renewals of all.

An entry host is now an active member only while it is needed: it holds a duty, or is one of as many as there are duties and six more, the strongest first. Only active members have a row, renew it and follow the others. The rest read the active members' rows every 1.5 s. If fewer than half of those wanted renew their rows, all become active at once, and those not needed stand by again 6 s later; if some are missing, each becomes active by a chance that doubles with each look, since nobody knows how many stand by. Who becomes active watches for a heartbeat before it takes duties; versions of rows still decide who holds one. All are active at their start. With many active members, time between two answers grows up to 0.4 s.

A count of waiting jobs that is too old was made anew by every entry host that was asked, from all rows of the pool. Whoever counts now stores it in place of the old one, which requires that nobody else has.

--- a/core/duty/member.go
+++ b/core/duty/member.go
@@ -105,6 +105,11 @@
 	return l.names(func(r record) bool { return l.isLive(r) && r.observed >= l.Lease && r.unchanged < fresh })
 }
 
+// Renewed returns the names of the live members whose rows changed less than d ago, sorted.
+func (l Ledger) Renewed(d time.Duration) []string {
+	return l.names(func(r record) bool { return l.isLive(r) && r.unchanged < d })
+}
+
 // LongLapsed returns the names of the members that lapsed at least d ago, sorted.
 func (l Ledger) LongLapsed(d time.Duration) []string {
 	return l.names(func(r record) bool { return r.unchanged >= l.Lease+d })
--- a/core/event/work.go
+++ b/core/event/work.go
@@ -37,6 +37,8 @@
 	WorkAdviceFailed
 	WorkPaced
 	WorkGivenUp
+	MemberStandsBy
+	MemberActive
 )
 
 var workEntries = []Entry{
@@ -75,4 +77,6 @@
 	{WorkAdviceFailed, "work", "The policy service did not answer an inquiry, or refused it; it is asked again."},
 	{WorkPaced, "work", "A worker was told to slow or hasten a task that fills beside one with a target."},
 	{WorkGivenUp, "work", "An attempt counts as over without a report of its end; its task may be started again."},
+	{MemberStandsBy, "work", "This process takes no duties for now, since enough others are active members."},
+	{MemberActive, "work", "This process is an active member again, since others are missing."},
 }
--- a/io/runner/count.go
+++ b/io/runner/count.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"maps"
 	"time"
 
@@ -63,7 +64,7 @@
 	if m.health.away(q.Pool) {
 		return 0, errStoreAway()
 	}
-	row, ok, err := m.Rows.ReadOne(ctx, platform.RowKey{Table: countTable, Part: q.Pool, Key: pendingKey}, "pending")
+	row, ok, err := m.Rows.ReadOne(ctx, countKey(q.Pool), "pending")
 	if err != nil {
 		return 0, err
 	}
@@ -75,25 +76,50 @@
 			return count.Waiting[q.Key()], nil
 		}
 	}
-	return m.countWaiting(ctx, q)
+	return m.countWaiting(ctx, q, row.Version)
 }
 
-// countWaiting counts by the rows of the jobs themselves. One call at a time reads those of a pool, and others wait for it.
-func (m *Manager) countWaiting(ctx context.Context, q work.Queue) (int, error) {
-	found, err, _ := m.counting.Do(q.Pool, func() (any, error) { return m.readWaiting(ctx, q.Pool) })
+func countKey(pool string) platform.RowKey {
+	return platform.RowKey{Table: countTable, Part: pool, Key: pendingKey}
+}
+
+// countWaiting counts by the rows of the jobs themselves. One call at a time reads those of a pool, and others wait for it. The count
+// is stored in place of the one that is too old, so that other entry hosts need not read all rows as well.
+func (m *Manager) countWaiting(ctx context.Context, q work.Queue, tooOld uint64) (int, error) {
+	found, err, _ := m.counting.Do(q.Pool, func() (any, error) {
+		at, known := m.Rows.Now()
+		waiting, err := m.readWaiting(ctx, q.Pool)
+		if err == nil && known {
+			m.group.Go(func() { m.shareCount(q.Pool, tooOld, countRow{AtMillis: at.Milliseconds(), Waiting: waiting}) })
+		}
+		return waiting, err
+	})
 	if err != nil {
 		return 0, err
 	}
 	return found.(map[string]int)[q.Key()], nil
 }
 
+// shareCount stores a count unless somebody else has stored a newer one.
+func (m *Manager) shareCount(pool string, tooOld uint64, count countRow) {
+	key := countKey(pool)
+	_, err := m.Rows.Commit(m.ctx, platform.Commit{
+		Expected: []platform.Expectation{{RowKey: key, Version: tooOld}},
+		Writes:   []platform.RowWrite{{RowKey: key, Value: encode(count)}}, Purpose: "count",
+	})
+	var overtaken platform.ErrOvertaken
+	if err != nil && !errors.As(err, &overtaken) {
+		m.record(event.Event{Number: event.WorkCommitFailed, Pool: pool, Detail: "count of waiting jobs: " + err.Error()})
+	}
+}
+
 // readWaiting returns how many jobs of a pool wait, by the queue's key.
 func (m *Manager) readWaiting(ctx context.Context, pool string) (map[string]int, error) {
-	specs, _, err := m.Rows.ReadAll(ctx, platform.Range{Table: queueTable(pool), Part: pool, From: firstJobKey, Purpose: "pending"})
+	specs, _, err := m.Rows.ReadAll(ctx, platform.Range{Table: queueTable(pool), Part: pool, From: firstJobKey, Purpose: "count"})
 	if err != nil {
 		return nil, err
 	}
-	progress, _, err := m.Rows.ReadAll(ctx, platform.Range{Table: progressTable, Part: pool, Purpose: "pending"})
+	progress, _, err := m.Rows.ReadAll(ctx, platform.Range{Table: progressTable, Part: pool, Purpose: "count"})
 	if err != nil {
 		return nil, err
 	}
--- a/io/runner/count_test.go
+++ b/io/runner/count_test.go
@@ -34,6 +34,22 @@
 			}
 		})
 	})
+	// Every entry host is asked twice a second about a pool that has nothing to do, whose holder writes no counts.
+	t.Run("count that is too old is made anew by one entry host for all", func(t *testing.T) {
+		counted := &census{}
+		playSite(t, fakeSite{census: counted, apart: startsApart}, manyHosts, 1, func(s *fakeSite) {
+			counted.reset()
+			for range 20 {
+				for _, host := range s.names() {
+					s.is.Equal(s.waiting(host), 0)
+				}
+			}
+			// Two readings and a write by at most two at once, every two seconds.
+			s.is.True(counted.byPurpose["pending"].calls > 800)
+			rounds := int(time.Duration(counted.byPurpose["pending"].calls)*answerTime/(2*time.Second)) + 1
+			s.is.True(counted.byPurpose["count"].calls <= 6*rounds)
+		})
+	})
 	// The holder is lost, and the next one waits for the lapse of its membership.
 	t.Run("count is not older than two seconds while nobody holds the duty", func(t *testing.T) {
 		withFakeSite(t, 3, 1, func(s *fakeSite) {
--- a/io/runner/duties.go
+++ b/io/runner/duties.go
@@ -22,11 +22,11 @@
 	hostsWeight = 0.25
 )
 
-// runDuties takes and gives up duties until ctx ends.
-func (m *Manager) runDuties(ctx context.Context) {
+// runDuties takes and gives up duties until ctx ends, or until this member is not needed. It takes those of others once it has watched.
+func (m *Manager) runDuties(ctx context.Context, watch time.Duration) {
 	defer m.stopTenures()
 	started := time.Now()
-	last := started
+	last, needed := started, started
 	for sleep(ctx, dutyEvery) {
 		now := time.Now()
 		live, settled := m.judge(now.Sub(last), now)
@@ -40,12 +40,17 @@
 		names := m.dutyNames()
 		spread := m.spread(names, live)
 		for _, name := range names {
-			if now.Sub(started) >= firstDuty {
+			if now.Sub(started) >= watch {
 				m.look(ctx, name, duty.View{Self: m.Member, Live: live, Settled: settled, Spread: spread})
 			} else {
 				m.resume(ctx, name)
 			}
 		}
+		if m.needed(names, live) {
+			needed = now
+		} else if now.Sub(needed) > idleAfter {
+			return
+		}
 	}
 }
 
@@ -77,13 +82,7 @@
 			duties[name] = duty.Duty{Holder: m.holderRows[name].Holder, Weight: hostsWeight, Stays: true}
 		}
 	}
-	capacities := make(map[string]duty.Capacity, len(live))
-	for _, member := range live {
-		if sighting, ok := m.ledger.Member(member); ok {
-			capacities[member] = sighting.Member.Capacity
-		}
-	}
-	return duty.Spread(duties, duty.Fleet{Live: live, Steady: m.ledger.Steady(echoTime), Capacities: capacities})
+	return duty.Spread(duties, duty.Fleet{Live: live, Steady: m.ledger.Steady(echoTime), Capacities: m.capacities(live)})
 }
 
 // look does what is due about one duty.
--- a/io/runner/manager.go
+++ b/io/runner/manager.go
@@ -119,7 +119,7 @@
 	m.init()
 	m.ctx = ctx
 	ended := make(chan error, 1)
-	for _, loop := range []func(context.Context){m.followOperators, m.followFleet, m.runBeats, m.runDuties, m.followWorkers, m.followHosts, m.watchStore} {
+	for _, loop := range []func(context.Context){m.followOperators, m.runMember, m.followWorkers, m.followHosts, m.watchStore} {
 		m.group.Go(func() { loop(ctx) })
 	}
 	go func() {
--- a/io/runner/members.go
+++ b/io/runner/members.go
@@ -19,11 +19,16 @@
 	memberLease = 2200 * time.Millisecond
 	// fleetWait is how long the store may hold back its answer about the members. Some member beats in any such time.
 	fleetWait = 400 * time.Millisecond
-	// fleetGather is the least time between two answers about the members.
-	fleetGather = 150 * time.Millisecond
-	// echoTime is how old the last beat of ours that the table of members has shown to us may be: a beat, the time
-	// between two answers, and an answer that is late. Older, and nothing is known of the others either.
-	echoTime = beatEvery + fleetGather + 500*time.Millisecond
+	// fleetGather is the least time between two answers about the members, and fleetGatherEach what each member adds to it up to
+	// fleetGatherMost, so that the calls of all together hardly grow with their number.
+	fleetGather     = 150 * time.Millisecond
+	fleetGatherEach = 20 * time.Millisecond
+	fleetGatherMost = 400 * time.Millisecond
+	// echoSlack is how old the last beat of ours that the table of members has shown to us may be, beside the time between two
+	// answers: a beat, and an answer that is late. Older, and nothing is known of the others either.
+	echoSlack = beatEvery + 500*time.Millisecond
+	// echoTime is how old the last beat of a member may be that counts as steady.
+	echoTime = echoSlack + fleetGather
 	// settledAfter is how long a member must be live before duties are handed over to it.
 	settledAfter = 5 * time.Second
 )
@@ -75,7 +80,7 @@
 // followFleet keeps the members and the holders of the duties up to date.
 func (m *Manager) followFleet(ctx context.Context) {
 	m.follow(ctx, follower{
-		table: fleetTable, wait: fleetWait, gather: fleetGather, take: m.takeFleet, read: m.readFleet,
+		table: fleetTable, wait: fleetWait, pace: m.fleetPace, take: m.takeFleet, read: m.readFleet,
 		heard: func(uint64) {
 			m.mu.Lock()
 			m.followed = time.Now()
@@ -84,6 +89,13 @@
 	})
 }
 
+// fleetPace is the least time between two answers about the members.
+func (m *Manager) fleetPace() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return min(max(fleetGather, fleetGatherEach*time.Duration(len(m.members))), fleetGatherMost)
+}
+
 // readFleet reads the members, and the holder of each pool.
 func (m *Manager) readFleet(ctx context.Context) (uint64, error) {
 	rows, version, err := m.Rows.ReadAll(ctx, platform.Range{Table: fleetTable, Purpose: "members"})
@@ -206,18 +218,15 @@
 // judge gives the ledger the time since the last look, if we could read and write the store meanwhile.
 // It returns the live members and those that have been live for some time.
 func (m *Manager) judge(elapsed time.Duration, now time.Time) (live, settled []string) {
+	pace := m.fleetPace()
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	rows := make([]duty.Sighting, 0, len(m.members))
-	for _, s := range m.members {
-		rows = append(rows, s)
-	}
-	connected := now.Sub(m.beaten) < memberLease && now.Sub(m.followed) < memberLease && now.Sub(m.echoed) < echoTime
+	connected := now.Sub(m.beaten) < memberLease && now.Sub(m.followed) < memberLease && now.Sub(m.echoed) < pace+echoSlack
 	if !connected {
 		elapsed = 0
 	}
 	before := m.ledger.Lapsed()
-	m.ledger = m.ledger.WithPoll(rows, elapsed)
+	m.ledger = m.ledger.WithPoll(m.sightings(), elapsed)
 	after := m.ledger.Lapsed()
 	if len(after) > len(before) {
 		m.record(event.Event{Number: event.MemberGone, Detail: "lapsed: " + strings.Join(after, ", ")})
--- a/io/runner/operators.go
+++ b/io/runner/operators.go
@@ -22,8 +22,10 @@
 	wait  time.Duration
 	// gather is the least time between two answers, so that changes come in groups.
 	gather time.Duration
-	read   func(ctx context.Context) (uint64, error)
-	take   func(rows []platform.PartRow)
+	// pace returns that time if it varies; nil means gather.
+	pace func() time.Duration
+	read func(ctx context.Context) (uint64, error)
+	take func(rows []platform.PartRow)
 	// heard is called after every answer with the version up to which the table is known; nil means nobody cares.
 	heard func(version uint64)
 	// idle tells that nobody needs the table now; nil means never.
@@ -73,6 +75,9 @@
 				f.heard(version)
 			}
 		}
+		if f.pace != nil {
+			f.gather = f.pace()
+		}
 		if f.gather > 0 && !sleep(ctx, f.gather) {
 			return
 		}
--- a/io/runner/scale_test.go
+++ b/io/runner/scale_test.go
@@ -7,6 +7,8 @@
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
+
 	"siskincross/core/work"
 )
 
@@ -57,12 +59,24 @@
 	return work.Catalogue{Version: 1, Pools: pools}.WithQueues([]work.Queue{queue})
 }
 
-// TestControlOfIdleEntryHosts logs what the control costs the store without any job.
+// controlWrites is how many rows a second the control of all entry hosts may write, by the brief.
+const controlWrites = 60
+
+// Every entry host renewed its row, and heard of the renewals of all: the control's cost grew with the square of their number.
 func TestControlOfIdleEntryHosts(t *testing.T) {
+	rowsEach := make(map[int]float64)
 	for _, hosts := range []int{7, 29, 44, 100} {
 		t.Run(fmt.Sprint(hosts), func(t *testing.T) {
-			use, sum := idleUse(t, hosts, 4)
+			is := is.New(t)
+			use, sum := idleUse(t, hosts, itsPools)
 			logUse(t, hosts, use, sum)
+			rowsEach[hosts] = float64(sum.rows) / float64(hosts)
+			is.True(use["heartbeat"].calls <= controlWrites*int(measured.Seconds()))
 		})
 	}
+	t.Run("rows delivered to each do not grow with their number", func(t *testing.T) {
+		is := is.New(t)
+		is.True(rowsEach[44] <= rowsEach[29])
+		is.True(rowsEach[100] <= rowsEach[44])
+	})
 }
