--- a/io/runner/directory.go
+++ b/io/runner/directory.go
@@ -169,8 +169,8 @@
 	d.changes++
 }
 
-// pool returns a pool's workers, whether the directory was read, and a channel that is closed at the next change. The caller may change the list.
-func (d *directory) pool(name string) ([]work.Listing, bool, <-chan struct{}) {
+// pool returns a pool's workers and whether the directory was read. The caller may change the list.
+func (d *directory) pool(name string) ([]work.Listing, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	var listings []work.Listing
@@ -179,7 +179,7 @@
 			listings = append(listings, l)
 		}
 	}
-	return listings, d.known, d.changed
+	return listings, d.known
 }
 
 // watch returns how often the listings have changed, and a channel that is closed at the next change.
--- a/io/runner/duties.go
+++ b/io/runner/duties.go
@@ -142,7 +142,7 @@
 	if h == nil {
 		return true
 	}
-	listings, _, _ := m.workers.pool(name)
+	listings, _ := m.workers.pool(name)
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	return !h.committing && maps.Equal(h.stored, h.board.Roster(listings, h.clearing.withdrawn()))
--- a/io/runner/holder.go
+++ b/io/runner/holder.go
@@ -176,7 +176,7 @@
 
 // takeWorkers gives the board the workers of the directory, after the roster with them is stored.
 func (h *holder) takeWorkers(now time.Time) {
-	listings, known, _ := h.m.workers.pool(h.pool)
+	listings, known := h.m.workers.pool(h.pool)
 	if !known {
 		return
 	}
--- a/io/runner/need.go
+++ b/io/runner/need.go
@@ -155,7 +155,7 @@
 	if !slices.ContainsFunc(need.Cleared, h.mayBeRostered) {
 		return nil
 	}
-	listings, _, _ := h.m.workers.pool(h.pool)
+	listings, _ := h.m.workers.pool(h.pool)
 	return h.board.Roster(h.clearing.admissible(listings, h.board.Known), h.clearing.withdrawn())
 }
 
