Count no silence of other members for the time in which we may have been cut off

A duty moved although its holder lived, after the store had been away for four seconds (TestManyEntryHosts, 2 of 6 runs on a busy machine, 1 of 12 alone): its pool stood still for the takeover.

Cause: a member learns that it is cut off from its own echo, up to 1.6 s after the last one, and counted that time as silence of the others. With the age of their last heartbeat it came to more than the lease of 2.2 s, so that at the store's return a holder whose next heartbeat came a little later than our own had lapsed.

Now a member that notices goes back to what it knew at its last echo.

--- a/io/runner/fleet_test.go
+++ b/io/runner/fleet_test.go
@@ -194,7 +194,10 @@
 			})
 		})
 	}
-	for _, away := range []time.Duration{700 * time.Millisecond, 2 * time.Second, 4 * time.Second, 15 * time.Second} {
+	for _, away := range []time.Duration{
+		700 * time.Millisecond, 1500 * time.Millisecond, 2 * time.Second, 2500 * time.Millisecond, 3 * time.Second,
+		3500 * time.Millisecond, 4 * time.Second, 5 * time.Second, 15 * time.Second,
+	} {
 		t.Run(fmt.Sprint("store is away, and everybody is there again after ", away), func(t *testing.T) {
 			withManyHosts(t, func(s *fakeSite) {
 				terms := s.terms()
--- a/io/runner/manager.go
+++ b/io/runner/manager.go
@@ -60,6 +60,9 @@
 	// members holds the rows of the members, ledger judges them.
 	members map[string]duty.Sighting
 	ledger  duty.Ledger
+	// echoedLedger is the ledger as of judgedEcho, the last echo of ours that was judged.
+	echoedLedger duty.Ledger
+	judgedEcho   time.Time
 	// beaten is when our own member row was last written, followed when the fleet table was last read, echoed when
 	// it last showed a newer beat of ours.
 	beaten, followed, echoed time.Time
@@ -102,6 +105,7 @@
 		m.former = make(map[string][]string)
 		m.members = make(map[string]duty.Sighting)
 		m.ledger = duty.Ledger{Lease: memberLease}
+		m.echoedLedger = m.ledger
 		m.holderRows = make(map[string]heldRow)
 		m.holders = make(map[string]*holder)
 		m.tenures = make(map[string]*tenure)
--- a/io/runner/members.go
+++ b/io/runner/members.go
@@ -222,11 +222,16 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	connected := now.Sub(m.beaten) < memberLease && now.Sub(m.followed) < memberLease && now.Sub(m.echoed) < pace+echoSlack
-	if !connected {
-		elapsed = 0
-	}
 	before := m.ledger.Lapsed()
-	m.ledger = m.ledger.WithPoll(m.sightings(), elapsed)
+	if connected {
+		m.ledger = m.ledger.WithPoll(m.sightings(), elapsed)
+	} else {
+		// Time since our last echo tells nothing of the others: we may have been cut off all the while.
+		m.ledger = m.echoedLedger.WithPoll(m.sightings(), 0)
+	}
+	if m.echoed != m.judgedEcho {
+		m.judgedEcho, m.echoedLedger = m.echoed, m.ledger
+	}
 	after := m.ledger.Lapsed()
 	if len(after) > len(before) {
 		m.record(event.Event{Number: event.MemberGone, Detail: "lapsed: " + strings.Join(after, ", ")})
