Ask for all the hosts at once that lasting tasks without a place need

Cause: a pool that was switched off to three workers counted lasting tasks by their cores alone, while memory and the limit of tasks of a step on one worker decide how many fit. Tasks that found no place made it ask for a single host, and for the next one only after that had come two seconds later: 13 hosts in 20 seconds. The same held for the tasks that a wave's workers could not be cleared of: five workers stood withdrawn from 14 s to 27 s. Workers whose memory lasting tasks filled were offered as spare, since few of their cores were used.

Tests that fail first on the old code: all five new subtests of TestHomelessTasks (checked; asked for 1 where 9 are needed).

--- a/core/work/board.go
+++ b/core/work/board.go
@@ -84,12 +84,12 @@
 	unsure int
 	// shared is true once a job came with tasks that fill or that have a target.
 	shared bool
-	// homeless counts the lasting steps with a task that found no worker in the last round.
-	homeless int
 	// full holds the demands for which no worker had room in this round.
 	full []Resources
-	// cramped counts the lasting tasks that should leave a worker and found no other in the last round.
-	cramped int
+	// homeless counts by step the lasting tasks that found no worker in the last round, cramped those of them that should leave the one
+	// that they are on.
+	homeless map[*group]int
+	cramped  int
 	// spareSince is since when the pool has had more workers than it needs.
 	spareSince time.Time
 }
@@ -104,6 +104,7 @@
 	b.workers = make(map[Life]*worker)
 	b.unseen = make(map[Life]time.Time)
 	b.unwanted = make(map[*run]bool)
+	b.homeless = make(map[*group]int)
 	b.durations = make(map[string]*durations)
 	b.arriving = make(map[string]*arrivals)
 	b.approving = make(map[string]approvalShare)
--- a/core/work/job.go
+++ b/core/work/job.go
@@ -115,6 +115,11 @@
 	return Resources{r.MilliCores - o.MilliCores, r.MemoryMB - o.MemoryMB, r.Accelerators - o.Accelerators}
 }
 
+// Most returns the larger of each resource.
+func (r Resources) Most(o Resources) Resources {
+	return Resources{max(r.MilliCores, o.MilliCores), max(r.MemoryMB, o.MemoryMB), max(r.Accelerators, o.Accelerators)}
+}
+
 // Holds reports whether o fits into r.
 func (r Resources) Holds(o Resources) bool {
 	return o.MilliCores <= r.MilliCores && o.MemoryMB <= r.MemoryMB && o.Accelerators <= r.Accelerators
--- a/core/work/load.go
+++ b/core/work/load.go
@@ -126,12 +126,17 @@
 func (b *Board) Load(now time.Time) Load {
 	b.init()
 	var heard []*worker
-	present, cores := 0, 0.0
+	present, shut, cores := 0, 0, 0.0
+	var largest Resources
 	for _, w := range b.order {
 		if !w.listed || w.Draining || w.withdrawn || w.misses >= silentMisses {
 			continue
 		}
 		present++
+		largest = largest.Most(w.Capacity)
+		if !w.open(now) {
+			shut++
+		}
 		cores += float64(w.Capacity.MilliCores) / 1000
 		if w.answered {
 			heard = append(heard, w)
@@ -145,16 +150,17 @@
 	}
 	each := cores / float64(present)
 	need := b.expected(now)
-	load := Load{Why: fmt.Sprintf("%d workers with %.0f cores, %.0f needed, %d steps without a place, %d tasks that can't leave", present, cores, need, b.homeless, b.cramped)}
+	load := Load{Why: fmt.Sprintf("%d workers with %.0f cores, %.0f needed, %d steps without a place, %d tasks that can't leave", present, cores, need, len(b.homeless), b.cramped)}
 	if need > cores*growAt {
 		load.Ask = int(math.Ceil((need/growAt - cores) / each))
 	}
 	load.Urgent = max(0, keepWorkers-present)
-	if b.homeless+b.cramped > 0 {
-		load.Urgent = max(load.Urgent, 1)
+	if len(b.homeless) > 0 {
+		// Workers that are passed over for a moment will have room again sooner than hosts would come.
+		load.Urgent = max(load.Urgent, 1, b.missing(largest)-shut)
 	}
 	load.Ask = max(load.Ask, load.Urgent)
-	keep := max(keepWorkers, b.spreadOver(), int(math.Ceil(need/shrinkAt/each)))
+	keep := max(keepWorkers, b.spreadOver(), b.heldBy(largest), int(math.Ceil(need/shrinkAt/each)))
 	if present <= keep || len(heard) < present || load.Urgent > 0 {
 		b.spareSince = time.Time{}
 		return load
--- a/core/work/load_test.go
+++ b/core/work/load_test.go
@@ -185,6 +185,65 @@
 }
 
 func TestHomelessTasks(t *testing.T) {
+	// A job of many lasting tasks, of which a worker's memory holds one, comes to a pool that was reduced to the least. Hosts came one
+	// by one, each after two seconds, and most tasks were not at work for half a minute.
+	t.Run("lasting tasks without a place ask for all the workers that they need at once", func(t *testing.T) {
+		for name, demand := range map[string]func(*work.Step){
+			"memory": func(s *work.Step) { s.Demand = work.Resources{MilliCores: 500, MemoryMB: 2100} },
+			"cores":  func(s *work.Step) { s.Demand = work.Resources{MilliCores: 2100, MemoryMB: 100} },
+			"spread": func(s *work.Step) { s.Demand, s.SpreadLimit = work.Resources{MilliCores: 100, MemoryMB: 100}, 1 },
+		} {
+			f := withPool(t, 3)
+			j := lastingJob("j", 12)
+			demand(&j.Steps[0])
+			f.board.Add(j, work.Progress{}, 11, false, f.now)
+			f.is.Equal(len(f.orders()), 3)
+			load := f.board.Load(f.now)
+			if load.Urgent != 9 || load.Ask < 9 {
+				t.Errorf("%s: asks for %d, %d of them urgent, with 9 tasks that need a worker each", name, load.Ask, load.Urgent)
+			}
+		}
+	})
+	t.Run("steps with a spread limit share the workers that they ask for", func(t *testing.T) {
+		f := withPool(t, 3)
+		for _, id := range []work.ID{"j1", "j2"} {
+			j := lastingJob(id, 12)
+			j.Steps[0].Demand, j.Steps[0].SpreadLimit = work.Resources{MilliCores: 100, MemoryMB: 100}, 1
+			f.board.Add(j, work.Progress{}, 11, false, f.now)
+		}
+		f.is.Equal(len(f.orders()), 6)
+		f.is.Equal(f.board.Load(f.now).Urgent, 9)
+	})
+	t.Run("lasting tasks of which several fit on a worker ask for fewer", func(t *testing.T) {
+		f := withPool(t, 3)
+		j := lastingJob("j", 12)
+		j.Steps[0].Demand = work.Resources{MilliCores: 100, MemoryMB: 1900}
+		f.board.Add(j, work.Progress{}, 11, false, f.now)
+		f.is.Equal(len(f.orders()), 6)
+		f.is.Equal(f.board.Load(f.now).Urgent, 3)
+	})
+	// A worker refuses for a moment: its tasks find no place, and hosts in its stead would come when it is back.
+	t.Run("workers that are passed over for a moment count as places", func(t *testing.T) {
+		f := withPool(t, 3)
+		j := lastingJob("j", 5)
+		j.Steps[0].SpreadLimit = 1
+		f.board.Add(j, work.Progress{}, 11, false, f.now)
+		f.board.Missed(life("w00"), f.now)
+		f.is.Equal(len(f.orders()), 2)
+		f.is.Equal(f.board.Load(f.now).Urgent, 2)
+	})
+	// Memory is full while few cores are in use: workers given up for the cores alone had lasting tasks that could go nowhere.
+	t.Run("workers whose memory lasting tasks need are not spare", func(t *testing.T) {
+		f := withPool(t, 6)
+		j := lastingJob("j", 12)
+		j.Steps[0].Demand = work.Resources{MilliCores: 100, MemoryMB: 1900}
+		f.board.Add(j, work.Progress{}, 11, false, f.now)
+		f.is.Equal(len(f.orders()), 12)
+		f.now = f.now.Add(time.Second)
+		f.board.Load(f.now)
+		f.now = f.now.Add(time.Second)
+		f.is.Equal(f.board.Load(f.now).Spare, 0)
+	})
 	// Seven tasks, two on a worker: the fourth worker is not spare, however little it has to do.
 	t.Run("workers that a lasting step is spread over are kept", func(t *testing.T) {
 		f := withPool(t, 5)
--- a/core/work/place.go
+++ b/core/work/place.go
@@ -15,7 +15,6 @@
 	b.sortGroups(now)
 	open := b.openWorkers(now)
 	var orders []Order
-	b.homeless = 0
 	b.full = b.full[:0]
 	for _, g := range slices.Clone(b.groups) {
 		if (g.job.ambiguous && !settled) || !b.preceded(g.job, g.occurrence, g.step) {
@@ -49,7 +48,7 @@
 		return b.placeGang(g, open, now)
 	}
 	var orders []Order
-	for _, t := range g.tasks {
+	for i, t := range g.tasks {
 		if !t.startable(now) {
 			continue
 		}
@@ -57,7 +56,7 @@
 		if w == nil {
 			g.searching = true
 			if g.spec().Lasting && (!g.needsAdvice() || len(g.approvals) > 0) {
-				b.homeless++
+				b.homeless[g] += startableOf(g.tasks[i:], now)
 			}
 			break
 		}
@@ -66,6 +65,16 @@
 	return orders
 }
 
+func startableOf(tasks []*task, now time.Time) int {
+	n := 0
+	for _, t := range tasks {
+		if t.startable(now) {
+			n++
+		}
+	}
+	return n
+}
+
 func (t *task) startable(now time.Time) bool {
 	return !t.done && len(t.runs) == 0 && !now.Before(t.notBefore)
 }
--- a/core/work/withdraw.go
+++ b/core/work/withdraw.go
@@ -46,6 +46,7 @@
 
 // evacuate gives up the runs that keep withdrawn workers from being cleared: lasting ones as their steps tolerate, others late.
 func (b *Board) evacuate(now time.Time) {
+	clear(b.homeless)
 	b.cramped = 0
 	open := b.openWorkers(now)
 	for _, w := range b.order {
@@ -60,7 +61,8 @@
 			late := w.withdrawn && now.Sub(w.withdrawnAt) > withdrawPatience
 			if g.spec().Lasting && b.choose(g, open, nil, nil, now) == nil {
 				g.searching = true
-				b.cramped++ // it would have nowhere to go
+				b.homeless[g]++ // it would have nowhere to go
+				b.cramped++
 				continue
 			}
 			if (g.spec().Lasting && b.tolerates(g, now)) || (!g.spec().Lasting && late && !g.spec().Gang) {
