Bound the starts that are on their way to all workers of a pool

Cause: five starts at once to each worker are 750 to 150 workers. A holder that takes a millisecond or two for each hears the last answers after more than the second that a call is given; it gives them up, which closes their connections, repeats each start, stops it and makes it again: all of its processor goes into calls that come to nothing, and renewals time out among them. It does not recover until its turn is over.

Now no more than 100 starts are on their way for a pool. At ten milliseconds an answer that is ten thousand a second; a slow holder starts less and hears of what it started. Ruled out: longer time-outs, which only lengthen the queue; a bound for each worker, which grows with the pool.

TestStartsInFlight fails on the old code (200 starts at once).

--- a/core/work/board.go
+++ b/core/work/board.go
@@ -80,6 +80,8 @@
 	// inquiring counts the calls of the policy service that are on their way; there are none before inquireAfter.
 	inquiring    int
 	inquireAfter time.Time
+	// inFlight counts the starts that are on their way.
+	inFlight int
 	// unsure counts the runs whose start is to be sent again.
 	unsure int
 	// shared is true once a job came with tasks that fill or that have a target.
--- a/core/work/order.go
+++ b/core/work/order.go
@@ -167,6 +167,7 @@
 	w.runs[r.name] = r
 	w.used = w.used.Plus(r.demand)
 	w.unanswered++
+	b.inFlight++
 	r.order = Order{
 		Kind: OrderStart, Contact: w.contact(), Epoch: b.Epoch, Run: r.name,
 		Spec: t.group.job.Spec, Checkpoint: t.checkpoint, Ticket: t.group.approvals[w.Life].ticket,
@@ -196,6 +197,7 @@
 			}
 			r.repeats++
 			w.unanswered++
+			b.inFlight++
 			orders = append(orders, r.order)
 		}
 	}
@@ -207,6 +209,9 @@
 	if a.Verdict == VerdictFenced {
 		return false
 	}
+	if o.Kind == OrderStart {
+		b.inFlight--
+	}
 	w := b.workers[o.Life]
 	if w == nil {
 		return true
--- a/core/work/place.go
+++ b/core/work/place.go
@@ -9,6 +9,10 @@
 // for these and be given up unsent. Workers answer within milliseconds, so that this allows a thousand a second.
 const mostUnanswered = 5
 
+// mostInFlight is how many starts may be on their way to all workers of a pool. At the ten milliseconds that an answer takes it allows
+// ten thousand a second; a holder that is slower than that finds a short queue of answers, and none of them has waited for long.
+const mostInFlight = 100
+
 // place starts the tasks that may run now, in the order of their jobs.
 func (b *Board) place(now time.Time) []Order {
 	settled := b.settled(now)
@@ -52,6 +56,9 @@
 		if !t.startable(now) {
 			continue
 		}
+		if b.inFlight >= mostInFlight {
+			break
+		}
 		w := b.choose(g, open, nil, t.failedOn, now)
 		if w == nil {
 			g.searching = true
@@ -81,6 +88,9 @@
 
 // placeGang starts all tasks of a gang with one attempt, or none.
 func (b *Board) placeGang(g *group, open []*worker, now time.Time) []Order {
+	if b.inFlight >= mostInFlight {
+		return nil
+	}
 	attempt := 0
 	for _, t := range g.tasks {
 		if !t.startable(now) {
--- a/core/work/place_test.go
+++ b/core/work/place_test.go
@@ -90,3 +90,23 @@
 		f.is.Equal(len(f.orders()), 4)
 	})
 }
+
+// TestStartsInFlight guards against a holder that orders more than it can hear the answers of: every answer then comes after the call
+// was given up, and each start is repeated, stopped and made again.
+func TestStartsInFlight(t *testing.T) {
+	const workers, tasks = 60, 200
+	f := withPool(t, workers)
+	f.board.Add(chain("j", tasks), work.Progress{}, 11, false, f.now)
+	first := f.board.Orders(f.now, f.now)
+	f.is.True(len(first) <= 100)
+	f.is.Equal(len(f.board.Orders(f.now, f.now)), 0) // none is answered yet
+	for _, o := range first[:10] {
+		f.is.True(f.board.Answered(o, work.Answer{Clock: time.Second}, f.now))
+	}
+	f.is.Equal(len(f.board.Orders(f.now, f.now)), 10)
+	for _, o := range first[10:] {
+		f.is.True(f.board.Answered(o, work.Answer{Verdict: work.VerdictNotSent}, f.now))
+	}
+	f.now = f.now.Add(hundred)
+	f.is.Equal(len(f.orders()), 90) // what was not sent makes room too
+}
