Collect garbage less often

Cause: an entry host's live heap is some ten megabytes, and the holder of a duty allocates several times as much a second in its turn, so the collector ran all the time. In the play a collection costs several times what it does in a benchmark: its memory is cold.

The limit of 0.6 of the host's memory, at which the collector works harder, stays.

--- a/io/cli/edge.go
+++ b/io/cli/edge.go
@@ -15,6 +15,10 @@
 // memoryShare is the part of the machine's memory at which the garbage collector works harder.
 const memoryShare = 0.6
 
+// heapGrowth is by how many percent the heap may grow between two collections below that: a holder of a duty allocates tens of
+// megabytes a second, and memory is cheaper than the processor time of a small entry host.
+const heapGrowth = 300
+
 func edgeCommand() *cli.Command {
 	return &cli.Command{
 		Name:  "edge",
@@ -30,6 +34,7 @@
 	if err != nil {
 		return failed(ExitUsage, "%w", err)
 	}
+	debug.SetGCPercent(heapGrowth)
 	debug.SetMemoryLimit(int64(float64(boot.MemoryBytes) * memoryShare))
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
