--- a/core/work/place.go
+++ b/core/work/place.go
@@ -5,8 +5,8 @@
 	"time"
 )
 
-// mostUnanswered is how many starts may be on their way to one worker: as many calls to it are made at once, and more would wait
-// for these and be given up unsent. Workers answer within milliseconds, so that this allows a thousand a second.
+// mostUnanswered is how many starts may be on their way to one worker: some of them wait for the answers of others, and more would
+// wait until they are given up unsent. Workers answer within milliseconds, so that this allows hundreds a second.
 const mostUnanswered = 5
 
 // mostInFlight is how many starts may be on their way to all workers of a pool. At the ten milliseconds that an answer takes it allows
