Give transactions time by what they carry

A transaction had the same 0.3 to 2.5 s whether it carries a heartbeat or thirty jobs. Over 2 Mbit/s thirty jobs of 4 KB take 0.7 s to leave: it was given up, its outcome unknown, and sent again until the callers' time was over. Now it has as much longer as its bytes need at half of the smallest stated link, and its part does not count as silent meanwhile. A transaction of submissions holds up to 200 KB instead of 500 KB, about a second of such a link.

"Large jobs are accepted over a small link" failed before: none of 60 jobs was accepted within 3 s.

--- a/io/runner/fake_test.go
+++ b/io/runner/fake_test.go
@@ -137,6 +137,9 @@
 			if err := s.enter(ctx, node); err != nil {
 				return 0, err
 			}
+			if err := s.transfer(ctx, node+" up", commitSize(c), nil); err != nil {
+				return 0, err
+			}
 			if err := s.await(ctx, c); err != nil {
 				return 0, err
 			}
--- a/io/runner/health.go
+++ b/io/runner/health.go
@@ -61,6 +61,8 @@
 	cancel context.CancelFunc
 	// first and heard are when the first and the last bytes of the answer came, began before that.
 	first, heard time.Time
+	// sending is how long the call itself may take to leave.
+	sending time.Duration
 	// given is true once the call was given up because later calls are answered.
 	given bool
 }
@@ -86,6 +88,13 @@
 	return ctx, c
 }
 
+// send notes how long a call may take to leave.
+func (s *storeHealth) send(c *storeCall, sending time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c.sending = sending
+}
+
 // hear notes that more of the answer to a call has come.
 func (s *storeHealth) hear(c *storeCall) {
 	s.mu.Lock()
@@ -184,7 +193,7 @@
 		return true
 	}
 	for c := range s.open {
-		if c.part == name && !c.waits && now.Sub(c.heard) > after {
+		if c.part == name && !c.waits && now.Sub(c.heard) > after+c.sending {
 			return true
 		}
 	}
--- a/io/runner/intake.go
+++ b/io/runner/intake.go
@@ -37,8 +37,8 @@
 const (
 	// jobsPerCommit keeps a transaction of callers' jobs, two rows and an expectation each, below the store's 100 entries.
 	jobsPerCommit = 30
-	// bytesPerCommit keeps it below the store's megabyte, with its encoding.
-	bytesPerCommit = 500_000
+	// bytesPerCommit keeps it far below the store's megabyte: about a second over the smallest stated link, 2 Mbit/s.
+	bytesPerCommit = 200_000
 	// storeAway is the Retry-After while the store refuses calls: its short disturbances are over by then.
 	storeAway = time.Second
 	// busyTime is how long a submission waits for its part of the store while too many transactions wait there: a second of them is in
--- a/io/runner/intake_test.go
+++ b/io/runner/intake_test.go
@@ -2,12 +2,28 @@
 
 import (
 	"fmt"
+	"strings"
 	"sync"
 	"testing"
 	"time"
 )
 
 func TestIntake(t *testing.T) {
+	// A transaction of many large jobs takes longer over a small link than small calls need.
+	t.Run("large jobs are accepted over a small link", func(t *testing.T) {
+		withFakeSite(t, 3, 3, func(s *fakeSite) {
+			s.store.narrow(tinyLink)
+			var group sync.WaitGroup
+			for i := range 60 {
+				group.Go(func() {
+					j := job(fmt.Sprint("j", i), 1)
+					j.Spec = strings.Repeat("x", 4000)
+					s.is.NoErr(s.hand("e0", j))
+				})
+			}
+			group.Wait()
+		})
+	})
 	// The store takes a quarter of a second for a transaction, one after another in a part, and jobs come at every entry host.
 	t.Run("jobs are accepted while transactions wait for each other", func(t *testing.T) {
 		withFakeSite(t, 6, 3, func(s *fakeSite) {
--- a/io/runner/link_test.go
+++ b/io/runner/link_test.go
@@ -19,13 +19,13 @@
 	linkChunk = 16 << 10
 )
 
-// fakeLink is an entry host's link: the answers to its calls share its bandwidth.
+// fakeLink is an entry host's link in one direction: what its calls carry there shares the bandwidth.
 type fakeLink struct {
 	bytesPerSecond int
 	until          time.Time
 }
 
-// narrow has the answers to all entry hosts come over links of a bandwidth from now on, one link each.
+// narrow has the answers to all entry hosts come over links of a bandwidth from now on, and their transactions go over such.
 func (s *fakeStore) narrow(bytesPerSecond int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -91,6 +91,15 @@
 	return link.until.Sub(now)
 }
 
+// commitSize is about how many bytes a transaction takes on its way.
+func commitSize(c platform.Commit) int {
+	size := rowOverhead * (len(c.Expected) + len(c.Removes))
+	for _, w := range c.Writes {
+		size += rowOverhead + len(w.Value)*4/3
+	}
+	return size
+}
+
 // wireSize is about how many bytes rows take in an answer.
 func wireSize(rows []platform.PartRow) int {
 	size := 0
--- a/io/runner/takeover_test.go
+++ b/io/runner/takeover_test.go
@@ -15,6 +15,8 @@
 const (
 	// smallLink is the link of a small entry host, 10 Mbit/s, in bytes a second.
 	smallLink = 10_000_000 / 8
+	// tinyLink is that of the smallest, 2 Mbit/s.
+	tinyLink = 2_000_000 / 8
 	// largeLink is that of a large one.
 	largeLink = 200_000_000 / 8
 	// specBytes is the size of a usual job's text for its workers.
