Give transactions time by the link of their entry host

The time that a transaction may take to leave was that of the smallest stated link on every entry host, so that each lost answer to a transaction of jobs was waited for up to half a second longer on links a hundred times as wide. The boot settings tell the link.

--- a/io/runner/observe.go
+++ b/io/runner/observe.go
@@ -1,6 +1,7 @@
 package runner
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"time"
@@ -21,7 +22,7 @@
 	return platform.Rows{
 		Commit: func(ctx context.Context, c platform.Commit) (uint64, error) {
 			callCtx, call := m.health.begin(ctx, partOf(c), false)
-			sending := sendTime(c)
+			sending := m.sendTime(c)
 			m.health.send(call, sending)
 			callCtx, done := context.WithTimeout(callCtx, m.storePatience.limit()+sending)
 			defer done()
@@ -56,19 +57,21 @@
 }
 
 const (
-	// leastRate is how many bytes of a transaction leave in a second at least: half of the smallest stated link, 2 Mbit/s.
-	leastRate = 125_000
+	// linkRate is how many bytes of a transaction leave in a second at least for each Mbit/s of the link: half of it.
+	linkRate = 62_500
+	// leastLink is the smallest stated link in Mbit/s. It counts where the link is not known.
+	leastLink = 2
 	// entrySize is about what an entry of a transaction takes beside its value, in bytes.
 	entrySize = 150
 )
 
 // sendTime is how long a transaction may take to leave this entry host.
-func sendTime(c platform.Commit) time.Duration {
+func (m *Manager) sendTime(c platform.Commit) time.Duration {
 	size := entrySize * (len(c.Expected) + len(c.Writes) + len(c.Removes))
 	for _, w := range c.Writes {
 		size += len(w.Value) * 4 / 3 // values are sent in base64
 	}
-	return time.Duration(size) * time.Second / leastRate
+	return time.Duration(size) * time.Second / time.Duration(linkRate*cmp.Or(m.LinkMbps, leastLink))
 }
 
 // arrivalPatience is the longest pause within an answer: several times that of a packet that is sent again within a zone.
