Start nothing on knowledge of jobs that is too old

Cause: a holder hears of cancels by the feed of its pool's jobs.

Now the board is told as of when it knows the stored jobs: when the call was made whose answer told. Nothing is started on knowledge older than 2.2 s, the longest wait of the feed and its answer's way. While no call of the store is answered at all, cancels can't be stored either, and work goes on as before. The first answer of a feed after a reading is not held back, so that a takeover does not wait for it.

Ruled out: asking for each job before a start (a read a start); refusing in the worker (it does not know of cancels).

--- a/core/work/board.go
+++ b/core/work/board.go
@@ -80,6 +80,8 @@
 	// inquiring counts the calls of the policy service that are on their way; there are none before inquireAfter.
 	inquiring    int
 	inquireAfter time.Time
+	// knownAsOf is as of when the stored jobs are known; zero if that plays no part.
+	knownAsOf time.Time
 	// inFlight counts the starts that are on their way.
 	inFlight int
 	// unsure counts the runs whose start is to be sent again.
@@ -270,6 +272,19 @@
 	}
 }
 
+// knowledgeTime is how old the knowledge of the stored jobs may be for a start: the longest wait of a feed and its answer's way. With the time
+// that a start may take it is below the time in which a cancel must have effect.
+const knowledgeTime = 2200 * time.Millisecond
+
+// KnownAsOf notes as of when the stored jobs are known. A job that was cancelled since may still be on the board, so that nothing is
+// started on knowledge that is too old.
+func (b *Board) KnownAsOf(t time.Time) { b.knownAsOf = t }
+
+// outdated reports whether too many cancels may not have been heard of.
+func (b *Board) outdated(now time.Time) bool {
+	return !b.knownAsOf.IsZero() && now.Sub(b.knownAsOf) > knowledgeTime
+}
+
 // Cancel forgets a job that its caller cancelled, and stops its runs. The caller's write is stored already.
 func (b *Board) Cancel(id ID) {
 	b.init()
--- a/core/work/place.go
+++ b/core/work/place.go
@@ -13,8 +13,11 @@
 // ten thousand a second; a holder that is slower than that finds a short queue of answers, and none of them has waited for long.
 const mostInFlight = 100
 
-// place starts the tasks that may run now, in the order of their jobs.
+// place starts the tasks that may run now, in the order of their jobs. It starts none of jobs that may have been cancelled meanwhile.
 func (b *Board) place(now time.Time) []Order {
+	if b.outdated(now) {
+		return nil
+	}
 	settled := b.settled(now)
 	b.sortGroups(now)
 	open := b.openWorkers(now)
--- a/core/work/place_test.go
+++ b/core/work/place_test.go
@@ -110,3 +110,13 @@
 	f.now = f.now.Add(hundred)
 	f.is.Equal(len(f.orders()), 90) // what was not sent makes room too
 }
+
+// TestOutdatedKnowledge guards against starts of jobs whose cancel the holder has not heard of, because its feed is behind.
+func TestOutdatedKnowledge(t *testing.T) {
+	f := withPool(t, 1)
+	f.board.Add(chain("j", 1), work.Progress{}, 11, false, f.now)
+	f.board.KnownAsOf(f.now.Add(-3 * time.Second))
+	f.assertNoStart(f.orders())
+	f.board.KnownAsOf(f.now.Add(-time.Second))
+	f.is.Equal(len(f.orders()), 1)
+}
--- a/io/runner/fake_test.go
+++ b/io/runner/fake_test.go
@@ -46,6 +46,8 @@
 	bandwidth int
 	// lostPages loses the answer of each so many pages that a takeover reads; zero loses none.
 	lostPages, pages int
+	// withheld names the table of which an entry host gets no answer, by entry host.
+	withheld map[string]string
 	// committed, if set, sees the rows after each commit.
 	committed func(rows map[platform.RowKey]platform.PartRow)
 }
@@ -116,6 +118,19 @@
 	}
 }
 
+// withhold has an entry host get no answer about a table from now on.
+func (s *fakeStore) withhold(node, table string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.withheld = map[string]string{node: table}
+}
+
+func (s *fakeStore) withholds(node, table string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.withheld[node] == table
+}
+
 // slow has each transaction of a part take a time.
 func (s *fakeStore) slow(txTime time.Duration) {
 	s.mu.Lock()
@@ -154,7 +169,7 @@
 			if err := s.enter(ctx, node); err != nil {
 				return platform.Page{}, err
 			}
-			if s.losesPage(q) {
+			if s.losesPage(q) || s.withholds(node, q.Table) {
 				<-ctx.Done()
 				return platform.Page{}, platform.ErrOutcomeUnknown{Service: "store", Reason: ctx.Err().Error()}
 			}
@@ -172,6 +187,10 @@
 				return platform.Changes{}, err
 			}
 			changes, err := s.follow(ctx, table, after, wait)
+			if s.withholds(node, table) {
+				<-ctx.Done()
+				return platform.Changes{}, platform.ErrOutcomeUnknown{Service: "store", Reason: ctx.Err().Error()}
+			}
 			if err != nil {
 				return changes, err
 			}
--- a/io/runner/feed.go
+++ b/io/runner/feed.go
@@ -82,6 +82,8 @@
 	since time.Time
 	// heardAt is when the feed told last, be it that there is nothing new.
 	heardAt time.Time
+	// asOf is as of when the table is known: what was written since may not have been heard of.
+	asOf time.Time
 	// reading is true while the table is read because the feed is silent.
 	reading bool
 }
@@ -101,13 +103,21 @@
 	}
 }
 
+// known notes that the table is known as of a time.
+func (f *queueFeed) known(asOf time.Time) {
+	if asOf.After(f.asOf) {
+		f.asOf = asOf
+	}
+}
+
 // silent reports whether the feed should have told of a commit of ours and has not.
 func (f *queueFeed) silent(now time.Time) bool { return f.due != 0 && now.Sub(f.since) > feedPatience }
 
-func (h *holder) feedHeard(version uint64) {
+func (h *holder) feedHeard(version uint64, asked time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.feed.heard(version, time.Now())
+	h.feed.known(asked)
 }
 
 // watchFeed reads the pool's jobs while their feed is silent.
@@ -119,6 +129,7 @@
 	}
 	h.feed.reading = true
 	h.group.Go(func() {
+		asked := time.Now()
 		version, err := h.readQueue(h.ctx)
 		detail := "read instead"
 		if err != nil {
@@ -131,6 +142,7 @@
 		h.feed.since = time.Now()
 		if err == nil {
 			h.feed.heard(version, time.Now())
+			h.feed.known(asked)
 		}
 	})
 }
--- /dev/null
+++ b/io/runner/feed_test.go
@@ -0,0 +1,44 @@
+package runner_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"siskincross/core/work"
+)
+
+// startsAfter counts the tasks of a job that were first started after a time.
+func (s *fakeSite) startsAfter(id string, t time.Time) int {
+	n := 0
+	for _, w := range s.workers {
+		w.mu.Lock()
+		for task, at := range w.started {
+			if task.Job == work.ID(id) && at.After(t) {
+				n++
+			}
+		}
+		w.mu.Unlock()
+	}
+	return n
+}
+
+// TestOutdatedFeed guards against starts of cancelled jobs by a holder that does not hear of cancels, while others of its calls are answered.
+func TestOutdatedFeed(t *testing.T) {
+	// cancelTime is the time in which a cancel must have effect, as the platform states it.
+	const cancelTime = 3 * time.Second
+	withFakeSite(t, 3, 1, func(s *fakeSite) {
+		holder := s.holder()
+		entry := s.other(holder)
+		s.is.NoErr(s.submit(entry, "a", 200)) // five seconds of work
+		time.Sleep(time.Second)
+		s.is.NoErr(s.submit(entry, "j", 40))
+		time.Sleep(time.Second)
+		s.store.withhold(holder, "queue-"+fakePool)
+		s.is.NoErr(s.hosts[entry].manager.Cancel(context.Background(), s.queue(), "j"))
+		cancelled := time.Now()
+		time.Sleep(10 * time.Second)
+		s.is.True(s.startsAfter("a", cancelled) > 0)
+		s.is.Equal(s.startsAfter("j", cancelled.Add(cancelTime)), 0)
+	})
+}
--- a/io/runner/health.go
+++ b/io/runner/health.go
@@ -115,6 +115,13 @@
 	return c.first.Sub(c.began)
 }
 
+// answeredSince reports whether any call that concerns a part was answered since a time.
+func (s *storeHealth) answeredSince(t time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.answered.After(t)
+}
+
 func (s *storeHealth) part(name string) *partHealth {
 	p := s.parts[name]
 	if p == nil {
--- a/io/runner/holder.go
+++ b/io/runner/holder.go
@@ -136,6 +136,7 @@
 	now := time.Now()
 	h.lookAtWorkers(changes, now)
 	h.mu.Lock()
+	h.board.KnownAsOf(h.knownAsOf(now))
 	orders := h.board.Orders(now, now)
 	inquiries := h.board.Inquiries(now)
 	for _, life := range h.board.Contacts() {
@@ -155,6 +156,18 @@
 	h.watchFeed(now)
 }
 
+// storeSilence is how long no call of the store must have been answered for it to count as away for everybody: callers' cancels can't be
+// stored then either, and work goes on.
+const storeSilence = 2 * time.Second
+
+// knownAsOf returns as of when callers' cancels are known. The caller holds the lock.
+func (h *holder) knownAsOf(now time.Time) time.Time {
+	if !h.m.health.answeredSince(now.Add(-storeSilence)) {
+		return now
+	}
+	return h.feed.asOf
+}
+
 // lookAtWorkers takes in which workers there are and which of them are to be cleared, if either may have changed. A worker that is
 // listed anew gets no work before it is known whether it is to be cleared, so one never goes without the other.
 func (h *holder) lookAtWorkers(changes uint64, now time.Time) {
--- a/io/runner/members.go
+++ b/io/runner/members.go
@@ -81,7 +81,7 @@
 func (m *Manager) followFleet(ctx context.Context) {
 	m.follow(ctx, follower{
 		table: fleetTable, wait: fleetWait, pace: m.fleetPace, take: m.takeFleet, read: m.readFleet,
-		heard: func(uint64) {
+		heard: func(uint64, time.Time) {
 			m.mu.Lock()
 			m.followed = time.Now()
 			m.mu.Unlock()
--- a/io/runner/operators.go
+++ b/io/runner/operators.go
@@ -26,12 +26,16 @@
 	pace func() time.Duration
 	read func(ctx context.Context) (uint64, error)
 	take func(rows []platform.PartRow)
-	// heard is called after every answer with the version up to which the table is known; nil means nobody cares.
-	heard func(version uint64)
+	// heard is called after every answer with the version up to which the table is known, and with when the call for it was made;
+	// nil means nobody cares.
+	heard func(version uint64, asked time.Time)
 	// idle tells that nobody needs the table now; nil means never.
 	idle func() bool
 }
 
+// firstWait is how long the first answer after a reading may be held back: what has changed while the rows were read is to be known soon.
+const firstWait = 10 * time.Millisecond
+
 // idleLook is the time between two looks whether an idle table is needed.
 const idleLook = 200 * time.Millisecond
 
@@ -40,6 +44,7 @@
 	var retry backoff
 	version := uint64(0)
 	known := false
+	wait := f.wait
 	for ctx.Err() == nil {
 		if f.idle != nil && f.idle() {
 			known = false
@@ -49,12 +54,15 @@
 			continue
 		}
 		err := error(nil)
+		asked := time.Now()
 		if !known {
 			version, err = f.read(ctx)
 			known = err == nil
+			wait = firstWait
 		} else {
 			var changes platform.Changes
-			changes, err = m.Rows.Follow(ctx, f.table, version, f.wait)
+			changes, err = m.Rows.Follow(ctx, f.table, version, wait)
+			wait = f.wait
 			if err == nil {
 				f.take(changes.Rows)
 				version = max(version, changes.Version)
@@ -72,7 +80,7 @@
 		default:
 			retry = backoff{}
 			if f.heard != nil {
-				f.heard(version)
+				f.heard(version, asked)
 			}
 		}
 		if f.pace != nil {
--- a/io/runner/takeover.go
+++ b/io/runner/takeover.go
@@ -18,8 +18,10 @@
 	// progress is read before specs: earlier holders are fenced, so only a cancel changes it, and that removes the specification too.
 	// A specification without progress is that of a job that has not begun, or was accepted meanwhile.
 	progress, specs platform.Reading
-	need            needRow
-	needRead        bool
+	// specsAsked is when the reading of specs began.
+	specsAsked time.Time
+	need       needRow
+	needRead   bool
 }
 
 func newTakeover(h *holder) *takeover {
@@ -60,6 +62,9 @@
 	if err := t.progress.Continue(ctx, t.h.m.Rows); err != nil {
 		return err
 	}
+	if t.specsAsked.IsZero() {
+		t.specsAsked = time.Now()
+	}
 	if err := t.specs.Continue(ctx, t.h.m.Rows); err != nil {
 		return err
 	}
@@ -72,7 +77,7 @@
 	}
 	if t.progress.Version < t.h.epoch || t.specs.Version < t.h.epoch {
 		again := newTakeover(t.h)
-		t.progress, t.specs = again.progress, again.specs
+		t.progress, t.specs, t.specsAsked = again.progress, again.specs, time.Time{}
 		return errStaleRead
 	}
 	return nil
@@ -106,6 +111,7 @@
 	}
 	h.ready = true
 	h.feed.heardAt = time.Now()
+	h.feed.known(t.specsAsked)
 	roster := len(h.roster)
 	h.mu.Unlock()
 	h.m.record(event.Event{Number: event.WorkDutyTaken, Pool: h.pool, Detail: fmt.Sprintf(
