Have holders of pools look at the table of hosts less often

The needs of all pools change some twenty times a second, and every holder followed the table of hosts with each change and was woken by it, though only the holder of the duty for hosts acts on needs.

A holder of a pool now looks every 150 ms, and is woken only when the workers to be cleared change.

--- a/io/runner/duties.go
+++ b/io/runner/duties.go
@@ -222,6 +222,13 @@
 	return list
 }
 
+// holds reports whether this process holds a duty.
+func (m *Manager) holds(name string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.tenures[name] != nil
+}
+
 func (m *Manager) holdsAny() bool { return len(m.tenureList()) > 0 }
 
 // stopTenures waits for the ends of all duties.
--- a/io/runner/hostrows.go
+++ b/io/runner/hostrows.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"strings"
 	"time"
 
@@ -16,8 +17,10 @@
 	needKey    = "need"
 	planKey    = "plan"
 	donePrefix = "wave/"
-	// hostsGather is the least time between two answers about the table of hosts.
-	hostsGather = 20 * time.Millisecond
+	// hostsGather is the least time between two answers about the table of hosts for the holder of the duty for hosts, who acts on
+	// the pools' needs. Holders of pools look for the workers that are to be cleared alone, and wait for poolHostsGather.
+	hostsGather     = 20 * time.Millisecond
+	poolHostsGather = 150 * time.Millisecond
 )
 
 // hostRows is what the table of hosts says.
@@ -66,7 +69,13 @@
 // followHosts keeps the table of hosts up to date while this process holds a duty.
 func (m *Manager) followHosts(ctx context.Context) {
 	m.follow(ctx, follower{
-		table: hostsTable, wait: followWait, gather: hostsGather, take: m.takeHosts, read: m.readHosts,
+		table: hostsTable, wait: followWait, take: m.takeHosts, read: m.readHosts,
+		pace: func() time.Duration {
+			if m.holds(hostsDuty) {
+				return hostsGather
+			}
+			return poolHostsGather
+		},
 		idle: func() bool { return !m.holdsAny() },
 	})
 }
@@ -92,14 +101,18 @@
 
 func (m *Manager) takeHosts(rows []platform.PartRow) {
 	m.mu.Lock()
+	withdrawn := m.hostRows.withdraw
 	for _, row := range rows {
 		if err := m.hostRows.take(row); err != nil {
 			m.record(event.Event{Number: event.WorkRowUnreadable, Detail: err.Error()})
 		}
 	}
+	concernsPools := !maps.Equal(withdrawn, m.hostRows.withdraw)
 	m.mu.Unlock()
 	for _, t := range m.tenureList() {
-		t.wake()
+		if t.name == hostsDuty || concernsPools {
+			t.wake()
+		}
 	}
 }
 
--- /dev/null
+++ b/io/runner/hostrows_test.go
@@ -0,0 +1,24 @@
+package runner_test
+
+import (
+	"testing"
+	"time"
+
+	"siskincross/io/platform"
+)
+
+// The needs of all pools change many times a second, and each holder of a pool followed them all, though only the holder of the duty
+// for hosts acts on them.
+func TestHostsTable(t *testing.T) {
+	counted := &census{}
+	playSite(t, fakeSite{census: counted, morePools: itsPools - 1, movable: true}, 7, 1, func(s *fakeSite) {
+		counted.reset()
+		const changes, pause = 200, 25 * time.Millisecond
+		for i := range changes {
+			s.store.put(platform.RowKey{Table: "hosts", Part: "other", Key: "need"}, map[string]int{"ask": i})
+			time.Sleep(pause)
+		}
+		// One call for each change by the holder of the duty for hosts, and one in 150 ms by each holder of a pool.
+		s.is.True(counted.byPurpose["feed of hosts"].calls <= changes+itsPools*int(changes*pause/(150*time.Millisecond)))
+	})
+}
