--- a/core/event/work.go
+++ b/core/event/work.go
@@ -39,6 +39,7 @@
 	WorkGivenUp
 	MemberStandsBy
 	MemberActive
+	WorkDutySettled
 )
 
 var workEntries = []Entry{
@@ -79,4 +80,5 @@
 	{WorkGivenUp, "work", "An attempt counts as over without a report of its end; its task may be started again."},
 	{MemberStandsBy, "work", "This process takes no duties for now, since enough others are active members."},
 	{MemberActive, "work", "This process is an active member again, since others are missing."},
+	{WorkDutySettled, "work", "Every worker that may run something of an earlier holder has answered or is over; its jobs need not wait any more."},
 }
--- a/core/work/board.go
+++ b/core/work/board.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 )
@@ -140,6 +141,17 @@
 	return len(b.unseen) == 0
 }
 
+// Awaited returns the lives for which jobs of earlier holders wait.
+func (b *Board) Awaited(now time.Time) []Life {
+	b.init()
+	if b.settled(now) {
+		return nil
+	}
+	lives := slices.Collect(maps.Keys(b.unseen))
+	slices.SortFunc(lives, func(a, c Life) int { return cmp.Compare(a.Worker, c.Worker) })
+	return lives
+}
+
 // Quiet reports whether the next holder would have nothing to wait for: every life that may run something answers.
 func (b *Board) Quiet(now time.Time) bool {
 	b.init()
--- a/io/runner/holder.go
+++ b/io/runner/holder.go
@@ -67,6 +67,9 @@
 	feed  queueFeed
 	// detailed holds the jobs that may have a row of their progress.
 	detailed map[work.ID]bool
+	// takenAt is when the pool was read. Awaited holds the workers for which jobs of earlier holders waited last.
+	takenAt time.Time
+	awaited []work.Life
 }
 
 func newHolder(t *tenure) *holder {
@@ -137,6 +140,7 @@
 	h.lookAtWorkers(changes, now)
 	h.mu.Lock()
 	h.board.KnownAsOf(h.knownAsOf(now))
+	h.tellAwaited(now)
 	orders := h.board.Orders(now, now)
 	inquiries := h.board.Inquiries(now)
 	for _, life := range h.board.Contacts() {
--- a/io/runner/takeover.go
+++ b/io/runner/takeover.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"strings"
 	"time"
 
 	"siskincross/core/event"
@@ -109,6 +110,7 @@
 			jobs++
 		}
 	}
+	h.takenAt, h.awaited = time.Now(), h.board.Awaited(time.Now())
 	h.ready = true
 	h.feed.heardAt = time.Now()
 	h.feed.known(t.specsAsked)
@@ -134,3 +136,23 @@
 	}
 	return rows, version, err
 }
+
+// shownLives is how many workers a line names.
+const shownLives = 5
+
+// tellAwaited records when nothing of an earlier holder is waited for any more, and what was waited for last. The caller holds the lock.
+func (h *holder) tellAwaited(now time.Time) {
+	if len(h.awaited) == 0 {
+		return
+	}
+	awaited := h.board.Awaited(now)
+	if len(awaited) == 0 {
+		names := make([]string, 0, shownLives)
+		for _, life := range h.awaited[:min(shownLives, len(h.awaited))] {
+			names = append(names, life.Worker)
+		}
+		h.m.record(event.Event{Number: event.WorkDutySettled, Pool: h.pool, Detail: fmt.Sprintf(
+			"%s after the pool was read, the last %d were %s", now.Sub(h.takenAt).Round(time.Millisecond), len(h.awaited), strings.Join(names, ", "))})
+	}
+	h.awaited = awaited
+}
--- a/io/runner/takeover_test.go
+++ b/io/runner/takeover_test.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
+	"siskincross/core/event"
 	"siskincross/core/work"
 	"siskincross/io/platform"
 )
@@ -172,6 +174,21 @@
 			s.is.True(took < noticeTime+4*time.Second)
 		})
 	})
+	t.Run("log names the workers for which a takeover waited", func(t *testing.T) {
+		withFakeSite(t, 3, 2, func(s *fakeSite) {
+			s.is.NoErr(s.submit("e0", "j", 50))
+			lost := s.holder()
+			s.darken("w1")
+			s.kill(lost)
+			time.Sleep(10 * time.Second)
+			next := s.hosts[s.holder()]
+			next.mu.Lock()
+			defer next.mu.Unlock()
+			i := slices.IndexFunc(next.events, func(e event.Event) bool { return e.Number == event.WorkDutySettled })
+			s.is.True(i >= 0)
+			s.is.True(strings.HasSuffix(next.events[i].Detail, "the last 1 were w1"))
+		})
+	})
 	t.Run("next holder knows what is done", func(t *testing.T) {
 		withFakeSite(t, 3, 2, func(s *fakeSite) {
 			s.is.NoErr(s.submit("e0", "j", 50))
