--- a/core/work/load.go
+++ b/core/work/load.go
@@ -121,27 +121,40 @@
 	return min(max(slack, burnTime), lateBurn)
 }
 
-// Load tells what the pool does with its workers. Those that have not been heard from yet count as its own, so that a new holder does
-// not ask for hosts in their place, but none is offered meanwhile.
-func (b *Board) Load(now time.Time) Load {
-	b.init()
-	var heard []*worker
-	present, shut, cores := 0, 0, 0.0
-	var largest Resources
+// muster is what the pool has: its workers that are not about to leave, those of them that answered the holder, how many of them get no
+// work at the moment, their cores and the most that one of them offers.
+type muster struct {
+	present, shut int
+	heard         []*worker
+	cores         float64
+	largest       Resources
+}
+
+func (b *Board) muster(now time.Time) muster {
+	var m muster
 	for _, w := range b.order {
 		if !w.listed || w.Draining || w.withdrawn || w.misses >= silentMisses {
 			continue
 		}
-		present++
-		largest = largest.Most(w.Capacity)
+		m.present++
+		m.largest = m.largest.Most(w.Capacity)
+		m.cores += float64(w.Capacity.MilliCores) / 1000
 		if !w.open(now) {
-			shut++
+			m.shut++
 		}
-		cores += float64(w.Capacity.MilliCores) / 1000
 		if w.answered {
-			heard = append(heard, w)
+			m.heard = append(m.heard, w)
 		}
 	}
+	return m
+}
+
+// Load tells what the pool does with its workers. Those that have not been heard from yet count as its own, so that a new holder does
+// not ask for hosts in their place, but none is offered meanwhile.
+func (b *Board) Load(now time.Time) Load {
+	b.init()
+	has := b.muster(now)
+	present, cores := has.present, has.cores
 	if present == 0 {
 		if len(b.groups) > 0 {
 			return Load{Ask: keepWorkers, Urgent: keepWorkers, Why: "no workers"}
@@ -157,11 +170,11 @@
 	load.Urgent = max(0, keepWorkers-present)
 	if len(b.homeless) > 0 {
 		// Workers that are passed over for a moment will have room again sooner than hosts would come.
-		load.Urgent = max(load.Urgent, 1, b.missing(largest)-shut)
+		load.Urgent = max(load.Urgent, 1, b.missing(has.largest)-has.shut)
 	}
 	load.Ask = max(load.Ask, load.Urgent)
-	keep := max(keepWorkers, b.spreadOver(), b.heldBy(largest), int(math.Ceil(need/shrinkAt/each)))
-	if present <= keep || len(heard) < present || load.Urgent > 0 {
+	keep := max(keepWorkers, b.spreadOver(), b.heldBy(has.largest), int(math.Ceil(need/shrinkAt/each)))
+	if present <= keep || len(has.heard) < present || load.Urgent > 0 {
 		b.spareSince = time.Time{}
 		return load
 	}
@@ -172,7 +185,7 @@
 		return load
 	}
 	load.Spare = present - keep
-	load.Offer = b.cheapest(heard, load.Spare, now)
+	load.Offer = b.cheapest(has.heard, load.Spare, now)
 	return load
 }
 
