Keep workers whose hosts were moved off the roster until they answer

What callers saw: after a takeover jobs of the earlier holder stood still for 6.1 s though most workers answered within 0.2 s.

Cause: the roster without a cleared worker is stored with the need that names it. Once the need names it no more, it counted as reported for 2.2 s, while the directory names a silent worker for three heartbeats, 4.5 s: it came back on the roster in between. Now a worker that holds nothing stays reported as long as it does not answer.

"Worker whose host was moved stays off the roster until it answers again" failed before.

--- a/io/runner/fake_test.go
+++ b/io/runner/fake_test.go
@@ -658,12 +658,16 @@
 	return row.Term
 }
 
+// setDark has a worker answer nothing, or answer again.
+func (w *fakeWorker) setDark(dark bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.dark = dark
+}
+
 // darken has a worker answer nothing more, and the directory forget it.
 func (s *fakeSite) darken(id string) {
-	w := s.workers[id]
-	w.mu.Lock()
-	w.dark = true
-	w.mu.Unlock()
+	s.workers[id].setDark(true)
 	_, err := s.store.commit(platform.Commit{Removes: []platform.RowKey{{Table: "workers", Key: id}}})
 	s.is.NoErr(err)
 }
--- a/io/runner/need.go
+++ b/io/runner/need.go
@@ -57,8 +57,9 @@
 	return clearing{offers: make(map[string]time.Time), reported: make(map[string]time.Time), wanted: make(map[string]bool)}
 }
 
-// update takes in which workers are to be cleared for maintenance and which are spare.
-func (c *clearing) update(withdrawn map[string]bool, spare, cleared []string, asking bool, now time.Time) {
+// update takes in which workers are to be cleared for maintenance and which are spare. Those that hold nothing and do not answer stay
+// reported: most of their hosts were moved, and on the roster they would only be waited for.
+func (c *clearing) update(withdrawn map[string]bool, spare, cleared []string, silent map[string]bool, asking bool, now time.Time) {
 	for _, id := range spare {
 		if _, known := c.offers[id]; !known {
 			c.offers[id] = now
@@ -77,7 +78,7 @@
 		c.wanted[id] = true
 	}
 	for id, until := range c.reported {
-		if !until.IsZero() && now.Sub(until) > retractTime {
+		if !until.IsZero() && now.Sub(until) > retractTime && !silent[id] {
 			delete(c.reported, id)
 		}
 	}
@@ -122,7 +123,13 @@
 		return
 	}
 	load := h.poolLoad(now)
-	h.clearing.update(maintenance, load.Offer, h.board.Cleared(), load.Ask > 0, now)
+	silent := make(map[string]bool)
+	for _, life := range h.board.ClearedLives() {
+		if h.board.Misses(life) > 0 {
+			silent[life.Worker] = true
+		}
+	}
+	h.clearing.update(maintenance, load.Offer, h.board.Cleared(), silent, load.Ask > 0, now)
 	all := h.clearing.withdrawn()
 	for _, life := range h.board.ClearedLives() {
 		if !h.roster[life] {
--- a/io/runner/need_test.go
+++ b/io/runner/need_test.go
@@ -29,6 +29,12 @@
 	return names
 }
 
+func (s *fakeSite) rostered() map[string]bool {
+	s.store.mu.Lock()
+	defer s.store.mu.Unlock()
+	return rostered(s.store.rows)
+}
+
 func (s *fakeSite) cleared() []string {
 	s.store.mu.Lock()
 	defer s.store.mu.Unlock()
@@ -83,6 +89,32 @@
 			s.is.True(s.completed(next, "j", 20*time.Second) < 4*time.Second)
 		})
 	})
+	// A moved host's worker answers nothing, and the directory names it for some seconds more. It came back on the roster meanwhile, so
+	// that a next holder waited for the longest lease.
+	t.Run("worker whose host was moved stays off the roster until it answers again", func(t *testing.T) {
+		withMovableSite(t, 3, 6, func(s *fakeSite) {
+			named := s.clearedAfterWork("e0")
+			for _, id := range named {
+				s.workers[id].setDark(true)
+			}
+			for range 80 {
+				time.Sleep(100 * time.Millisecond)
+				onRoster := s.rostered()
+				for _, id := range named {
+					s.is.True(!onRoster[id])
+				}
+			}
+			for _, id := range named {
+				s.workers[id].setDark(false)
+			}
+			s.is.NoErr(s.submit("e0", "again", 300)) // all are needed
+			time.Sleep(5 * time.Second)
+			onRoster := s.rostered()
+			for _, id := range named {
+				s.is.True(onRoster[id])
+			}
+		})
+	})
 	t.Run("next holder starts nothing on the workers that the earlier one named as cleared", func(t *testing.T) {
 		withMovableSite(t, 3, 6, func(s *fakeSite) {
 			lost := s.holder()
