Have a test of cleared workers ask for all of them until it looks

After workers answer again, the test gives their pool work for 1.5 s and looks at the roster after five. On the joined code the work is done sooner, and workers are rightly cleared again by then; it now gives work for ten seconds. What it asserts is unchanged. It failed each time before.

--- a/io/runner/need_test.go
+++ b/io/runner/need_test.go
@@ -107,7 +107,7 @@
 			for _, id := range named {
 				s.workers[id].setDark(false)
 			}
-			s.is.NoErr(s.submit("e0", "again", 300)) // all are needed
+			s.is.NoErr(s.submit("e0", "again", 2000)) // all are needed for ten seconds
 			time.Sleep(5 * time.Second)
 			onRoster := s.rostered()
 			for _, id := range named {
