Believe a rise of half a second only if a second shows one too

What callers saw: nothing directly.

Cause: the forecast takes the larger of what two windows show, and of two half seconds in a row one often has twice the jobs of the other by chance.

Test that fails first on the old code: TestArrivals/chance at the height of a turn is seldom foreseen to be a rise (checked).

--- a/core/work/arrivals.go
+++ b/core/work/arrivals.go
@@ -17,6 +17,8 @@
 	fewJobs = 3
 	// doubtedDeviations is by how many standard deviations of a count a rise is taken as smaller than it looks.
 	doubtedDeviations = 1.0
+	// shownPart is the part of doubtedDeviations by which the long window must show a rise for that of the short one to be believed.
+	shownPart = 0.5
 	// meanJobs bounds the weight of the past in the mean work of a job.
 	meanJobs = 50
 	// orderTime is what passes beside the move itself from the need of a host to its first task: the need and the plan are
@@ -65,15 +67,17 @@
 func (a *arrivals) foreseen(after time.Duration, now time.Time) float64 {
 	a.roll(now)
 	present := time.Duration(now.UnixMilli()%rateBucket.Milliseconds()) * time.Millisecond
-	rate := a.extend(longWindow, present, after)
-	if a.count(0, shortWindow+1) >= fewJobs {
-		rate = math.Max(rate, a.extend(shortWindow, present, after))
+	rate, rises := a.extend(longWindow, present, after)
+	if rises && a.count(0, shortWindow+1) >= fewJobs {
+		short, _ := a.extend(shortWindow, present, after)
+		rate = math.Max(rate, short)
 	}
 	return a.mean * rate
 }
 
-// extend continues the rise between two windows in a row. Rises that chance explains count less, falls not at all.
-func (a *arrivals) extend(window int64, present, after time.Duration) float64 {
+// extend continues the rise between two windows in a row and reports whether there is one. Rises that chance explains count less, falls
+// not at all.
+func (a *arrivals) extend(window int64, present, after time.Duration) (float64, bool) {
 	length := time.Duration(window) * rateBucket
 	last := a.count(0, window+1)
 	before := a.count(window+1, window)
@@ -81,8 +85,8 @@
 	rise := rate - before/length.Seconds()
 	doubt := doubtedDeviations * math.Sqrt(last+before) / length.Seconds()
 	if rise <= doubt {
-		return rate
+		return rate, rise > shownPart*doubt
 	}
 	ahead := after + (length+present)/2
-	return rate + (rise-doubt)/(length+present/2).Seconds()*ahead.Seconds()
+	return rate + (rise-doubt)/(length+present/2).Seconds()*ahead.Seconds(), true
 }
--- a/core/work/arrivals_test.go
+++ b/core/work/arrivals_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -65,6 +66,28 @@
 		a, now := withArrivals(func(time.Duration) float64 { return 20 }, calm)
 		is.True(math.Abs(a.foreseen(ahead, now)-20*jobWork) < 0.2*20*jobWork)
 	})
+	// Twenty jobs a second come by chance for a minute: of two half seconds in a row one often has twice as many as the other. The pool took
+	// hosts for four times its jobs, and held them for seconds.
+	t.Run("chance at the height of a turn is seldom foreseen to be a rise", func(t *testing.T) {
+		is := is.New(t)
+		const rate, samples = 20.0, 600
+		chance := rand.New(rand.NewPCG(1, 2))
+		a := &arrivals{}
+		due, sum, doubled := arrivalsStart, 0.0, 0
+		for i := range samples {
+			now := arrivalsStart.Add(calm + time.Duration(i)*100*time.Millisecond)
+			for ; due.Before(now); due = due.Add(time.Duration(chance.ExpFloat64() / rate * float64(time.Second))) {
+				a.add(jobWork, due)
+			}
+			ratio := a.foreseen(ahead, now) / (rate * jobWork)
+			sum += ratio
+			if ratio > 2 {
+				doubled++
+			}
+		}
+		is.True(sum/samples < 1.15)
+		is.True(doubled < samples*6/100)
+	})
 	t.Run("single job is no rise", func(t *testing.T) {
 		is := is.New(t)
 		a := &arrivals{}
