Store the roster of a new worker before the next commit of progress

What was seen: with commits of 100 ms that follow each other, a worker that came back was listed 1.7 s after its entry in place of 0.3 s.

Now a roster that waits is looked at as soon as the commit has ended, before anything else is stored.

--- /dev/null
+++ b/io/runner/admit_test.go
@@ -0,0 +1,46 @@
+package runner_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"siskincross/core/event"
+	"siskincross/io/platform"
+)
+
+// TestAdmission guards against workers that wait for their roster while commits of progress follow each other.
+func TestAdmission(t *testing.T) {
+	withFakeSite(t, 1, 3, func(s *fakeSite) {
+		key := platform.RowKey{Table: "workers", Key: "w2"}
+		_, err := s.store.commit(platform.Commit{Removes: []platform.RowKey{key}})
+		s.is.NoErr(err)
+		time.Sleep(3 * time.Second) // the roster is without the worker
+		s.store.slow(100 * time.Millisecond)
+		var entered time.Time
+		for i := range 400 {
+			go func() { _ = s.submit("e0", fmt.Sprintf("%016x", i), 1) }()
+			time.Sleep(10 * time.Millisecond)
+			if i == 150 {
+				entered = time.Now()
+				s.store.put(key, s.workers["w2"].listing)
+			}
+		}
+		s.is.True(s.listedAt("e0", "w2").Sub(entered) < 500*time.Millisecond)
+		time.Sleep(10 * time.Second) // all submissions have ended
+	})
+}
+
+// listedAt is when an entry host last began to give work to a worker.
+func (s *fakeSite) listedAt(host, worker string) time.Time {
+	h := s.hosts[host]
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for i := len(h.events) - 1; i >= 0; i-- {
+		if e := h.events[i]; e.Number == event.WorkerListed && e.Host == worker {
+			return time.UnixMilli(e.Time.WallMillis)
+		}
+	}
+	s.t.Fatalf("worker %s was not listed", worker)
+	return time.Time{}
+}
--- a/io/runner/holder.go
+++ b/io/runner/holder.go
@@ -50,6 +50,8 @@
 	lookedAt time.Time
 	listedAs uint64
 	unlisted bool
+	// rosterWaits is true while a roster has to be stored and another commit is on its way.
+	rosterWaits bool
 	// changedAt is when the oldest change that waits for its commit came up.
 	changedAt time.Time
 	// counted is the count of waiting jobs that was stored last.
@@ -176,7 +178,7 @@
 // listed anew gets no work before it is known whether it is to be cleared, so one never goes without the other.
 func (h *holder) lookAtWorkers(changes uint64, now time.Time) {
 	h.mu.Lock()
-	due := h.unlisted || changes != h.listedAs || now.Sub(h.lookedAt) >= lookEvery
+	due := h.unlisted || changes != h.listedAs || now.Sub(h.lookedAt) >= lookEvery || (h.rosterWaits && !h.committing)
 	if due {
 		h.unlisted, h.listedAs, h.lookedAt = false, changes, now
 	}
@@ -202,7 +204,9 @@
 	listings = h.clearing.admissible(listings, h.board.Known)
 	cleared := h.board.ClearedLives()
 	wanted := h.board.Roster(listings, h.clearing.withdrawn())
-	if !h.committing && !now.Before(h.retryAt) && h.rosterDue(wanted, now) {
+	due := h.rosterDue(wanted, now)
+	h.rosterWaits = due && h.committing
+	if due && !h.committing && !now.Before(h.retryAt) {
 		h.commitRoster(wanted)
 	}
 	kept := listings[:0]
