--- a/io/runner/scale_test.go
+++ b/io/runner/scale_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/matryer/is"
 
+	"siskincross/core/event"
 	"siskincross/core/work"
 )
 
@@ -59,6 +60,14 @@
 	return work.Catalogue{Version: 1, Pools: pools}.WithQueues([]work.Queue{queue})
 }
 
+// Each entry host logged a line for each other one at a start of all.
+func TestLinesAtStart(t *testing.T) {
+	const readings = 3
+	playSite(t, fakeSite{morePools: itsPools - 1}, manyHosts, 1, func(s *fakeSite) {
+		s.is.True(s.happened(event.MemberAppeared) <= manyHosts*readings)
+	})
+}
+
 // controlWrites is how many rows a second the control of all entry hosts may write, by the brief.
 const controlWrites = 60
 
