Take a worker as heard by a new holder only once it has told all

Found in review: a new holder took a worker as settled by its first report, also by one that is full with 500 ends. A task whose done end is the 501st is neither among its runs nor among its ends and was started again (TWICE), for instance after a store outage with short tasks.

TestEndsBeyondFirstReport failed before.

--- a/core/work/board.go
+++ b/core/work/board.go
@@ -132,7 +132,7 @@
 	for life, until := range b.unseen {
 		w := b.workers[life]
 		switch {
-		case w != nil && w.answered, b.succeeded(life):
+		case w != nil && w.told, b.succeeded(life):
 			delete(b.unseen, life)
 		case now.After(until) && (w == nil || !w.listed):
 			delete(b.unseen, life)
--- a/core/work/report.go
+++ b/core/work/report.go
@@ -158,6 +158,7 @@
 		}
 	}
 	if len(report.Ends) < EndsPerReport {
+		w.told = true
 		b.dropAbsent(w, present, sequence, now)
 	}
 	return taken
--- a/core/work/worker.go
+++ b/core/work/worker.go
@@ -88,7 +88,12 @@
 	listed bool
 	// answered is true once the worker answered a call with the board's epoch: earlier holders are fenced there.
 	answered bool
-	runs     map[Run]*run
+	// told is true once it has listed all that it runs and all ends that were not acknowledged.
+	told bool
+	// asked is when the last renewal was made, askedWait how long its answer could be held back.
+	asked     time.Time
+	askedWait time.Duration
+	runs      map[Run]*run
 	// used is what the runs take from Capacity, stopping ones included.
 	used Resources
 	// taken is the number of the last end taken in, acknowledged that of the last one that may be forgotten.
