Repeat no start on knowledge of jobs that is too old

Found in review: a start that got no answer was sent again although the knowledge of cancels had become too old for starts meanwhile (UNASKED). Its run is stopped instead, as after a second loss.

TestRepeatOnOutdatedKnowledge failed before.

--- a/core/work/order.go
+++ b/core/work/order.go
@@ -98,7 +98,7 @@
 		g.searching = false
 	}
 	b.evacuate(now)
-	orders := append(b.stops(now), b.repeats()...)
+	orders := append(b.stops(now), b.repeats(now)...)
 	orders = append(orders, b.paces(now)...)
 	return append(orders, b.place(now)...)
 }
@@ -179,7 +179,7 @@
 
 // repeats returns the starts that got no answer and are sent again. A life that is not listed any more gets none: a later life of
 // the worker has not seen the epoch of a next holder, and would carry out what that one has settled otherwise.
-func (b *Board) repeats() []Order {
+func (b *Board) repeats(now time.Time) []Order {
 	if b.unsure == 0 {
 		return nil
 	}
@@ -191,7 +191,7 @@
 				continue
 			}
 			r.unsure = false
-			if r.task == nil || !w.listed {
+			if r.task == nil || !w.listed || b.outdated(now) {
 				b.doubt(r)
 				continue
 			}
--- a/core/work/unheard_test.go
+++ b/core/work/unheard_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"siskincross/core/work"
 )
@@ -23,3 +24,17 @@
 	f.hear("a", work.Report{Ends: []work.End{{Number: work.EndsPerReport + 1, Run: run("j", 0, 0, 1), How: work.HowDone}}})
 	f.assertNoStart(f.orders())
 }
+
+// TestRepeatOnOutdatedKnowledge guards against a late start of a cancelled job by the repeat of a start that got no answer, while the
+// holder does not hear of cancels.
+func TestRepeatOnOutdatedKnowledge(t *testing.T) {
+	f := withBoard(t)
+	f.hear("a", work.Report{})
+	f.board.Add(chain("j", 1), work.Progress{}, 1, false, f.now)
+	f.board.KnownAsOf(f.now.Add(-2 * time.Second))
+	orders := f.board.Orders(f.now, f.now)
+	f.is.Equal(len(orders), 1)
+	f.now = f.now.Add(time.Second)
+	f.board.Answered(orders[0], work.Answer{Verdict: work.VerdictUnknown}, f.now)
+	f.assertNoStart(f.orders())
+}
