Take one done end of a gang for all its members

Found in review: members of a gang end as done together and one such end stands for all, but each task was marked by its own. If a worker was gone before it told, its member waited for mates that never start again: the job stood still for ever (LOST).

TestGangEndOfOneMember failed before.

--- a/core/work/report.go
+++ b/core/work/report.go
@@ -275,7 +275,7 @@
 	switch {
 	case e.How == HowDone && !lasting:
 		w.failedInRow = 0
-		b.finish(t)
+		b.finishAll(t)
 	case e.How == HowFailed && !lasting:
 		b.suspect(w, j.ID, now)
 		j.change(j.progress.WithFailure(e.Run))
@@ -294,6 +294,19 @@
 	}
 }
 
+// finishAll marks a task done, and with it all members of its gang: they end together, and one such end stands for all.
+func (b *Board) finishAll(t *task) {
+	if !t.group.spec().Gang {
+		b.finish(t)
+		return
+	}
+	for _, member := range t.group.tasks {
+		if !member.done {
+			b.finish(member)
+		}
+	}
+}
+
 // finish marks a task done, gives up its other runs and opens what follows.
 func (b *Board) finish(t *task) {
 	g := t.group
--- a/core/work/unheard_test.go
+++ b/core/work/unheard_test.go
@@ -38,3 +38,23 @@
 	f.board.Answered(orders[0], work.Answer{Verdict: work.VerdictUnknown}, f.now)
 	f.assertNoStart(f.orders())
 }
+
+// TestGangEndOfOneMember guards against a gang that waits for ever for the end of a member whose worker is gone: members end as done
+// together, and one such end stands for all.
+func TestGangEndOfOneMember(t *testing.T) {
+	f := withBoard(t)
+	f.hear("a", work.Report{})
+	f.hear("b", work.Report{})
+	j := chain("j", 2)
+	j.Steps[0].Gang, j.Steps[0].SpreadLimit = true, 1
+	f.board.Add(j, work.Progress{}, 1, false, f.now)
+	orders := f.orders()
+	f.is.Equal(len(orders), 2)
+	f.hear("a", work.Report{Ends: []work.End{{Number: 1, Run: run("j", 0, 0, orders[0].Run.Attempt), How: work.HowDone}}})
+	f.board.Gone(life("b"))
+	f.board.List([]work.Listing{listing("a")}, f.now)
+	state, known := f.board.State("j")
+	f.is.True(!known || state == work.StateCompleted)
+	changes := f.board.Changes(10)
+	f.is.Equal(changes[0].Progress.State, work.StateCompleted)
+}
