Stop the mates of a gang member that can not be started

Found in review: if the start of one member was refused or not sent, the others waited for it until they ended alone (GANG). They are stopped, and the gang is started anew with one attempt.

--- a/core/work/order.go
+++ b/core/work/order.go
@@ -289,11 +289,24 @@
 			if a.Verdict == VerdictNoTicket {
 				r.task.group.ticketRefused(r.worker.Life)
 			}
+			b.disband(r.task.group)
 		}
 		b.giveUp(r, CauseRefused, now)
 	}
 }
 
+// disband gives up the runs of a gang of which a member can't be started: they would wait for it in vain.
+func (b *Board) disband(g *group) {
+	if !g.spec().Gang {
+		return
+	}
+	for _, t := range g.tasks {
+		for _, r := range t.runs {
+			b.unwanted[r] = true
+		}
+	}
+}
+
 // refusedPause delays the next attempt of a task after a refusal, so that a refusing pool is not pressed.
 const refusedPause = 20 * time.Millisecond
 
--- a/core/work/unheard_test.go
+++ b/core/work/unheard_test.go
@@ -58,3 +58,33 @@
 	changes := f.board.Changes(10)
 	f.is.Equal(changes[0].Progress.State, work.StateCompleted)
 }
+
+// TestGangMemberNotSent guards against members that wait for one whose start the holder could not send: they would end alone.
+func TestGangMemberNotSent(t *testing.T) {
+	for _, verdict := range []work.Verdict{work.VerdictNotSent, work.VerdictNoRoom} {
+		t.Run(verdict.String(), func(t *testing.T) {
+			f := withBoard(t)
+			f.hear("a", work.Report{})
+			f.hear("b", work.Report{})
+			j := chain("j", 2)
+			j.Steps[0].Gang, j.Steps[0].SpreadLimit = true, 1
+			f.board.Add(j, work.Progress{}, 1, false, f.now)
+			orders := f.board.Orders(f.now, f.now)
+			f.is.Equal(len(orders), 2)
+			mate := orders[0].Run
+			f.board.Answered(orders[0], work.Answer{Verdict: work.VerdictOK, Clock: f.now.Sub(start) + time.Second}, f.now)
+			f.board.Answered(orders[1], work.Answer{Verdict: verdict}, f.now)
+			cared := false
+			for range 20 {
+				f.hear(orders[0].Life.Worker, work.Report{Active: []work.Active{{Run: mate}}})
+				f.hear(orders[1].Life.Worker, work.Report{})
+				f.now = f.now.Add(50 * time.Millisecond)
+				for _, o := range f.orders() {
+					cared = cared || (o.Kind == work.OrderStop && o.Run == mate) ||
+						(o.Kind == work.OrderStart && o.Run.Task == orders[1].Run.Task && o.Run.Attempt == mate.Attempt)
+				}
+			}
+			f.is.True(cared)
+		})
+	}
+}
