Date the answer of a renewal by when it can have been given

Found in review: a holder that is short of its processor reads answers late and took them as new. It started tasks on answers seconds old, granted leases that were shorter by the delay, and counted a task as at work by an old report when it took another away (AVAIL). An answer is given no later than its wait and a tenth of a second after the call. Whether a lease is over is still judged from the time of reading, which is never early.

TestAnswerReadLate failed before, in three cases.

--- a/core/work/report.go
+++ b/core/work/report.go
@@ -76,6 +76,7 @@
 		return Renewal{}, false
 	}
 	b.sequence++
+	w.asked = now
 	renewal := Renewal{Contact: w.contact(), Epoch: b.Epoch, Acknowledged: w.acknowledged, Sequence: b.sequence}
 	if b.settled(now) {
 		// An earlier holder that has not heard of its successor could start a task again whose end is
@@ -87,6 +88,7 @@
 		renewal.Deadline = w.clock.grant(now, b.policy.Lease)
 		renewal.Wait = b.patience(w, wait, now)
 	}
+	w.askedWait = renewal.Wait
 	return renewal, true
 }
 
@@ -141,10 +143,12 @@
 	}
 	var taken []End
 	b.hear(w, report.Clock, now)
+	asOf := w.answeredBy(now)
+	w.clock.asOf = asOf
 	present := make(map[Run]bool, len(report.Active)+len(report.Ends))
 	for _, a := range report.Active {
 		present[a.Run] = true
-		b.takeActive(w, a, now)
+		b.takeActive(w, a, asOf)
 	}
 	if b.shared {
 		w.balance(now)
--- a/core/work/unheard_test.go
+++ b/core/work/unheard_test.go
@@ -59,6 +59,61 @@
 	f.is.Equal(changes[0].Progress.State, work.StateCompleted)
 }
 
+// TestAnswerReadLate guards against believing an answer to be as new as the moment in which a process that was short of its processor
+// read it.
+func TestAnswerReadLate(t *testing.T) {
+	// late plays a renewal whose answer the worker gave at once and the holder reads after a time.
+	late := func(f *fixture, id string, delay time.Duration, r work.Report) {
+		renewal, _ := f.board.Renew(life(id), 0, f.now)
+		r.Clock = f.now.Sub(start) + time.Second
+		f.now = f.now.Add(delay)
+		f.board.Report(life(id), renewal.Sequence, r, f.now)
+	}
+	t.Run("nothing is started on it", func(t *testing.T) {
+		f := withBoard(t)
+		f.hear("a", work.Report{})
+		f.board.Add(chain("j", 1), work.Progress{}, 1, false, f.now)
+		late(f, "a", 5*time.Second, work.Report{})
+		f.assertNoStart(f.orders())
+	})
+	t.Run("it does not shorten leases", func(t *testing.T) {
+		f := withBoard(t)
+		f.hear("a", work.Report{})
+		late(f, "a", 2*time.Second, work.Report{})
+		renewal, _ := f.board.Renew(life("a"), 0, f.now)
+		f.is.True(renewal.Deadline-(f.now.Sub(start)+time.Second) >= 4900*time.Millisecond)
+	})
+	t.Run("no task is evacuated on it", func(t *testing.T) {
+		f := withBoard(t)
+		f.board.List([]work.Listing{listing("a"), listing("b"), listing("c")}, f.now)
+		f.hear("a", work.Report{})
+		f.hear("b", work.Report{})
+		f.hear("c", work.Report{})
+		f.board.Add(lastingJob("j", 2), work.Progress{}, 1, false, f.now)
+		by := make(map[string]work.Run)
+		for _, o := range f.orders() {
+			by[o.Life.Worker] = o.Run
+		}
+		f.is.Equal(len(by), 2)
+		var workers []string
+		for id, r := range by {
+			workers = append(workers, id)
+			f.hear(id, work.Report{Active: []work.Active{{Run: r, Percent: 100}}})
+		}
+		f.board.Withdraw(map[string]bool{workers[0]: true}, f.now)
+		late(f, workers[1], 4*time.Second, work.Report{Active: []work.Active{{Run: by[workers[1]], Percent: 100}}})
+		f.hear(workers[0], work.Report{Active: []work.Active{{Run: by[workers[0]], Percent: 100}}})
+		for id := range map[string]bool{"a": true, "b": true, "c": true} {
+			if by[id] == (work.Run{}) {
+				f.hear(id, work.Report{})
+			}
+		}
+		for _, o := range f.orders() {
+			f.is.True(o.Kind != work.OrderStop)
+		}
+	})
+}
+
 // TestGangMemberNotSent guards against members that wait for one whose start the holder could not send: they would end alone.
 func TestGangMemberNotSent(t *testing.T) {
 	for _, verdict := range []work.Verdict{work.VerdictNotSent, work.VerdictNoRoom} {
--- a/core/work/worker.go
+++ b/core/work/worker.go
@@ -49,18 +49,20 @@
 	// heard is when we received reading.
 	heard   time.Time
 	reading time.Duration
+	// asOf is about when the worker read its clock: before heard if this process took long to read the answer.
+	asOf time.Time
 	// granted is the latest deadline that we gave, by the worker's clock.
 	granted time.Duration
 }
 
 func (c *leaseClock) hear(reading time.Duration, now time.Time) {
-	c.heard = now
+	c.heard, c.asOf = now, now
 	c.reading = reading
 }
 
 // estimate is what the worker's clock reads now, if it runs as fast as ours.
 func (c *leaseClock) estimate(now time.Time) time.Duration {
-	return c.reading + now.Sub(c.heard)
+	return c.reading + now.Sub(c.asOf)
 }
 
 // least is the lowest reading that the worker's clock can have now.
@@ -133,7 +135,19 @@
 // open reports whether the worker may be given new work.
 func (w *worker) open(now time.Time) bool {
 	return w.listed && w.answered && !w.Draining && !w.withdrawn && w.misses == 0 && !now.Before(w.closed) &&
-		now.Sub(w.clock.heard) < heardTime
+		now.Sub(w.clock.asOf) < heardTime
+}
+
+// answerSlack is how much longer than its wait a worker may take for an answer that is still read in time.
+const answerSlack = 100 * time.Millisecond
+
+// answeredBy is about when the worker gave the answer to the last renewal, which is read now: a process that is short of its processor
+// reads it late.
+func (w *worker) answeredBy(now time.Time) time.Time {
+	if latest := w.asked.Add(w.askedWait + answerSlack); latest.Before(now) {
+		return latest
+	}
+	return now
 }
 
 // miss notes a call without an answer.
