Give renewals twice the time after each one without an answer

Found in review: only starts teach how long workers take to answer. A holder in whose pool nothing is started gave each renewal 0.2 s; if answers lay unread for 0.3 s, every renewal failed, and all leases of lasting tasks ran out (AVAIL, LOST).

Calls to workers that are gone end later: 0.2 s, 0.4 s, 0.8 s, and then a second each.

--- a/io/runner/contacts.go
+++ b/io/runner/contacts.go
@@ -35,11 +35,12 @@
 	for h.ctx.Err() == nil {
 		h.mu.Lock()
 		renewal, ok := h.board.Renew(life, renewWait, time.Now())
+		misses := h.board.Misses(life)
 		h.mu.Unlock()
 		if !ok {
 			return
 		}
-		report, err := h.m.renew(h.ctx, renewal)
+		report, err := h.m.renew(h.ctx, renewal, misses)
 		if h.ctx.Err() != nil || !h.takeReport(life, renewal, report, err) {
 			return
 		}
@@ -57,9 +58,11 @@
 	}
 }
 
-// renew makes a call that renews a worker, within the time that workers usually take.
-func (m *Manager) renew(ctx context.Context, r work.Renewal) (work.Report, error) {
-	callCtx, cancel := context.WithTimeout(ctx, r.Wait+m.patience.limit())
+// renew makes a call that renews a worker, within the time that workers usually take, and twice that after each call without an answer: no
+// start tells how long answers take while nothing is started.
+func (m *Manager) renew(ctx context.Context, r work.Renewal, misses int) (work.Report, error) {
+	limit := min(m.patience.limit()<<min(misses, 10), mostPatience)
+	callCtx, cancel := context.WithTimeout(ctx, r.Wait+limit)
 	defer cancel()
 	return m.Executors.Renew(callCtx, r)
 }
