Order nothing about hosts on needs that are too old

Found in review: a pool uses a cleared worker again 2.2 s after the need without it was stored, because the holder of the duty for hosts was taken to hear of a need within 1.5 s. Nothing checked that: if its feed of the table of hosts was not answered while its commits were, it went on to move hosts whose workers had tasks again (work lost, AVAIL). Now it plans nothing on needs older than 1.5 s, and the store may hold the answers of that feed back for 0.7 s in place of 1.5 s.

--- a/io/runner/fake_test.go
+++ b/io/runner/fake_test.go
@@ -361,6 +361,8 @@
 	hosts   map[string]*fakeHost
 	// movable sites have hosts that can be moved to other pools, though nobody asks for any.
 	movable bool
+	// machines replaces the calls about hosts if its fields are set.
+	machines platform.Machines
 	// capacities holds the entry hosts' capacities where they are known.
 	capacities map[string]duty.Capacity
 	// executors replaces the calls to workers if its fields are set.
@@ -493,6 +495,9 @@
 			},
 		}
 	}
+	if s.machines.Send != nil {
+		h.manager.Machines = s.machines
+	}
 	ctx, stop := context.WithCancel(context.Background())
 	h.stop = stop
 	h.done = h.manager.Start(ctx)
--- a/io/runner/hostrows.go
+++ b/io/runner/hostrows.go
@@ -21,6 +21,10 @@
 	// the pools' needs. Holders of pools look for the workers that are to be cleared alone, and wait for poolHostsGather.
 	hostsGather     = 20 * time.Millisecond
 	poolHostsGather = 150 * time.Millisecond
+	// hostsWait is how long the store may hold an answer about the table of hosts back.
+	hostsWait = 700 * time.Millisecond
+	// needAge is how old the knowledge of the pools' needs may be for an order about a host.
+	needAge = 1500 * time.Millisecond
 )
 
 // hostRows is what the table of hosts says.
@@ -30,6 +34,8 @@
 	recent   []orderRow
 	// done holds the hosts of each wave that have begun their maintenance.
 	done map[string][]string
+	// asOf is as of when the table is known.
+	asOf time.Time
 }
 
 // planRow is the plan of the holder of the duty for hosts.
@@ -69,7 +75,7 @@
 // followHosts keeps the table of hosts up to date while this process holds a duty.
 func (m *Manager) followHosts(ctx context.Context) {
 	m.follow(ctx, follower{
-		table: hostsTable, wait: followWait, take: m.takeHosts, read: m.readHosts,
+		table: hostsTable, wait: hostsWait, take: m.takeHosts, read: m.readHosts, heard: func(_ uint64, asked time.Time) { m.hostsKnown(asked) },
 		pace: func() time.Duration {
 			if m.holds(hostsDuty) {
 				return hostsGather
@@ -80,6 +86,22 @@
 	})
 }
 
+// hostsKnown notes that the table of hosts is known as of a time.
+func (m *Manager) hostsKnown(asOf time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if asOf.After(m.hostRows.asOf) {
+		m.hostRows.asOf = asOf
+	}
+}
+
+// hostsOutdated reports whether a pool may have taken back what its need said of cleared workers, and may use them by now.
+func (m *Manager) hostsOutdated(now time.Time) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return now.Sub(m.hostRows.asOf) > needAge
+}
+
 func (m *Manager) readHosts(ctx context.Context) (uint64, error) {
 	parts, err := m.Rows.Parts(ctx, hostsTable)
 	if err != nil {
--- a/io/runner/hosts.go
+++ b/io/runner/hosts.go
@@ -77,12 +77,14 @@
 func (h *hostsHolder) load() bool {
 	var retry backoff
 	for {
+		asked := time.Now()
 		version, err := h.m.readHosts(h.ctx)
 		if err == nil && version != 0 && version < h.epoch {
 			err = errStaleRead
 		}
 		if err == nil {
 			now := time.Now()
+			h.m.hostsKnown(asked)
 			h.inherit(now)
 			h.planner.KeepUntil = now.Add(keepTime)
 			return true
@@ -148,7 +150,7 @@
 	h.takeResults()
 	h.takeIn(now)
 	h.list(now)
-	if !h.listed {
+	if !h.listed || h.m.hostsOutdated(time.Now()) {
 		return
 	}
 	plan := h.planner.Plan(now)
--- a/io/runner/need.go
+++ b/io/runner/need.go
@@ -18,7 +18,7 @@
 	// offerTime is how long an offered worker waits for its host to be moved before it is used again.
 	offerTime = 4 * time.Second
 	// retractTime is how long orders for a host may still follow the need that named its worker.
-	retractTime = intentTime + 1500*time.Millisecond
+	retractTime = intentTime + needAge
 )
 
 // needRow is what a pool's duty holder tells the holder of the duty for hosts.
--- a/io/runner/unheard_test.go
+++ b/io/runner/unheard_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"encoding/json"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"siskincross/core/capacity"
 	"siskincross/core/work"
 	"siskincross/io/platform"
 )
@@ -42,3 +45,58 @@
 		s.is.True(deadline > clock)
 	})
 }
+
+// hostsHolder returns the entry host that holds the duty for hosts.
+func (s *fakeSite) hostsHolder() string {
+	page := s.store.find(platform.Range{Table: "fleet", Part: "!hosts", From: "holder"})
+	var row struct{ Holder string }
+	s.is.Equal(len(page.Rows), 1)
+	s.is.NoErr(json.Unmarshal(page.Rows[0].Value, &row))
+	name, _, _ := strings.Cut(row.Holder, "/")
+	return name
+}
+
+// TestOutdatedNeeds guards against orders about hosts whose workers were cleared once and have work again, by a holder of the duty for
+// hosts that does not hear of the pools' needs while its commits are answered.
+func TestOutdatedNeeds(t *testing.T) {
+	var site atomic.Pointer[fakeSite]
+	var shown atomic.Bool
+	var beneath, given atomic.Int32
+	machines := platform.Machines{
+		List: func(context.Context) ([]capacity.Machine, error) {
+			var list []capacity.Machine
+			if s := site.Load(); s != nil && shown.Load() {
+				for id, w := range s.workers {
+					list = append(list, capacity.Machine{Host: "h-" + id, Pool: fakePool, State: capacity.StateUp, Worker: id, Rack: "r", Capacity: w.listing.Capacity})
+				}
+			}
+			return list, nil
+		},
+		Send: func(_ context.Context, o platform.MachineOrder) (capacity.Outcome, string) {
+			given.Add(1)
+			w := site.Load().workers[strings.TrimPrefix(o.Host, "h-")]
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			w.settle()
+			if len(w.runs) > 0 {
+				beneath.Add(1)
+			}
+			return capacity.OutcomeRefused, "test"
+		},
+	}
+	playSite(t, fakeSite{movable: true, machines: machines, morePools: 1}, 3, 6, func(s *fakeSite) {
+		site.Store(s)
+		holder := s.hostsHolder()
+		s.is.True(len(s.clearedAfterWork("e0")) > 0)
+		s.store.put(platform.RowKey{Table: "hosts", Part: "desk00", Key: "need"}, map[string]int{"ask": 3})
+		time.Sleep(300 * time.Millisecond)
+		s.store.withhold(holder, "hosts")
+		s.is.NoErr(s.submit(s.other(holder), "j", 6000))
+		time.Sleep(8 * time.Second)
+		s.is.Equal(len(s.cleared()), 0)
+		shown.Store(true)
+		time.Sleep(8 * time.Second)
+		t.Logf("%d orders, %d for hosts with tasks at work", given.Load(), beneath.Load())
+		s.is.Equal(beneath.Load(), int32(0))
+	})
+}
