Let no late write of a roster or a need replace a newer one

Found in review: commits of the roster and of the need expected the fence alone. One that got no answer may be carried out seconds later, after its repeat and newer ones. The stored roster then lacks workers that have tasks, and nothing repairs it: a next holder would not wait for them and start their tasks again (TWICE); a need would name workers as cleared that are in use.

Each write expects the version that it follows, and one that was overtaken by an earlier write of our own is tried again on top of that.

TestLateRoster failed before.

--- a/io/runner/commits.go
+++ b/io/runner/commits.go
@@ -11,9 +11,9 @@
 
 const (
 	// changesPerCommit is the most jobs in a transaction, entriesPerCommit the most entries for them: the store takes 100, of which the
-	// fence and rows that are no jobs' need up to four.
+	// fence and rows that are no jobs' need up to six.
 	changesPerCommit = 32
-	entriesPerCommit = 96
+	entriesPerCommit = 94
 	// finalDelay is how long a job's end waits for others to be stored with.
 	finalDelay = 8 * time.Millisecond
 	// changeDelay is how long other progress waits. Its ends are not acknowledged meanwhile, which delays nobody.
@@ -59,8 +59,49 @@
 	if roster != nil {
 		side = append(side, h.replaceRoster(roster))
 	}
+	expected := h.sideExpectations(side)
 	h.committing = true
-	h.group.Go(func() { h.commit(changes, side, roster) })
+	h.group.Go(func() { h.commit(changes, side, expected, roster) })
+}
+
+// sideExpectations returns what the writes of a roster and of a need expect. The caller holds the lock.
+func (h *holder) sideExpectations(writes []platform.RowWrite) []platform.Expectation {
+	var expected []platform.Expectation
+	for _, w := range writes {
+		switch w.RowKey {
+		case markKey(h.pool, rosterKey):
+			expected = append(expected, platform.Expectation{RowKey: w.RowKey, Version: h.rosterVersion})
+		case needKeyOf(h.pool):
+			expected = append(expected, platform.Expectation{RowKey: w.RowKey, Version: h.needVersion})
+		}
+	}
+	return expected
+}
+
+// sideCommitted notes the versions of a roster and a need after a commit with them. One that was overtaken by an earlier write of ours, whose
+// answer was lost, is tried again on top of that. The caller holds the lock.
+func (h *holder) sideCommitted(writes []platform.RowWrite, version uint64, err error) {
+	for _, w := range writes {
+		known := version
+		var overtaken platform.ErrOvertaken
+		switch {
+		case err == nil:
+		case errors.As(err, &overtaken):
+			row, ok := overtaken.Find(w.RowKey)
+			if !ok {
+				continue
+			}
+			known = row.Version
+		default:
+			continue
+		}
+		switch w.RowKey {
+		case markKey(h.pool, rosterKey):
+			h.rosterVersion = known
+		case needKeyOf(h.pool):
+			h.needVersion = known
+		}
+	}
 }
 
 // sideRows returns the rows that are written beside jobs' progress.
@@ -80,12 +121,14 @@
 }
 
 // commit stores changes and other rows, that of a roster among them if there is one, in one transaction.
-func (h *holder) commit(changes []work.Change, side []platform.RowWrite, roster map[work.Life]bool) {
+func (h *holder) commit(changes []work.Change, side []platform.RowWrite, expected []platform.Expectation, roster map[work.Life]bool) {
 	tx := h.transaction(changes)
+	tx.Expected = append(tx.Expected, expected...)
 	tx.Writes = append(tx.Writes, side...)
 	version, err := h.m.Rows.Commit(h.ctx, tx)
 	h.committed(changes, version, err)
 	h.mu.Lock()
+	h.sideCommitted(side, version, err)
 	switch {
 	case len(side) == 0:
 	case err == nil:
--- a/io/runner/fake_test.go
+++ b/io/runner/fake_test.go
@@ -48,6 +48,8 @@
 	lostPages, pages int
 	// withheld names the table of which an entry host gets no answer, by entry host.
 	withheld map[string]string
+	// late, if set, tells which commits get no answer and are carried out only after lateTime, if their conditions still hold.
+	late func(c platform.Commit) bool
 	// committed, if set, sees the rows after each commit.
 	committed func(rows map[platform.RowKey]platform.PartRow)
 }
@@ -158,6 +160,11 @@
 			if err := s.await(ctx, c); err != nil {
 				return 0, err
 			}
+			if s.isLate(c) {
+				time.AfterFunc(lateTime, func() { _, _ = s.commit(c) }) // nobody waits for it
+				<-ctx.Done()
+				return 0, platform.ErrOutcomeUnknown{Service: "store", Reason: ctx.Err().Error()}
+			}
 			version, err := s.commit(c)
 			if c.Purpose == "accept" && s.losesAnswer() {
 				<-ctx.Done()
@@ -200,6 +207,15 @@
 	}
 }
 
+// lateTime is how long after it was sent a late commit is carried out.
+const lateTime = 5 * time.Second
+
+func (s *fakeStore) isLate(c platform.Commit) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.late != nil && s.late(c)
+}
+
 // losesAnswer reports whether the answer to the commit just made is lost.
 func (s *fakeStore) losesAnswer() bool {
 	s.mu.Lock()
--- a/io/runner/holder.go
+++ b/io/runner/holder.go
@@ -41,10 +41,12 @@
 	contacts map[work.Life]bool
 	// roster holds the lives that the stored roster has and that may get work, stored those that it may have: those that are being
 	// taken out, and those of a commit that failed, are in stored alone.
-	roster     map[work.Life]bool
-	stored     map[work.Life]bool
-	rosterAt   time.Time
-	committing bool
+	roster map[work.Life]bool
+	// rosterVersion and needVersion are those of the stored roster and need: a write that got no answer must not follow a newer one.
+	rosterVersion, needVersion uint64
+	stored                     map[work.Life]bool
+	rosterAt                   time.Time
+	committing                 bool
 	// lookedAt is when the board was last given the workers, listedAs the count of the directory's changes then. The workers are to
 	// be looked at anew at once if unlisted is true: the stored roster has changed.
 	lookedAt time.Time
@@ -92,6 +94,7 @@
 
 // expect takes in the roster of the earlier holder.
 func (h *holder) expect(row platform.PartRow) {
+	h.rosterVersion = row.Version
 	var roster rosterRow
 	if err := json.Unmarshal(row.Value, &roster); err != nil {
 		h.m.record(event.Event{Number: event.WorkRowUnreadable, Pool: h.pool, Detail: ErrRow{row.RowKey, err}.Error()})
@@ -242,13 +245,14 @@
 // commitRoster stores the lives on which tasks may run from now on. The caller holds the lock.
 func (h *holder) commitRoster(roster map[work.Life]bool) {
 	write := h.replaceRoster(roster)
+	tx := platform.Commit{Expected: []platform.Expectation{h.fence()}, Writes: []platform.RowWrite{write}, Purpose: "roster"}
+	tx.Expected = append(tx.Expected, h.sideExpectations(tx.Writes)...)
 	h.committing = true
 	h.group.Go(func() {
-		version, err := h.m.Rows.Commit(h.ctx, platform.Commit{
-			Expected: []platform.Expectation{h.fence()}, Writes: []platform.RowWrite{write}, Purpose: "roster",
-		})
+		version, err := h.m.Rows.Commit(h.ctx, tx)
 		h.mu.Lock()
 		h.committing = false
+		h.sideCommitted(tx.Writes, version, err)
 		if err == nil {
 			h.rosterStored(roster)
 			h.feed.committed(version, time.Now())
--- a/io/runner/need.go
+++ b/io/runner/need.go
@@ -177,19 +177,18 @@
 }
 
 // readNeed reads what the earlier holder told the holder of the duty for hosts: orders may still follow it.
-func (h *holder) readNeed() (needRow, error) {
+func (h *holder) readNeed() (need needRow, version uint64, err error) {
 	if h.m.Machines.Send == nil {
-		return needRow{}, nil
+		return needRow{}, 0, nil
 	}
 	row, ok, err := h.m.Rows.ReadOne(h.ctx, needKeyOf(h.pool), "takeover")
 	if err != nil || !ok {
-		return needRow{}, err
+		return needRow{}, 0, err
 	}
-	var need needRow
 	if err := decode(row, &need); err != nil {
 		h.m.record(event.Event{Number: event.WorkRowUnreadable, Pool: h.pool, Detail: err.Error()})
 	}
-	return need, nil
+	return need, row.Version, nil
 }
 
 // poolLoad tells what the pool does with its workers. None are spare while new jobs may not have been told of.
--- a/io/runner/takeover.go
+++ b/io/runner/takeover.go
@@ -20,9 +20,10 @@
 	// A specification without progress is that of a job that has not begun, or was accepted meanwhile.
 	progress, specs platform.Reading
 	// specsAsked is when the reading of specs began.
-	specsAsked time.Time
-	need       needRow
-	needRead   bool
+	specsAsked  time.Time
+	need        needRow
+	needVersion uint64
+	needRead    bool
 }
 
 func newTakeover(h *holder) *takeover {
@@ -70,11 +71,11 @@
 		return err
 	}
 	if !t.needRead {
-		need, err := t.h.readNeed()
+		need, version, err := t.h.readNeed()
 		if err != nil {
 			return err
 		}
-		t.need, t.needRead = need, true
+		t.need, t.needVersion, t.needRead = need, version, true
 	}
 	if t.progress.Version < t.h.epoch || t.specs.Version < t.h.epoch {
 		again := newTakeover(t.h)
@@ -93,6 +94,7 @@
 	}
 	h.mu.Lock()
 	h.clearing.report(t.need.Cleared)
+	h.needVersion = t.needVersion
 	jobs := 0
 	for _, row := range t.specs.Rows {
 		switch p, ok := stored[row.Key]; {
--- a/io/runner/unheard_test.go
+++ b/io/runner/unheard_test.go
@@ -100,3 +100,31 @@
 		s.is.Equal(beneath.Load(), int32(0))
 	})
 }
+
+// TestLateRoster guards against a stored roster that lacks workers with tasks, because an older write of it that got no answer was
+// carried out after a newer one: a next holder would not wait for those workers, and would start their tasks again.
+func TestLateRoster(t *testing.T) {
+	withFakeSite(t, 3, 1, func(s *fakeSite) {
+		var held atomic.Bool
+		s.store.mu.Lock()
+		s.store.late = func(c platform.Commit) bool { return c.Purpose == "roster" && held.CompareAndSwap(false, true) }
+		s.store.mu.Unlock()
+		s.addWorker("w1")
+		time.Sleep(4 * time.Second)
+		s.is.True(held.Load())
+		s.addWorker("w2")
+		time.Sleep(900 * time.Millisecond)
+		s.is.NoErr(s.submit("e0", "j", 900))
+		time.Sleep(1700 * time.Millisecond)
+		w := s.workers["w2"]
+		w.mu.Lock()
+		w.settle()
+		running := len(w.runs)
+		w.mu.Unlock()
+		s.is.True(running > 0)
+		s.store.mu.Lock()
+		onRoster := rostered(s.store.rows)
+		s.store.mu.Unlock()
+		s.is.True(onRoster["w2"])
+	})
+}
