--- /dev/null
+++ b/io/runner/fake_store_test.go
@@ -0,0 +1,312 @@
+package runner_test
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"sort"
+	"sync"
+	"time"
+
+	"siskincross/io/platform"
+)
+
+// fakeStore is a table service in memory, with the faults that the runner has to live with. It is used in virtual time.
+type fakeStore struct {
+	mu      sync.Mutex
+	version uint64
+	rows    map[platform.RowKey]platform.PartRow
+	history []platform.PartRow
+	changed chan struct{}
+	// silentFor names the entry hosts of which no call is answered, or all if it holds "*".
+	silentFor map[string]bool
+	// loseEvery loses the answer of each so many commits that accept jobs, after they took effect; zero loses none.
+	loseEvery, commits int
+	// answers is how long an answer takes.
+	answers time.Duration
+	// txTime is how long a transaction takes; those of a part come one after another until, by part, and are refused while more than
+	// a second of them waits.
+	txTime time.Duration
+	until  map[string]time.Time
+	// links holds each entry host's link if bandwidth, in bytes a second, bounds them.
+	links     map[string]*fakeLink
+	bandwidth int
+	// lostPages loses the answer of each so many pages that a takeover reads; zero loses none.
+	lostPages, pages int
+	// withheld names the table of which an entry host gets no answer, by entry host.
+	withheld map[string]string
+	// late, if set, tells which commits get no answer and are carried out only after lateTime, if their conditions still hold.
+	late func(c platform.Commit) bool
+	// committed, if set, sees the rows after each commit.
+	committed func(rows map[platform.RowKey]platform.PartRow)
+}
+
+// answerTime is how long the store and the workers take for an answer.
+const answerTime = 4 * time.Millisecond
+
+func newFakeStore() *fakeStore {
+	return &fakeStore{
+		rows: make(map[platform.RowKey]platform.PartRow), changed: make(chan struct{}),
+		silentFor: make(map[string]bool), answers: answerTime,
+	}
+}
+
+// callTime is after how long a call without an answer is given up.
+const callTime = 1500 * time.Millisecond
+
+// silence has the store answer an entry host, or all of them, no more, or again.
+func (s *fakeStore) silence(node string, silent bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.silentFor[node] = silent
+}
+
+// enter plays the way to the store. It returns an error for a call that gets no answer.
+func (s *fakeStore) enter(ctx context.Context, node string) error {
+	s.mu.Lock()
+	silent := s.silentFor[node] || s.silentFor["*"]
+	wait := s.answers
+	s.mu.Unlock()
+	if silent {
+		wait = callTime
+	}
+	select {
+	case <-time.After(wait):
+	case <-ctx.Done():
+		return platform.ErrOutcomeUnknown{Service: "store", Reason: ctx.Err().Error()}
+	}
+	if silent {
+		return platform.ErrOutcomeUnknown{Service: "store", Reason: "no answer"}
+	}
+	return nil
+}
+
+// await plays the line of transactions of a part. One that is given up is not carried out here, but takes its time.
+func (s *fakeStore) await(ctx context.Context, c platform.Commit) error {
+	s.mu.Lock()
+	if s.txTime == 0 {
+		s.mu.Unlock()
+		return nil
+	}
+	part := ""
+	if len(c.Writes) > 0 {
+		part = c.Writes[0].Part
+	}
+	wait := max(0, time.Until(s.until[part]))
+	if wait > time.Second {
+		s.mu.Unlock()
+		return platform.ErrUnavailable{Service: "store", Reason: "too many wait", Busy: true}
+	}
+	s.until[part] = time.Now().Add(wait + s.txTime)
+	s.mu.Unlock()
+	select {
+	case <-time.After(wait + s.txTime):
+		return nil
+	case <-ctx.Done():
+		return platform.ErrOutcomeUnknown{Service: "store", Reason: ctx.Err().Error()}
+	}
+}
+
+// withhold has an entry host get no answer about a table from now on.
+func (s *fakeStore) withhold(node, table string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.withheld = map[string]string{node: table}
+}
+
+func (s *fakeStore) withholds(node, table string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.withheld[node] == table
+}
+
+// slow has each transaction of a part take a time.
+func (s *fakeStore) slow(txTime time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.txTime, s.until = txTime, make(map[string]time.Time)
+}
+
+// watch has a function see the rows after each commit from now on; nil ends that.
+func (s *fakeStore) watch(committed func(rows map[platform.RowKey]platform.PartRow)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.committed = committed
+}
+
+// rowsFor returns the store as one entry host sees it.
+func (s *fakeStore) rowsFor(node string) platform.Rows {
+	return platform.Rows{
+		Commit: func(ctx context.Context, c platform.Commit) (uint64, error) {
+			if err := s.enter(ctx, node); err != nil {
+				return 0, err
+			}
+			if err := s.transfer(ctx, node+" up", commitSize(c), nil); err != nil {
+				return 0, err
+			}
+			if err := s.await(ctx, c); err != nil {
+				return 0, err
+			}
+			if s.isLate(c) {
+				time.AfterFunc(lateTime, func() { _, _ = s.commit(c) }) // nobody waits for it
+				<-ctx.Done()
+				return 0, platform.ErrOutcomeUnknown{Service: "store", Reason: ctx.Err().Error()}
+			}
+			version, err := s.commit(c)
+			if c.Purpose == "accept" && s.losesAnswer() {
+				<-ctx.Done()
+				return 0, platform.ErrOutcomeUnknown{Service: "store", Reason: ctx.Err().Error()}
+			}
+			return version, err
+		},
+		Range: func(ctx context.Context, q platform.Range) (platform.Page, error) {
+			if err := s.enter(ctx, node); err != nil {
+				return platform.Page{}, err
+			}
+			if s.losesPage(q) || s.withholds(node, q.Table) {
+				<-ctx.Done()
+				return platform.Page{}, platform.ErrOutcomeUnknown{Service: "store", Reason: ctx.Err().Error()}
+			}
+			page := s.find(q)
+			return page, s.transfer(ctx, node, wireSize(page.Rows), q.Arriving)
+		},
+		Parts: func(ctx context.Context, table string) ([]string, error) {
+			if err := s.enter(ctx, node); err != nil {
+				return nil, err
+			}
+			return s.parts(table), nil
+		},
+		Follow: func(ctx context.Context, table string, after uint64, wait time.Duration) (platform.Changes, error) {
+			if err := s.enter(ctx, node); err != nil {
+				return platform.Changes{}, err
+			}
+			changes, err := s.follow(ctx, table, after, wait)
+			if s.withholds(node, table) {
+				<-ctx.Done()
+				return platform.Changes{}, platform.ErrOutcomeUnknown{Service: "store", Reason: ctx.Err().Error()}
+			}
+			if err != nil {
+				return changes, err
+			}
+			return changes, s.transfer(ctx, node, wireSize(changes.Rows), nil)
+		},
+		Now: func() (time.Duration, bool) { return time.Duration(time.Now().UnixNano()), true },
+	}
+}
+
+// lateTime is how long after it was sent a late commit is carried out.
+const lateTime = 5 * time.Second
+
+func (s *fakeStore) isLate(c platform.Commit) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.late != nil && s.late(c)
+}
+
+// losesAnswer reports whether the answer to the commit just made is lost.
+func (s *fakeStore) losesAnswer() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.commits++
+	return s.loseEvery > 0 && s.commits%s.loseEvery == 0
+}
+
+func (s *fakeStore) commit(c platform.Commit) (uint64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var current []platform.PartRow
+	stale := false
+	for _, e := range c.Expected {
+		row := s.rows[e.RowKey]
+		row.RowKey = e.RowKey
+		current = append(current, row)
+		stale = stale || row.Version != e.Version
+	}
+	if stale {
+		return 0, platform.ErrOvertaken{Rows: current}
+	}
+	s.version++
+	for _, w := range c.Writes {
+		row := platform.PartRow{RowKey: w.RowKey, Value: w.Value, Version: s.version}
+		s.rows[w.RowKey] = row
+		s.history = append(s.history, row)
+	}
+	for _, key := range c.Removes {
+		delete(s.rows, key)
+		s.history = append(s.history, platform.PartRow{RowKey: key, Version: s.version, Deleted: true})
+	}
+	close(s.changed)
+	s.changed = make(chan struct{})
+	if s.committed != nil {
+		s.committed(s.rows)
+	}
+	return s.version, nil
+}
+
+func (s *fakeStore) find(q platform.Range) platform.Page {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	page := platform.Page{Version: s.version}
+	for key, row := range s.rows {
+		if key.Table == q.Table && key.Part == q.Part && key.Key >= q.From && (q.Until == "" || key.Key < q.Until) {
+			page.Rows = append(page.Rows, row)
+		}
+	}
+	sortRows(page.Rows)
+	page.Rows, page.More = paged(page.Rows, q.Limit)
+	return page
+}
+
+func (s *fakeStore) parts(table string) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var parts []string
+	for key := range s.rows {
+		if key.Table == table && !slices.Contains(parts, key.Part) {
+			parts = append(parts, key.Part)
+		}
+	}
+	slices.Sort(parts)
+	return parts
+}
+
+func (s *fakeStore) follow(ctx context.Context, table string, after uint64, wait time.Duration) (platform.Changes, error) {
+	over := time.After(wait)
+	for {
+		s.mu.Lock()
+		result := platform.Changes{Version: s.version}
+		for _, row := range s.history[s.historyAfter(after):] {
+			if row.Table == table {
+				result.Rows = append(result.Rows, row)
+			}
+		}
+		changed := s.changed
+		s.mu.Unlock()
+		if len(result.Rows) > 0 {
+			return result, nil
+		}
+		select {
+		case <-changed:
+		case <-over:
+			return result, nil
+		case <-ctx.Done():
+			return result, platform.ErrOutcomeUnknown{Service: "store", Reason: ctx.Err().Error()}
+		}
+	}
+}
+
+// historyAfter returns where the changes later than a version begin. The caller holds the lock.
+func (s *fakeStore) historyAfter(version uint64) int {
+	return sort.Search(len(s.history), func(i int) bool { return s.history[i].Version > version })
+}
+
+// put writes a row as an operator or a worker would.
+func (s *fakeStore) put(key platform.RowKey, value any) {
+	encoded, err := json.Marshal(value)
+	if err != nil {
+		panic(err)
+	}
+	if _, err := s.commit(platform.Commit{Writes: []platform.RowWrite{{RowKey: key, Value: encoded}}}); err != nil {
+		panic(err)
+	}
+}
