Read what tests count and what workers they know without a race

Both are faults of the tests. Counts are read under their lock; the workers of TestLateRoster are there from the beginning and enter the directory later. TestLateRoster still fails without the expectation that it guards.

--- a/io/runner/census_test.go
+++ b/io/runner/census_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -40,6 +41,20 @@
 	}
 }
 
+// calls returns how many calls were made for a purpose.
+func (c *census) calls(purpose string) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.byPurpose[purpose].calls
+}
+
+// purposes returns what was counted by purpose.
+func (c *census) purposes() map[string]tally {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return maps.Clone(c.byPurpose)
+}
+
 // total returns the sum over all purposes.
 func (c *census) total() tally {
 	c.mu.Lock()
--- a/io/runner/count_test.go
+++ b/io/runner/count_test.go
@@ -45,9 +45,9 @@
 				}
 			}
 			// Two readings and a write by at most two at once, every two seconds.
-			s.is.True(counted.byPurpose["pending"].calls > 800)
-			rounds := int(time.Duration(counted.byPurpose["pending"].calls)*answerTime/(2*time.Second)) + 1
-			s.is.True(counted.byPurpose["count"].calls <= 6*rounds)
+			s.is.True(counted.calls("pending") > 800)
+			rounds := int(time.Duration(counted.calls("pending"))*answerTime/(2*time.Second)) + 1
+			s.is.True(counted.calls("count") <= 6*rounds)
 		})
 	})
 	// The holder is lost, and the next one waits for the lapse of its membership.
--- a/io/runner/hostrows_test.go
+++ b/io/runner/hostrows_test.go
@@ -19,6 +19,6 @@
 			time.Sleep(pause)
 		}
 		// One call for each change by the holder of the duty for hosts, and one in 150 ms by each holder of a pool.
-		s.is.True(counted.byPurpose["feed of hosts"].calls <= changes+itsPools*int(changes*pause/(150*time.Millisecond)))
+		s.is.True(counted.calls("feed of hosts") <= changes+itsPools*int(changes*pause/(150*time.Millisecond)))
 	})
 }
--- a/io/runner/scale_test.go
+++ b/io/runner/scale_test.go
@@ -30,7 +30,7 @@
 		time.Sleep(settling)
 		counted.reset()
 		time.Sleep(measured)
-		use, sum = maps.Clone(counted.byPurpose), counted.total()
+		use, sum = counted.purposes(), counted.total()
 	})
 	return use, sum
 }
--- a/io/runner/unheard_test.go
+++ b/io/runner/unheard_test.go
@@ -104,15 +104,24 @@
 // TestLateRoster guards against a stored roster that lacks workers with tasks, because an older write of it that got no answer was
 // carried out after a newer one: a next holder would not wait for those workers, and would start their tasks again.
 func TestLateRoster(t *testing.T) {
-	withFakeSite(t, 3, 1, func(s *fakeSite) {
+	withFakeSite(t, 3, 3, func(s *fakeSite) {
+		leave := func(id string) {
+			_, err := s.store.commit(platform.Commit{Removes: []platform.RowKey{{Table: "workers", Key: id}}})
+			s.is.NoErr(err)
+		}
+		enter := func(id string) { s.store.put(platform.RowKey{Table: "workers", Key: id}, s.workers[id].listing) }
+		leave("w1")
+		leave("w2")
+		time.Sleep(10 * time.Second)
+		s.is.True(!s.rostered()["w1"] && !s.rostered()["w2"])
 		var held atomic.Bool
 		s.store.mu.Lock()
 		s.store.late = func(c platform.Commit) bool { return c.Purpose == "roster" && held.CompareAndSwap(false, true) }
 		s.store.mu.Unlock()
-		s.addWorker("w1")
+		enter("w1")
 		time.Sleep(4 * time.Second)
 		s.is.True(held.Load())
-		s.addWorker("w2")
+		enter("w2")
 		time.Sleep(900 * time.Millisecond)
 		s.is.NoErr(s.submit("e0", "j", 900))
 		time.Sleep(1700 * time.Millisecond)
