Fence the workers of a cut-off holder, and start nothing on an old directory

Cause of the first: a holder that alone gets no answer of the store takes the store as away for everybody and goes on. Its successor has the duty after a lapse, but tells the workers of its epoch only with the renewals that follow the reading of the pool, and that reading hangs. Ruled out: to stop starts whenever the store is silent, since work then stands still while the store is down for everybody and nothing can be cancelled.

Now a takeover that reads for more than 250 ms calls the pool's workers itself, once a second: they hear of the epoch and fence the earlier holder, and what runs keeps its leases, which nobody else may renew any more.

Cause of the second: starts looked at the age of what is known of jobs, not at that of the directory. Now nothing is started on a directory that is older than 1.9 s (the shortest stated time to drain is 2 s), unless no call of the store is answered. So that one lost answer does not reach that age, the store may hold the directory's answer back for 0.5 s in place of 1.5 s, and a call from before the store's return is given up at once: without that, TestStoreHealth found a job done 1 s later after an outage.

--- a/core/work/board.go
+++ b/core/work/board.go
@@ -39,6 +39,9 @@
 	return p
 }
 
+// LeaseTime is how long a lease is given for.
+func (p Policy) LeaseTime() time.Duration { return p.withDefaults().Lease }
+
 // attemptsPerTerm separates the attempts of one holder from those of the next, which does not
 // know all that its predecessor started.
 const attemptsPerTerm = 1000
@@ -81,8 +84,8 @@
 	// inquiring counts the calls of the policy service that are on their way; there are none before inquireAfter.
 	inquiring    int
 	inquireAfter time.Time
-	// knownAsOf is as of when the stored jobs are known; zero if that plays no part.
-	knownAsOf time.Time
+	// knownAsOf and listedAsOf are as of when the stored jobs and the directory are known; zero if that plays no part.
+	knownAsOf, listedAsOf time.Time
 	// inFlight counts the starts that are on their way.
 	inFlight int
 	// unsure counts the runs whose start is to be sent again.
@@ -200,6 +203,12 @@
 	b.openSteps(j, time.Time{})
 }
 
+// Has reports whether a job is on the board, or ended there lately: it need not be added.
+func (b *Board) Has(id ID) bool {
+	b.init()
+	return b.jobs[id] != nil || b.ended.has(id)
+}
+
 // openSteps opens the steps whose turn has come and completes the job if all are done.
 func (b *Board) openSteps(j *job, now time.Time) {
 	complete := true
@@ -288,13 +297,18 @@
 // that a start may take it is below the time in which a cancel must have effect.
 const knowledgeTime = 2200 * time.Millisecond
 
-// KnownAsOf notes as of when the stored jobs are known. A job that was cancelled since may still be on the board, so that nothing is
-// started on knowledge that is too old.
-func (b *Board) KnownAsOf(t time.Time) { b.knownAsOf = t }
+// listedTime is how old the knowledge of the directory may be for a start: with the time that a start may take, it is about the shortest
+// stated time after which a worker that said that it leaves must get no more tasks.
+const listedTime = 1900 * time.Millisecond
+
+// KnownAsOf notes as of when the stored jobs and the directory are known. A job that was cancelled since may still be on the board, and a
+// worker that is about to leave may look as if it stayed, so that nothing is started on knowledge that is too old.
+func (b *Board) KnownAsOf(jobs, workers time.Time) { b.knownAsOf, b.listedAsOf = jobs, workers }
 
-// outdated reports whether too many cancels may not have been heard of.
+// outdated reports whether too many cancels, or too many workers that leave, may not have been heard of.
 func (b *Board) outdated(now time.Time) bool {
-	return !b.knownAsOf.IsZero() && now.Sub(b.knownAsOf) > knowledgeTime
+	return (!b.knownAsOf.IsZero() && now.Sub(b.knownAsOf) > knowledgeTime) ||
+		(!b.listedAsOf.IsZero() && now.Sub(b.listedAsOf) > listedTime)
 }
 
 // Cancel forgets a job that its caller cancelled, and stops its runs. The caller's write is stored already.
--- a/core/work/place_test.go
+++ b/core/work/place_test.go
@@ -111,12 +111,15 @@
 	f.is.Equal(len(f.orders()), 90) // what was not sent makes room too
 }
 
-// TestOutdatedKnowledge guards against starts of jobs whose cancel the holder has not heard of, because its feed is behind.
+// TestOutdatedKnowledge guards against starts of jobs whose cancel the holder has not heard of, because its feed is behind, and on
+// workers that may be about to leave, because that of the directory is.
 func TestOutdatedKnowledge(t *testing.T) {
 	f := withPool(t, 1)
 	f.board.Add(chain("j", 1), work.Progress{}, 11, false, f.now)
-	f.board.KnownAsOf(f.now.Add(-3 * time.Second))
+	f.board.KnownAsOf(f.now.Add(-3*time.Second), f.now)
 	f.assertNoStart(f.orders())
-	f.board.KnownAsOf(f.now.Add(-time.Second))
+	f.board.KnownAsOf(f.now, f.now.Add(-2*time.Second))
+	f.assertNoStart(f.orders())
+	f.board.KnownAsOf(f.now.Add(-time.Second), f.now)
 	f.is.Equal(len(f.orders()), 1)
 }
--- a/core/work/unheard_test.go
+++ b/core/work/unheard_test.go
@@ -31,7 +31,7 @@
 	f := withBoard(t)
 	f.hear("a", work.Report{})
 	f.board.Add(chain("j", 1), work.Progress{}, 1, false, f.now)
-	f.board.KnownAsOf(f.now.Add(-2 * time.Second))
+	f.board.KnownAsOf(f.now.Add(-2*time.Second), f.now)
 	orders := f.board.Orders(f.now, f.now)
 	f.is.Equal(len(orders), 1)
 	f.now = f.now.Add(time.Second)
--- a/io/runner/directory.go
+++ b/io/runner/directory.go
@@ -17,6 +17,9 @@
 	directoryGrace = 2500 * time.Millisecond
 	// directoryAway is the pause between two answers from which on the directory counts as away.
 	directoryAway = 2 * followWait
+	// directoryWait is how long the directory may hold an answer back. Workers write there all the time, and an answer that is lost must
+	// be asked for again before what is known is too old for starts.
+	directoryWait = 500 * time.Millisecond
 )
 
 // directory is what this process knows of the workers. It is read only while this process holds a duty.
@@ -27,6 +30,8 @@
 	doubted map[string]time.Time
 	heard   time.Time
 	back    time.Time
+	// asOf is as of when the listings are known.
+	asOf time.Time
 	// known is true once the whole directory was read.
 	known bool
 	// changed is closed and replaced when listings change, changes counts how often that was.
@@ -48,7 +53,7 @@
 			}
 			continue
 		}
-		next, err := m.followOnce(ctx, version, known)
+		next, err := m.followUntilBack(ctx, version, known)
 		switch {
 		case err == nil:
 			retry = backoff{}
@@ -64,22 +69,58 @@
 	}
 }
 
+// followUntilBack is followOnce, given up once the store is back: a call from before may never be answered.
+func (m *Manager) followUntilBack(ctx context.Context, version uint64, known bool) (uint64, error) {
+	m.mu.Lock()
+	back := m.back
+	m.mu.Unlock()
+	ctx, cancel := context.WithCancel(ctx)
+	var watch sync.WaitGroup
+	defer watch.Wait()
+	defer cancel()
+	watch.Go(func() {
+		select {
+		case <-back:
+			cancel()
+		case <-ctx.Done():
+		}
+	})
+	return m.followOnce(ctx, version, known)
+}
+
 func (m *Manager) followOnce(ctx context.Context, version uint64, known bool) (uint64, error) {
+	asked := time.Now()
 	if !known {
 		listings, next, err := m.Directory.List(ctx)
 		if err == nil {
 			m.workers.replace(listings, time.Now())
+			m.workers.knownAt(asked)
 		}
 		return next, err
 	}
-	changes, err := m.Directory.Follow(ctx, version, followWait)
+	changes, err := m.Directory.Follow(ctx, version, directoryWait)
 	if err != nil {
 		return version, err
 	}
 	m.workers.take(changes, time.Now())
+	m.workers.knownAt(asked)
 	return max(version, changes.Version), nil
 }
 
+// knownAt notes that the listings are known as of a time.
+func (d *directory) knownAt(asOf time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.asOf = asOf
+}
+
+// knownAsOf returns as of when the listings are known.
+func (d *directory) knownAsOf() time.Time {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.asOf
+}
+
 func (d *directory) forget() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/io/runner/holder.go
+++ b/io/runner/holder.go
@@ -169,12 +169,12 @@
 // stored then either, and work goes on.
 const storeSilence = 2 * time.Second
 
-// knownAsOf returns as of when callers' cancels are known. The caller holds the lock.
-func (h *holder) knownAsOf(now time.Time) time.Time {
+// knownAsOf returns as of when callers' cancels and the workers that leave are known. The caller holds the lock.
+func (h *holder) knownAsOf(now time.Time) (jobs, workers time.Time) {
 	if !h.m.health.answeredSince(now.Add(-storeSilence)) {
-		return now
+		return now, now
 	}
-	return h.feed.asOf
+	return h.feed.asOf, h.m.workers.knownAsOf()
 }
 
 // lookAtWorkers takes in which workers there are and which of them are to be cleared, if either may have changed. A worker that is
--- a/io/runner/takeover.go
+++ b/io/runner/takeover.go
@@ -36,6 +36,9 @@
 // takeOver reads what is stored of the pool until it succeeds. It reports false if the duty ended.
 func (h *holder) takeOver() bool {
 	t := newTakeover(h)
+	ctx, cancel := context.WithCancel(h.ctx)
+	defer cancel()
+	h.group.Go(func() { h.announce(ctx) })
 	var retry backoff
 	for {
 		before := t.size()
