Give a transaction more time after each one of its part without an answer

The time that a transaction has for its answer now doubles with each one of its part in a row that got none, up to 2.5 s. Probes of the part, which read, don't count: they are answered at once while transactions wait.

--- a/io/runner/health.go
+++ b/io/runner/health.go
@@ -42,6 +42,8 @@
 // partHealth is what calls told of one part.
 type partHealth struct {
 	failures int
+	// unanswered counts the transactions without an answer since the last one with.
+	unanswered int
 	// failing is when the first of these calls began.
 	failing  time.Time
 	answered time.Time
@@ -131,6 +133,28 @@
 	return p
 }
 
+// committed notes whether a transaction of a part was answered.
+func (s *storeHealth) committed(name string, answered bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := s.part(name)
+	if answered {
+		p.unanswered = 0
+		return
+	}
+	p.unanswered++
+}
+
+// unanswered returns how many transactions of a part in a row got no answer.
+func (s *storeHealth) unanswered(name string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if p := s.parts[name]; p != nil {
+		return p.unanswered
+	}
+	return 0
+}
+
 // end notes how a call ended. It returns how the judgement of its part changed, if it did.
 func (s *storeHealth) end(c *storeCall, answered, counts bool) (judgement, bool) {
 	defer c.cancel()
--- a/io/runner/observe.go
+++ b/io/runner/observe.go
@@ -24,7 +24,7 @@
 			callCtx, call := m.health.begin(ctx, partOf(c), false)
 			sending := m.sendTime(c)
 			m.health.send(call, sending)
-			callCtx, done := context.WithTimeout(callCtx, m.storePatience.limit()+sending)
+			callCtx, done := context.WithTimeout(callCtx, m.commitTime(call.part)+sending)
 			defer done()
 			version, err := rows.Commit(callCtx, c)
 			m.observed(ctx, call, "commit", c.Purpose, err)
@@ -56,6 +56,12 @@
 	}
 }
 
+// commitTime is how long a transaction may wait for its answer: twice as long after each one of its part in a row that got none. One that
+// is given up while it waits behind others is carried out all the same, and its repeat waits behind them too.
+func (m *Manager) commitTime(part string) time.Duration {
+	return min(m.storePatience.limit()<<min(m.health.unanswered(part), 10), mostStorePatience)
+}
+
 const (
 	// linkRate is how many bytes of a transaction leave in a second at least for each Mbit/s of the link: half of it.
 	linkRate = 62_500
@@ -128,6 +134,9 @@
 // observed takes in how a call ended. One that its maker no longer wanted tells nothing of the store.
 func (m *Manager) observed(ctx context.Context, call *storeCall, kind, purpose string, err error) {
 	outcome := outcomeOf(err)
+	if kind == "commit" {
+		m.health.committed(call.part, outcome != "unknown")
+	}
 	m.scope.Tagged(map[string]string{"call": kind, "purpose": purpose, "outcome": outcome}).Counter("store_calls").Inc(1)
 	if !call.waits {
 		if !errors.Is(ctx.Err(), context.Canceled) {
