Let maintenance wait while pools miss hosts and its wave has time

The wave had 28 s; it was over by second 13, and from second 17 to 20 hundreds of hosts were off. Ruled out for these seconds: the store (no commit over 60 ms), processor time (the busiest entry host used 0.13 of a core).

A wave now takes hosts that nobody asks for first, and takes none from pools and none that is asked for while hosts are missing, unless at half the pace that it allows it would not be over in 0.7 of its time. Waves whose limits leave no slack go on as before.

The new subtest of TestWaves fails before: ten hosts that a pool asks for were maintained instead of moved to it.

--- a/core/capacity/planner.go
+++ b/core/capacity/planner.go
@@ -27,6 +27,8 @@
 	answerTime = 1500 * time.Millisecond
 	// waveHaste is the part of a wave's time in which it should be over, so that a disruption near its end delays none.
 	waveHaste = 0.7
+	// wavePace is the part of the hosts that a wave allows to be down at once which is counted on when the wave is left to wait.
+	wavePace = 0.5
 	// withdrawnShare is the part of a busy pool's workers that may be withdrawn for maintenance at once.
 	withdrawnShare = 0.2
 )
--- a/core/capacity/planner_test.go
+++ b/core/capacity/planner_test.go
@@ -196,6 +196,53 @@
 		f.is.Equal(len(plan.Withdraw)+len(plan.Orders), 0)
 		f.is.Equal(plan.Completed, []string{"1"})
 	})
+	// A turn of demand asks for more hosts than there are, while a wave has time.
+	t.Run("wave waits while pools miss hosts, and still ends in time", func(t *testing.T) {
+		f := withPlanner(t, 20, 20, 10)
+		f.planner.Policy = capacity.Policy{MoveTime: 1500 * time.Millisecond, MaintenanceTime: 2 * time.Second}
+		var hosts []string
+		for _, m := range f.list {
+			hosts = append(hosts, m.Host)
+		}
+		const within = 28 * time.Second
+		f.planner.SetNeed("busy", capacity.Need{Ask: 30})
+		f.planner.AddWave(work.Wave{Number: 1, Name: "1", Hosts: hosts, Within: within, AtOnce: 20}, nil, f.now)
+		began := f.now
+		first := f.plan()
+		f.is.Equal(len(first.Withdraw), 0)
+		for _, o := range first.Orders {
+			f.is.Equal(o.Kind, capacity.KindMove) // hosts that are switched off go to those who ask
+		}
+		f.is.Equal(len(first.Orders), 10)
+		f.carryOut(first.Orders)
+		for len(f.planner.Done("1")) < len(hosts) && f.now.Sub(began) < within {
+			plan := f.plan()
+			f.planner.SetNeed("busy", capacity.Need{Ask: 20, Cleared: plan.Withdraw})
+			f.planner.SetNeed("calm", capacity.Need{Cleared: plan.Withdraw})
+			var maintained []capacity.Order
+			for _, o := range append(plan.Orders, f.plan().Orders...) {
+				if o.Kind == capacity.KindMaintain {
+					maintained = append(maintained, o)
+				}
+			}
+			if len(maintained) > 0 {
+				f.carryOut(maintained)
+			}
+		}
+		f.is.Equal(len(f.planner.Done("1")), len(hosts))
+	})
+	t.Run("wave goes on while there are hosts that nobody asks for", func(t *testing.T) {
+		f := withPlanner(t, 4, 4, 10)
+		f.planner.SetNeed("busy", capacity.Need{Ask: 6})
+		f.planner.AddWave(work.Wave{Number: 1, Name: "1", Hosts: []string{"off-00", "off-01", "off-02", "off-03", "off-04", "off-05"}, Within: time.Minute, AtOnce: 6}, nil, f.now)
+		orders := f.plan().Orders
+		kinds := make(map[capacity.Kind]int)
+		for _, o := range orders {
+			kinds[o.Kind]++
+		}
+		f.is.Equal(kinds[capacity.KindMaintain], 4)
+		f.is.Equal(kinds[capacity.KindMove], 6)
+	})
 	// The answer to an order is lost; the host, which is down for it, refuses the next try.
 	t.Run("host that may be down for the wave counts as down", func(t *testing.T) {
 		f := withPlanner(t, 0, 0, 3)
--- a/core/capacity/wave.go
+++ b/core/capacity/wave.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 )
@@ -25,13 +26,47 @@
 		plan.Completed = append(plan.Completed, w.Name)
 		return
 	}
+	idle := p.idleHosts(now)
+	pressed := p.pressed(w, len(left), now)
 	for _, m := range left {
-		if away < w.AtOnce && m.free(now) && p.cleared(m) {
-			p.give(m, Order{Kind: KindMaintain, Host: m.Host, Wave: w.Number}, plan, now)
-			away++
+		if away >= w.AtOnce || !m.free(now) || !p.cleared(m) {
+			continue
+		}
+		if p.pools[m.Pool].Standby && !pressed {
+			if idle <= 0 {
+				continue
+			}
+			idle--
+		}
+		p.give(m, Order{Kind: KindMaintain, Host: m.Host, Wave: w.Number}, plan, now)
+		away++
+	}
+	p.withdraw(w, left, away, pressed || idle > 0, plan, now)
+}
+
+// idleHosts is how many hosts that are switched off nobody asks for; negative if pools ask for more hosts than there are.
+func (p *Planner) idleHosts(now time.Time) int {
+	idle := 0
+	for _, a := range p.asks(now) {
+		idle -= a.total
+	}
+	for _, m := range p.machines {
+		if p.pools[m.Pool].Standby && m.free(now) && !p.waits(m) {
+			idle++
 		}
 	}
-	p.withdraw(w, left, away, plan, now)
+	return idle
+}
+
+// clearTime is about how long it takes to clear a worker for its host's maintenance.
+const clearTime = time.Second
+
+// pressed reports whether a wave must go on although pools miss hosts: at half of the pace that it allows, the hosts that are left would
+// otherwise not all be maintained in time.
+func (p *Planner) pressed(w *wave, left int, now time.Time) bool {
+	each := p.Policy.withDefaults().MaintenanceTime + clearTime
+	rounds := math.Ceil(float64(left) / max(1, float64(w.AtOnce)*wavePace))
+	return now.Sub(w.began)+time.Duration(rounds*float64(each)) >= time.Duration(float64(w.Within)*waveHaste)
 }
 
 // allBegan reports whether every host that stays has begun its maintenance.
@@ -52,9 +87,9 @@
 	return slices.Contains(p.needs[m.Pool].Cleared, m.Worker)
 }
 
-// withdraw asks pools to clear the workers of the next hosts: as many as the wave allows at once, from pools
+// withdraw asks pools to clear the workers of the next hosts, if more may be withdrawn: as many as the wave allows at once, from pools
 // that can do without them first.
-func (p *Planner) withdraw(w *wave, left []*machine, away int, plan *Plan, now time.Time) {
+func (p *Planner) withdraw(w *wave, left []*machine, away int, more bool, plan *Plan, now time.Time) {
 	open := p.outOfService(w, left)
 	asked := 0
 	for _, m := range left {
@@ -68,7 +103,7 @@
 	late := now.Sub(w.began) > time.Duration(float64(w.Within)*waveHaste)
 	sizes := p.sizes()
 	for _, m := range left {
-		if w.withdrawn[m.Host] || m.ordered || away+asked >= w.AtOnce || p.pools[m.Pool].Standby {
+		if !more || w.withdrawn[m.Host] || m.ordered || away+asked >= w.AtOnce || p.pools[m.Pool].Standby {
 			continue
 		}
 		if late || open[m.Pool] < p.withdrawable(m.Pool, sizes[m.Pool]) {
