Wait for a duty's holder that tells that it is there

A hand-in is now waited for as long as the store may take for it, while its receiver answers after each quarter of a second that it is there. One that stands still is left out after half a second, as before.

--- a/io/runner/fake_peers_test.go
+++ b/io/runner/fake_peers_test.go
@@ -52,7 +52,9 @@
 	name, _, _ := strings.Cut(to, "/")
 	p.mu.Lock()
 	handler, frozen, mute := p.handlers[to], p.frozen[name], p.muteFor[name]
-	p.calls[name]++
+	if peer.KindOf(message) == peer.KindHandIn {
+		p.calls[name]++
+	}
 	p.mu.Unlock()
 	if handler == nil {
 		return nil, peer.ErrNotConnected{Member: to}
@@ -62,7 +64,10 @@
 		<-ctx.Done()
 		return nil, ctx.Err()
 	}
-	reply := handler(ctx, from, message)
+	reply := message
+	if peer.KindOf(message) != peer.KindAcknowledgement {
+		reply = handler(ctx, from, message)
+	}
 	time.Sleep(peerWay)
 	if mute {
 		<-ctx.Done()
--- a/io/runner/handin.go
+++ b/io/runner/handin.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"maps"
+	"sync"
 	"time"
 
 	"siskincross/core/event"
@@ -26,8 +27,10 @@
 }
 
 const (
-	// handInWay is what a hand-in may take beside the transaction: its way there and back, and one transaction in front of it.
-	handInWay = 100 * time.Millisecond
+	// presenceAfter is how long a hand-in may take before its receiver is asked whether it is there: ten times the usual time.
+	// presenceTime is how long it has to answer that, on a slow processor too.
+	presenceAfter = 250 * time.Millisecond
+	presenceTime  = 250 * time.Millisecond
 	// handInPause is how long a member that left a hand-in without an answer gets none: about the time in which a member that is gone
 	// is known to be.
 	handInPause = memberLease
@@ -99,10 +102,8 @@
 	if !ok || anyHanded(group) {
 		return group
 	}
-	ctx, cancel := context.WithTimeout(m.ctx, m.storePatience.limit()+handInWay)
-	defer cancel()
 	began := time.Now()
-	reply, err := m.Peers.Call(ctx, member, &peerpb.Envelope{Member: m.Member, Body: &peerpb.Envelope_HandIn{HandIn: handInOf(pool, group)}})
+	reply, err := m.callWhilePresent(member, &peerpb.Envelope{Member: m.Member, Body: &peerpb.Envelope_HandIn{HandIn: handInOf(pool, group)}})
 	m.observeHandIn(time.Since(began), err)
 	results := reply.GetHandInOutcome().GetResults()
 	if err == nil && len(results) != len(group) {
@@ -124,6 +125,34 @@
 	return left
 }
 
+// callWhilePresent calls a member for as long as the store may take for it, if the member tells in between that it is there: one that waits
+// for the store must not have its work done a second time by all the others, one that stands still must not be waited for.
+func (m *Manager) callWhilePresent(member string, message *peerpb.Envelope) (*peerpb.Envelope, error) {
+	ctx, cancel := context.WithTimeout(m.ctx, mostStorePatience+presenceTime)
+	defer cancel()
+	var watch sync.WaitGroup
+	defer watch.Wait()
+	ended := make(chan struct{})
+	defer close(ended)
+	watch.Go(func() {
+		for {
+			select {
+			case <-ended:
+				return
+			case <-time.After(presenceAfter):
+			}
+			asked, done := context.WithTimeout(ctx, presenceTime)
+			_, err := m.Peers.Call(asked, member, &peerpb.Envelope{Member: m.Member, Body: &peerpb.Envelope_Acknowledgement{}})
+			done()
+			if err != nil {
+				cancel()
+				return
+			}
+		}
+	})
+	return m.Peers.Call(ctx, member, message)
+}
+
 func anyHanded(group []*submission) bool {
 	for _, s := range group {
 		if s.handed {
--- a/io/runner/handin_test.go
+++ b/io/runner/handin_test.go
@@ -121,6 +121,15 @@
 			s.is.True(time.Since(began) < 50*time.Millisecond)
 		})
 	})
+	// Transactions take a quarter of a second, one after another in a part, and jobs come at all entry hosts.
+	t.Run("holder that waits for a slow store is waited for", func(t *testing.T) {
+		withLinkedSite(t, 24, 3, func(s *fakeSite) {
+			s.store.slow(250 * time.Millisecond)
+			took, failed := s.turn(40, 4)
+			s.is.Equal(failed, 0)
+			s.is.True(took[len(took)*95/100] < 2*time.Second)
+		})
+	})
 	t.Run("killed holder costs no job, and the next one takes them", func(t *testing.T) {
 		withLinkedSite(t, 3, 2, func(s *fakeSite) {
 			holder := s.holder()
