Test that new workers carry their share and lossy links run nothing twice

Patterns that users of the large site told: empty workers that stand idle, and tasks that run twice across links that lose 2.5 % to 5 % of packets. Neither happens in these tests; both passed on the code as it was before this change, of which no logic is part.

--- /dev/null
+++ b/io/runner/turns_test.go
@@ -0,0 +1,142 @@
+package runner_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"siskincross/core/work"
+	"siskincross/io/platform"
+)
+
+// begun counts the tasks that a worker began after a time.
+func (w *fakeWorker) begun(after time.Time) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	n := 0
+	for _, at := range w.started {
+		if at.After(after) {
+			n++
+		}
+	}
+	return n
+}
+
+// TestEmptyWorkers guards against workers that are added to a busy pool and stand idle.
+func TestEmptyWorkers(t *testing.T) {
+	withFakeSite(t, 2, 2, func(s *fakeSite) {
+		s.is.NoErr(s.submit("e0", "j", 900))
+		time.Sleep(2 * time.Second)
+		s.addWorker("w2")
+		s.addWorker("w3")
+		time.Sleep(time.Second)
+		listed := time.Now()
+		time.Sleep(time.Second)
+		old := min(s.workers["w0"].begun(listed), s.workers["w1"].begun(listed))
+		for _, id := range []string{"w2", "w3"} {
+			begun := s.workers[id].begun(listed)
+			t.Logf("in the second second %s began %d tasks, the others %d or more", id, begun, old)
+			s.is.True(begun >= old*3/4)
+		}
+	})
+}
+
+// lossyLinks has calls to some workers take long or get lost, as links that lose packets do: most are sent again and come late, some are
+// given up on the way there or back.
+type lossyLinks struct {
+	site *atomic.Pointer[fakeSite]
+	mu   sync.Mutex
+	dice *rand.Rand
+	// share is the part of the calls that are harmed.
+	share float64
+}
+
+// way is what becomes of one message.
+func (l *lossyLinks) way() (late time.Duration, lost bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.dice.Float64() >= l.share {
+		return 0, false
+	}
+	return time.Duration(200+l.dice.IntN(400)) * time.Millisecond, l.dice.IntN(4) == 0
+}
+
+// carry plays one way. It returns an error if the message does not arrive before the call is given up.
+func (l *lossyLinks) carry(ctx context.Context) error {
+	late, lost := l.way()
+	if lost {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	select {
+	case <-time.After(late):
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (l *lossyLinks) executors() platform.Executors {
+	return platform.Executors{
+		Renew: func(ctx context.Context, r work.Renewal) (work.Report, error) {
+			s := l.site.Load()
+			if s == nil || l.carry(ctx) != nil {
+				return work.Report{}, errDark
+			}
+			report, err := s.renew(ctx, r)
+			if l.carry(ctx) != nil {
+				return work.Report{}, errDark
+			}
+			return report, err
+		},
+		Send: func(ctx context.Context, o work.Order) work.Answer {
+			if l.carry(ctx) != nil {
+				return work.Answer{Verdict: work.VerdictUnknown}
+			}
+			answer := l.site.Load().send(ctx, o)
+			if l.carry(ctx) != nil {
+				return work.Answer{Verdict: work.VerdictUnknown}
+			}
+			return answer
+		},
+	}
+}
+
+// TestLossyLinks guards against tasks that run twice, or workers that are given up, because links lose packets.
+func TestLossyLinks(t *testing.T) {
+	for _, share := range []float64{0.025, 0.05} {
+		t.Run(fmt.Sprint(share), func(t *testing.T) {
+			var site atomic.Pointer[fakeSite]
+			links := &lossyLinks{site: &site, dice: rand.New(rand.NewPCG(1, 2)), share: share}
+			playSite(t, fakeSite{executors: links.executors()}, 2, 8, func(s *fakeSite) {
+				site.Store(s)
+				time.Sleep(5 * time.Second)
+				for i := range 40 {
+					s.is.NoErr(s.submit("e0", fmt.Sprintf("j%02d", i), 8))
+					time.Sleep(100 * time.Millisecond)
+				}
+				for i := range 40 {
+					s.completed("e1", fmt.Sprintf("j%02d", i), 10*time.Second)
+				}
+				done := make(map[work.Task]int)
+				for _, w := range s.workers {
+					w.mu.Lock()
+					for task, times := range w.done {
+						done[task] += times
+					}
+					w.mu.Unlock()
+				}
+				s.is.Equal(len(done), 320)
+				for task, times := range done {
+					if times != 1 {
+						t.Errorf("%v was done %d times", task, times)
+					}
+				}
+			})
+		})
+	}
+}
