--- a/io/runner/observe.go
+++ b/io/runner/observe.go
@@ -142,7 +142,7 @@
 		if !errors.Is(ctx.Err(), context.Canceled) {
 			m.storePatience.took(m.health.latency(call), outcome != "unknown")
 		}
-		m.scope.Tagged(map[string]string{"call": kind}).Histogram("store_latency", latencyBuckets).RecordDuration(time.Since(call.began))
+		m.scope.Tagged(map[string]string{"call": kind, "purpose": purpose}).Histogram("store_latency", latencyBuckets).RecordDuration(time.Since(call.began))
 	}
 	counts := !errors.Is(ctx.Err(), context.Canceled)
 	if kind == "commit" && isBusy(err) {
