--- a/core/capacity/wave.go
+++ b/core/capacity/wave.go
@@ -9,19 +9,7 @@
 
 // planWave orders the maintenance of cleared hosts and withdraws the next ones.
 func (p *Planner) planWave(w *wave, plan *Plan, now time.Time) {
-	var left []*machine
-	away := 0
-	for _, host := range w.Hosts {
-		m := p.machines[host]
-		switch {
-		case m != nil && m.ordered && m.order.Kind == KindMaintain && m.order.Wave == w.Number:
-			away++
-		case w.done[host]:
-		case m == nil: // it was taken away
-		default:
-			left = append(left, m)
-		}
-	}
+	left, away := p.remaining(w)
 	if len(left) == 0 && (away == 0 || p.allBegan(w)) && len(p.machines) > 0 {
 		plan.Completed = append(plan.Completed, w.Name)
 		return
@@ -44,6 +32,22 @@
 	p.withdraw(w, left, away, pressed || idle > 0, plan, now)
 }
 
+// remaining returns the hosts of a wave that have not begun their maintenance, and how many are away for it.
+func (p *Planner) remaining(w *wave) (left []*machine, away int) {
+	for _, host := range w.Hosts {
+		m := p.machines[host]
+		switch {
+		case m != nil && m.ordered && m.order.Kind == KindMaintain && m.order.Wave == w.Number:
+			away++
+		case w.done[host]:
+		case m == nil: // it was taken away
+		default:
+			left = append(left, m)
+		}
+	}
+	return left, away
+}
+
 // idleHosts is how many hosts that are switched off nobody asks for; negative if pools ask for more hosts than there are.
 func (p *Planner) idleHosts(now time.Time) int {
 	idle := 0
