Let the transaction of a holder's accepted jobs prove that the duty is its own

Found while reading for hand-overs at which both processes act: a holder that was replaced and has not heard of it stored a job that was handed to it, had it on its board at once and started its tasks on workers that had not heard of the next epoch. The next holder reads the same job as stored after its own takeover, so that nobody else can have started it, and starts it too. It could happen before with jobs of the holder's own callers; now all jobs of the pool come that way.

The transaction of jobs that a holder takes in expects its fence. If the fence is another's, the duty is lost, the jobs are stored without it and are not on the board. Ruled out as a guard: the age of what the feed tells, which may be 2.2 s, and the workers' own fence, which is there only once the next holder has called them.

--- a/io/runner/batch.go
+++ b/io/runner/batch.go
@@ -128,18 +128,26 @@
 func (m *Manager) storeGroup(pool string, b *batch, group []*submission) {
 	var retry backoff
 	for len(group) > 0 {
-		version, err := m.Rows.Commit(m.ctx, acceptTransaction(pool, group))
+		h := m.acceptingHolder(pool)
+		tx := acceptTransaction(pool, group)
+		if h != nil {
+			tx.Expected = append(tx.Expected, h.fence())
+		}
+		version, err := m.Rows.Commit(m.ctx, tx)
 		var overtaken platform.ErrOvertaken
 		var unavailable platform.ErrUnavailable
 		var invalid platform.ErrInvalid
 		switch {
 		case err == nil:
 			finish(group, nil)
-			if h := m.holder(pool); h != nil {
+			if h != nil {
 				h.accepted(group, version)
 			}
 			return
 		case errors.As(err, &overtaken):
+			if h != nil {
+				h.fenced(err)
+			}
 			group = dropStored(pool, group, overtaken)
 			continue
 		case errors.As(err, &unavailable) && unavailable.Busy:
@@ -164,6 +172,15 @@
 	}
 }
 
+// acceptingHolder returns our holder of a pool's duty, or nil. Its fence is part of the transaction of the jobs that it takes in: jobs that are
+// stored after another member took the duty are unknown to all earlier holders, and the next one relies on that.
+func (m *Manager) acceptingHolder(pool string) *holder {
+	if h := m.holder(pool); h != nil && h.takesJobs() {
+		return h
+	}
+	return nil
+}
+
 func acceptTransaction(pool string, group []*submission) platform.Commit {
 	tx := platform.Commit{Purpose: "accept"}
 	for _, s := range group {
--- a/io/runner/handin_test.go
+++ b/io/runner/handin_test.go
@@ -149,6 +149,24 @@
 			}
 		})
 	})
+	// The next holder treats a job as one that nobody else can have started if it was stored after it took the duty.
+	t.Run("holder that was replaced and does not know it starts no job that it stores", func(t *testing.T) {
+		withLinkedSite(t, 3, 2, func(s *fakeSite) {
+			holder := s.holder()
+			s.is.NoErr(s.submit(holder, "i", 1)) // what the feed tells is fresh
+			time.Sleep(100 * time.Millisecond)
+			s.store.withhold(holder, "queue-"+fakePool)
+			s.store.mu.Lock()
+			s.store.answers = 60 * time.Millisecond // longer than an order is on its way
+			s.store.mu.Unlock()
+			s.store.put(platform.RowKey{Table: "queue-" + fakePool, Part: fakePool, Key: "!fence"}, "another member's")
+			s.is.NoErr(s.submit(s.other(holder), "j", 4))
+			s.is.NoErr(s.submit(holder, "k", 4))
+			time.Sleep(500 * time.Millisecond)
+			s.is.Equal(s.rowsOf("j")+s.rowsOf("k"), 2)
+			s.is.Equal(s.startsAfter("j", time.Time{})+s.startsAfter("k", time.Time{}), 0)
+		})
+	})
 	t.Run("member without the duty refuses and stores nothing", func(t *testing.T) {
 		withLinkedSite(t, 3, 2, func(s *fakeSite) {
 			_, err := s.handInTo(s.other(s.holder()), &peerpb.HandIn{Pool: fakePool, Jobs: []*peerpb.HandedJob{{Id: "j", Row: []byte("{}")}}})
