Have pools keep less room for chance while hosts are short

Ruled out: late work that holds hosts (lease-gb had 231 of 263 in aim).

The plan for hosts tells now whether pools have asked for more hosts than there are for 0.3 s. While that is so, all pools ask and offer at 0.88 and 0.80 of their cores in place of 0.78 and 0.70.

Tests: TestShort, and "pool keeps less room for chance while hosts are short" of TestLoad.

--- a/core/capacity/planner.go
+++ b/core/capacity/planner.go
@@ -52,6 +52,8 @@
 	waves    []*wave
 	// inherited holds orders of an earlier holder that may be under way, and until when their hosts get no other.
 	inherited map[string]inheritance
+	// shortSince is since when pools have asked for more hosts than there are; the zero time while they don't.
+	shortSince time.Time
 	// impossible holds the moves that the platform said can't be, by a host's kind and pool.
 	impossible map[[2]string]bool
 }
@@ -98,6 +100,8 @@
 	Orders   []Order
 	// Completed holds the names of the waves of which every host has begun its maintenance.
 	Completed []string
+	// Short is true while pools have asked for more hosts than there are for some time.
+	Short bool
 }
 
 func (p *Planner) init() {
@@ -256,11 +260,27 @@
 	p.planMoves(&plan, now)
 	p.recall(&plan, now)
 	p.retryOrders(&plan, now)
+	plan.Short = p.short(now)
 	slices.Sort(plan.Withdraw)
 	plan.Withdraw = slices.Compact(plan.Withdraw)
 	return plan
 }
 
+// shortAfter is how long pools must have missed hosts before all are told to make do with fewer.
+const shortAfter = 300 * time.Millisecond
+
+// short reports whether pools have asked for more hosts than there are for some time. Hosts on their way are not missed.
+func (p *Planner) short(now time.Time) bool {
+	if p.idleHosts(now) >= 0 {
+		p.shortSince = time.Time{}
+		return false
+	}
+	if p.shortSince.IsZero() {
+		p.shortSince = now
+	}
+	return now.Sub(p.shortSince) >= shortAfter
+}
+
 func (p *Planner) hosts() []*machine {
 	return slices.SortedFunc(maps.Values(p.machines), func(a, b *machine) int { return cmp.Compare(a.Host, b.Host) })
 }
--- a/core/capacity/planner_test.go
+++ b/core/capacity/planner_test.go
@@ -372,3 +372,19 @@
 		f.is.Equal(len(f.plan().Orders), 0)
 	})
 }
+
+func TestShort(t *testing.T) {
+	f := withPlanner(t, 4, 4, 2)
+	f.planner.SetNeed("busy", capacity.Need{Ask: 2})
+	for range 5 {
+		f.is.True(!f.plan().Short) // hosts that are on their way are not missed
+	}
+	f.planner.SetNeed("busy", capacity.Need{Ask: 3})
+	f.is.True(!f.plan().Short) // needs swing within tenths of a second
+	for range 3 {
+		f.plan()
+	}
+	f.is.True(f.plan().Short)
+	f.planner.SetNeed("busy", capacity.Need{Ask: 1})
+	f.is.True(!f.plan().Short)
+}
--- a/core/work/board.go
+++ b/core/work/board.go
@@ -98,6 +98,8 @@
 	// that they are on.
 	homeless map[*group]int
 	cramped  int
+	// short is true while pools ask for more hosts than there are.
+	short bool
 	// spareSince is since when the pool has had more workers than it needs.
 	spareSince time.Time
 }
--- a/core/work/load.go
+++ b/core/work/load.go
@@ -18,6 +18,10 @@
 	// workers are asked for, and below which some are spare.
 	growAt   = 0.78
 	shrinkAt = 0.70
+	// shortGrowAt and shortShrinkAt are these shares while hosts are short: a pool that keeps room for chance then keeps it from work of
+	// other pools that waits for certain.
+	shortGrowAt   = 0.88
+	shortShrinkAt = 0.80
 	// spareAfter is how long workers must have been spare before they are offered.
 	spareAfter = 150 * time.Millisecond
 	// silentMisses is how many calls in a row must go unanswered before a worker counts as lost to its pool.
@@ -149,6 +153,17 @@
 	return m
 }
 
+// Short notes whether pools ask for more hosts than there are.
+func (b *Board) Short(short bool) { b.short = short }
+
+// shares returns the shares of its capacity at which the pool asks for workers and offers some.
+func (b *Board) shares() (grow, shrink float64) {
+	if b.short {
+		return shortGrowAt, shortShrinkAt
+	}
+	return growAt, shrinkAt
+}
+
 // Load tells what the pool does with its workers. Those that have not been heard from yet count as its own, so that a new holder does
 // not ask for hosts in their place, but none is offered meanwhile.
 func (b *Board) Load(now time.Time) Load {
@@ -164,8 +179,9 @@
 	each := cores / float64(present)
 	need := b.expected(now)
 	load := Load{Why: fmt.Sprintf("%d workers with %.0f cores, %.0f needed, %d steps without a place, %d tasks that can't leave", present, cores, need, len(b.homeless), b.cramped)}
-	if need > cores*growAt {
-		load.Ask = int(math.Ceil((need/growAt - cores) / each))
+	grow, shrink := b.shares()
+	if need > cores*grow {
+		load.Ask = int(math.Ceil((need/grow - cores) / each))
 	}
 	load.Urgent = max(0, keepWorkers-present)
 	if len(b.homeless) > 0 {
@@ -173,7 +189,7 @@
 		load.Urgent = max(load.Urgent, 1, b.missing(has.largest)-has.shut)
 	}
 	load.Ask = max(load.Ask, load.Urgent)
-	keep := max(keepWorkers, b.spreadOver(), b.heldBy(has.largest), int(math.Ceil(need/shrinkAt/each)))
+	keep := max(keepWorkers, b.spreadOver(), b.heldBy(has.largest), int(math.Ceil(need/shrink/each)))
 	if present <= keep || len(has.heard) < present || load.Urgent > 0 {
 		b.spareSince = time.Time{}
 		return load
--- a/core/work/load_test.go
+++ b/core/work/load_test.go
@@ -72,6 +72,30 @@
 		}
 		f.is.True(f.board.Load(f.now).Ask <= 3) // 40 core-seconds a second arrive at 48 cores
 	})
+	// One pool's turn goes on while that of another begins, and there are not enough hosts for both.
+	t.Run("pool keeps less room for chance while hosts are short", func(t *testing.T) {
+		f := withPool(t, 17)
+		spare := func() int {
+			most := 0
+			for range 10 {
+				f.submitAll(4)
+				f.orders()
+				f.now = f.now.Add(hundred)
+				f.endAll(time.Second)
+				most = max(most, f.board.Load(f.now).Spare)
+			}
+			return most
+		}
+		spare()
+		spare()
+		usual := spare()
+		f.board.Short(true)
+		short := spare()
+		t.Logf("spares %d of 17 workers, %d while hosts are short", usual, short)
+		f.is.True(short > usual)
+		f.board.Short(false)
+		f.is.Equal(spare(), usual)
+	})
 	// Tasks that end by themselves are still running on some workers when a turn is over.
 	t.Run("work that ends is packed, so that other workers can be given up", func(t *testing.T) {
 		f := withPool(t, 8)
--- a/io/runner/hostrows.go
+++ b/io/runner/hostrows.go
@@ -32,6 +32,8 @@
 	needs    map[string]needRow
 	withdraw map[string]bool
 	recent   []orderRow
+	// short is true while pools ask for more hosts than there are.
+	short bool
 	// done holds the hosts of each wave that have begun their maintenance.
 	done map[string][]string
 	// asOf is as of when the table is known.
@@ -42,6 +44,8 @@
 type planRow struct {
 	// Withdraw holds the workers that are to be cleared for maintenance.
 	Withdraw []string `json:"withdraw,omitempty"`
+	// Short tells the holders of pools that more hosts are asked for than there are.
+	Short bool `json:"short,omitempty"`
 	// Recent holds the orders that were given a moment ago or follow this row: the next holder leaves their hosts alone
 	// for a while.
 	Recent []orderRow `json:"recent,omitempty"`
@@ -152,7 +156,7 @@
 	case row.Part == hostsDuty && row.Key == planKey:
 		var plan planRow
 		err := decode(row, &plan)
-		r.recent = plan.Recent
+		r.recent, r.short = plan.Recent, plan.Short
 		r.withdraw = make(map[string]bool, len(plan.Withdraw))
 		for _, id := range plan.Withdraw {
 			r.withdraw[id] = true
@@ -167,6 +171,13 @@
 	return nil
 }
 
+// hostsShort reports whether pools ask for more hosts than there are, as the holder of the duty for hosts told.
+func (m *Manager) hostsShort() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.hostRows.short
+}
+
 // withdrawn returns the workers that are to be cleared for maintenance.
 func (m *Manager) withdrawn() map[string]bool {
 	m.mu.Lock()
--- a/io/runner/hosts.go
+++ b/io/runner/hosts.go
@@ -205,9 +205,9 @@
 // storePlan commits the plan and the progress of the waves if they changed or orders follow. Orders may be given only
 // after it: the commit proves that the duty is still ours.
 func (h *hostsHolder) storePlan(plan capacity.Plan, now time.Time) bool {
-	row := planRow{Withdraw: plan.Withdraw, Recent: h.recentRows(plan.Orders, now)}
+	row := planRow{Withdraw: plan.Withdraw, Short: plan.Short, Recent: h.recentRows(plan.Orders, now)}
 	tx := platform.Commit{Expected: []platform.Expectation{h.fence()}, Purpose: "hosts"}
-	if len(plan.Orders) > 0 || !slices.Equal(plan.Withdraw, h.withdraw) {
+	if len(plan.Orders) > 0 || !slices.Equal(plan.Withdraw, h.withdraw) || plan.Short != h.m.hostsShort() {
 		key := platform.RowKey{Table: hostsTable, Part: hostsDuty, Key: planKey}
 		tx.Writes = append(tx.Writes, platform.RowWrite{RowKey: key, Value: encode(row)})
 	}
@@ -231,7 +231,7 @@
 	}
 	h.withdraw = plan.Withdraw
 	maps.Copy(h.stored, counts)
-	h.m.record(event.Event{Number: event.PlanStored, Pool: h.name, Detail: fmt.Sprintf("withdraw %v, orders %v", row.Withdraw, plan.Orders)})
+	h.m.record(event.Event{Number: event.PlanStored, Pool: h.name, Detail: fmt.Sprintf("withdraw %v, orders %v, short of hosts %t", row.Withdraw, plan.Orders, row.Short)})
 	return true
 }
 
--- a/io/runner/need.go
+++ b/io/runner/need.go
@@ -193,6 +193,7 @@
 
 // poolLoad tells what the pool does with its workers. None are spare while new jobs may not have been told of.
 func (h *holder) poolLoad(now time.Time) work.Load {
+	h.board.Short(h.m.hostsShort())
 	load := h.board.Load(now)
 	if h.feed.silent(now) {
 		load.Spare, load.Offer = 0, nil
