Refuse jobs whose figures no process survives, and keep a bad row from others

Found while reading what a caller's message can do now that one process stores the jobs of all: two steps of 2^63-1 tasks each passed the check, since their sum overflows, and ended the holder of the pool's duty with a panic (makeslice: len out of range), then the next holder that read the row, and so on. Negative demands made room on workers where there is none; 2^63-1 occurrences would keep a round of decisions busy for ever; a description beyond the store's row made the store refuse the whole transaction, and with it the jobs of other callers, with 503.

Each figure of a job has a bound now, and its refusal (400) names the step and the field. A description that does not fit into a row is refused at once, and a transaction that the store calls invalid is tried again job by job.

--- a/core/work/job.go
+++ b/core/work/job.go
@@ -138,6 +138,12 @@
 	// maxSteps and maxTasks keep a job's row within the table service's limit of 64 KiB a row.
 	maxSteps = 64
 	maxTasks = 10000
+	// maxOccurrences bounds what a round of decisions looks at for one job.
+	maxOccurrences = 10000
+	// maxAmount bounds a resource of one task, in its unit: a billion cores or megabytes are a mistake, and sums of them must not overflow.
+	maxAmount = 1 << 40
+	// maxTime bounds the times of a job, for the same reasons.
+	maxTime = 10 * 365 * 24 * time.Hour
 )
 
 // ErrInvalid tells why a job can't be taken in.
@@ -158,22 +164,61 @@
 	}
 	tasks := 0
 	for i, s := range j.Steps {
-		if s.Tasks < 1 {
-			return ErrInvalid{j.ID, fmt.Sprintf("step %d has no tasks", i)}
+		if reason := s.objection(i); reason != "" {
+			return ErrInvalid{j.ID, fmt.Sprintf("step %d: %s", i, reason)}
 		}
 		tasks += s.Tasks
-		for _, before := range s.After {
-			if before < 0 || before >= i {
-				return ErrInvalid{j.ID, fmt.Sprintf("step %d follows step %d", i, before)}
-			}
-		}
 	}
 	if tasks > maxTasks {
 		return ErrInvalid{j.ID, fmt.Sprintf("%d tasks, allowed are %d", tasks, maxTasks)}
 	}
+	if n := j.Repeat.Count; n < 0 || n > maxOccurrences {
+		return ErrInvalid{j.ID, fmt.Sprintf("%d occurrences, allowed are %d", n, maxOccurrences)}
+	}
+	if p := j.Repeat.Period; j.Repeat.Count > 0 && (p < 0 || p > maxTime) {
+		return ErrInvalid{j.ID, fmt.Sprintf("period %s, allowed are 0 to %s", p, maxTime)}
+	}
 	return nil
 }
 
+// objection returns why a step with an index can't be carried out; empty means that it can.
+func (s Step) objection(index int) string {
+	if s.Tasks < 1 || s.Tasks > maxTasks {
+		return fmt.Sprintf("tasks: %d, allowed are 1 to %d", s.Tasks, maxTasks)
+	}
+	for _, before := range s.After {
+		if before < 0 || before >= index {
+			return fmt.Sprintf("follows step %d", before)
+		}
+	}
+	for _, figure := range []struct {
+		field string
+		value int
+	}{
+		{"milli-cores", s.Demand.MilliCores},
+		{"memory in MB", s.Demand.MemoryMB},
+		{"accelerators", s.Demand.Accelerators},
+		{"spread limit", s.SpreadLimit},
+		{"tolerated loss", s.ToleratedLoss},
+	} {
+		if figure.value < 0 || figure.value > maxAmount {
+			return fmt.Sprintf("%s: %d, allowed are 0 to %d", figure.field, figure.value, maxAmount)
+		}
+	}
+	for _, limit := range []struct {
+		field string
+		value time.Duration
+	}{
+		{"estimate", s.Estimate},
+		{"tail target", s.TailTarget},
+	} {
+		if limit.value < 0 || limit.value > maxTime {
+			return fmt.Sprintf("%s: %s, allowed are 0 to %s", limit.field, limit.value, maxTime)
+		}
+	}
+	return ""
+}
+
 // Occurrences is how often the steps run.
 func (j Job) Occurrences() int { return max(1, j.Repeat.Count) }
 
--- a/io/runner/batch.go
+++ b/io/runner/batch.go
@@ -128,26 +128,15 @@
 func (m *Manager) storeGroup(pool string, b *batch, group []*submission) {
 	var retry backoff
 	for len(group) > 0 {
-		h := m.acceptingHolder(pool)
-		tx := acceptTransaction(pool, group)
-		if h != nil {
-			tx.Expected = append(tx.Expected, h.fence())
-		}
-		version, err := m.Rows.Commit(m.ctx, tx)
+		err := m.commitGroup(pool, group)
 		var overtaken platform.ErrOvertaken
 		var unavailable platform.ErrUnavailable
 		var invalid platform.ErrInvalid
 		switch {
 		case err == nil:
 			finish(group, nil)
-			if h != nil {
-				h.accepted(group, version)
-			}
 			return
 		case errors.As(err, &overtaken):
-			if h != nil {
-				h.fenced(err)
-			}
 			group = dropStored(pool, group, overtaken)
 			continue
 		case errors.As(err, &unavailable) && unavailable.Busy:
@@ -157,6 +146,12 @@
 				sleep(m.ctx, jitter(busyPause))
 			}
 			return
+		case errors.As(err, &invalid) && len(group) > 1:
+			// One that the store does not take must not cost the others.
+			for i := range group {
+				m.storeGroup(pool, b, group[i:i+1:i+1])
+			}
+			return
 		case errors.As(err, &unavailable), errors.As(err, &invalid):
 			group = refuseNew(group, err)
 		default:
@@ -172,8 +167,27 @@
 	}
 }
 
-// acceptingHolder returns our holder of a pool's duty, or nil. Its fence is part of the transaction of the jobs that it takes in: jobs that are
-// stored after another member took the duty are unknown to all earlier holders, and the next one relies on that.
+// commitGroup makes one try to store a group. If the pool's duty is held here, its fence is part of the transaction, and its holder is
+// given the jobs: those that are stored after another member took the duty must be unknown to all earlier holders, since the next one
+// relies on that.
+func (m *Manager) commitGroup(pool string, group []*submission) error {
+	tx := acceptTransaction(pool, group)
+	h := m.acceptingHolder(pool)
+	if h == nil {
+		_, err := m.Rows.Commit(m.ctx, tx)
+		return err
+	}
+	tx.Expected = append(tx.Expected, h.fence())
+	version, err := m.Rows.Commit(m.ctx, tx)
+	if err != nil {
+		h.fenced(err)
+		return err
+	}
+	h.accepted(group, version)
+	return nil
+}
+
+// acceptingHolder returns our holder of a pool's duty, or nil.
 func (m *Manager) acceptingHolder(pool string) *holder {
 	if h := m.holder(pool); h != nil && h.takesJobs() {
 		return h
--- a/io/runner/fake_store_test.go
+++ b/io/runner/fake_store_test.go
@@ -37,6 +37,8 @@
 	withheld map[string]string
 	// late, if set, tells which commits get no answer and are carried out only after lateTime, if their conditions still hold.
 	late func(c platform.Commit) bool
+	// rowLimit is the size in bytes of the largest value that is taken; zero means any.
+	rowLimit int
 	// committed, if set, sees the rows after each commit.
 	committed func(rows map[platform.RowKey]platform.PartRow)
 }
@@ -214,6 +216,11 @@
 func (s *fakeStore) commit(c platform.Commit) (uint64, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	for _, w := range c.Writes {
+		if s.rowLimit > 0 && len(w.Value) > s.rowLimit {
+			return 0, platform.ErrInvalid{Service: "store", Reason: "a row is too large"}
+		}
+	}
 	var current []platform.PartRow
 	stale := false
 	for _, e := range c.Expected {
--- a/io/runner/handin.go
+++ b/io/runner/handin.go
@@ -249,7 +249,7 @@
 		}
 		job, err := decodeSpec(platform.PartRow{RowKey: specKey(pool, id), Value: handed.GetRow()})
 		if err == nil {
-			err = job.Check()
+			err = errors.Join(job.Check(), checkRow(id, handed.GetRow()))
 		}
 		if err != nil {
 			return nil, errHandIn{Field: "jobs.row", Reason: err.Error()}
--- a/io/runner/intake.go
+++ b/io/runner/intake.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"slices"
 	"time"
 
@@ -48,7 +49,11 @@
 		m.tellSubmit(q, job, err)
 		return err
 	}
-	s := &submission{job: job, row: encode(newSpecRow(job)), came: time.Now(), ctx: ctx, done: make(chan error, 1)}
+	row := encode(newSpecRow(job))
+	if err := checkRow(job.ID, row); err != nil {
+		return err
+	}
+	s := &submission{job: job, row: row, came: time.Now(), ctx: ctx, done: make(chan error, 1)}
 	if stored, err := m.storedBefore(ctx, q, job.ID); stored || err != nil {
 		return err
 	}
@@ -64,6 +69,24 @@
 	}
 }
 
+const (
+	// maxRow bounds the row of a job's specification, in bytes: with its encoding it is the 64 KiB that the store takes.
+	maxRow = 48 << 10
+	// maxID bounds a job's ID, in bytes: the store's bound for a key.
+	maxID = 200
+)
+
+// checkRow returns work.ErrInvalid for a job that the store would not take.
+func checkRow(id work.ID, row []byte) error {
+	if len(id) > maxID {
+		return work.ErrInvalid{Job: id[:maxID], Reason: fmt.Sprintf("ID: %d bytes, allowed are %d", len(id), maxID)}
+	}
+	if len(row) > maxRow {
+		return work.ErrInvalid{Job: id, Reason: fmt.Sprintf("its description takes %d bytes, allowed are %d", len(row), maxRow)}
+	}
+	return nil
+}
+
 // storedBefore reports whether a job is stored in another pool that served its queue before: its repeat may come after
 // the queue was given to this one.
 func (m *Manager) storedBefore(ctx context.Context, q work.Queue, id work.ID) (bool, error) {
