Have a leaving entry host wait for a store that is away for a moment

A leaving member tries again each 0.2 s for 3 s while the store is away; after that its row lapses and its duties are taken over without it, and the stop fails as before. TestHandOverInOutage fails before and passes now.

--- a/io/fleet/duties_test.go
+++ b/io/fleet/duties_test.go
@@ -112,6 +112,17 @@
 	})
 }
 
+// TestHandOverInOutage guards against a stop that fails because the store is away for a moment when it begins.
+func TestHandOverInOutage(t *testing.T) {
+	withCluster(t, 20, 1, 3, func(c *cluster) {
+		time.Sleep(20 * time.Second)
+		c.table.SetFaults(standin.TableFaults{Down: true})
+		time.AfterFunc(500*time.Millisecond, func() { c.table.SetFaults(standin.TableFaults{}) })
+		c.is.NoErr(c.managers[0].HandOver(context.Background()))
+		c.assertHeld(c.managers[1:]...)
+	})
+}
+
 func TestStoreOutage(t *testing.T) {
 	t.Run("lapses nobody", func(t *testing.T) {
 		withCluster(t, 5, 4, 3, func(c *cluster) {
--- a/io/fleet/leave.go
+++ b/io/fleet/leave.go
@@ -24,7 +24,7 @@
 // that has just left. The member row then stays for some polls and names the
 // released rows; without it, the successors would find them only in turn. If the store is away when the row is to be deleted, it lapses.
 func (m *Manager) HandOver(ctx context.Context) error {
-	alone, err := m.release(ctx)
+	alone, err := m.releaseWithin(ctx, leaveWait)
 	if err != nil {
 		return err
 	}
@@ -42,6 +42,27 @@
 	return nil
 }
 
+// leaveWait is how long a leaving member waits for a store that is away: after a few seconds its row lapses, and its duties are taken over
+// without it.
+const leaveWait = 3 * time.Second
+
+// releaseWithin is release, tried again for a while as long as the store is away.
+func (m *Manager) releaseWithin(ctx context.Context, wait time.Duration) (alone bool, err error) {
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	for {
+		alone, err = m.release(ctx)
+		if !errors.As(err, &platform.ErrUnavailable{}) || ctx.Err() != nil {
+			return alone, err
+		}
+		m.record(event.Event{Number: event.StoreUnavailable, Detail: "leave: " + err.Error()})
+		pause(ctx, leaveRetry)
+	}
+}
+
+// leaveRetry is the time between two tries to leave.
+const leaveRetry = 200 * time.Millisecond
+
 // release gives the duties to the others and tells them. Nothing is decided
 // afterwards. It reports whether there are no others.
 func (m *Manager) release(ctx context.Context) (alone bool, err error) {
