--- a/io/runner/turns_test.go
+++ b/io/runner/turns_test.go
@@ -28,16 +28,23 @@
 
 // TestEmptyWorkers guards against workers that are added to a busy pool and stand idle.
 func TestEmptyWorkers(t *testing.T) {
-	withFakeSite(t, 2, 2, func(s *fakeSite) {
+	withFakeSite(t, 2, 4, func(s *fakeSite) {
+		added := []string{"w2", "w3"}
+		for _, id := range added {
+			_, err := s.store.commit(platform.Commit{Removes: []platform.RowKey{{Table: "workers", Key: id}}})
+			s.is.NoErr(err)
+		}
+		time.Sleep(10 * time.Second)
 		s.is.NoErr(s.submit("e0", "j", 900))
 		time.Sleep(2 * time.Second)
-		s.addWorker("w2")
-		s.addWorker("w3")
+		for _, id := range added {
+			s.store.put(platform.RowKey{Table: "workers", Key: id}, s.workers[id].listing)
+		}
 		time.Sleep(time.Second)
 		listed := time.Now()
 		time.Sleep(time.Second)
 		old := min(s.workers["w0"].begun(listed), s.workers["w1"].begun(listed))
-		for _, id := range []string{"w2", "w3"} {
+		for _, id := range added {
 			begun := s.workers[id].begun(listed)
 			t.Logf("in the second second %s began %d tasks, the others %d or more", id, begun, old)
 			s.is.True(begun >= old*3/4)
