--- a/io/runner/batch.go
+++ b/io/runner/batch.go
@@ -20,8 +20,8 @@
 	busyTime = 1500 * time.Millisecond
 	// busyPause is the time between two tries meanwhile.
 	busyPause = 300 * time.Millisecond
-	// acceptGather is the least time between the ends of two commits of a duty's holder and the next one's begin: the jobs that all entry
-	// hosts hand in meanwhile share a transaction, and leave those for the progress of jobs to the part.
+	// acceptGather is the pause of a duty's holder between two commits of callers' jobs: those that all entry hosts hand in meanwhile share
+	// the next one, and commits of progress find room in the part.
 	acceptGather = 8 * time.Millisecond
 )
 
