--- a/io/runner/turns_test.go
+++ b/io/runner/turns_test.go
@@ -79,6 +79,9 @@
 		<-ctx.Done()
 		return ctx.Err()
 	}
+	if late == 0 {
+		return ctx.Err()
+	}
 	select {
 	case <-time.After(late):
 		return nil
