Record runs that a worker lists although no task needs them

A task of a cancelled job ran on. The log showed the start and the cancel, and could not tell whether the worker went on listing the attempt, whether a stop was due, or whether an earlier holder had started it: an attempt that a report lists and that no task needs left no line. work-run-lingers tells all of that, a second after the first such report and every second from then on.

--- a/core/event/work.go
+++ b/core/event/work.go
@@ -45,6 +45,7 @@
 	QuotaCleared
 	GrantsFailed
 	InterferenceJudged
+	WorkRunLingers
 )
 
 var workEntries = []CatalogueEntry{
@@ -91,4 +92,5 @@
 	{QuotaCleared, "work", "No task of an organisation waits because of the organisation's limit any more."},
 	{GrantsFailed, "work", "A read or a write of what the pools may have running for organisations failed and is retried."},
 	{InterferenceJudged, "work", "Tasks of one kind were found to slow down those of another on the same worker, or no longer to do so; where there is room they are kept apart."},
+	{WorkRunLingers, "work", "A worker still runs an attempt that no task needs, a second or longer after that was known; the line says whether it is being stopped."},
 }
--- a/core/work/report.go
+++ b/core/work/report.go
@@ -214,6 +214,7 @@
 	if a.Checkpoint != "" {
 		r.checkpoint = a.Checkpoint
 	}
+	s.noteLingering(r, now)
 }
 
 // adoptRun records a run that this scheduler did not start. It is stopped if its task does not need it.
--- a/core/work/run.go
+++ b/core/work/run.go
@@ -58,6 +58,9 @@
 	startedAt  time.Time
 	// lastReported is the time of the worker's last report that listed the run.
 	lastReported time.Time
+	// unneededSince is the time of the first report that listed the run although no task needed it, and
+	// lingerNotedAt that of the last call of OnLingeringRun for it. They are zero before the first such report.
+	unneededSince, lingerNotedAt time.Time
 	// kind names what runs, if it is known.
 	kind interference.Kind
 	// fromStart is true if the run began without a checkpoint.
--- a/core/work/scheduler.go
+++ b/core/work/scheduler.go
@@ -65,6 +65,8 @@
 	// OnPresumedEnd is called for each run that the scheduler treats as ended without a report of its end. It
 	// may be nil.
 	OnPresumedEnd func(PresumedEnd)
+	// OnLingeringRun is called while a worker lists a run that no task needs, every lingerInterval. It may be nil.
+	OnLingeringRun func(LingeringRun)
 	// OnInterference is called when two kinds of tasks are kept apart from now on, or no longer. It may be nil.
 	OnInterference func(interference.Verdict)
 	// LastForcedTakeover is the time of the last takeover from a holder that may not have ended, by the local
--- a/io/runner/renewals.go
+++ b/io/runner/renewals.go
@@ -165,6 +165,15 @@
 	})
 }
 
+// recordLingeringRun records that a worker still runs what no task needs.
+func (h *poolHolder) recordLingeringRun(r work.LingeringRun) {
+	h.manager.record(event.Event{
+		Number: event.WorkRunLingers, Pool: h.pool, Host: r.Incarnation.Worker, Job: string(r.Run.Task.Job),
+		Detail: fmt.Sprintf("%s: not needed for %s, stop requested %t, confirmed %t, started by an earlier holder %t",
+			r.Run, r.UnneededFor.Round(time.Millisecond), r.StopRequested, r.StopConfirmed, r.Adopted),
+	})
+}
+
 // recordOrder records the result of an order.
 func (h *poolHolder) recordOrder(order work.Order, result work.OrderResult) {
 	number := event.WorkStarted
