Show that a report withdraws the stop of a cancelled task

A cancel that arrives while a start order has no answer marks the run to be stopped. A report that lists the run before that answer removes the mark, so that the task runs on and its leases are renewed.

--- a/core/work/takeover_test.go
+++ b/core/work/takeover_test.go
@@ -20,6 +20,8 @@
 	// runningByWorker holds the started runs, and endsByWorker the ends that a worker lists.
 	runningByWorker map[string][]startedRun
 	endsByWorker    map[string][]work.RunEnd
+	// unanswered holds the start orders of the first round that have no answer yet.
+	unanswered []work.Order
 }
 
 type startedRun struct {
