Keep the stop of a run that must end when a report lists it

Callers saw a task run on after its job was cancelled and the cancel acknowledged, as long as it lasted: its leases were renewed.

Cause: runs to be stopped were a set without causes. A run whose start order gets no answer is to be stopped unless a report lists it; a run whose job was cancelled or failed, or whose gang can't be complete, is to be stopped in any case. recordActiveRun took a listed run in the starting phase out of the set, for whichever cause it was there. The cancel has to fall between the sending of a start order and its answer, and the report between the cancel and the answer: some milliseconds usually, up to two seconds where orders get no answer or the entry host is short of processor time.

Ruled out: that the start's answer mends it (it only changes the phase), and that the repetition of an unanswered start does (a listed run is no longer repeated). Each stop now has a cause, and a report withdraws only the stop of an unanswered start.

--- a/core/work/evacuation.go
+++ b/core/work/evacuation.go
@@ -69,7 +69,7 @@
 			}
 			if (g.spec().LongRunning && s.toleratesLoss(g, now)) || (!g.spec().LongRunning && overdue && !g.spec().Gang) {
 				r.evacuating = true
-				s.runsToStop[r] = true
+				s.requestStop(r)
 			}
 		}
 	}
--- a/core/work/incarnations.go
+++ b/core/work/incarnations.go
@@ -82,7 +82,7 @@
 		r.confirmed = false
 		r.stopInFlight = false
 		next.attachRun(r)
-		s.runsToStop[r] = true
+		s.requestStopUnlessReported(r)
 		return
 	}
 	s.presumeEnded(r, CauseLifeOver, time.Time{})
--- a/core/work/lingering_run.go
+++ b/core/work/lingering_run.go
@@ -33,6 +33,6 @@
 	r.lingerNotedAt = now
 	s.OnLingeringRun(LingeringRun{
 		Run: r.id, Incarnation: r.worker.Incarnation, UnneededFor: now.Sub(r.unneededSince),
-		StopRequested: s.runsToStop[r], StopConfirmed: r.phase == phaseStopping, Adopted: r.adopted,
+		StopRequested: s.runsToStop[r] != 0, StopConfirmed: r.phase == phaseStopping, Adopted: r.adopted,
 	})
 }
--- a/core/work/order.go
+++ b/core/work/order.go
@@ -315,7 +315,7 @@
 	}
 	for _, t := range g.tasks {
 		for _, r := range t.runs {
-			s.runsToStop[r] = true
+			s.requestStop(r)
 		}
 	}
 }
@@ -331,7 +331,7 @@
 		return
 	}
 	r.phase = phaseUncertain
-	s.runsToStop[r] = true
+	s.requestStopUnlessReported(r)
 }
 
 // handleStopResult processes the result of a stop order.
--- a/core/work/relocation.go
+++ b/core/work/relocation.go
@@ -20,7 +20,7 @@
 // relocateHaltedTasks stops a best-effort task that has stood still beside serving tasks for a while and for which another
 // worker has room where it can run. A halted task is not at work, so that its step loses nothing.
 func (s *Scheduler) relocateHaltedTasks(now time.Time) {
-	if !s.learnsInterference || !s.adjustsPace || s.hasStaleSnapshot(now) || s.runsToStop[s.movedRun] || now.Sub(s.movesSoughtAt) < moveInterval {
+	if !s.learnsInterference || !s.adjustsPace || s.hasStaleSnapshot(now) || s.runsToStop[s.movedRun] != 0 || now.Sub(s.movesSoughtAt) < moveInterval {
 		return
 	}
 	s.movesSoughtAt = now
@@ -30,7 +30,7 @@
 			continue
 		}
 		for _, r := range sortedRuns(w) {
-			if !r.isMoveDue(now) || s.runsToStop[r] {
+			if !r.isMoveDue(now) || s.runsToStop[r] != 0 {
 				continue
 			}
 			if available == nil {
@@ -39,7 +39,7 @@
 			if s.chooseWorker(r.task.group, available, nil, nil, now) == nil {
 				continue
 			}
-			s.runsToStop[r] = true
+			s.requestStop(r)
 			r.task.moves++
 			r.stopReason = fmt.Sprintf("stood still for %s, move %d of the task", now.Sub(r.haltedAt()).Round(time.Millisecond), r.task.moves)
 			s.movedRun = r
--- a/core/work/report.go
+++ b/core/work/report.go
@@ -200,10 +200,7 @@
 	if r == nil {
 		r = s.adoptRun(w, a.Run, now)
 	}
-	if r.phase == phaseStarting || (r.phase == phaseUncertain && r.task != nil) {
-		r.phase = phaseRunning
-		delete(s.runsToStop, r)
-	}
+	s.confirmListed(r)
 	if r.phase == phaseRunning && !r.confirmed {
 		r.confirmed = true
 		r.confirmedSequence = s.sequence
@@ -231,7 +228,7 @@
 		}
 	}
 	if r.task == nil {
-		s.runsToStop[r] = true
+		s.requestStop(r)
 	}
 	s.adoptQuota(r)
 	w.attachRun(r)
@@ -331,7 +328,7 @@
 	t.done = true
 	for _, r := range t.runs {
 		r.task = nil
-		s.runsToStop[r] = true
+		s.requestStop(r)
 	}
 	t.runs = nil
 	g.remainingTasks--
--- a/core/work/scheduler.go
+++ b/core/work/scheduler.go
@@ -88,8 +88,8 @@
 	jobsAwaitingDueTime int
 	// dirty holds the jobs with changes that are not stored yet.
 	dirty []*job
-	// runsToStop holds the runs that must be stopped.
-	runsToStop map[*run]bool
+	// runsToStop holds the runs that are to be stopped, with the cause.
+	runsToStop map[*run]stopCause
 	// recentlyEnded holds the jobs that ended recently: a read of the store that was already in progress may
 	// still return them.
 	recentlyEnded endedJobs
@@ -149,7 +149,7 @@
 	s.jobs = make(map[JobID]*job)
 	s.workers = make(map[Incarnation]*worker)
 	s.unresolved = make(map[Incarnation]time.Time)
-	s.runsToStop = make(map[*run]bool)
+	s.runsToStop = make(map[*run]stopCause)
 	s.quotas = quotaState{unaccountedRuns: make(map[*run]bool), holds: make(map[string]bool), arrivals: make(map[string]*arrivalAllowance)}
 	s.unplacedTasks = make(map[*taskGroup]int)
 	s.durations = make(map[string]*durationStats)
@@ -368,7 +368,7 @@
 		for _, t := range g.tasks {
 			for _, r := range t.runs {
 				r.task = nil
-				s.runsToStop[r] = true
+				s.requestStop(r)
 			}
 			t.runs = nil
 		}
--- /dev/null
+++ b/core/work/stop.go
@@ -0,0 +1,32 @@
+package work
+
+// stopCause is why a run is to be stopped.
+type stopCause int
+
+const (
+	// stopUnneeded means that the run must end, whatever its worker reports.
+	stopUnneeded stopCause = iota + 1
+	// stopUnanswered means that the run's start order got no answer. A report that lists the run withdraws the stop.
+	stopUnanswered
+)
+
+// requestStop has a run stopped that must end.
+func (s *Scheduler) requestStop(r *run) { s.runsToStop[r] = stopUnneeded }
+
+// requestStopUnlessReported has a run stopped whose start order got no answer, unless a report lists it first. A stop
+// of a run that must end stays due.
+func (s *Scheduler) requestStopUnlessReported(r *run) {
+	if s.runsToStop[r] == 0 {
+		s.runsToStop[r] = stopUnanswered
+	}
+}
+
+// confirmListed records that a report lists a run whose start order has no answer yet.
+func (s *Scheduler) confirmListed(r *run) {
+	if s.runsToStop[r] == stopUnanswered {
+		delete(s.runsToStop, r)
+	}
+	if r.phase == phaseStarting || (r.phase == phaseUncertain && s.runsToStop[r] == 0) {
+		r.phase = phaseRunning
+	}
+}
