Record how old attempts were when their worker fell silent

The line of an attempt that is presumed ended because its worker has ended gave zeros for the worker's clock, so that logs could not tell a task that crashed its worker from those that were beside it. It now states the attempt's age at the worker's last answer and at the first call without one.

--- a/core/work/presumed_end.go
+++ b/core/work/presumed_end.go
@@ -24,6 +24,9 @@
 	Run         RunID
 	Incarnation Incarnation
 	Cause       PresumedEndCause
+	// MinAge and MaxAge bound the age of the run when its worker fell silent: the ages at its last answer and at the
+	// first call without one. MaxAge equals MinAge if no call was without an answer.
+	MinAge, MaxAge time.Duration
 	// WillRestart is true if the task will be started again.
 	WillRestart bool
 	// SinceLastAnswer is the time since the worker's last answer; zero if it is irrelevant or the worker never
@@ -41,6 +44,7 @@
 func (s *Scheduler) presumeEnded(r *run, cause PresumedEndCause, now time.Time) {
 	if s.OnPresumedEnd != nil {
 		end := PresumedEnd{Run: r.id, Incarnation: r.worker.Incarnation, Cause: cause, WillRestart: r.task != nil, ConsecutiveMisses: r.worker.consecutiveMisses}
+		end.MinAge, end.MaxAge = r.ageAtSilence()
 		if clock := &r.worker.clock; !now.IsZero() && !clock.receivedAt.IsZero() {
 			end.SinceLastAnswer = now.Sub(clock.receivedAt)
 			end.MinWorkerClock = clock.minReading(now)
@@ -50,3 +54,15 @@
 	}
 	s.releaseRun(r)
 }
+
+// ageAtSilence returns the bounds of the run's age when its worker fell silent.
+func (r *run) ageAtSilence() (lowest, highest time.Duration) {
+	w := r.worker
+	if !w.clock.receivedAt.IsZero() {
+		lowest = max(0, w.clock.receivedAt.Sub(r.startedAt))
+	}
+	if w.silentSince.IsZero() {
+		return lowest, lowest
+	}
+	return lowest, max(lowest, w.silentSince.Sub(r.startedAt))
+}
--- a/core/work/presumed_end_test.go
+++ b/core/work/presumed_end_test.go
@@ -41,9 +41,13 @@
 	t.Run("incarnation over", func(t *testing.T) {
 		is := is.New(t)
 		f, ends := newPresumedEndFixture(t)
+		f.now = f.now.Add(300 * time.Millisecond)
+		f.scheduler.HandleMissedRenewal(incarnation("a"), f.now)
 		f.scheduler.EndIncarnation(incarnation("a"))
 		is.Equal(len(*ends), 1)
 		is.Equal((*ends)[0].Cause, work.CauseLifeOver)
+		is.Equal((*ends)[0].MinAge, time.Duration(0))
+		is.Equal((*ends)[0].MaxAge, 300*time.Millisecond)
 	})
 	t.Run("absent", func(t *testing.T) {
 		is := is.New(t)
--- a/core/work/report.go
+++ b/core/work/report.go
@@ -182,6 +182,7 @@
 	w.clock.record(clock, now)
 	w.answered = true
 	w.consecutiveMisses = 0
+	w.silentSince = time.Time{}
 }
 
 // endAbsentRuns ends the runs that the worker had confirmed before the renewal was sent and that its report
--- a/core/work/worker.go
+++ b/core/work/worker.go
@@ -114,8 +114,9 @@
 	startsInFlight int
 	// consecutiveMisses counts the calls without an answer since the last answered call.
 	consecutiveMisses int
-	// lastMissAt is the time at which the last unanswered call was abandoned.
-	lastMissAt time.Time
+	// lastMissAt is the time at which the last unanswered call was abandoned, and silentSince the first of them since
+	// the last answered call; zero if there is none.
+	lastMissAt, silentSince time.Time
 	// unavailableUntil is the time before which the worker gets no new tasks, after a refusal or failures.
 	unavailableUntil time.Time
 	// consecutiveFailures counts failed runs of different jobs since the last successful run.
@@ -167,6 +168,9 @@
 
 // recordMiss records a call without an answer.
 func (w *worker) recordMiss(now time.Time) {
+	if w.silentSince.IsZero() {
+		w.silentSince = now
+	}
 	w.consecutiveMisses++
 	w.lastMissAt = now
 }
--- a/io/runner/renewals.go
+++ b/io/runner/renewals.go
@@ -160,8 +160,8 @@
 	}
 	h.manager.record(event.Event{
 		Number: event.WorkGivenUp, Pool: h.pool, Host: end.Incarnation.Worker, Job: string(end.Run.Task.Job),
-		Detail: fmt.Sprintf("%s: %s, restart %t, last answer %s ago, worker clock at least %s, last lease until %s, %d renewals unanswered",
-			end.Run, end.Cause, end.WillRestart, end.SinceLastAnswer.Round(time.Millisecond), end.MinWorkerClock.Round(time.Millisecond), end.LeaseDeadline.Round(time.Millisecond), end.ConsecutiveMisses),
+		Detail: fmt.Sprintf("%s: %s, restart %t, aged %s to %s when the worker fell silent, last answer %s ago, worker clock at least %s, last lease until %s, %d renewals unanswered",
+			end.Run, end.Cause, end.WillRestart, end.MinAge.Round(time.Millisecond), end.MaxAge.Round(time.Millisecond), end.SinceLastAnswer.Round(time.Millisecond), end.MinWorkerClock.Round(time.Millisecond), end.LeaseDeadline.Round(time.Millisecond), end.ConsecutiveMisses),
 	})
 }
 
