--- a/io/runner/fake_store_test.go
+++ b/io/runner/fake_store_test.go
@@ -17,7 +17,9 @@
 	version uint64
 	rows    map[platform.RowKey]platform.VersionedRow
 	history []platform.VersionedRow
-	changed chan struct{}
+	// droppedHistory is the version up to which the store no longer has the history.
+	droppedHistory uint64
+	changed        chan struct{}
 	// silentTo names the entry hosts whose calls get no answer. "*" stands for all of them.
 	silentTo map[string]bool
 	// loseAnswerEvery loses the answer of every n-th commit that accepts jobs, after the commit took effect. Zero loses
@@ -301,6 +303,10 @@
 	over := time.After(wait)
 	for {
 		s.mu.Lock()
+		if after < s.droppedHistory {
+			s.mu.Unlock()
+			return platform.Changes{}, platform.ErrHistoryTruncated{Table: table}
+		}
 		result := platform.Changes{Version: s.version}
 		for _, row := range s.history[s.historyIndex(after):] {
 			if row.Table == table {
@@ -322,6 +328,13 @@
 	}
 }
 
+// dropHistory makes the store forget the changes that it has carried out.
+func (s *fakeStore) dropHistory() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.droppedHistory = s.version
+}
+
 // historyIndex returns the index of the first change after a version. The caller holds the lock.
 func (s *fakeStore) historyIndex(version uint64) int {
 	return sort.Search(len(s.history), func(i int) bool { return s.history[i].Version > version })
