Cancel a job in every pool that has it

A job was shown as cancelled, and its tasks ran on in another pool. An entry host takes a repeated submission for a new job if the queue has moved to another pool and it doesn't know that the former one has the job: because it has started since the move, or because the new pool had the job first and this entry host still acts on the earlier configuration. Cancel ended with the first pool that has the job; the other one went on with it for good.

Cancel now looks in the other pools too, in parallel, and cancels the job there if it is of the same queue. Pools whose partition of the store is unavailable are left out, since their outage must not keep the others' jobs from being cancelled.

Without the comparison of queues TestCancelOfEqualID fails, without the exception for outages TestCancelDuringOutageOfAnotherPool.

The job still runs in both pools until it is cancelled; that is open.

--- a/io/runner/fake_store_test.go
+++ b/io/runner/fake_store_test.go
@@ -36,6 +36,8 @@
 	bandwidth int
 	// losePageEvery loses the answer of every n-th page that a takeover reads. Zero loses none.
 	losePageEvery, takeoverPages int
+	// silentPartition is the partition about which nobody gets answers to reads; empty for none.
+	silentPartition string
 	// withheld holds, by entry host, the table for which the entry host gets no answers.
 	withheld map[string]string
 	// delayCommit, if set, selects the commits that get no answer and are carried out only after commitDelay, if their
@@ -134,6 +136,21 @@
 	return s.withheld[entryHost] == table
 }
 
+// silencePartition makes the store answer no more reads of a partition.
+func (s *fakeStore) silencePartition(partition string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.silentPartition = partition
+}
+
+// losesPage reports whether a read of an entry host gets no answer.
+func (s *fakeStore) losesPage(entryHost string, q platform.RangeQuery) bool {
+	s.mu.Lock()
+	silent := q.Partition != "" && s.silentPartition == q.Partition
+	s.mu.Unlock()
+	return silent || s.dropsPage(q) || s.isWithheld(entryHost, q.Table)
+}
+
 // setTransactionTime sets how long each transaction of a partition takes.
 func (s *fakeStore) setTransactionTime(transactionTime time.Duration) {
 	s.mu.Lock()
@@ -177,7 +194,7 @@
 			if err := s.simulateCall(ctx, entryHost); err != nil {
 				return platform.Page{}, err
 			}
-			if s.dropsPage(q) || s.isWithheld(entryHost, q.Table) {
+			if s.losesPage(entryHost, q) {
 				<-ctx.Done()
 				return platform.Page{}, platform.ErrOutcomeUnknown{Service: "store", Reason: ctx.Err().Error()}
 			}
--- a/io/runner/state.go
+++ b/io/runner/state.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 
+	"golang.org/x/sync/errgroup"
+
 	"siskincross/core/event"
 	"siskincross/core/work"
 	"siskincross/io/platform"
@@ -65,9 +67,26 @@
 	return "", platform.VersionedRow{}, ErrJobNotFound{id}
 }
 
-// Cancel cancels a job. It returns nil once the cancel is stored, or if the job is final. Otherwise it returns
-// ErrJobNotFound, ErrNotAccepted or ErrOutcomeUnknown. Another organisation's job is treated like none.
+// Cancel cancels a job in each pool that has it. It returns nil once the cancel is stored, or if the job is final. Otherwise it
+// returns ErrJobNotFound, ErrNotAccepted or ErrOutcomeUnknown. Another organisation's job is treated like none.
 func (m *Manager) Cancel(ctx context.Context, caller Caller, q work.Queue, id work.JobID) error {
+	if err := m.cancelOnce(ctx, caller, q, id); err != nil {
+		return err
+	}
+	var retry backoff
+	for {
+		err := m.cancelDuplicates(ctx, caller, q, id)
+		if err == nil {
+			return nil
+		}
+		if !m.awaitRetry(ctx, &retry) {
+			return ErrOutcomeUnknown{err.Error()}
+		}
+	}
+}
+
+// cancelOnce is Cancel for the first pool that has the job.
+func (m *Manager) cancelOnce(ctx context.Context, caller Caller, q work.Queue, id work.JobID) error {
 	_, ok, err := m.forwardRequest(ctx, caller, q, id, true)
 	var unknown ErrOutcomeUnknown
 	switch {
@@ -80,7 +99,7 @@
 	return m.localCancel(ctx, caller, q, id)
 }
 
-// localCancel is Cancel without the help of other entry hosts. The holder of the pool's duty stores the cancel of a job that
+// localCancel is cancelOnce without the help of other entry hosts. The holder of the pool's duty stores the cancel of a job that
 // it holds together with other changes, in which a transaction of its own would be a conflict.
 func (m *Manager) localCancel(ctx context.Context, caller Caller, q work.Queue, id work.JobID) error {
 	if m.storeHealth.isUnavailable(q.Pool) {
@@ -141,12 +160,20 @@
 		var none ErrJobNotFound
 		return errors.As(err, &none), err
 	}
+	err = m.cancelStored(ctx, pool, row)
+	var unreadable ErrUnreadableRow
+	return err == nil || errors.As(err, &unreadable), err
+}
+
+// cancelStored cancels the job of a row, unless it is final.
+func (m *Manager) cancelStored(ctx context.Context, pool string, row platform.VersionedRow) error {
+	id := work.JobID(row.Key)
 	p, err := work.DecodeProgress(id, row.Value)
-	if err != nil {
-		return true, err
-	}
-	if p.State.IsFinal() {
-		return true, nil
+	switch {
+	case err != nil:
+		return ErrUnreadableRow{row.RowKey, err}
+	case p.State.IsFinal():
+		return nil
 	}
 	removes := []platform.RowKey{specKey(pool, id)}
 	if p.State == work.StateRunning {
@@ -159,7 +186,7 @@
 		Purpose:       "cancel",
 	})
 	if err != nil {
-		return false, err
+		return err
 	}
 	m.record(event.Event{Number: event.WorkCancelled, Pool: pool, Job: string(id)})
 	if h := m.poolHolder(pool); h != nil {
@@ -168,5 +195,38 @@
 		h.mu.Unlock()
 		h.wake()
 	}
-	return true, nil
+	return nil
+}
+
+// cancelDuplicates cancels a job in the pools that don't serve its queue. One of them has it too if it was submitted again
+// while the queue moved to another pool. Pools whose partition of the store is unavailable are left out: their outage must
+// not keep other pools' jobs from being cancelled.
+func (m *Manager) cancelDuplicates(ctx context.Context, caller Caller, q work.Queue, id work.JobID) error {
+	var reads errgroup.Group
+	for _, pool := range m.poolNames() {
+		if pool == q.Pool || m.storeHealth.isUnavailable(pool) {
+			continue
+		}
+		reads.Go(func() error {
+			row, ok, err := m.Rows.ReadRow(ctx, jobKey(pool, id), "cancel")
+			if err != nil || !ok || !caller.mayUse(ownerOf(row)) {
+				return err
+			}
+			spec, ok, err := m.Rows.ReadRow(ctx, specKey(pool, id), "cancel")
+			if err != nil || !ok {
+				return err
+			}
+			job, err := decodeJob(spec)
+			if err == nil && job.Queue == q.Key() {
+				err = m.cancelStored(ctx, pool, row)
+			}
+			var unreadable ErrUnreadableRow
+			if errors.As(err, &unreadable) {
+				m.record(event.Event{Number: event.WorkRowUnreadable, Pool: pool, Job: string(id), Detail: err.Error()})
+				return nil
+			}
+			return err
+		})
+	}
+	return reads.Wait()
 }
