--- a/io/runner/cancel_test.go
+++ b/io/runner/cancel_test.go
@@ -194,6 +194,17 @@
 			s.assertEnded("j")
 		})
 	})
+	t.Run("occurrences of a repeated job become due later", func(t *testing.T) {
+		withFakeSite(t, 3, 4, func(s *fakeSite) {
+			j := job("j", 2)
+			j.Repeat = work.Repeat{Count: 40, First: time.Now().Add(500 * time.Millisecond), Period: 500 * time.Millisecond}
+			s.is.NoErr(s.submitJob("e0", j))
+			time.Sleep(2 * time.Second)
+			s.assertRuns("j")
+			s.cancel(s.otherHost(s.poolHolder()), "j")
+			s.assertEnded("j")
+		})
+	})
 	for _, purpose := range []string{"cancel", "progress", "accept"} {
 		t.Run("transactions are carried out late: "+purpose, func(t *testing.T) {
 			withFakeSite(t, 3, 4, func(s *fakeSite) {
@@ -222,6 +233,26 @@
 
 // TestCancelByHolder guards against a cancel that ends with the tenure of the holder that carries it out.
 func TestCancelByHolder(t *testing.T) {
+	t.Run("the cancel is forwarded to a holder that is killed at the same time", func(t *testing.T) {
+		for pause := time.Duration(0); pause < 20*time.Millisecond; pause += 2 * time.Millisecond {
+			withLinkedSite(t, 3, 4, func(s *fakeSite) {
+				s.submitLongRunning("e0", "j")
+				time.Sleep(time.Second)
+				s.assertRuns("j")
+				holder := s.poolHolder()
+				entry := s.otherHost(holder)
+				cancelled := make(chan struct{})
+				go func() {
+					defer close(cancelled)
+					s.cancel(entry, "j")
+				}()
+				time.Sleep(pause)
+				s.kill(holder)
+				<-cancelled
+				s.assertEnded("j")
+			})
+		}
+	})
 	t.Run("another member takes the duty before the cancel is stored", func(t *testing.T) {
 		withFakeSite(t, 3, 4, func(s *fakeSite) {
 			s.submitLongRunning("e0", "j")
