--- a/core/work/worker.go
+++ b/core/work/worker.go
@@ -23,7 +23,8 @@
 	Zone        string
 	Rack        string
 	Labels      []string
-	// Capacity is the amount of resources that the worker offers to tasks.
+	// Capacity is the amount of resources that the worker offers to tasks. It may shrink and grow while the worker
+	// runs tasks.
 	Capacity Resources
 	// Draining is true if the worker is about to leave. It gets no new tasks.
 	Draining bool
@@ -104,7 +105,7 @@
 	renewedAt   time.Time
 	renewalWait time.Duration
 	runs        map[RunID]*run
-	// reserved is the part of Capacity that runs take, including runs that are being stopped.
+	// reserved is what runs take, including runs that are being stopped. It exceeds Capacity if that has shrunk.
 	reserved Resources
 	// lastEnd is the number of the last end that was recorded; acknowledged is the number of the last end that
 	// the worker may forget.
@@ -171,8 +172,12 @@
 	w.lastMissAt = now
 }
 
+// freeResources returns what the runs leave of the capacity. It is negative while the worker is overfull.
 func (w *worker) freeResources() Resources { return w.Capacity.Sub(w.reserved) }
 
+// isOverfull reports whether the runs take more than the capacity, which may have shrunk since their starts.
+func (w *worker) isOverfull() bool { return !w.Capacity.Covers(w.reserved) }
+
 func (w *worker) hasLabel(label string) bool {
 	return label == "" || slices.Contains(w.Labels, label)
 }
