Count the room of an earlier holder's runs that no task needs

What callers saw: after a takeover a worker ran more than it offers, until the runs of cancelled or completed jobs there had been stopped. Cause: an adopted run took its demand from its task, if the task was still to be done. The run of a task that is done, and of a job that is cancelled or no longer stored, is stopped, which takes a while; until then it counted as if it took no room, and the holder started others beside it. The room that a run takes becomes free when its worker lists the end. Fix: the demand comes from the job wherever that is known. A worker with a run whose demand is not known gets no new tasks until its end is listed: such runs are stopped at once. Ruled out: runs that this holder started keep their demand after a cancel.

--- a/core/work/capacity_change_test.go
+++ b/core/work/capacity_change_test.go
@@ -158,3 +158,50 @@
 		f.is.Equal(orders[0], lost)
 	})
 }
+
+// TestUnknownDemand guards against starts beyond a worker's capacity beside runs of an earlier holder that no task needs:
+// they were stopped, and counted as if they took no room until they had ended.
+func TestUnknownDemand(t *testing.T) {
+	// takeOver returns a pool whose worker "a" reports four runs of an earlier holder, and where two tasks wait.
+	takeOver := func(t *testing.T, known func(*fixture)) (*fixture, work.Report) {
+		f := newFixture(t)
+		f.scheduler.AddUnresolvedIncarnation(incarnation("a"), f.now)
+		f.listCapacity(coreCounts{"b": 0})
+		known(f)
+		var report work.Report
+		for i := range 4 {
+			report.Active = append(report.Active, work.ActiveRun{Run: runID("earlier", 0, i, 1)})
+		}
+		f.answerRenewal("a", report)
+		f.answerRenewal("b", work.Report{})
+		f.submit(chainJob("new", 2))
+		return f, report
+	}
+	for name, known := range map[string]func(*fixture){
+		"runs of a job that is over": func(*fixture) {},
+		"runs of tasks that are done": func(f *fixture) {
+			p := work.Progress{State: work.StateRunning}
+			for i := range 4 {
+				p = p.WithDoneTask(work.TaskID{Job: "earlier", Index: i})
+			}
+			f.scheduler.AddJob(chainJob("earlier", 5), p, 5, true, f.now)
+		},
+		"runs of a job that was cancelled": func(f *fixture) {
+			f.scheduler.AddJob(chainJob("earlier", 4), work.Progress{}, 5, true, f.now)
+			f.scheduler.CancelJob("earlier")
+		},
+	} {
+		t.Run(name+" take room until their end is reported", func(t *testing.T) {
+			f, report := takeOver(t, known)
+			f.assertStartsOn("a", 0)
+			f.answerRenewal("a", report)
+			f.assertStartsOn("a", 0)
+			var ended work.Report
+			for i, r := range report.Active {
+				ended.Ends = append(ended.Ends, work.RunEnd{Number: uint64(i + 1), Run: r.Run, Reason: work.EndReasonStopped})
+			}
+			f.answerRenewal("a", ended)
+			f.is.True(startCount(f.executeRound()) >= 2)
+		})
+	}
+}
--- a/core/work/incarnations.go
+++ b/core/work/incarnations.go
@@ -92,6 +92,9 @@
 func (w *worker) attachRun(r *run) {
 	w.runs[r.id] = r
 	w.reserved = w.reserved.Add(r.demand)
+	if r.demandUnknown {
+		w.unknownDemands++
+	}
 	w.countKind(r.kind, 1)
 }
 
@@ -99,6 +102,9 @@
 func (s *Scheduler) detachRun(r *run) {
 	delete(r.worker.runs, r.id)
 	r.worker.reserved = r.worker.reserved.Sub(r.demand)
+	if r.demandUnknown {
+		r.worker.unknownDemands--
+	}
 	r.worker.countKind(r.kind, -1)
 }
 
--- a/core/work/report.go
+++ b/core/work/report.go
@@ -219,8 +219,12 @@
 // adoptRun records a run that this scheduler did not start. It is stopped if its task does not need it.
 func (s *Scheduler) adoptRun(w *worker, id RunID, now time.Time) *run {
 	r := &run{id: id, worker: w, phase: phaseRunning, startedAt: now, adopted: true}
+	if j := s.jobs[id.Task.Job]; j != nil && id.Task.Step < len(j.Steps) {
+		r.demand = j.Steps[id.Task.Step].reservedResources()
+	} else {
+		r.demandUnknown = true
+	}
 	if t := s.findTask(id.Task); t != nil && !t.done {
-		r.demand = t.group.spec().reservedResources()
 		r.kind = t.group.kind
 		t.attempt = max(t.attempt, id.Attempt)
 		if len(t.runs) == 0 || t.group.spec().Speculative {
--- a/core/work/run.go
+++ b/core/work/run.go
@@ -29,6 +29,8 @@
 	task   *task
 	worker *worker
 	demand Resources
+	// demandUnknown is true for an adopted run of a job that is not known. Its demand is zero.
+	demandUnknown bool
 	// usage is what the run counts towards the limit of its organisation.
 	usage quotaUsage
 	phase phase
--- a/core/work/worker.go
+++ b/core/work/worker.go
@@ -107,6 +107,8 @@
 	runs        map[RunID]*run
 	// reserved is what runs take, including runs that are being stopped. It exceeds Capacity if that has shrunk.
 	reserved Resources
+	// unknownDemands counts the runs whose demand is not known, which reserved lacks.
+	unknownDemands int
 	// lastEnd is the number of the last end that was recorded; acknowledged is the number of the last end that
 	// the worker may forget.
 	lastEnd, acknowledged uint64
@@ -151,7 +153,7 @@
 // acceptsTasks reports whether the worker may get new tasks.
 func (w *worker) acceptsTasks(now time.Time) bool {
 	return w.listed && w.answered && !w.Draining && !w.withdrawn && w.consecutiveMisses == 0 && !now.Before(w.unavailableUntil) &&
-		now.Sub(w.clock.readAt) < maxAnswerAge
+		w.unknownDemands == 0 && now.Sub(w.clock.readAt) < maxAnswerAge
 }
 
 // answerDelayMargin is the time beyond the allowed wait within which an answer still counts as read promptly.
