Request hosts by at least a core each when capacities have shrunk

What callers saw: work of other pools waited, because a pool whose workers offer nothing asks for every host that there is and goes before urgent requests. Cause: the number of requested hosts is the missing cores divided by what the present workers offer on average. If that is nothing, the quotient is infinite, and its conversion to an integer is the largest integer on arm64 and the smallest on amd64, where the pool then requests nothing. With an average of a milli-core five workers request 15380 hosts for 12 cores. Fix: an additional worker is taken to offer at least one core. The minimum on amd64 is from Go's specification of the conversion and was not run. Ruled out: spare workers, which are counted from the same average; the planner, which takes any number. Conclusion: the size of hosts to come is not known from what the present ones offer for now; the bound only keeps the figure sensible.

--- a/core/work/capacity_change_test.go
+++ b/core/work/capacity_change_test.go
@@ -1,6 +1,7 @@
 package work_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -205,3 +206,42 @@
 		})
 	}
 }
+
+// TestDemandOfShrunkPool guards against a pool that requests every host there is once its workers offer nothing, and the
+// other way round against one that requests none.
+func TestDemandOfShrunkPool(t *testing.T) {
+	// demandOf returns the demand of a pool of five workers whose capacity becomes this, with a job of so many tasks.
+	demandOf := func(t *testing.T, milliCores, tasks int) (*fixture, work.CapacityDemand) {
+		f := newPoolFixture(t, 5)
+		var list []work.WorkerInfo
+		for i := range 5 {
+			info := workerInfo(fmt.Sprintf("w%02d", i))
+			info.Capacity.MilliCores = milliCores
+			list = append(list, info)
+		}
+		f.scheduler.UpdateWorkers(list, f.now)
+		if tasks > 0 {
+			f.submit(chainJob("j", tasks))
+		}
+		f.scheduler.CapacityDemand(f.now)
+		f.now = f.now.Add(time.Second)
+		return f, f.scheduler.CapacityDemand(f.now)
+	}
+	for _, milliCores := range []int{0, 1, 1000} {
+		t.Run(fmt.Sprintf("workers of %d milli-cores request about what the tasks need", milliCores), func(t *testing.T) {
+			f, demand := demandOf(t, milliCores, 12)
+			f.is.True(demand.RequestedCount > 0)
+			f.is.True(demand.RequestedCount <= 20) // 12 cores are needed, and some in reserve
+			f.is.Equal(demand.SpareCount, 0)
+		})
+	}
+	t.Run("workers that have grown again request nothing", func(t *testing.T) {
+		f, demand := demandOf(t, 4000, 12)
+		f.is.Equal(demand.RequestedCount, 0)
+	})
+	t.Run("workers without capacity are spare without work", func(t *testing.T) {
+		f, demand := demandOf(t, 0, 0)
+		f.is.Equal(demand.RequestedCount, 0)
+		f.is.Equal(demand.SpareCount, 2) // a pool keeps three workers
+	})
+}
--- a/core/work/capacity_demand.go
+++ b/core/work/capacity_demand.go
@@ -33,6 +33,9 @@
 	// minWorkers is the minimum number of workers of a pool. With it the pool still works after the loss of a
 	// rack, or with a step that needs more than one worker.
 	minWorkers = 3
+	// minWorkerCores is the minimum number of cores that an additional worker is taken to offer. The capacity of the
+	// present ones may have shrunk to nothing.
+	minWorkerCores = 1.0
 )
 
 // CapacityDemand is the number of workers that a pool needs in addition or can give up.
@@ -228,7 +231,7 @@
 		}
 		return CapacityDemand{}
 	}
-	each := cores / float64(present)
+	each := max(cores/float64(present), minWorkerCores)
 	need := s.requiredCores(now)
 	demand := CapacityDemand{Reason: fmt.Sprintf("%d workers with %.0f cores, %.0f cores needed, %d steps with unplaced tasks, %d blocked evacuations", present, cores, need.total(), len(s.unplacedTasks), s.blockedEvacuations)}
 	bounds := s.reserveBounds(need)
