Leave overfull workers out of the free room that refusals go by

What callers saw: jobs beyond their organisation's share were refused although workers had room for them. Cause: what waits is not waited for if it fits into the free room of the pool. That summed the free resources of all workers, and those of a worker whose capacity has shrunk below what it runs are negative: they were taken off the room of the others. Fix: such a worker has no free room, as in the ledger of quotas. Evidence: TestRefuseBesideShrunkWorker failed before (8 of 8 jobs beyond the share refused, with room for four tasks and two waiting) and passes now. Ruled out: the room that the length of the backlog is divided by, which is bounded below already, and the score of workers. Conclusion: placement compares the resources of one worker and was right.

--- a/core/work/backlog.go
+++ b/core/work/backlog.go
@@ -19,7 +19,7 @@
 	for _, w := range s.sortedWorkers {
 		if w.listed && !w.Draining && !w.withdrawn && w.consecutiveMisses < missesUntilLost {
 			b.room = b.room.Add(w.Capacity)
-			b.free = b.free.Add(w.freeResources())
+			b.free = b.free.Add(w.freeResources().Max(Resources{}))
 		}
 	}
 	for _, g := range s.groups {
--- a/core/work/capacity_change_test.go
+++ b/core/work/capacity_change_test.go
@@ -245,3 +245,22 @@
 		f.is.Equal(demand.SpareCount, 2) // a pool keeps three workers
 	})
 }
+
+// TestRefuseBesideShrunkWorker guards against jobs that are refused although there is room for them: what runs beyond the
+// capacity of a worker that has shrunk was taken off the free room of the others.
+func TestRefuseBesideShrunkWorker(t *testing.T) {
+	f := newAnsweringFixture(t, coreCounts{"b": 0})
+	f.scheduler.SetOrganisations(directoryOf([]sender{{name: "a", weight: 1}}))
+	f.submit(chainJob("running", 4))
+	f.assertStartsOn("a", 4)
+	f.listCapacity(coreCounts{"a": 0})
+	jobs := make([]work.Job, 10)
+	for i := range jobs {
+		jobs[i] = chainJob(work.JobID(fmt.Sprintf("j%d", i)), 1)
+		jobs[i].Organisation, jobs[i].Objective = "a", work.Objective{Factor: 1, Slack: 100 * time.Millisecond}
+		if i < 2 {
+			f.submit(jobs[i])
+		}
+	}
+	f.is.Equal(len(f.scheduler.Refuse(jobs, f.now)), 0)
+}
