Change capacities in the random model of schedulers

The simulated workers' capacities shrink and grow while they run tasks, and the directory lists that up to 1.5 s later. In half of the cases the workers start whatever they are told. The oracle: no start, except of an order that was delayed on its way, brings a worker over the highest capacity that the directory could still list. The workers of the other half refuse starts beyond their capacity, as all did before.

--- a/core/work/model_test.go
+++ b/core/work/model_test.go
@@ -49,6 +49,8 @@
 	lastEnd      uint64
 	// highestEndedAttempt is the highest attempt that was stopped or ended on the worker, by task.
 	highestEndedAttempt map[work.TaskID]int
+	// capacities holds what the worker has offered since its start, the latest last.
+	capacities []modelCapacity
 }
 
 func (w *modelWorker) readClock(now time.Time) time.Duration {
@@ -92,6 +94,8 @@
 	boots         int
 	oracle        oracle
 	tickets       map[string]modelTicket
+	// workersGuard is true if the workers refuse starts beyond their capacity.
+	workersGuard bool
 }
 
 // oracle records what the workers actually did.
@@ -111,7 +115,7 @@
 func newModel(t *rapid.T) *model {
 	m := &model{
 		t: t, now: time.Unix(1_000_000, 0), version: 1, jobs: make(map[work.JobID]*storedJob), roster: make(map[work.Incarnation]bool),
-		tickets: make(map[string]modelTicket),
+		tickets: make(map[string]modelTicket), workersGuard: rapid.Bool().Draw(t, "workers guard"),
 		oracle: oracle{
 			doneTasks: make(map[work.TaskID]bool), acknowledgedTasks: make(map[work.TaskID]bool), failedRuns: make(map[work.RunID]bool),
 			failedBeforeStarts: make(map[work.TaskID][][]work.RunID), acknowledgedFailures: make(map[work.RunID]bool), restartedAfterDone: make(map[work.RunID]bool),
@@ -132,6 +136,7 @@
 		// Two incarnations of a worker never start in the same millisecond.
 		incarnation: work.Incarnation{Worker: id, StartMillis: max(m.now.UnixMilli(), w.incarnation.StartMillis+1)}, alive: true, reachable: w.reachable, bootedAt: m.now,
 		clockRate: []float64{1, modelSlowestClock}[m.boots%2], runs: make(map[work.RunID]*modelRun), highestEndedAttempt: make(map[work.TaskID]int),
+		capacities: []modelCapacity{{cores: modelCores, since: m.now, listedAt: m.now}},
 	}
 	m.boots++
 }
@@ -149,7 +154,7 @@
 			continue
 		}
 		if m.workerByID(delayed.order.Incarnation.Worker).incarnation == delayed.receiver {
-			m.executeOrder(delayed.order)
+			m.executeOrder(delayed.order, true)
 		}
 	}
 }
@@ -187,8 +192,8 @@
 	}
 }
 
-// executeOrder executes an order on its worker and returns the worker's answer.
-func (m *model) executeOrder(o work.Order) work.OrderResult {
+// executeOrder executes an order on its worker and returns the worker's answer. Late tells that the order was delayed.
+func (m *model) executeOrder(o work.Order, late bool) work.OrderResult {
 	w := m.workerByID(o.Incarnation.Worker)
 	if !w.alive {
 		return work.OrderResult{Outcome: work.OutcomeUnknown}
@@ -201,7 +206,7 @@
 		return work.OrderResult{Outcome: work.OutcomeFenced, WorkerClock: clock}
 	case o.Kind == work.OrderStart:
 		w.highestEpoch = o.Epoch
-		outcome = m.startRun(w, o)
+		outcome = m.startRun(w, o, late)
 	case o.Kind == work.OrderStop:
 		w.highestEpoch = o.Epoch
 		if run := w.runs[o.Run]; run != nil {
@@ -215,7 +220,7 @@
 	return work.OrderResult{Outcome: outcome, WorkerClock: clock}
 }
 
-func (m *model) startRun(w *modelWorker, o work.Order) work.Outcome {
+func (m *model) startRun(w *modelWorker, o work.Order, late bool) work.Outcome {
 	clock := w.readClock(m.now)
 	if w.runs[o.Run] != nil {
 		return work.OutcomeOK
@@ -228,10 +233,11 @@
 		return work.OutcomeLate
 	case !m.hasValidTicket(w, o):
 		return work.OutcomeNoTicket
-	case len(w.runs) >= modelCores:
+	case m.workersGuard && len(w.runs) >= w.cores():
 		return work.OutcomeNoRoom
 	}
 	m.log("%s starts on %v, epoch %d", o.Run, w.incarnation, o.Epoch)
+	m.checkCapacity(w, o, late)
 	m.checkStart(w, o.Run)
 	reason := work.EndReasonDone
 	if rapid.IntRange(0, 5).Draw(m.t, "fails") == 0 {
@@ -410,9 +416,9 @@
 			delay := time.Duration(rapid.IntRange(100, 9000).Draw(m.t, "late")) * time.Millisecond
 			m.delayedOrders = append(m.delayedOrders, delayedOrder{m.now.Add(delay), o, w.incarnation})
 		case fate == 2: // the order is executed and its answer is lost
-			m.executeOrder(o)
+			m.executeOrder(o, false)
 		default:
-			answer = m.executeOrder(o)
+			answer = m.executeOrder(o, false)
 		}
 		if !sched.HandleResult(o, answer, m.now) {
 			sched.stopped = true
@@ -428,7 +434,7 @@
 	for _, w := range m.workers {
 		if w.alive {
 			list = append(list, work.WorkerInfo{
-				Incarnation: w.incarnation, Address: w.incarnation.Worker, Pool: modelPool, Capacity: work.Resources{MilliCores: modelCores * 1000, MemoryMB: 1000},
+				Incarnation: w.incarnation, Address: w.incarnation.Worker, Pool: modelPool, Capacity: work.Resources{MilliCores: w.listedCores(m.now) * 1000, MemoryMB: 1000},
 			})
 		}
 	}
@@ -672,6 +678,7 @@
 		"withdraw": m.toggleWithdrawn,
 		"replace":  m.replaceHolder,
 		"silence":  m.isolateWorker,
+		"capacity": m.changeCapacity,
 		"cut": func(*rapid.T) {
 			w := m.drawWorker()
 			w.reachable = !w.reachable
