Don't repeat a start on a worker that is about to leave

What callers saw: nothing by itself. A task may start on a worker after the time within which a leaving worker must get no more, and end with it. Cause: as with capacities, an unanswered start is sent again after the timeout of the first order without a look at what the directory shows by then. The bound on the age of the directory leaves time for one order only. Fix: the start is stopped instead of repeated. Evidence: the case "draining worker gets no repeat" of TestRepeat failed before ("j.0.0.0#1 != no start") and passes now. Ruled out: withdrawn workers, whose hosts are moved only once they have no runs, unanswered ones included. Conclusion: the same cause as that of repeats beyond a capacity that has shrunk.

--- a/core/work/order.go
+++ b/core/work/order.go
@@ -190,7 +190,7 @@
 // repeatedStartOrders returns the unanswered start orders that are sent again. Nothing is repeated to an
 // incarnation that is no longer listed: a later incarnation of the worker may not have seen the epoch of the
 // next holder, and would carry out a start that conflicts with that holder's decisions. Nor is anything repeated to a
-// worker whose capacity has shrunk below what its runs take.
+// worker that is about to leave, or whose capacity has shrunk below what its runs take.
 func (s *Scheduler) repeatedStartOrders(now time.Time) []Order {
 	if s.startsToRepeat == 0 {
 		return nil
@@ -203,7 +203,7 @@
 				continue
 			}
 			r.repeatStart = false
-			if r.task == nil || !w.listed || w.isOverfull() || s.hasStaleSnapshot(now) {
+			if r.task == nil || !w.listed || w.Draining || w.isOverfull() || s.hasStaleSnapshot(now) {
 				s.markUncertain(r)
 				continue
 			}
--- a/core/work/takeover_test.go
+++ b/core/work/takeover_test.go
@@ -200,6 +200,18 @@
 		f.scheduler.HandleResult(o, work.OrderResult{Outcome: work.OutcomeNoRoom, WorkerClock: time.Second}, f.now)
 		f.is.Equal(f.scheduler.Schedule(f.now, f.now)[0].Kind, work.OrderStop)
 	})
+	// The worker announced that it leaves after the first order, and the repeat came after the time for new tasks.
+	t.Run("draining worker gets no repeat", func(t *testing.T) {
+		f := newFixture(t)
+		f.answerRenewal("a", work.Report{})
+		f.scheduler.AddJob(chainJob("j", 1), work.Progress{}, 11, false, f.now)
+		first := f.scheduler.Schedule(f.now, f.now)[0]
+		f.scheduler.HandleResult(first, work.OrderResult{Outcome: work.OutcomeUnknown}, f.now)
+		leaving := workerInfo("a")
+		leaving.Draining = true
+		f.scheduler.UpdateWorkers([]work.WorkerInfo{leaving, workerInfo("b")}, f.now)
+		f.assertNoStart(f.scheduler.Schedule(f.now, f.now))
+	})
 	t.Run("unlisted incarnation gets no repeat", func(t *testing.T) {
 		f := newFixture(t)
 		f.answerRenewal("a", work.Report{})
