--- a/core/work/order.go
+++ b/core/work/order.go
@@ -93,7 +93,7 @@
 // then starts. Wall is the time of day, which activates scheduled occurrences.
 func (s *Scheduler) Schedule(now, wall time.Time) []Order {
 	s.initialise()
-	s.Quota.SetUnresolved(s.unresolvedCapacity(now))
+	s.Quota.SetUnresolved(s.hasUnchargedRuns(now))
 	s.endExpiredRuns(now)
 	s.activateDueOccurrences(wall)
 	for _, g := range s.groups {
@@ -192,7 +192,8 @@
 
 // repeatedStartOrders returns the unanswered start orders that are sent again. Nothing is repeated to an
 // incarnation that is no longer listed: a later incarnation of the worker may not have seen the epoch of the
-// next holder, and would carry out a start that conflicts with that holder's decisions.
+// next holder, and would carry out a start that conflicts with that holder's decisions. Nor is anything repeated to a
+// worker that is about to leave, or whose capacity has shrunk below what its runs take.
 func (s *Scheduler) repeatedStartOrders(now time.Time) []Order {
 	if s.startsToRepeat == 0 {
 		return nil
@@ -205,7 +206,7 @@
 				continue
 			}
 			r.repeatStart = false
-			if r.task == nil || !w.listed || s.hasStaleSnapshot(now) {
+			if r.task == nil || !w.listed || w.Draining || w.isOverfull() || s.hasStaleSnapshot(now) {
 				s.markUncertain(r)
 				continue
 			}
