--- a/io/runner/cancel_test.go
+++ b/io/runner/cancel_test.go
@@ -15,17 +15,17 @@
 // cancelBound is how long tasks of a cancelled job may go on after the cancel was acknowledged.
 const cancelBound = 3400 * time.Millisecond
 
-// longRunningJob returns a job whose tasks are started again until it is cancelled.
-func longRunningJob(id string) work.Job {
+// newLastingJob returns a job whose tasks are started again until it is cancelled.
+func newLastingJob(id string) work.Job {
 	j := job(id, 2)
 	j.Steps[0].LongRunning = true
 	return j
 }
 
-// submitLongRunning submits a longRunningJob.
-func (s *fakeSite) submitLongRunning(host, id string) {
+// submitLasting submits a newLastingJob.
+func (s *fakeSite) submitLasting(host, id string) {
 	s.t.Helper()
-	s.is.NoErr(s.submitJob(host, longRunningJob(id)))
+	s.is.NoErr(s.submitJob(host, newLastingJob(id)))
 }
 
 // cancel cancels a job at an entry host and repeats the call until it is acknowledged.
@@ -95,7 +95,7 @@
 	ids := make([]string, count)
 	for i := range ids {
 		ids[i] = fmt.Sprintf("q%06dlasting", i*1000/count)
-		group.Go(func() { s.submitLongRunning(host, ids[i]) })
+		group.Go(func() { s.submitLasting(host, ids[i]) })
 	}
 	group.Wait()
 	return ids
@@ -134,7 +134,7 @@
 	// The caller's repeated request arrives after the job's cancel, when no holder knows the job.
 	t.Run("job is submitted again after its cancel", func(t *testing.T) {
 		withFakeSite(t, 3, 4, func(s *fakeSite) {
-			s.submitLongRunning("e0", "again")
+			s.submitLasting("e0", "again")
 			time.Sleep(time.Second)
 			s.assertRuns("again")
 			holder := s.poolHolder()
@@ -142,7 +142,7 @@
 			entry := s.otherHost(holder)
 			s.cancel(entry, "again")
 			for range 40 {
-				s.submitLongRunning(entry, "again")
+				s.submitLasting(entry, "again")
 				time.Sleep(100 * time.Millisecond)
 			}
 			s.assertEnded("again")
@@ -154,7 +154,7 @@
 func TestCancelAtAnotherEntryHost(t *testing.T) {
 	t.Run("the holder's feed is silent meanwhile", func(t *testing.T) {
 		withFakeSite(t, 3, 4, func(s *fakeSite) {
-			s.submitLongRunning("e0", "j")
+			s.submitLasting("e0", "j")
 			time.Sleep(time.Second)
 			s.assertRuns("j")
 			holder := s.poolHolder()
@@ -168,7 +168,7 @@
 	})
 	t.Run("the store no longer has the cancel in its history", func(t *testing.T) {
 		withFakeSite(t, 3, 4, func(s *fakeSite) {
-			s.submitLongRunning("e0", "j")
+			s.submitLasting("e0", "j")
 			time.Sleep(time.Second)
 			s.assertRuns("j")
 			holder := s.poolHolder()
@@ -183,7 +183,7 @@
 	})
 	t.Run("two entry hosts cancel the job at the same time", func(t *testing.T) {
 		withFakeSite(t, 3, 4, func(s *fakeSite) {
-			s.submitLongRunning("e0", "j")
+			s.submitLasting("e0", "j")
 			time.Sleep(time.Second)
 			s.assertRuns("j")
 			var group sync.WaitGroup
@@ -218,7 +218,7 @@
 					return true
 				}
 				s.store.mu.Unlock()
-				for s.submitJob("e0", longRunningJob("j")) != nil {
+				for s.submitJob("e0", newLastingJob("j")) != nil {
 					time.Sleep(50 * time.Millisecond)
 				}
 				time.Sleep(time.Second)
@@ -236,7 +236,7 @@
 	t.Run("the cancel is forwarded to a holder that is killed at the same time", func(t *testing.T) {
 		for pause := time.Duration(0); pause < 20*time.Millisecond; pause += 2 * time.Millisecond {
 			withLinkedSite(t, 3, 4, func(s *fakeSite) {
-				s.submitLongRunning("e0", "j")
+				s.submitLasting("e0", "j")
 				time.Sleep(time.Second)
 				s.assertRuns("j")
 				holder := s.poolHolder()
@@ -255,7 +255,7 @@
 	})
 	t.Run("another member takes the duty before the cancel is stored", func(t *testing.T) {
 		withFakeSite(t, 3, 4, func(s *fakeSite) {
-			s.submitLongRunning("e0", "j")
+			s.submitLasting("e0", "j")
 			time.Sleep(time.Second)
 			s.assertRuns("j")
 			holder := s.poolHolder()
--- a/io/runner/moved_queue_test.go
+++ b/io/runner/moved_queue_test.go
@@ -40,7 +40,7 @@
 func TestCancelAfterQueueMoved(t *testing.T) {
 	t.Run("the job is stored in the former pool", func(t *testing.T) {
 		withTwoPools(t, func(s *fakeSite) {
-			s.submitLongRunning("e0", "j")
+			s.submitLasting("e0", "j")
 			time.Sleep(time.Second)
 			s.assertRuns("j")
 			moved := s.moveQueue(otherPool)
@@ -51,14 +51,14 @@
 	})
 	t.Run("the caller repeats the submission at an entry host that has started since", func(t *testing.T) {
 		withTwoPools(t, func(s *fakeSite) {
-			s.submitLongRunning("e0", "j")
+			s.submitLasting("e0", "j")
 			time.Sleep(time.Second)
 			s.assertRuns("j")
 			moved := s.moveQueue(otherPool)
 			s.kill("e2")
 			s.start("e2")
 			time.Sleep(2 * time.Second)
-			s.is.NoErr(s.entryHosts["e2"].manager.Submit(context.Background(), runner.Caller{}, moved, longRunningJob("j")))
+			s.is.NoErr(s.entryHosts["e2"].manager.Submit(context.Background(), runner.Caller{}, moved, newLastingJob("j")))
 			time.Sleep(time.Second)
 			s.is.NoErr(s.entryHosts["e1"].manager.Cancel(context.Background(), runner.Caller{}, moved, "j"))
 			s.assertEnded("j")
@@ -71,8 +71,8 @@
 			s.store.withholdTable("e2", fakeOperatorsTable)
 			s.moveQueue(otherPool)
 			time.Sleep(500 * time.Millisecond)
-			s.is.NoErr(s.entryHosts["e1"].manager.Submit(context.Background(), runner.Caller{}, moved, longRunningJob("j")))
-			s.is.NoErr(s.entryHosts["e2"].manager.Submit(context.Background(), runner.Caller{}, s.queue(), longRunningJob("j")))
+			s.is.NoErr(s.entryHosts["e1"].manager.Submit(context.Background(), runner.Caller{}, moved, newLastingJob("j")))
+			s.is.NoErr(s.entryHosts["e2"].manager.Submit(context.Background(), runner.Caller{}, s.queue(), newLastingJob("j")))
 			s.store.withholdTable("e2", "")
 			time.Sleep(2 * time.Second)
 			s.is.NoErr(s.entryHosts["e1"].manager.Cancel(context.Background(), runner.Caller{}, moved, "j"))
@@ -86,8 +86,8 @@
 	withTwoPools(t, func(s *fakeSite) {
 		other := s.queue()
 		other.Prefix, other.Pool = "/other/", otherPool
-		s.is.NoErr(s.entryHosts["e0"].manager.Submit(context.Background(), runner.Caller{}, other, longRunningJob("j")))
-		s.submitLongRunning("e0", "j")
+		s.is.NoErr(s.entryHosts["e0"].manager.Submit(context.Background(), runner.Caller{}, other, newLastingJob("j")))
+		s.submitLasting("e0", "j")
 		s.cancel("e1", "j")
 		state, err := s.entryHosts["e1"].manager.State(context.Background(), runner.Caller{}, other, "j")
 		s.is.NoErr(err)
@@ -98,7 +98,7 @@
 // TestCancelDuringOutageOfAnotherPool guards against cancels that wait for the partition of a pool without the job.
 func TestCancelDuringOutageOfAnotherPool(t *testing.T) {
 	withTwoPools(t, func(s *fakeSite) {
-		s.submitLongRunning("e0", "j")
+		s.submitLasting("e0", "j")
 		s.store.silencePartition(otherPool)
 		time.Sleep(time.Second)
 		s.assertRuns("j")
