Keep an order to a host while one of its attempts may be in progress

Operators may have seen more hosts of a maintenance wave down at once than it allows.

Cause: an order is repeated 1.5 s after an unanswered attempt, while the call of that attempt waits up to 2.5 s. The host, which is down because of the first attempt, refuses the second, and the refusal ended the order, also one that was confirmed. A host without an order doesn't count as down for its wave, and the next one was ordered. The order now ends by a refusal only if no attempt was confirmed, has an unknown outcome or is still unanswered. Ruled out: a longer timeout alone, since the call's own bound may change.

--- a/core/capacity/planner.go
+++ b/core/capacity/planner.go
@@ -24,8 +24,8 @@
 	registrationTime = time.Second
 	// retryDelay is the delay between the answer to an order and the next attempt.
 	retryDelay = 400 * time.Millisecond
-	// orderTimeout is the time after which an unanswered order is repeated. It is longer than the timeout of a
-	// call to the platform.
+	// orderTimeout is the time after which an unanswered order is repeated. The call of the first attempt may still
+	// be waiting for its answer.
 	orderTimeout = 1500 * time.Millisecond
 	// waveTargetShare is the fraction of a wave's time limit in which the wave should be complete, so that a
 	// disruption near the end does not make it late.
@@ -78,6 +78,8 @@
 	// confirmed is set once the platform confirmed that the order was carried out, and outcomeUnknown once an
 	// attempt got no answer.
 	confirmed, outcomeUnknown bool
+	// attemptsInFlight counts the attempts of the order that have no outcome yet.
+	attemptsInFlight int
 	// nextOrderAt is the earliest time of the next order for the host, or of the next attempt of the current
 	// one.
 	nextOrderAt time.Time
@@ -319,6 +321,7 @@
 func (p *Planner) issue(m *machine, o Order, plan *Plan, now time.Time) {
 	m.order, m.hasOrder, m.confirmed, m.outcomeUnknown, m.orderedAt, m.orderedWorker = o, true, false, false, now, m.Worker
 	m.nextOrderAt = now.Add(orderTimeout)
+	m.attemptsInFlight = 1
 	plan.Orders = append(plan.Orders, o)
 }
 
@@ -330,15 +333,15 @@
 		return
 	}
 	m.nextOrderAt = now.Add(retryDelay)
+	m.attemptsInFlight = max(0, m.attemptsInFlight-1)
 	switch outcome {
 	case OutcomeDone:
 		m.confirmed = true
 		m.orderedAt = now
 		p.markStarted(o)
 	case OutcomeRefused:
-		// A host that is carrying out an earlier attempt refuses the next one, so that the order may be in
-		// progress.
-		m.hasOrder = m.outcomeUnknown
+		// A host that is carrying out one attempt refuses the others, so that the order may be in progress.
+		m.hasOrder = m.confirmed || m.outcomeUnknown || m.attemptsInFlight > 0
 	case OutcomeUnknown:
 		m.outcomeUnknown = true
 	case OutcomeImpossible:
@@ -377,6 +380,7 @@
 	for _, m := range p.sortedHosts() {
 		if m.hasOrder && !m.confirmed && !now.Before(m.nextOrderAt) {
 			m.nextOrderAt = now.Add(orderTimeout)
+			m.attemptsInFlight++
 			plan.Orders = append(plan.Orders, m.order)
 		}
 	}
