Raise the pace of tasks of which an order to slow down got no answer

Callers may have seen a best-effort task stay slow, or stand still for good, after the last serving task had left its worker.

Cause: full pace counted as confirmed for ever, and an order to run slower that got no answer left no trace. It may have been carried out, or be carried out seconds later, after full pace was confirmed. Evidence: TestUnansweredPaceOrder and TestDelayedPaceOrder failed before and pass now. Full pace is now sent again every 2 s until 15 s have passed since the last unanswered order to slow down. Ruled out: reading the pace from reports, which show less than full pace for tasks that have just started too.

--- a/core/work/pace.go
+++ b/core/work/pace.go
@@ -19,9 +19,11 @@
 	// minPaceInterval is the shortest time between two changes of pace. Reported figures cover the last half
 	// second, and a change takes effect after a tenth of a second.
 	minPaceInterval = 600 * time.Millisecond
-	// paceRefreshInterval is the time after which a reduced pace is sent again, because an earlier order without
-	// an answer may have been carried out since.
+	// paceRefreshInterval is the time after which a pace is sent again, because an earlier order without an answer may
+	// have been carried out since. Full pace is not sent again later than lateOrderBound after the last such order.
 	paceRefreshInterval = 2 * time.Second
+	// lateOrderBound is the time after which an order that got no answer is not carried out any more.
+	lateOrderBound = 15 * time.Second
 	// paceRetryDelay is the delay after a pace order that failed.
 	paceRetryDelay = 300 * time.Millisecond
 	// latencyPollInterval is the polling interval of a worker on which best-effort tasks run beside a task with
@@ -120,14 +122,21 @@
 // pace of a run that an earlier holder started is unknown.
 func (p runPace) isConfirmed(pace int, adopted bool, now time.Time) bool {
 	if !p.confirmed {
-		return pace == fullPacePercent && !adopted
+		return pace == fullPacePercent && !adopted && p.slowedAt.IsZero()
 	}
-	return p.confirmedPercent == pace && (pace == fullPacePercent || now.Sub(p.confirmedAt) < paceRefreshInterval)
+	if p.confirmedPercent != pace {
+		return false
+	}
+	isFinal := pace == fullPacePercent && p.confirmedAt.Sub(p.slowedAt) > lateOrderBound
+	return isFinal || now.Sub(p.confirmedAt) < paceRefreshInterval
 }
 
 // handlePaceResult processes the result of a pace order.
 func (s *Scheduler) handlePaceResult(r *run, o Order, res OrderResult, now time.Time) {
 	r.pace.inFlight = false
+	if res.Outcome == OutcomeUnknown && o.SpeedPercent < fullPacePercent {
+		r.pace.slowedAt = now
+	}
 	if res.Outcome != OutcomeOK {
 		r.pace.retryAt = now.Add(paceRetryDelay)
 		return
--- a/core/work/pace_test.go
+++ b/core/work/pace_test.go
@@ -112,3 +112,53 @@
 		f.is.Equal(len(f.runningByWorker), 4)
 	})
 }
+
+// TestUnansweredPaceOrder guards against a best-effort task that stays slow after the last serving task has left its
+// worker: the worker carried out the order to slow down, and the answer was lost.
+func TestUnansweredPaceOrder(t *testing.T) {
+	f, serving, bestEffort := newPaceFixture(t)
+	f.now = f.now.Add(time.Second)
+	f.answerRenewal("w00", work.Report{Active: []work.ActiveRun{{Run: serving, SpeedPercent: 100, Load: 140}, {Run: bestEffort, SpeedPercent: 100}}})
+	orders := f.scheduler.Schedule(f.now, f.now)
+	f.is.Equal(len(orders), 1)
+	f.is.Equal(orders[0].SpeedPercent, 35)
+	f.scheduler.HandleResult(orders[0], work.OrderResult{Outcome: work.OutcomeUnknown}, f.now)
+	f.scheduler.CancelJob("serve")
+	f.assertPaceRaised(bestEffort, 35)
+}
+
+// TestDelayedPaceOrder guards against a best-effort task that stays slow after an unanswered order to slow down was
+// carried out late, after a later order to run at full pace that was confirmed.
+func TestDelayedPaceOrder(t *testing.T) {
+	f, serving, bestEffort := newPaceFixture(t)
+	f.is.Equal(f.reportTailLatency(time.Second, 140), []int{35})
+	f.now = f.now.Add(time.Second)
+	f.answerRenewal("w00", work.Report{Active: []work.ActiveRun{{Run: serving, SpeedPercent: 100, Load: 140}, {Run: bestEffort, SpeedPercent: 35}}})
+	orders := f.scheduler.Schedule(f.now, f.now)
+	f.is.Equal(len(orders), 1)
+	f.is.Equal(orders[0].SpeedPercent, 12)
+	f.scheduler.HandleResult(orders[0], work.OrderResult{Outcome: work.OutcomeUnknown}, f.now)
+	f.scheduler.CancelJob("serve")
+	f.now = f.now.Add(400 * time.Millisecond)
+	f.answerRenewal("w00", work.Report{Active: []work.ActiveRun{{Run: serving, SpeedPercent: 100, Load: 50}, {Run: bestEffort, SpeedPercent: 35}}})
+	raised := false
+	for _, o := range f.executeRound() {
+		raised = raised || (o.Kind == work.OrderPace && o.SpeedPercent == 100)
+	}
+	f.is.True(raised)
+	f.assertPaceRaised(bestEffort, 12)
+}
+
+// assertPaceRaised reports the run at this pace for ten seconds and checks that it is ordered to run at full pace.
+func (f *fixture) assertPaceRaised(run work.RunID, percent int) {
+	for range 10 {
+		f.now = f.now.Add(time.Second)
+		f.answerRenewal("w00", work.Report{Active: []work.ActiveRun{{Run: run, SpeedPercent: percent}}})
+		for _, o := range f.executeRound() {
+			if o.Kind == work.OrderPace && o.Run == run && o.SpeedPercent == 100 {
+				return
+			}
+		}
+	}
+	f.is.Fail() // the pace was not raised
+}
--- a/core/work/run.go
+++ b/core/work/run.go
@@ -80,6 +80,8 @@
 	confirmedPercent int
 	confirmedAt      time.Time
 	confirmed        bool
+	// slowedAt is the time of the last order to run below full pace that got no answer. It may still be carried out.
+	slowedAt time.Time
 	// inFlight is true while a pace order has no answer yet. After a failed order the next one is not sent
 	// before retryAt.
 	inFlight bool
