Don't count a crash against a task whose start was never confirmed

A job could be given up after a single crash under its task: the crash of a worker that had not confirmed the start counted like another. The start may never have arrived there. A crash now tells only if its worker had confirmed the run.

--- a/core/work/crash.go
+++ b/core/work/crash.go
@@ -38,19 +38,19 @@
 	// Coincident is true if the crash is likely to have another cause: several other workers fell silent at the same
 	// time, the worker had more likely causes, or one of those crashed another worker.
 	Coincident bool
+	// Confirmed is true if the worker had confirmed the run. Otherwise the run may never have been there.
+	Confirmed bool
 }
 
 // CrashVerdict describes a crash and what follows from it for the task.
 type CrashVerdict struct {
 	Crash
 	Incarnation Incarnation
-	// Count is the number of crashes under the task since a run of it last lasted, and Telling that of those which are
-	// not coincident.
-	Count, Telling int
+	// Count, ConfirmedCount and Telling are the numbers of crashes under the task since a run of it last lasted: of all, of
+	// confirmed ones, and of those confirmed ones that are not coincident.
+	Count, ConfirmedCount, Telling int
 	// Alone is true if no other run on the worker can have been the cause.
 	Alone bool
-	// Confirmed is true if the worker had confirmed the run.
-	Confirmed bool
 	// Simultaneous is the number of other workers that fell silent at the same time.
 	Simultaneous int
 	// GivenUp is true if the task's job fails for it.
@@ -63,10 +63,10 @@
 	switch {
 	case v.Coincident:
 		return false
-	case v.Alone && v.Confirmed:
-		return max(v.Telling, v.Count-1) >= minCrashes+v.Simultaneous
+	case v.Alone && v.Confirmed && max(v.Telling, v.ConfirmedCount-1) >= minCrashes+v.Simultaneous:
+		return true
 	}
-	return v.Telling >= maxCrashes
+	return v.Telling >= maxCrashes || (v.Alone && v.Count >= maxCrashes)
 }
 
 // crashScene holds the runs for which the end of a worker was recorded.
@@ -77,31 +77,35 @@
 
 // crashRecord is what is known of the crashes under a task. The zero value has none.
 type crashRecord struct {
-	// total counts all crashes, and telling those that were not coincident.
-	total, telling int
-	// lowestAge is the lowest age at a telling crash, and highestAge the highest one at any crash.
+	// total counts all crashes, confirmed the confirmed ones, and telling those of them that were not coincident.
+	total, confirmed, telling int
+	// young is true if a run was young at a crash that was not coincident. lowestAge is the lowest age at such a crash,
+	// and highestAge the highest one at any crash.
+	young                 bool
 	lowestAge, highestAge time.Duration
 }
 
 func newCrashRecord(crashes []Crash) crashRecord {
-	r := crashRecord{total: len(crashes)}
+	r := crashRecord{total: len(crashes), lowestAge: maxProbation}
 	for _, c := range crashes {
 		r.highestAge = max(r.highestAge, c.MaxAge)
+		if c.Confirmed {
+			r.confirmed++
+		}
 		if c.Coincident {
 			continue
 		}
-		if r.telling == 0 || c.MinAge < r.lowestAge {
-			r.lowestAge = c.MinAge
+		if c.Confirmed {
+			r.telling++
 		}
-		r.telling++
+		r.lowestAge = min(r.lowestAge, c.MinAge)
+		r.young = r.young || c.MinAge <= youngAge
 	}
 	return r
 }
 
 // needsTrial reports whether the next run has to be apart from other possible causes of a crash.
-func (r crashRecord) needsTrial() bool {
-	return r.total > 1 || (r.telling > 0 && r.lowestAge <= youngAge)
-}
+func (r crashRecord) needsTrial() bool { return r.total > 1 || r.young }
 
 // probation returns the age at which a run shows that the task does not crash workers.
 func (r crashRecord) probation() time.Duration {
@@ -199,7 +203,7 @@
 func (s *Scheduler) recordCrashOf(r *run, alone, beside bool) {
 	t := r.task
 	j := t.group.job
-	v := CrashVerdict{Crash: Crash{Run: r.id}, Incarnation: r.worker.Incarnation, Alone: alone, Confirmed: r.confirmed, Simultaneous: s.countSimultaneous(r.worker)}
+	v := CrashVerdict{Crash: Crash{Run: r.id, Confirmed: r.confirmed}, Incarnation: r.worker.Incarnation, Alone: alone, Simultaneous: s.countSimultaneous(r.worker)}
 	v.MinAge, v.MaxAge = r.ageAtSilence()
 	v.Coincident = beside || v.Simultaneous > maxSimultaneous
 	j.setProgress(j.progress.WithCrash(v.Crash))
@@ -210,7 +214,7 @@
 		t.crashedAddresses = make(map[string]bool)
 	}
 	t.crashedAddresses[r.worker.Address] = true
-	v.Count, v.Telling = t.crashes.total, t.crashes.telling
+	v.Count, v.ConfirmedCount, v.Telling = t.crashes.total, t.crashes.confirmed, t.crashes.telling
 	v.GivenUp = v.isGivenUp()
 	if s.OnCrash != nil {
 		s.OnCrash(v)
--- a/core/work/progress.go
+++ b/core/work/progress.go
@@ -149,8 +149,9 @@
 	Attempt   int   `json:"attempt"`
 	MinMillis int64 `json:"min-millis"`
 	MaxMillis int64 `json:"max-millis"`
-	// Coincident is absent if it is false.
+	// Coincident and Confirmed are absent if they are false.
 	Coincident bool `json:"coincident,omitempty"`
+	Confirmed  bool `json:"confirmed,omitempty"`
 }
 
 // Encode returns the value of the stored row. A final state is stored without details.
@@ -205,7 +206,7 @@
 	for t, list := range crashes {
 		key := fmt.Sprintf("%d.%d.%d", t.Occurrence, t.Step, t.Index)
 		for _, c := range list {
-			rows[key] = append(rows[key], crashRow{Attempt: c.Run.Attempt, MinMillis: c.MinAge.Milliseconds(), MaxMillis: c.MaxAge.Milliseconds(), Coincident: c.Coincident})
+			rows[key] = append(rows[key], crashRow{Attempt: c.Run.Attempt, MinMillis: c.MinAge.Milliseconds(), MaxMillis: c.MaxAge.Milliseconds(), Coincident: c.Coincident, Confirmed: c.Confirmed})
 		}
 	}
 	return rows
@@ -221,7 +222,7 @@
 		for _, c := range list {
 			crashes[t] = append(crashes[t], Crash{
 				Run: RunID{Task: t, Attempt: c.Attempt}, MinAge: time.Duration(c.MinMillis) * time.Millisecond, MaxAge: time.Duration(c.MaxMillis) * time.Millisecond,
-				Coincident: c.Coincident,
+				Coincident: c.Coincident, Confirmed: c.Confirmed,
 			})
 		}
 	}
