Don't repeat starts of an ended incarnation

Callers saw no broken rule so far: a worker that restarted under its ID while five starts were unanswered got no more ordinary tasks from this holder.

Cause: when a later incarnation becomes known, unanswered runs become its uncertain runs, which are stopped. A run whose start was due to be repeated kept that mark. The next round sent the repeat to the earlier incarnation beside the stop, and counted it as an unanswered start of the later one, which no answer ever reduced: the answer is attributed to the addressed incarnation. At maxUnansweredStartsPerWorker the worker gets no starts.

Ruled out: a run that this leaves without a stop. The transfer marks it to be stopped, and the stop is sent.

Conclusion: the transfer takes the mark off. The run is stopped on the later incarnation as before.

--- a/core/work/incarnations.go
+++ b/core/work/incarnations.go
@@ -81,6 +81,7 @@
 		r.phase = phaseUncertain
 		r.confirmed = false
 		r.stopInFlight = false
+		r.repeatStart = false
 		next.attachRun(r)
 		s.runsToStop[r] = true
 		return
