Wait for the report of a restarted worker after a takeover

Cause: a new holder starts no task of an earlier holder's jobs until each incarnation of the roster is resolved. When a renewal showed that a later incarnation answers at the address, the earlier one counted as resolved at once. But the later one may have carried out a start that the earlier holder sent to the former one, and has not reported yet. Its runs are known with its first report only; until then the new holder could start the same task elsewhere. A mere answer to an order, without a report, counted too.

Evidence: TestRestartBeforeFirstReport fails before ("j.0.0.0#1 != no start") and passes now.

Ruled out: a task that waits for ever. If the later incarnation never reports, the leases of the earlier one expire and the task starts, as a subtest checks.

Conclusion: an incarnation with a later one is resolved by that one's first full report, or by the expiry of its leases.

--- a/core/work/incarnations_test.go
+++ b/core/work/incarnations_test.go
@@ -47,3 +47,41 @@
 		f.is.Equal(len(f.executeRound()), tasks)
 	})
 }
+
+// TestRestartBeforeFirstReport guards against a second run of a task after a takeover: a worker restarted under its ID just
+// before, and its later incarnation carried out an order of the earlier holder to the former one.
+func TestRestartBeforeFirstReport(t *testing.T) {
+	takeOver := func(t *testing.T) *fixture {
+		f := newFixture(t)
+		f.scheduler.AddUnresolvedIncarnation(incarnation("a"), f.now)
+		f.scheduler.AddJob(chainJob("j", 1), work.Progress{}, 5, true, f.now)
+		f.answerRenewal("b", work.Report{})
+		f.scheduler.ReplaceIncarnation(incarnation("a"), laterIncarnation("a").Incarnation.StartMillis)
+		return f
+	}
+	report := func(f *fixture, r work.Report) {
+		inc := laterIncarnation("a").Incarnation
+		f.scheduler.UpdateWorkers([]work.WorkerInfo{laterIncarnation("a"), workerInfo("b")}, f.now)
+		renewal, ok := f.scheduler.PrepareRenewal(inc, 0, f.now)
+		f.is.True(ok)
+		r.WorkerClock = time.Second
+		f.scheduler.HandleReport(inc, renewal.Sequence, r, f.now)
+	}
+	t.Run("task waits for the report of the later incarnation", func(t *testing.T) {
+		f := takeOver(t)
+		f.assertNoStart(f.executeRound())
+		report(f, work.Report{Active: []work.ActiveRun{{Run: runID("j", 0, 0, 1), SpeedPercent: 100}}})
+		f.assertNoStart(f.executeRound())
+	})
+	t.Run("task starts if that lists no run", func(t *testing.T) {
+		f := takeOver(t)
+		report(f, work.Report{})
+		f.is.Equal(len(f.executeRound()), 1)
+	})
+	t.Run("task starts without it once the leases have expired", func(t *testing.T) {
+		f := takeOver(t)
+		f.now = f.now.Add(6 * time.Second)
+		f.answerRenewal("b", work.Report{})
+		f.is.Equal(len(f.executeRound()), 1)
+	})
+}
--- a/core/work/order.go
+++ b/core/work/order.go
@@ -359,7 +359,9 @@
 	if w == nil {
 		return
 	}
-	delete(s.unresolved, inc)
+	if !s.hasSuccessor(inc) {
+		delete(s.unresolved, inc)
+	}
 	for _, r := range sortedRuns(w) {
 		s.presumeEnded(r, CauseLifeOver, time.Time{})
 	}
--- a/core/work/scheduler.go
+++ b/core/work/scheduler.go
@@ -208,7 +208,7 @@
 	for inc, until := range s.unresolved {
 		w := s.workers[inc]
 		switch {
-		case w != nil && w.fullyReported, s.hasAnsweringSuccessor(inc):
+		case w != nil && w.fullyReported, s.hasReportingSuccessor(inc):
 			delete(s.unresolved, inc)
 		case now.After(until) && (w == nil || !w.listed):
 			delete(s.unresolved, inc)
@@ -243,9 +243,10 @@
 	return true
 }
 
-// hasAnsweringSuccessor reports whether a later incarnation of the worker has answered.
-func (s *Scheduler) hasAnsweringSuccessor(inc Incarnation) bool {
-	return slices.ContainsFunc(s.laterIncarnations(inc), func(w *worker) bool { return w.answered })
+// hasReportingSuccessor reports whether a later incarnation of the worker has reported. It may have carried out orders of
+// an earlier holder to this one.
+func (s *Scheduler) hasReportingSuccessor(inc Incarnation) bool {
+	return slices.ContainsFunc(s.laterIncarnations(inc), func(w *worker) bool { return w.fullyReported })
 }
 
 // hasSuccessor reports whether a later incarnation of the worker is known.
