Stop unreported runs on the later incarnation of a worker

Cause: a worker's answers to orders don't tell its start time, so that OutcomeReborn never comes. A start that the later incarnation answered therefore counted as a confirmed run of the earlier one. Once a report named the later one, the run was presumed to have ended with the earlier one, and its task could start elsewhere while it was running.

Evidence: TestRestartAfterAnswer fails before ("start != stop") and passes now.

Ruled out: a run of a cancelled job that goes on because of it. The first report of the later incarnation lists the run, which is then stopped.

Conclusion: only a report proves where a run is. A run that no report of the incarnation listed becomes an uncertain run of the later one, which is stopped before its task starts again.

--- a/core/work/incarnations.go
+++ b/core/work/incarnations.go
@@ -72,10 +72,11 @@
 	return s.sortedWorkers[from:until]
 }
 
-// endOrTransferRun ends a run of an incarnation that has ended. If the start order may still be carried out, the
-// run becomes an uncertain run of the next incarnation instead.
+// endOrTransferRun ends a run of an incarnation that has ended. If the next incarnation may have carried out the start
+// order, or may still do so, the run becomes an uncertain run of that one instead. Answers to orders don't tell which
+// incarnation gave them; reports do.
 func (s *Scheduler) endOrTransferRun(r *run, next *worker) {
-	if r.phase == phaseStarting || r.phase == phaseUncertain {
+	if r.phase == phaseStarting || r.phase == phaseUncertain || r.lastReported.IsZero() {
 		s.detachRun(r)
 		r.worker = next
 		r.phase = phaseUncertain
--- a/core/work/incarnations_test.go
+++ b/core/work/incarnations_test.go
@@ -85,3 +85,35 @@
 		f.is.Equal(len(f.executeRound()), 1)
 	})
 }
+
+// TestRestartAfterAnswer guards against a second run of a task whose worker restarted under its ID: answers to orders don't
+// tell which incarnation gave them, so that the later one may have started the run.
+func TestRestartAfterAnswer(t *testing.T) {
+	start := func(t *testing.T) (*fixture, work.RunID) {
+		f := newFixture(t)
+		f.answerRenewal("a", work.Report{})
+		f.scheduler.AddJob(chainJob("j", 1), work.Progress{}, 11, false, f.now)
+		orders := f.executeRound()
+		f.is.Equal(len(orders), 1)
+		f.answerRenewal("b", work.Report{})
+		return f, orders[0].Run
+	}
+	restart := func(f *fixture) []work.Order {
+		f.scheduler.ReplaceIncarnation(incarnation("a"), laterIncarnation("a").Incarnation.StartMillis)
+		return f.scheduler.Schedule(f.now, f.now)
+	}
+	t.Run("run is stopped on the later incarnation before its task starts again", func(t *testing.T) {
+		f, _ := start(t)
+		orders := restart(f)
+		f.is.Equal(len(orders), 1)
+		f.is.Equal(orders[0].Kind, work.OrderStop)
+		f.is.Equal(orders[0].Incarnation, laterIncarnation("a").Incarnation)
+	})
+	t.Run("run that a report listed has ended", func(t *testing.T) {
+		f, run := start(t)
+		f.answerRenewal("a", work.Report{Active: []work.ActiveRun{{Run: run, SpeedPercent: 100}}})
+		orders := restart(f)
+		f.is.Equal(len(orders), 1)
+		f.is.Equal(orders[0].Kind, work.OrderStart)
+	})
+}
