Don't repeat a start once a report lists its run

Cause: the repeat of an unanswered start was sent even if a report had listed the run meanwhile. If the worker restarted in between, its later incarnation started the run that was presumed to have ended with the earlier one.

Evidence: "start is not repeated once a report lists the run" in TestRepeat fails before (1 order instead of 0) and passes now.

Conclusion: a confirmed start needs no repeat.

--- a/core/work/order.go
+++ b/core/work/order.go
@@ -202,7 +202,7 @@
 				continue
 			}
 			r.repeatStart = false
-			if r.task == nil || !w.listed || s.hasStaleSnapshot(now) {
+			if r.task == nil || r.confirmed || !w.listed || s.hasStaleSnapshot(now) {
 				s.markUncertain(r)
 				continue
 			}
--- a/core/work/takeover_test.go
+++ b/core/work/takeover_test.go
@@ -200,6 +200,15 @@
 		f.scheduler.HandleResult(o, work.OrderResult{Outcome: work.OutcomeNoRoom, WorkerClock: time.Second}, f.now)
 		f.is.Equal(f.scheduler.Schedule(f.now, f.now)[0].Kind, work.OrderStop)
 	})
+	t.Run("start is not repeated once a report lists the run", func(t *testing.T) {
+		f := newFixture(t)
+		f.answerRenewal("a", work.Report{})
+		f.scheduler.AddJob(chainJob("j", 1), work.Progress{}, 11, false, f.now)
+		first := f.scheduler.Schedule(f.now, f.now)[0]
+		f.scheduler.HandleResult(first, work.OrderResult{Outcome: work.OutcomeUnknown}, f.now)
+		f.answerRenewal("a", work.Report{Active: []work.ActiveRun{{Run: first.Run, SpeedPercent: 100}}})
+		f.is.Equal(len(f.scheduler.Schedule(f.now, f.now)), 0)
+	})
 	t.Run("unlisted incarnation gets no repeat", func(t *testing.T) {
 		f := newFixture(t)
 		f.answerRenewal("a", work.Report{})
