Count the lease that a later incarnation took from an earlier one's order

Cause: a later incarnation that carries out a start takes its lease from that order, up to the longest one that workers grant. The scheduler had granted it to the earlier incarnation only, so that the later one's leases counted as expired from its first answer on. One unanswered renewal then ended its long-running and its unneeded runs, and a long-running task started elsewhere while it was running.

Evidence: TestLeaseOfLaterIncarnation fails before ("not true: !restarts(t, time.Second)") and passes now.

Ruled out: a run of a cancelled job that goes on because of it. The next report lists the run again, which is then stopped.

Conclusion: an incarnation that has runs before its first answer may have the longest lease.

--- a/core/work/incarnations_test.go
+++ b/core/work/incarnations_test.go
@@ -4,6 +4,8 @@
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
+
 	"siskincross/core/work"
 )
 
@@ -117,3 +119,31 @@
 		f.is.Equal(orders[0].Kind, work.OrderStart)
 	})
 }
+
+// TestLeaseOfLaterIncarnation guards against a second run of a long-running task whose worker restarted under its ID and then
+// fell silent: the later incarnation started the run, with the lease that was granted to the one before.
+func TestLeaseOfLaterIncarnation(t *testing.T) {
+	// restarts reports whether the task is started elsewhere this long after the last answer.
+	restarts := func(t *testing.T, after time.Duration) bool {
+		f := newFixture(t)
+		f.answerRenewal("a", work.Report{})
+		f.scheduler.AddJob(newLongRunningJob("j", 1), work.Progress{}, 11, false, f.now)
+		first := f.scheduler.Schedule(f.now, f.now)[0]
+		f.scheduler.HandleResult(first, work.OrderResult{Outcome: work.OutcomeUnknown}, f.now)
+		f.scheduler.UpdateWorkers([]work.WorkerInfo{laterIncarnation("a"), workerInfo("b")}, f.now)
+		inc := laterIncarnation("a").Incarnation
+		renewal, ok := f.scheduler.PrepareRenewal(inc, 0, f.now)
+		f.is.True(ok)
+		f.scheduler.HandleReport(inc, renewal.Sequence, work.Report{WorkerClock: time.Second, Active: []work.ActiveRun{{Run: first.Run, SpeedPercent: 100}}}, f.now)
+		f.now = f.now.Add(after)
+		f.scheduler.HandleMissedRenewal(inc, f.now)
+		f.answerRenewal("b", work.Report{})
+		return len(f.executeRound()) == 1
+	}
+	t.Run("is waited for", func(t *testing.T) {
+		is := is.New(t)
+		is.True(!restarts(t, time.Second))
+		is.True(!restarts(t, 6*time.Second))
+		is.True(restarts(t, 6500*time.Millisecond))
+	})
+}
--- a/core/work/report.go
+++ b/core/work/report.go
@@ -175,8 +175,8 @@
 
 // recordAnswer records that the worker answered a call with the scheduler's epoch.
 func (s *Scheduler) recordAnswer(w *worker, clock time.Duration, now time.Time) {
-	if w.clock.receivedAt.IsZero() && s.mayHaveEarlierLease(w.Incarnation.Worker) {
-		// An earlier holder may have granted the longest lease just before.
+	if w.clock.receivedAt.IsZero() && (len(w.runs) > 0 || s.mayHaveEarlierLease(w.Incarnation.Worker)) {
+		// An order to an earlier incarnation, or an earlier holder, may have granted the longest lease just before.
 		w.clock.latestDeadline = max(w.clock.latestDeadline, clock+s.timing.MaxLease)
 	}
 	w.clock.record(clock, now)
