--- a/core/work/order.go
+++ b/core/work/order.go
@@ -206,7 +206,7 @@
 				continue
 			}
 			r.repeatStart = false
-			if r.task == nil || !w.listed || w.Draining || w.isOverfull() || s.hasStaleSnapshot(now) {
+			if r.task == nil || r.confirmed || !w.listed || w.Draining || w.isOverfull() || s.hasStaleSnapshot(now) {
 				s.markUncertain(r)
 				continue
 			}
@@ -312,18 +312,6 @@
 	}
 }
 
-// stopGang stops the runs of a gang of which a member can't be started, since they would wait for it in vain.
-func (s *Scheduler) stopGang(g *taskGroup) {
-	if !g.spec().Gang {
-		return
-	}
-	for _, t := range g.tasks {
-		for _, r := range t.runs {
-			s.requestStop(r)
-		}
-	}
-}
-
 // refusalBackoff delays the next attempt of a task after a refusal, to limit the load on a pool that refuses
 // starts.
 const refusalBackoff = 20 * time.Millisecond
@@ -363,7 +351,9 @@
 	if w == nil {
 		return
 	}
-	delete(s.unresolved, inc)
+	if !s.hasSuccessor(inc) {
+		delete(s.unresolved, inc)
+	}
 	s.recordCrash(w)
 	for _, r := range sortedRuns(w) {
 		s.presumeEnded(r, CauseLifeOver, time.Time{})
--- a/core/work/stop.go
+++ b/core/work/stop.go
@@ -51,3 +51,15 @@
 		s.jobsAwaitingDueTime--
 	}
 }
+
+// stopGang stops the runs of a gang of which a member can't be started, since they would wait for it in vain.
+func (s *Scheduler) stopGang(g *taskGroup) {
+	if !g.spec().Gang {
+		return
+	}
+	for _, t := range g.tasks {
+		for _, r := range t.runs {
+			s.requestStop(r)
+		}
+	}
+}
