Record entries of the directory that name no worker

What callers saw: nothing. An operator whose worker wrote a malformed entry, or who looks for the writer of an odd one, found no line about it: such entries were taken for removed ones.

A holder of a duty records worker-entry-rejected (843) for an entry when it is rejected for another reason than before, or after it was sound or removed, so that heartbeats leave no lines, and at most 20 lines and a count for one answer of the directory. Both ways of reading the directory return the same changes.

The stand-in directory of io/runner returns rows that can't be decoded as rejected; it dropped them before, which kept the earlier entry.

--- a/core/event/work.go
+++ b/core/event/work.go
@@ -45,6 +45,7 @@
 	QuotaCleared
 	GrantsFailed
 	InterferenceJudged
+	WorkerEntryRejected
 )
 
 var workEntries = []CatalogueEntry{
@@ -91,4 +92,5 @@
 	{QuotaCleared, "work", "No task of an organisation waits because of the organisation's limit any more."},
 	{GrantsFailed, "work", "A read or a write of what the pools may have running for organisations failed and is retried."},
 	{InterferenceJudged, "work", "Tasks of one kind were found to slow down those of another on the same worker, or no longer to do so; where there is room they are kept apart."},
+	{WorkerEntryRejected, "work", "An entry of the directory is malformed or has values out of range, and names no worker to use; it is recorded again only for another reason."},
 }
--- a/io/platform/executors.go
+++ b/io/platform/executors.go
@@ -33,8 +33,8 @@
 
 // WorkerDirectory is the registry of workers. Workers write their entries themselves.
 type WorkerDirectory struct {
-	// List returns all workers and the version to pass to AwaitChanges.
-	List func(ctx context.Context) ([]work.WorkerInfo, uint64, error)
+	// List returns the whole directory, as changes of an empty one. Their version is to be passed to AwaitChanges.
+	List func(ctx context.Context) (DirectoryChanges, error)
 	// AwaitChanges returns the changes after a version, waiting for them if there are none yet. It returns ErrHistoryTruncated if
 	// some of them are no longer available.
 	AwaitChanges func(ctx context.Context, after uint64, wait time.Duration) (DirectoryChanges, error)
@@ -43,11 +43,16 @@
 // DirectoryChanges are the changes of the directory up to Version.
 type DirectoryChanges struct {
 	Updated []work.WorkerInfo
-	// Removed holds the IDs of the workers whose entries were deleted or are malformed.
+	// Removed holds the IDs of the workers whose entries were deleted.
 	Removed []string
-	Version uint64
+	// Rejected holds the entries that name no worker to use. An earlier entry of the same ID no longer counts.
+	Rejected []RejectedEntry
+	Version  uint64
 }
 
+// RejectedEntry is an entry of the directory that is malformed or has values out of range.
+type RejectedEntry struct{ ID, Reason string }
+
 // CloudAPI is the platform's interface to the hosts that the workers run on.
 type CloudAPI struct {
 	// ListHosts returns all hosts.
--- a/io/runner/directory.go
+++ b/io/runner/directory.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"fmt"
+	"slices"
 	"sync"
 	"time"
 
+	"siskincross/core/event"
 	"siskincross/core/work"
 	"siskincross/io/platform"
 )
@@ -31,8 +34,10 @@
 	// retainedUntil holds the workers whose entries disappeared during or shortly after an outage of the directory,
 	// and when each is dropped.
 	retainedUntil map[string]time.Time
-	lastAnswer    time.Time
-	recoveredAt   time.Time
+	// rejected holds the reasons of the entries that name no worker to use, by ID.
+	rejected    map[string]string
+	lastAnswer  time.Time
+	recoveredAt time.Time
 	// asOfTime is when the request for the newest answer was sent. Changes made later may be missing.
 	asOfTime time.Time
 	// loaded is true once the whole directory has been read.
@@ -97,18 +102,18 @@
 func (m *Manager) pollDirectory(ctx context.Context, version uint64, loaded bool) (uint64, error) {
 	sentAt := time.Now()
 	if !loaded {
-		workers, next, err := m.Directory.List(ctx)
+		listing, err := m.Directory.List(ctx)
 		if err == nil {
-			m.workers.replace(workers, time.Now())
+			m.recordRejected(m.workers.replace(listing, time.Now()))
 			m.workers.setSnapshotTime(sentAt)
 		}
-		return next, err
+		return listing.Version, err
 	}
 	changes, err := m.Directory.AwaitChanges(ctx, version, directoryPollWait)
 	if err != nil {
 		return version, err
 	}
-	m.workers.apply(changes, time.Now())
+	m.recordRejected(m.workers.apply(changes, time.Now()))
 	m.workers.setSnapshotTime(sentAt)
 	return max(version, changes.Version), nil
 }
@@ -142,14 +147,14 @@
 	d.lastAnswer = now
 }
 
-// replace replaces all entries by those of a full read.
-func (d *directoryCache) replace(workers []work.WorkerInfo, now time.Time) {
+// replace replaces all entries by those of a full read. It returns the entries that are rejected for a new reason.
+func (d *directoryCache) replace(listing platform.DirectoryChanges, now time.Time) []platform.RejectedEntry {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.recordAnswer(now)
 	previous := d.workers
-	d.workers = make(map[string]work.WorkerInfo, len(workers))
-	for _, w := range workers {
+	d.workers = make(map[string]work.WorkerInfo, len(listing.Updated))
+	for _, w := range listing.Updated {
 		d.workers[w.Incarnation.Worker] = w
 		delete(d.retainedUntil, w.Incarnation.Worker)
 	}
@@ -160,10 +165,28 @@
 	}
 	d.loaded = true
 	d.notify()
+	reasons := d.rejected
+	d.rejected = nil
+	return d.reject(listing.Rejected, reasons)
 }
 
-// apply applies a set of changes.
-func (d *directoryCache) apply(changes platform.DirectoryChanges, now time.Time) {
+// reject records rejected entries, and returns those that are rejected for another reason than before.
+func (d *directoryCache) reject(entries []platform.RejectedEntry, before map[string]string) []platform.RejectedEntry {
+	var changed []platform.RejectedEntry
+	for _, e := range entries {
+		if before[e.ID] != e.Reason {
+			changed = append(changed, e)
+		}
+		if d.rejected == nil {
+			d.rejected = make(map[string]string)
+		}
+		d.rejected[e.ID] = e.Reason
+	}
+	return changed
+}
+
+// apply applies a set of changes. It returns the entries that are rejected for a new reason.
+func (d *directoryCache) apply(changes platform.DirectoryChanges, now time.Time) []platform.RejectedEntry {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.recordAnswer(now)
@@ -173,8 +196,16 @@
 		changed = changed || !known || !previous.Equal(w)
 		d.workers[w.Incarnation.Worker] = w
 		delete(d.retainedUntil, w.Incarnation.Worker)
+		delete(d.rejected, w.Incarnation.Worker)
+	}
+	removed := slices.Clone(changes.Removed)
+	for _, id := range removed {
+		delete(d.rejected, id)
+	}
+	for _, e := range changes.Rejected {
+		removed = append(removed, e.ID)
 	}
-	for _, id := range changes.Removed {
+	for _, id := range removed {
 		if w, ok := d.workers[id]; ok {
 			delete(d.workers, id)
 			d.removeOrRetain(id, w, now)
@@ -191,6 +222,21 @@
 	if changed {
 		d.notify()
 	}
+	return d.reject(changes.Rejected, d.rejected)
+}
+
+// maxLoggedEntries bounds the lines about the rejected entries of one answer of the directory.
+const maxLoggedEntries = 20
+
+// recordRejected records the entries that are rejected for a new reason.
+func (m *Manager) recordRejected(entries []platform.RejectedEntry) {
+	for i, e := range entries {
+		if i == maxLoggedEntries {
+			m.record(event.Event{Number: event.WorkerEntryRejected, Detail: fmt.Sprintf("%d more entries", len(entries)-i)})
+			return
+		}
+		m.record(event.Event{Number: event.WorkerEntryRejected, Host: e.ID, Detail: e.Reason})
+	}
 }
 
 // removeOrRetain drops an entry that is no longer in the directory. It keeps the entry for a while if it may have
--- a/io/runner/directory_test.go
+++ b/io/runner/directory_test.go
@@ -6,8 +6,10 @@
 
 	"github.com/matryer/is"
 
+	"siskincross/core/event"
 	"siskincross/core/work"
 	"siskincross/io/platform"
+	"siskincross/io/timeline"
 )
 
 // TestDirectoryWatch guards against a round of scheduling for every heartbeat of a worker.
@@ -34,6 +36,17 @@
 	is.True(take(d, listing(true)))
 }
 
+// TestManyRejectedEntries guards against a line for each of many entries that are rejected at once.
+func TestManyRejectedEntries(t *testing.T) {
+	lines := 0
+	m := &Manager{Recorder: &timeline.Recorder{Sink: func(event.Event) { lines++ }}}
+	entries := make([]platform.RejectedEntry, 10*maxLoggedEntries)
+	m.recordRejected(entries[:maxLoggedEntries])
+	is.New(t).Equal(lines, maxLoggedEntries)
+	m.recordRejected(entries)
+	is.New(t).Equal(lines, 2*maxLoggedEntries+1)
+}
+
 func TestRoundGap(t *testing.T) {
 	is := is.New(t)
 	is.Equal(roundPause(0), minRoundPause)
--- a/io/runner/fake_test.go
+++ b/io/runner/fake_test.go
@@ -177,20 +177,13 @@
 	h.manager = &runner.Manager{
 		Rows: rows, Executors: executors,
 		Directory: platform.WorkerDirectory{
-			List: func(ctx context.Context) ([]work.WorkerInfo, uint64, error) {
+			List: func(ctx context.Context) (platform.DirectoryChanges, error) {
 				found, version, err := rows.ReadAll(ctx, platform.RangeQuery{Table: "workers"})
-				return decodeListings(found), version, err
+				return decodeListings(platform.Changes{Rows: found, Version: version}), err
 			},
 			AwaitChanges: func(ctx context.Context, after uint64, wait time.Duration) (platform.DirectoryChanges, error) {
 				changes, err := rows.AwaitChanges(ctx, "workers", after, wait)
-				result := platform.DirectoryChanges{Version: changes.Version}
-				for _, row := range changes.Rows {
-					if row.Deleted {
-						result.Removed = append(result.Removed, row.Key)
-					}
-				}
-				result.Updated = decodeListings(changes.Rows)
-				return result, err
+				return decodeListings(changes), err
 			},
 		},
 		Operators: platform.OperatorRows{
@@ -242,15 +235,21 @@
 	s.is.NoErr(<-h.done)
 }
 
-func decodeListings(rows []platform.VersionedRow) []work.WorkerInfo {
-	var list []work.WorkerInfo
-	for _, row := range rows {
+// decodeListings returns the changes of the directory that changes of its table describe.
+func decodeListings(changes platform.Changes) platform.DirectoryChanges {
+	result := platform.DirectoryChanges{Version: changes.Version}
+	for _, row := range changes.Rows {
 		var l work.WorkerInfo
-		if !row.Deleted && json.Unmarshal(row.Value, &l) == nil {
-			list = append(list, l)
+		switch {
+		case row.Deleted:
+			result.Removed = append(result.Removed, row.Key)
+		case json.Unmarshal(row.Value, &l) != nil:
+			result.Rejected = append(result.Rejected, platform.RejectedEntry{ID: row.Key, Reason: string(row.Value)})
+		default:
+			result.Updated = append(result.Updated, l)
 		}
 	}
-	return list
+	return result
 }
 
 // job returns a job of one step.
