Record once that another process answers at a worker's address

What callers saw: nothing. An entry with the address of another worker, or with a later start than that of the worker at its address, left a line for each renewal: one each 150 ms for the former, one each 25 ms for the latter, with as many calls, for as long as the entry is there.

Cause: each answer from another incarnation was recorded as the loss of the worker. One from an earlier incarnation changed nothing and did not count as a missing answer either, so the renewal was repeated after the shortest pause.

The loss is recorded for the first such answer in a row, and an answer of an earlier incarnation counts as a missing one. TestEntryOfOtherWorkersAddress failed before in both cases; the stand-in workers of io/runner refuse calls that are meant for another incarnation now, as workers do.

--- a/io/runner/fake_worker_test.go
+++ b/io/runner/fake_worker_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"siskincross/core/work"
@@ -27,6 +28,8 @@
 	// firstStarts holds when each task was first started, and done how often each was completed.
 	firstStarts map[work.TaskID]time.Time
 	completions map[work.TaskID]int
+	// renewals counts the renewals sent to the worker's address.
+	renewals atomic.Int64
 }
 
 // taskTime is how long a task runs.
@@ -59,10 +62,17 @@
 
 // renewLeases answers a renewal as a worker does, as soon as a run has ended or after the renewal's maximum wait.
 func (s *fakeSite) renewLeases(ctx context.Context, r work.Renewal) (work.Report, error) {
-	w := s.workers[r.Incarnation.Worker]
+	w := s.workers[r.Address]
+	w.renewals.Add(1)
 	if err := w.travel(ctx, answerTime); err != nil {
 		return work.Report{}, err
 	}
+	switch actual := w.listing.Incarnation; {
+	case actual.Worker != r.Incarnation.Worker:
+		return work.Report{}, platform.ErrWrongIncarnation{Worker: r.Incarnation.Worker}
+	case actual != r.Incarnation:
+		return work.Report{}, platform.ErrWrongIncarnation{Worker: r.Incarnation.Worker, Actual: actual.StartMillis}
+	}
 	for end := time.Now().Add(r.MaxWait); time.Now().Before(end); {
 		w.mu.Lock()
 		w.settleRuns()
--- a/io/runner/renewals.go
+++ b/io/runner/renewals.go
@@ -126,18 +126,30 @@
 		h.end(err.Error())
 		return false
 	case errors.As(err, &mismatch):
-		h.manager.record(event.Event{Number: event.WorkerLost, Pool: h.pool, Host: incarnation.Worker, Detail: err.Error()})
-		if mismatch.Actual != 0 {
-			h.scheduler.ReplaceIncarnation(incarnation, mismatch.Actual)
-		} else {
-			h.scheduler.EndIncarnation(incarnation)
-		}
+		h.applyMismatch(incarnation, mismatch)
 	default:
 		h.scheduler.HandleMissedRenewal(incarnation, time.Now())
 	}
 	return true
 }
 
+// applyMismatch handles the answer of another process at the address of an incarnation. It records only the first one in a row, since the
+// entry of the incarnation may stay listed. An earlier incarnation does not prove that this one has ended. The caller holds the lock.
+func (h *poolHolder) applyMismatch(incarnation work.Incarnation, mismatch platform.ErrWrongIncarnation) {
+	if mismatch.Actual != 0 && mismatch.Actual <= incarnation.StartMillis {
+		h.scheduler.HandleMissedRenewal(incarnation, time.Now())
+		return
+	}
+	if h.scheduler.ConsecutiveMisses(incarnation) == 0 {
+		h.manager.record(event.Event{Number: event.WorkerLost, Pool: h.pool, Host: incarnation.Worker, Detail: mismatch.Error()})
+	}
+	if mismatch.Actual != 0 {
+		h.scheduler.ReplaceIncarnation(incarnation, mismatch.Actual)
+	} else {
+		h.scheduler.EndIncarnation(incarnation)
+	}
+}
+
 // executeOrder sends one order and passes its result to the scheduler.
 func (h *poolHolder) executeOrder(order work.Order) {
 	result := h.manager.sendOrder(h.ctx, order)
