--- a/core/event/work.go
+++ b/core/event/work.go
@@ -45,6 +45,8 @@
 	QuotaCleared
 	GrantsFailed
 	InterferenceJudged
+	WorkRunLingers
+	WorkerCrashed
 	WorkerEntryRejected
 )
 
@@ -92,5 +94,7 @@
 	{QuotaCleared, "work", "No task of an organisation waits because of the organisation's limit any more."},
 	{GrantsFailed, "work", "A read or a write of what the pools may have running for organisations failed and is retried."},
 	{InterferenceJudged, "work", "Tasks of one kind were found to slow down those of another on the same worker, or no longer to do so; where there is room they are kept apart."},
+	{WorkRunLingers, "work", "A worker still runs an attempt that no task needs, a second or longer after that was known; the line says whether it is being stopped."},
+	{WorkerCrashed, "work", "A worker ended while it ran an attempt whose task may be the cause; the line says how often that has happened to the task, and whether its job is given up."},
 	{WorkerEntryRejected, "work", "An entry of the directory is malformed or has values out of range, and names no worker to use; it is recorded again only for another reason."},
 }
--- a/core/work/incarnations.go
+++ b/core/work/incarnations.go
@@ -46,10 +46,12 @@
 		if earlier.Incarnation.Worker != info.Incarnation.Worker {
 			continue
 		}
+		if earlier.Incarnation.StartMillis >= info.Incarnation.StartMillis {
+			continue
+		}
+		s.recordCrash(earlier)
 		for _, r := range sortedRuns(earlier) {
-			if earlier.Incarnation.StartMillis < info.Incarnation.StartMillis {
-				s.endOrTransferRun(r, w)
-			}
+			s.endOrTransferRun(r, w)
 		}
 	}
 	s.sortedWorkers = append(s.sortedWorkers, w)
@@ -82,7 +84,7 @@
 		r.confirmed = false
 		r.stopInFlight = false
 		next.attachRun(r)
-		s.runsToStop[r] = true
+		s.requestStopUnlessReported(r)
 		return
 	}
 	s.presumeEnded(r, CauseLifeOver, time.Time{})
@@ -92,6 +94,9 @@
 func (w *worker) attachRun(r *run) {
 	w.runs[r.id] = r
 	w.reserved = w.reserved.Add(r.demand)
+	if r.demandUnknown {
+		w.unknownDemands++
+	}
 	w.countKind(r.kind, 1)
 }
 
@@ -99,6 +104,9 @@
 func (s *Scheduler) detachRun(r *run) {
 	delete(r.worker.runs, r.id)
 	r.worker.reserved = r.worker.reserved.Sub(r.demand)
+	if r.demandUnknown {
+		r.worker.unknownDemands--
+	}
 	r.worker.countKind(r.kind, -1)
 }
 
@@ -108,6 +116,7 @@
 	s.releaseQuota(r)
 	delete(s.runsToStop, r)
 	if r.task != nil {
+		r.worker.endTrial(r.task)
 		if r.checkpoint != "" {
 			r.task.checkpoint = r.checkpoint
 		}
--- a/core/work/order.go
+++ b/core/work/order.go
@@ -93,7 +93,7 @@
 // then starts. Wall is the time of day, which activates scheduled occurrences.
 func (s *Scheduler) Schedule(now, wall time.Time) []Order {
 	s.initialise()
-	s.Quota.SetUnresolved(s.unresolvedCapacity(now))
+	s.Quota.SetUnresolved(s.hasUnchargedRuns(now))
 	s.endExpiredRuns(now)
 	s.activateDueOccurrences(wall)
 	for _, g := range s.groups {
@@ -129,6 +129,9 @@
 		if len(w.runs) == 0 || w.consecutiveMisses == 0 || !w.clock.allLeasesExpired(now) {
 			continue
 		}
+		if !w.listed {
+			s.recordCrash(w)
+		}
 		for _, r := range sortedRuns(w) {
 			if w.listed && r.task != nil && !r.task.group.spec().LongRunning {
 				continue
@@ -189,7 +192,8 @@
 
 // repeatedStartOrders returns the unanswered start orders that are sent again. Nothing is repeated to an
 // incarnation that is no longer listed: a later incarnation of the worker may not have seen the epoch of the
-// next holder, and would carry out a start that conflicts with that holder's decisions.
+// next holder, and would carry out a start that conflicts with that holder's decisions. Nor is anything repeated to a
+// worker that is about to leave, or whose capacity has shrunk below what its runs take.
 func (s *Scheduler) repeatedStartOrders(now time.Time) []Order {
 	if s.startsToRepeat == 0 {
 		return nil
@@ -202,7 +206,7 @@
 				continue
 			}
 			r.repeatStart = false
-			if r.task == nil || !w.listed || s.hasStaleSnapshot(now) {
+			if r.task == nil || !w.listed || w.Draining || w.isOverfull() || s.hasStaleSnapshot(now) {
 				s.markUncertain(r)
 				continue
 			}
@@ -251,7 +255,7 @@
 func (s *Scheduler) applyResultToWorker(w *worker, res OrderResult, now time.Time) {
 	switch res.Outcome {
 	case OutcomeUnknown, OutcomeNotSent:
-		w.recordMiss(now)
+		s.recordMiss(w, now)
 	case OutcomeGone:
 		s.EndIncarnation(w.Incarnation)
 	case OutcomeReborn:
@@ -315,7 +319,7 @@
 	}
 	for _, t := range g.tasks {
 		for _, r := range t.runs {
-			s.runsToStop[r] = true
+			s.requestStop(r)
 		}
 	}
 }
@@ -331,7 +335,7 @@
 		return
 	}
 	r.phase = phaseUncertain
-	s.runsToStop[r] = true
+	s.requestStopUnlessReported(r)
 }
 
 // handleStopResult processes the result of a stop order.
@@ -349,7 +353,7 @@
 // HandleMissedRenewal records that a renewal got no answer.
 func (s *Scheduler) HandleMissedRenewal(inc Incarnation, now time.Time) {
 	if w := s.workers[inc]; w != nil {
-		w.recordMiss(now)
+		s.recordMiss(w, now)
 	}
 }
 
@@ -360,6 +364,7 @@
 		return
 	}
 	delete(s.unresolved, inc)
+	s.recordCrash(w)
 	for _, r := range sortedRuns(w) {
 		s.presumeEnded(r, CauseLifeOver, time.Time{})
 	}
--- a/core/work/report.go
+++ b/core/work/report.go
@@ -111,6 +111,9 @@
 	if len(w.runs) > 0 && now.Sub(w.lastMissAt) < observationAfterMiss {
 		wait = min(wait, observationInterval)
 	}
+	if s.trialsWait || w.inTrial(now) {
+		wait = min(wait, trialPollInterval)
+	}
 	if s.adjustsPace {
 		if _, serves := w.maxLatencyRatio(); serves && w.bestEffortCount() > 0 {
 			wait = min(wait, latencyPollInterval)
@@ -182,6 +185,8 @@
 	w.clock.record(clock, now)
 	w.answered = true
 	w.consecutiveMisses = 0
+	w.silentSince = time.Time{}
+	delete(s.silences, w.Incarnation)
 }
 
 // endAbsentRuns ends the runs that the worker had confirmed before the renewal was sent and that its report
@@ -200,10 +205,7 @@
 	if r == nil {
 		r = s.adoptRun(w, a.Run, now)
 	}
-	if r.phase == phaseStarting || (r.phase == phaseUncertain && r.task != nil) {
-		r.phase = phaseRunning
-		delete(s.runsToStop, r)
-	}
+	s.confirmListed(r)
 	if r.phase == phaseRunning && !r.confirmed {
 		r.confirmed = true
 		r.confirmedSequence = s.sequence
@@ -214,13 +216,19 @@
 	if a.Checkpoint != "" {
 		r.checkpoint = a.Checkpoint
 	}
+	s.observeTrial(r, now)
+	s.noteLingering(r, now)
 }
 
 // adoptRun records a run that this scheduler did not start. It is stopped if its task does not need it.
 func (s *Scheduler) adoptRun(w *worker, id RunID, now time.Time) *run {
 	r := &run{id: id, worker: w, phase: phaseRunning, startedAt: now, adopted: true}
+	if j := s.jobs[id.Task.Job]; j != nil && id.Task.Step < len(j.Steps) {
+		r.demand = j.Steps[id.Task.Step].reservedResources()
+	} else {
+		r.demandUnknown = true
+	}
 	if t := s.findTask(id.Task); t != nil && !t.done {
-		r.demand = t.group.spec().reservedResources()
 		r.kind = t.group.kind
 		t.attempt = max(t.attempt, id.Attempt)
 		if len(t.runs) == 0 || t.group.spec().Speculative {
@@ -230,33 +238,13 @@
 		}
 	}
 	if r.task == nil {
-		s.runsToStop[r] = true
+		s.requestStop(r)
 	}
 	s.adoptQuota(r)
 	w.attachRun(r)
 	return r
 }
 
-// findTask returns the task if its job is known and its step is not done. The step is activated if it is not
-// active yet: a worker that reports a run of the step proves that an earlier holder saw the ends of its
-// dependencies.
-func (s *Scheduler) findTask(id TaskID) *task {
-	j := s.jobs[id.Job]
-	if j == nil || j.isFinal() || id.Step >= len(j.Steps) || id.Occurrence >= j.OccurrenceCount() {
-		return nil
-	}
-	key := stepKey{id.Occurrence, id.Step}
-	if !j.activated[key] {
-		s.activateStep(j, key)
-	}
-	for _, g := range j.groups {
-		if g.occurrence == id.Occurrence && g.step == id.Step && id.Index < len(g.tasks) {
-			return g.tasks[id.Index]
-		}
-	}
-	return nil
-}
-
 // recordEnd processes one end. It records which change of the job must be stored before the end is acknowledged.
 func (s *Scheduler) recordEnd(w *worker, e RunEnd, now time.Time) {
 	r := w.runs[e.Run]
@@ -330,7 +318,7 @@
 	t.done = true
 	for _, r := range t.runs {
 		r.task = nil
-		s.runsToStop[r] = true
+		s.requestStop(r)
 	}
 	t.runs = nil
 	g.remainingTasks--
--- a/core/work/run.go
+++ b/core/work/run.go
@@ -29,6 +29,8 @@
 	task   *task
 	worker *worker
 	demand Resources
+	// demandUnknown is true for an adopted run of a job that is not known. Its demand is zero.
+	demandUnknown bool
 	// usage is what the run counts towards the limit of its organisation.
 	usage quotaUsage
 	phase phase
@@ -58,6 +60,9 @@
 	startedAt  time.Time
 	// lastReported is the time of the worker's last report that listed the run.
 	lastReported time.Time
+	// unneededSince is the time of the first report that listed the run although no task needed it, and
+	// lingerNotedAt that of the last call of OnLingeringRun for it. They are zero before the first such report.
+	unneededSince, lingerNotedAt time.Time
 	// kind names what runs, if it is known.
 	kind interference.Kind
 	// fromStart is true if the run began without a checkpoint.
@@ -75,6 +80,8 @@
 	confirmedPercent int
 	confirmedAt      time.Time
 	confirmed        bool
+	// slowedAt is the time of the last order to run below full pace that got no answer. It may still be carried out.
+	slowedAt time.Time
 	// inFlight is true while a pace order has no answer yet. After a failed order the next one is not sent
 	// before retryAt.
 	inFlight bool
@@ -94,6 +101,11 @@
 	// notBefore is the earliest time of the next attempt, set after a refusal.
 	notBefore time.Time
 	failures  int
+	// crashes is what is known of the ends of workers under the task. crashChange is the job's change with the last
+	// of them, and crashedAddresses holds the addresses of those workers.
+	crashes          crashRecord
+	crashChange      uint64
+	crashedAddresses map[string]bool
 	// moves counts the runs of a best-effort task that were stopped because they stood still.
 	moves int
 	// failuresByWorker counts the failed attempts that were reported to this holder, by worker.
--- /dev/null
+++ b/core/work/stop.go
@@ -0,0 +1,53 @@
+package work
+
+import "slices"
+
+// stopCause is why a run is to be stopped.
+type stopCause int
+
+const (
+	// stopUnneeded means that the run must end, whatever its worker reports.
+	stopUnneeded stopCause = iota + 1
+	// stopUnanswered means that the run's start order got no answer. A report that lists the run withdraws the stop.
+	stopUnanswered
+)
+
+// requestStop has a run stopped that must end.
+func (s *Scheduler) requestStop(r *run) { s.runsToStop[r] = stopUnneeded }
+
+// requestStopUnlessReported has a run stopped whose start order got no answer, unless a report lists it first. A stop
+// of a run that must end stays due.
+func (s *Scheduler) requestStopUnlessReported(r *run) {
+	if s.runsToStop[r] == 0 {
+		s.runsToStop[r] = stopUnanswered
+	}
+}
+
+// confirmListed records that a report lists a run whose start order has no answer yet.
+func (s *Scheduler) confirmListed(r *run) {
+	if s.runsToStop[r] == stopUnanswered {
+		delete(s.runsToStop, r)
+	}
+	if r.phase == phaseStarting || (r.phase == phaseUncertain && s.runsToStop[r] == 0) {
+		r.phase = phaseRunning
+	}
+}
+
+// stopAllRuns detaches all runs of a job from their tasks and marks them to be stopped.
+func (s *Scheduler) stopAllRuns(j *job) {
+	for _, g := range j.groups {
+		for _, t := range g.tasks {
+			for _, r := range t.runs {
+				r.task = nil
+				s.requestStop(r)
+			}
+			t.runs = nil
+		}
+	}
+	j.groups = nil
+	s.groups = slices.DeleteFunc(s.groups, func(g *taskGroup) bool { return g.job == j })
+	if j.awaitsDueTime {
+		j.awaitsDueTime = false
+		s.jobsAwaitingDueTime--
+	}
+}
--- a/core/work/takeover_test.go
+++ b/core/work/takeover_test.go
@@ -20,6 +20,8 @@
 	// runningByWorker holds the started runs, and endsByWorker the ends that a worker lists.
 	runningByWorker map[string][]startedRun
 	endsByWorker    map[string][]work.RunEnd
+	// unanswered holds the start orders of the first round that have no answer yet.
+	unanswered []work.Order
 }
 
 type startedRun struct {
@@ -200,6 +202,18 @@
 		f.scheduler.HandleResult(o, work.OrderResult{Outcome: work.OutcomeNoRoom, WorkerClock: time.Second}, f.now)
 		f.is.Equal(f.scheduler.Schedule(f.now, f.now)[0].Kind, work.OrderStop)
 	})
+	// The worker announced that it leaves after the first order, and the repeat came after the time for new tasks.
+	t.Run("draining worker gets no repeat", func(t *testing.T) {
+		f := newFixture(t)
+		f.answerRenewal("a", work.Report{})
+		f.scheduler.AddJob(chainJob("j", 1), work.Progress{}, 11, false, f.now)
+		first := f.scheduler.Schedule(f.now, f.now)[0]
+		f.scheduler.HandleResult(first, work.OrderResult{Outcome: work.OutcomeUnknown}, f.now)
+		leaving := workerInfo("a")
+		leaving.Draining = true
+		f.scheduler.UpdateWorkers([]work.WorkerInfo{leaving, workerInfo("b")}, f.now)
+		f.assertNoStart(f.scheduler.Schedule(f.now, f.now))
+	})
 	t.Run("unlisted incarnation gets no repeat", func(t *testing.T) {
 		f := newFixture(t)
 		f.answerRenewal("a", work.Report{})
--- a/core/work/worker.go
+++ b/core/work/worker.go
@@ -23,7 +23,8 @@
 	Zone        string
 	Rack        string
 	Labels      []string
-	// Capacity is the amount of resources that the worker offers to tasks.
+	// Capacity is the amount of resources that the worker offers to tasks. It may shrink and grow while the worker
+	// runs tasks.
 	Capacity Resources
 	// Draining is true if the worker is about to leave. It gets no new tasks.
 	Draining bool
@@ -104,18 +105,27 @@
 	renewedAt   time.Time
 	renewalWait time.Duration
 	runs        map[RunID]*run
-	// reserved is the part of Capacity that runs take, including runs that are being stopped.
+	// reserved is what runs take, including runs that are being stopped. It exceeds Capacity if that has shrunk.
 	reserved Resources
+	// unknownDemands counts the runs whose demand is not known, which reserved lacks.
+	unknownDemands int
 	// lastEnd is the number of the last end that was recorded; acknowledged is the number of the last end that
 	// the worker may forget.
 	lastEnd, acknowledged uint64
 	pendingEnds           []pendingEnd
+	// crashRecorded is true once the end of the worker was recorded for the tasks that it ran.
+	crashRecorded bool
+	// trial is a task under which workers crashed: until trialUntil the worker gets no other tasks. It is nil if there
+	// is none.
+	trial      *task
+	trialUntil time.Time
 	// startsInFlight counts the start orders that have no answer yet.
 	startsInFlight int
 	// consecutiveMisses counts the calls without an answer since the last answered call.
 	consecutiveMisses int
-	// lastMissAt is the time at which the last unanswered call was abandoned.
-	lastMissAt time.Time
+	// lastMissAt is the time at which the last unanswered call was abandoned, and silentSince the first of them since
+	// the last answered call; zero if there is none.
+	lastMissAt, silentSince time.Time
 	// unavailableUntil is the time before which the worker gets no new tasks, after a refusal or failures.
 	unavailableUntil time.Time
 	// consecutiveFailures counts failed runs of different jobs since the last successful run.
@@ -150,7 +160,7 @@
 // acceptsTasks reports whether the worker may get new tasks.
 func (w *worker) acceptsTasks(now time.Time) bool {
 	return w.listed && w.answered && !w.Draining && !w.withdrawn && w.consecutiveMisses == 0 && !now.Before(w.unavailableUntil) &&
-		now.Sub(w.clock.readAt) < maxAnswerAge
+		w.unknownDemands == 0 && now.Sub(w.clock.readAt) < maxAnswerAge
 }
 
 // answerDelayMargin is the time beyond the allowed wait within which an answer still counts as read promptly.
@@ -167,12 +177,19 @@
 
 // recordMiss records a call without an answer.
 func (w *worker) recordMiss(now time.Time) {
+	if w.silentSince.IsZero() {
+		w.silentSince = now
+	}
 	w.consecutiveMisses++
 	w.lastMissAt = now
 }
 
+// freeResources returns what the runs leave of the capacity. It is negative while the worker is overfull.
 func (w *worker) freeResources() Resources { return w.Capacity.Sub(w.reserved) }
 
+// isOverfull reports whether the runs take more than the capacity, which may have shrunk since their starts.
+func (w *worker) isOverfull() bool { return !w.Capacity.Covers(w.reserved) }
+
 func (w *worker) hasLabel(label string) bool {
 	return label == "" || slices.Contains(w.Labels, label)
 }
--- a/io/runner/fake_store_test.go
+++ b/io/runner/fake_store_test.go
@@ -17,7 +17,9 @@
 	version uint64
 	rows    map[platform.RowKey]platform.VersionedRow
 	history []platform.VersionedRow
-	changed chan struct{}
+	// droppedHistory is the version up to which the store no longer has the history.
+	droppedHistory uint64
+	changed        chan struct{}
 	// silentTo names the entry hosts whose calls get no answer. "*" stands for all of them.
 	silentTo map[string]bool
 	// loseAnswerEvery loses the answer of every n-th commit that accepts jobs, after the commit took effect. Zero loses
@@ -34,6 +36,8 @@
 	bandwidth int
 	// losePageEvery loses the answer of every n-th page that a takeover reads. Zero loses none.
 	losePageEvery, takeoverPages int
+	// silentPartition is the partition about which nobody gets answers to reads; empty for none.
+	silentPartition string
 	// withheld holds, by entry host, the table for which the entry host gets no answers.
 	withheld map[string]string
 	// delayCommit, if set, selects the commits that get no answer and are carried out only after commitDelay, if their
@@ -132,6 +136,21 @@
 	return s.withheld[entryHost] == table
 }
 
+// silencePartition makes the store answer no more reads of a partition.
+func (s *fakeStore) silencePartition(partition string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.silentPartition = partition
+}
+
+// losesPage reports whether a read of an entry host gets no answer.
+func (s *fakeStore) losesPage(entryHost string, q platform.RangeQuery) bool {
+	s.mu.Lock()
+	silent := q.Partition != "" && s.silentPartition == q.Partition
+	s.mu.Unlock()
+	return silent || s.dropsPage(q) || s.isWithheld(entryHost, q.Table)
+}
+
 // setTransactionTime sets how long each transaction of a partition takes.
 func (s *fakeStore) setTransactionTime(transactionTime time.Duration) {
 	s.mu.Lock()
@@ -175,7 +194,7 @@
 			if err := s.simulateCall(ctx, entryHost); err != nil {
 				return platform.Page{}, err
 			}
-			if s.dropsPage(q) || s.isWithheld(entryHost, q.Table) {
+			if s.losesPage(entryHost, q) {
 				<-ctx.Done()
 				return platform.Page{}, platform.ErrOutcomeUnknown{Service: "store", Reason: ctx.Err().Error()}
 			}
@@ -301,6 +320,10 @@
 	over := time.After(wait)
 	for {
 		s.mu.Lock()
+		if after < s.droppedHistory {
+			s.mu.Unlock()
+			return platform.Changes{}, platform.ErrHistoryTruncated{Table: table}
+		}
 		result := platform.Changes{Version: s.version}
 		for _, row := range s.history[s.historyIndex(after):] {
 			if row.Table == table {
@@ -322,6 +345,13 @@
 	}
 }
 
+// dropHistory makes the store forget the changes that it has carried out.
+func (s *fakeStore) dropHistory() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.droppedHistory = s.version
+}
+
 // historyIndex returns the index of the first change after a version. The caller holds the lock.
 func (s *fakeStore) historyIndex(version uint64) int {
 	return sort.Search(len(s.history), func(i int) bool { return s.history[i].Version > version })
--- a/io/runner/renewals.go
+++ b/io/runner/renewals.go
@@ -172,8 +172,26 @@
 	}
 	h.manager.record(event.Event{
 		Number: event.WorkGivenUp, Pool: h.pool, Host: end.Incarnation.Worker, Job: string(end.Run.Task.Job),
-		Detail: fmt.Sprintf("%s: %s, restart %t, last answer %s ago, worker clock at least %s, last lease until %s, %d renewals unanswered",
-			end.Run, end.Cause, end.WillRestart, end.SinceLastAnswer.Round(time.Millisecond), end.MinWorkerClock.Round(time.Millisecond), end.LeaseDeadline.Round(time.Millisecond), end.ConsecutiveMisses),
+		Detail: fmt.Sprintf("%s: %s, restart %t, aged %s to %s when the worker fell silent, last answer %s ago, worker clock at least %s, last lease until %s, %d renewals unanswered",
+			end.Run, end.Cause, end.WillRestart, end.MinAge.Round(time.Millisecond), end.MaxAge.Round(time.Millisecond), end.SinceLastAnswer.Round(time.Millisecond), end.MinWorkerClock.Round(time.Millisecond), end.LeaseDeadline.Round(time.Millisecond), end.ConsecutiveMisses),
+	})
+}
+
+// recordLingeringRun records that a worker still runs what no task needs.
+func (h *poolHolder) recordLingeringRun(r work.LingeringRun) {
+	h.manager.record(event.Event{
+		Number: event.WorkRunLingers, Pool: h.pool, Host: r.Incarnation.Worker, Job: string(r.Run.Task.Job),
+		Detail: fmt.Sprintf("%s: not needed for %s, stop requested %t, confirmed %t, started by an earlier holder %t",
+			r.Run, r.UnneededFor.Round(time.Millisecond), r.StopRequested, r.StopConfirmed, r.Adopted),
+	})
+}
+
+// recordCrash records that a worker ended under a task that may be the cause.
+func (h *poolHolder) recordCrash(v work.CrashVerdict) {
+	h.manager.record(event.Event{
+		Number: event.WorkerCrashed, Pool: h.pool, Host: v.Incarnation.Worker, Job: string(v.Run.Task.Job),
+		Detail: fmt.Sprintf("%s: crash %d of the task, %d telling, job given up %t, aged %s to %s, the only possible cause %t, start confirmed %t, %d other workers silent at the same time",
+			v.Run, v.Count, v.Telling, v.GivenUp, v.MinAge.Round(time.Millisecond), v.MaxAge.Round(time.Millisecond), v.Alone, v.Confirmed, v.Simultaneous),
 	})
 }
 
