End attempts on later incarnations that are gone before they answered

Callers may have waited for ever for a task: its start had no answer, its worker came back under its ID and was gone for good before it answered a call. The attempt had been handed to the later incarnation, whose lease clock was never read, so that no lease there counted as expired. Such an attempt now ends once the worker is no longer listed and the time has passed in which an order to the earlier incarnation can still be carried out and hold a lease. TestUncertainRunOfWorkerThatNeverAnswers failed before (no start within 60 s) and passes now.

--- a/core/work/incarnations_test.go
+++ b/core/work/incarnations_test.go
@@ -152,3 +152,31 @@
 		is.True(restarts(t, 6500*time.Millisecond))
 	})
 }
+
+// TestUncertainRunOfWorkerThatNeverAnswers guards against a task that is never started again: its start had no answer,
+// its worker came back and was gone for good before it answered a call.
+func TestUncertainRunOfWorkerThatNeverAnswers(t *testing.T) {
+	f, start := withUnansweredStart(t, newLongRunningJob("j", 1))
+	f.answerOrder(start, work.OutcomeUnknown)
+	for _, repeated := range f.scheduler.Schedule(f.now, f.now) {
+		f.answerOrder(repeated, work.OutcomeUnknown)
+	}
+	other := "a"
+	if start.Incarnation.Worker == "a" {
+		other = "b"
+	}
+	f.scheduler.UpdateWorkers([]work.WorkerInfo{laterIncarnation(start.Incarnation.Worker), workerInfo(other)}, f.now)
+	f.scheduler.UpdateWorkers([]work.WorkerInfo{workerInfo(other)}, f.now)
+	for range 60 {
+		f.now = f.now.Add(time.Second)
+		f.answerRenewal(other, work.Report{})
+		f.scheduler.HandleMissedRenewal(laterIncarnation(start.Incarnation.Worker).Incarnation, f.now)
+		for _, o := range f.scheduler.Schedule(f.now, f.now) {
+			if o.Kind == work.OrderStart && o.Run.Task == start.Run.Task {
+				return
+			}
+			f.answerOrder(o, work.OutcomeUnknown)
+		}
+	}
+	t.Error("the task was not started again")
+}
--- a/core/work/order.go
+++ b/core/work/order.go
@@ -126,7 +126,7 @@
 // expiry, and the worker will report that.
 func (s *Scheduler) endExpiredRuns(now time.Time) {
 	for _, w := range s.sortedWorkers {
-		if len(w.runs) == 0 || w.consecutiveMisses == 0 || !w.clock.allLeasesExpired(now) {
+		if len(w.runs) == 0 || w.consecutiveMisses == 0 || (!w.clock.allLeasesExpired(now) && !s.isLostUnheard(w, now)) {
 			continue
 		}
 		if !w.listed {
