Bound the crashes that are stored in a job's progress

The progress of a job with hundreds of tasks on workers that crash together would outgrow the 64 KiB that the table service takes, and none of its progress would be stored any more. Crashes are now recorded under at most 200 tasks of a job, and dropped with the end of a task; the scenes in memory are dropped after a minute also if no trial ends in a crash. Found in a reading of the change.

--- a/core/work/crash.go
+++ b/core/work/crash.go
@@ -23,6 +23,9 @@
 	maxSimultaneous = 1
 	// simultaneity is the difference up to which workers count as silent since the same time.
 	simultaneity = 60 * time.Millisecond
+	// maxCrashedTasks is the number of a job's tasks under which crashes are recorded. It keeps the row of the job's
+	// progress within the limit of the table service.
+	maxCrashedTasks = 200
 	// sceneMemory is the time for which the tasks on a crashed worker are remembered together.
 	sceneMemory = time.Minute
 	// silenceMemory is the time for which the silence of workers is remembered. A crash is known for certain once the
@@ -130,13 +133,14 @@
 	var scene crashScene
 	for _, r := range sortedRuns(w) {
 		lowest, _ := r.ageAtSilence()
-		if r.task == nil || lowest > maxProbation || (r != culprit && culprit.isOnTrial()) {
+		if r.task == nil || lowest > maxProbation || (r != culprit && culprit.isOnTrial()) || !r.task.mayRecordCrash() {
 			continue
 		}
 		scene.at = laterTime(scene.at, r.startedAt)
 		scene.runs = append(scene.runs, r.id)
 		s.recordCrashOf(r, r == culprit, suspects > 0 && !r.isSuspect())
 	}
+	s.crashScenes = slices.DeleteFunc(s.crashScenes, func(old crashScene) bool { return scene.at.Sub(old.at) > sceneMemory })
 	if len(scene.runs) > 1 {
 		s.crashScenes = append(s.crashScenes, scene)
 	}
@@ -198,6 +202,11 @@
 	return lowest <= youngAge || (r.task != nil && r.task.crashes.needsTrial() && lowest <= r.task.crashes.trialDuration())
 }
 
+// mayRecordCrash reports whether the progress of the task's job has room for another crash under it.
+func (t *task) mayRecordCrash() bool {
+	return t.crashes.total > 0 || t.group.job.progress.CrashedTaskCount() < maxCrashedTasks
+}
+
 // recordCrashOf records the end of a run's worker for its task. Alone is true if no other run can have been the cause,
 // and beside if others are more likely to have been.
 func (s *Scheduler) recordCrashOf(r *run, alone, beside bool) {
--- a/core/work/progress.go
+++ b/core/work/progress.go
@@ -94,6 +94,9 @@
 // CrashCount returns the number of workers that ended under the task since a run of it last lasted.
 func (p Progress) CrashCount(t TaskID) int { return len(p.crashes[t]) }
 
+// CrashedTaskCount returns the number of tasks under which crashes are recorded.
+func (p Progress) CrashedTaskCount() int { return len(p.crashes) }
+
 // WithCrash returns the progress with a crash added. The same attempt counts once.
 func (p Progress) WithCrash(c Crash) Progress {
 	if slices.ContainsFunc(p.crashes[c.Run.Task], func(known Crash) bool { return known.Run == c.Run }) {
--- a/core/work/report.go
+++ b/core/work/report.go
@@ -322,6 +322,9 @@
 	}
 	t.runs = nil
 	g.remainingTasks--
+	if t.crashes.total > 0 {
+		s.clearCrashes(t)
+	}
 	j.setProgress(j.progress.WithState(StateRunning).WithDoneTask(t.id()))
 	s.markDirty(j)
 	if g.remainingTasks > 0 {
