--- a/core/work/crash_test.go
+++ b/core/work/crash_test.go
@@ -10,11 +10,9 @@
 	"siskincross/core/work"
 )
 
-const (
-	// maxStartsOfCrashingTask is the number of starts of a task that crashes its workers: it is not started three
-	// times more after three workers have crashed under it.
-	maxStartsOfCrashingTask = 5
-)
+// maxStartsOfCrashingTask is the number of starts of a task that crashes its workers: it is not started three times
+// more after three workers have crashed under it.
+const maxStartsOfCrashingTask = 5
 
 // TestTaskCrashesWorkers guards against a task that is started on one worker after the other although each of
 // them crashes under it, and against the loss of other jobs by it.
