--- a/core/work/main_test.go
+++ b/core/work/main_test.go
@@ -6,6 +6,7 @@
 func init() {
 	for name, value := range map[string]string{
 		"rapid.seed": "2700", "rapid.checks": "2000", "rapid.steps": "150", "rapid.nofailfile": "true",
+		"rapid.shrinktime": "3s",
 	} {
 		if err := flag.Set(name, value); err != nil {
 			panic(err)
