Wait for listed later incarnations of workers after a takeover

Callers could see a task run twice, and the end of the first run acknowledged after the start of the second.

A worker restarts, and the holder orders a start from the former incarnation before the directory lists the new one, which carries the order out. Then the duty changes hands. The next holder waited for the former incarnation only until its leases had expired, since that one was not listed any more. If the new one was listed and had not answered by then, its run or the end of it was unknown, and the task was started again. For an incarnation that is listed itself a holder always waited for the answer.

Ruled out: a lease that lasts longer than the holder waits; the run had ended.

A takeover waits longer only for a worker that is known to have restarted, is listed, and doesn't answer. Long-running tasks are not affected.

--- a/core/work/incarnations.go
+++ b/core/work/incarnations.go
@@ -74,6 +74,22 @@
 	return s.sortedWorkers[from:until]
 }
 
+// hasReportingSuccessor reports whether a later incarnation of the worker has reported. It may have carried out orders of
+// an earlier holder to this one.
+func (s *Scheduler) hasReportingSuccessor(inc Incarnation) bool {
+	return slices.ContainsFunc(s.laterIncarnations(inc), func(w *worker) bool { return w.fullyReported })
+}
+
+// hasSuccessor reports whether a later incarnation of the worker is known.
+func (s *Scheduler) hasSuccessor(inc Incarnation) bool { return len(s.laterIncarnations(inc)) > 0 }
+
+// isListed reports whether the incarnation or a later one of its worker is listed. A later one may hold the end of a run that
+// was ordered from this one.
+func (s *Scheduler) isListed(inc Incarnation) bool {
+	w := s.workers[inc]
+	return (w != nil && w.listed) || slices.ContainsFunc(s.laterIncarnations(inc), func(w *worker) bool { return w.listed })
+}
+
 // endOrTransferRun ends a run of an incarnation that has ended. If the next incarnation may have carried out the start
 // order, or may still do so, the run becomes an uncertain run of that one instead. Answers to orders don't tell which
 // incarnation gave them; reports do.
--- a/core/work/scheduler.go
+++ b/core/work/scheduler.go
@@ -169,8 +169,9 @@
 }
 
 // AddUnresolvedIncarnation adds an incarnation on which an earlier holder may have started tasks. Until each
-// such incarnation has reported, or is no longer listed and its leases have expired, tasks of jobs that were accepted before this
-// holder's epoch are not started. Long-running tasks are started once all leases of earlier holders have expired.
+// such incarnation or a later one of its worker has reported, or none of them is listed and the leases have expired,
+// tasks of jobs that were accepted before this holder's epoch are not started. Long-running tasks are started once
+// all leases of earlier holders have expired.
 func (s *Scheduler) AddUnresolvedIncarnation(inc Incarnation, now time.Time) {
 	s.initialise()
 	s.unresolved[inc] = now.Add(s.earlierLeaseBound())
@@ -223,7 +224,7 @@
 		switch {
 		case w != nil && w.fullyReported, s.hasReportingSuccessor(inc):
 			delete(s.unresolved, inc)
-		case now.After(until) && (w == nil || !w.listed):
+		case now.After(until) && !s.isListed(inc):
 			delete(s.unresolved, inc)
 		}
 	}
@@ -256,15 +257,6 @@
 	return true
 }
 
-// hasReportingSuccessor reports whether a later incarnation of the worker has reported. It may have carried out orders of
-// an earlier holder to this one.
-func (s *Scheduler) hasReportingSuccessor(inc Incarnation) bool {
-	return slices.ContainsFunc(s.laterIncarnations(inc), func(w *worker) bool { return w.fullyReported })
-}
-
-// hasSuccessor reports whether a later incarnation of the worker is known.
-func (s *Scheduler) hasSuccessor(inc Incarnation) bool { return len(s.laterIncarnations(inc)) > 0 }
-
 // AddJob adds a job. Version is the version of its stored progress. Earlier is true if the job was accepted
 // before this scheduler's epoch, so that an earlier holder may have started some of its tasks.
 func (s *Scheduler) AddJob(spec Job, p Progress, version uint64, earlier bool, now time.Time) {
--- /dev/null
+++ b/core/work/successor_test.go
@@ -0,0 +1,36 @@
+package work_test
+
+import (
+	"testing"
+	"time"
+
+	"siskincross/core/work"
+)
+
+// takeOverFromRestarted returns a holder's fixture in which worker "a" has restarted since it got orders of an earlier holder.
+// The later incarnation is listed and has not answered yet.
+func takeOverFromRestarted(t *testing.T, j work.Job, maxLease time.Duration) (*fixture, work.Incarnation) {
+	f := newFixture(t)
+	f.scheduler = &work.Scheduler{Pool: "pool", Epoch: 10, Timing: work.Timing{MaxLease: maxLease}}
+	restarted := workerInfo("a")
+	restarted.Incarnation.StartMillis++
+	f.scheduler.AddUnresolvedIncarnation(incarnation("a"), f.now)
+	f.scheduler.UpdateWorkers([]work.WorkerInfo{restarted, workerInfo("b")}, f.now)
+	f.scheduler.AddJob(j, work.Progress{}, 5, true, f.now)
+	return f, restarted.Incarnation
+}
+
+// TestEndOnSilentSuccessor guards against a second run of a task whose start an earlier holder ordered from an incarnation
+// that had ended: the later one carried it out, and lists its end once it answers.
+func TestEndOnSilentSuccessor(t *testing.T) {
+	f, successor := takeOverFromRestarted(t, chainJob("j", 1), 6*time.Second)
+	f.now = f.now.Add(10 * time.Second)
+	f.answerRenewal("b", work.Report{})
+	f.assertNoStart(f.executeRound())
+	renewal, ok := f.scheduler.PrepareRenewal(successor, 0, f.now)
+	f.is.True(ok)
+	end := work.RunEnd{Number: 1, Run: runID("j", 0, 0, 1), Reason: work.EndReasonDone}
+	f.scheduler.HandleReport(successor, renewal.Sequence, work.Report{WorkerClock: time.Second, Ends: []work.RunEnd{end}}, f.now)
+	f.assertNoStart(f.executeRound())
+	f.is.Equal(f.scheduler.BeginCommit(1)[0].Progress.State, work.StateCompleted)
+}
