Wait for the longest lease on later incarnations of workers

A long-running task could be started by the next holder while an earlier run of it went on.

A holder waits for the leases that earlier holders asked for, 5.2 s with the default. The deadline of a start is by the clock of the incarnation that it was ordered from. If that has ended and a later one carries the start out, whose clock reads less, only MaxLease bounds the run. If a later incarnation is known, the holder now waits for that bound, before long-running tasks are started without its answer.

Evidence: TestLeaseOnSilentSuccessor failed before, and passes.

Where no later incarnation is known, or it answers, nothing takes longer.

--- a/core/work/scheduler.go
+++ b/core/work/scheduler.go
@@ -186,8 +186,8 @@
 	if !s.LastForcedTakeover.IsZero() && !now.After(s.LastForcedTakeover.Add(2*s.earlierLeaseBound())) {
 		return false
 	}
-	for inc, until := range s.unresolved {
-		if w := s.workers[inc]; !now.After(until) || (w != nil && w.answered && !w.clock.allLeasesExpired(now)) {
+	for inc := range s.unresolved {
+		if w := s.workers[inc]; !now.After(s.earlierLeasesEnd(inc)) || (w != nil && w.answered && !w.clock.allLeasesExpired(now)) {
 			return false
 		}
 	}
@@ -200,6 +200,17 @@
 	return s.localLeaseBound(time.Duration(float64(s.timing.Lease) * (1 + maxClockDrift)))
 }
 
+// earlierLeasesEnd returns the time at which leases of earlier holders on an unresolved incarnation are certain to have
+// expired. If a later incarnation carried out a start that was ordered from this one, the deadline was by another clock, and
+// only the longest lease that workers grant bounds the run.
+func (s *Scheduler) earlierLeasesEnd(inc Incarnation) time.Time {
+	until := s.unresolved[inc]
+	if s.hasSuccessor(inc) {
+		until = until.Add(s.localLeaseBound(s.timing.MaxLease) - s.earlierLeaseBound())
+	}
+	return until
+}
+
 // localLeaseBound returns the longest time that a lease can last, measured by the local clock.
 func (s *Scheduler) localLeaseBound(lease time.Duration) time.Duration {
 	return time.Duration(float64(lease) / (1 - maxClockDrift))
--- a/core/work/successor_test.go
+++ b/core/work/successor_test.go
@@ -4,6 +4,8 @@
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
+
 	"siskincross/core/work"
 )
 
@@ -34,3 +36,23 @@
 	f.assertNoStart(f.executeRound())
 	f.is.Equal(f.scheduler.BeginCommit(1)[0].Progress.State, work.StateCompleted)
 }
+
+// TestLeaseOnSilentSuccessor guards against a long-running task that runs twice: its start was ordered from an incarnation
+// that had ended, and the later one grants it the longest lease, since the deadline is by the clock of the former.
+func TestLeaseOnSilentSuccessor(t *testing.T) {
+	const maxLease, leaseBound = 10 * time.Second, 5300 * time.Millisecond // leaseBound: a lease by the slowest clock, rounded up
+	startsAfter := func(t *testing.T, d time.Duration) int {
+		f, successor := takeOverFromRestarted(t, newLongRunningJob("lasting", 1), maxLease)
+		f.now = f.now.Add(d)
+		f.scheduler.HandleMissedRenewal(successor, f.now)
+		f.answerRenewal("b", work.Report{})
+		return len(f.executeRound())
+	}
+	t.Run("task is not started while the longest lease may last", func(t *testing.T) {
+		is.New(t).Equal(startsAfter(t, leaseBound), 0)
+		is.New(t).Equal(startsAfter(t, maxLease), 0)
+	})
+	t.Run("task is started afterwards", func(t *testing.T) {
+		is.New(t).Equal(startsAfter(t, maxLease+500*time.Millisecond), 1)
+	})
+}
