--- a/core/work/scheduler.go
+++ b/core/work/scheduler.go
@@ -169,8 +169,9 @@
 }
 
 // AddUnresolvedIncarnation adds an incarnation on which an earlier holder may have started tasks. Until each
-// such incarnation has reported, or is no longer listed and its leases have expired, tasks of jobs that were accepted before this
-// holder's epoch are not started. Long-running tasks are started once all leases of earlier holders have expired.
+// such incarnation or a later one of its worker has reported, or none of them is listed and the leases have expired,
+// tasks of jobs that were accepted before this holder's epoch are not started. Long-running tasks are started once
+// all leases of earlier holders have expired.
 func (s *Scheduler) AddUnresolvedIncarnation(inc Incarnation, now time.Time) {
 	s.initialise()
 	s.unresolved[inc] = now.Add(s.earlierLeaseBound())
@@ -185,8 +186,8 @@
 	if !s.LastForcedTakeover.IsZero() && !now.After(s.LastForcedTakeover.Add(2*s.earlierLeaseBound())) {
 		return false
 	}
-	for inc, until := range s.unresolved {
-		if w := s.workers[inc]; !now.After(until) || (w != nil && w.answered && !w.clock.allLeasesExpired(now)) {
+	for inc := range s.unresolved {
+		if w := s.workers[inc]; !now.After(s.earlierLeasesEnd(inc)) || (w != nil && w.answered && !w.clock.allLeasesExpired(now)) {
 			return false
 		}
 	}
@@ -199,6 +200,17 @@
 	return s.localLeaseBound(time.Duration(float64(s.timing.Lease) * (1 + maxClockDrift)))
 }
 
+// earlierLeasesEnd returns the time at which leases of earlier holders on an unresolved incarnation are certain to have
+// expired. If a later incarnation carried out a start that was ordered from this one, the deadline was by another clock, and
+// only the longest lease that workers grant bounds the run.
+func (s *Scheduler) earlierLeasesEnd(inc Incarnation) time.Time {
+	until := s.unresolved[inc]
+	if s.hasSuccessor(inc) {
+		until = until.Add(s.localLeaseBound(s.timing.MaxLease) - s.earlierLeaseBound())
+	}
+	return until
+}
+
 // localLeaseBound returns the longest time that a lease can last, measured by the local clock.
 func (s *Scheduler) localLeaseBound(lease time.Duration) time.Duration {
 	return time.Duration(float64(lease) / (1 - maxClockDrift))
@@ -223,7 +235,7 @@
 		switch {
 		case w != nil && w.fullyReported, s.hasReportingSuccessor(inc):
 			delete(s.unresolved, inc)
-		case now.After(until) && (w == nil || !w.listed):
+		case now.After(until) && !s.isListed(inc):
 			delete(s.unresolved, inc)
 		}
 	}
@@ -256,15 +268,6 @@
 	return true
 }
 
-// hasReportingSuccessor reports whether a later incarnation of the worker has reported. It may have carried out orders of
-// an earlier holder to this one.
-func (s *Scheduler) hasReportingSuccessor(inc Incarnation) bool {
-	return slices.ContainsFunc(s.laterIncarnations(inc), func(w *worker) bool { return w.fullyReported })
-}
-
-// hasSuccessor reports whether a later incarnation of the worker is known.
-func (s *Scheduler) hasSuccessor(inc Incarnation) bool { return len(s.laterIncarnations(inc)) > 0 }
-
 // AddJob adds a job. Version is the version of its stored progress. Earlier is true if the job was accepted
 // before this scheduler's epoch, so that an earlier holder may have started some of its tasks.
 func (s *Scheduler) AddJob(spec Job, p Progress, version uint64, earlier bool, now time.Time) {
