Keep the latest crashes of a task only

A task that sees crash after crash with others, each of them coincident, is never given up; its record in the job's progress grew with each. Eight crashes of a task are kept now, more than a verdict needs.

--- a/core/work/progress.go
+++ b/core/work/progress.go
@@ -97,6 +97,9 @@
 // CrashedTaskCount returns the number of tasks under which crashes are recorded.
 func (p Progress) CrashedTaskCount() int { return len(p.crashes) }
 
+// maxStoredCrashes is the number of crashes that are kept of a task, the latest ones.
+const maxStoredCrashes = 8
+
 // WithCrash returns the progress with a crash added. The same attempt counts once.
 func (p Progress) WithCrash(c Crash) Progress {
 	if slices.ContainsFunc(p.crashes[c.Run.Task], func(known Crash) bool { return known.Run == c.Run }) {
@@ -106,7 +109,8 @@
 	if p.crashes == nil {
 		p.crashes = make(map[TaskID][]Crash)
 	}
-	p.crashes[c.Run.Task] = append(slices.Clone(p.crashes[c.Run.Task]), c)
+	known := p.crashes[c.Run.Task]
+	p.crashes[c.Run.Task] = append(slices.Clone(known[max(0, len(known)+1-maxStoredCrashes):]), c)
 	return p
 }
 
