Record crashes also of workers that time out or stay listed

Expired runs are remembered until the worker answers or has ended. - Jobs were given up after their workers lost power together: the calls to them time out up to a second apart, and each end counted by itself. The times between the last answer and the first miss are compared. - Tasks that sort after a culprit got its last crash recorded (TestBystandersAfterVerdict). - By reading: a stop that is answered no longer confirms a start; a long-running task on trial that fits nowhere requests hosts; no more workers are reserved for trials than have their turn.

--- a/core/work/crash.go
+++ b/core/work/crash.go
@@ -1,7 +1,6 @@
 package work
 
 import (
-	"cmp"
 	"slices"
 	"time"
 )
@@ -26,8 +25,10 @@
 	// maxCrashedTasks is the number of a job's tasks under which crashes are recorded. It keeps the row of the job's
 	// progress within the limit of the table service.
 	maxCrashedTasks = 200
-	// sceneMemory is the time for which the tasks on a crashed worker are remembered together.
-	sceneMemory = time.Minute
+	// lostRunsMemory is the time for which the tasks on a crashed worker are remembered together.
+	lostRunsMemory = time.Minute
+	// maxSilenceDelay bounds the time between the end of a worker and the first call that is known to have no answer.
+	maxSilenceDelay = 2500 * time.Millisecond
 	// silenceMemory is the time for which the silence of workers is remembered. A crash is known for certain once the
 	// worker has returned or its leases have expired.
 	silenceMemory = 30 * time.Second
@@ -49,9 +50,9 @@
 type CrashVerdict struct {
 	Crash
 	Incarnation Incarnation
-	// Count, ConfirmedCount and Telling are the numbers of crashes under the task since a run of it last lasted: of all, of
+	// Count, ConfirmedCount and Conclusive are the numbers of crashes under the task since a run of it last lasted: of all, of
 	// confirmed ones, and of those confirmed ones that are not coincident.
-	Count, ConfirmedCount, Telling int
+	Count, ConfirmedCount, Conclusive int
 	// Alone is true if no other run on the worker can have been the cause.
 	Alone bool
 	// Simultaneous is the number of other workers that fell silent at the same time.
@@ -66,22 +67,22 @@
 	switch {
 	case v.Coincident:
 		return false
-	case v.Alone && v.Confirmed && max(v.Telling, v.ConfirmedCount-1) >= minCrashes+v.Simultaneous:
+	case v.Alone && v.Confirmed && max(v.Conclusive, v.ConfirmedCount-1) >= minCrashes+v.Simultaneous:
 		return true
 	}
-	return v.Telling >= maxCrashes || (v.Alone && v.Count >= maxCrashes)
+	return v.Conclusive >= maxCrashes || (v.Alone && v.Count >= maxCrashes)
 }
 
-// crashScene holds the runs for which the end of a worker was recorded.
-type crashScene struct {
+// lostRuns holds the runs for which the end of a worker was recorded.
+type lostRuns struct {
 	at   time.Time
 	runs []RunID
 }
 
 // crashRecord is what is known of the crashes under a task. The zero value has none.
 type crashRecord struct {
-	// total counts all crashes, confirmed the confirmed ones, and telling those of them that were not coincident.
-	total, confirmed, telling int
+	// total counts all crashes, confirmed the confirmed ones, and conclusive those of them that were not coincident.
+	total, confirmed, conclusive int
 	// young is true if a run was young at a crash that was not coincident. lowestAge is the lowest age at such a crash,
 	// and highestAge the highest one at any crash.
 	young                 bool
@@ -99,7 +100,7 @@
 			continue
 		}
 		if c.Confirmed {
-			r.telling++
+			r.conclusive++
 		}
 		r.lowestAge = min(r.lowestAge, c.MinAge)
 		r.young = r.young || c.MinAge <= youngAge
@@ -128,28 +129,40 @@
 		return
 	}
 	w.crashRecorded = true
-	culprit := w.onlySuspect()
-	suspects := w.countSuspects()
-	var scene crashScene
-	for _, r := range sortedRuns(w) {
+	runs := w.lostRuns()
+	culprit := onlySuspect(runs)
+	suspects, onTrial := countSuspects(runs), culprit.hasCrashes()
+	lost := lostRuns{}
+	for _, r := range runs {
 		lowest, _ := r.ageAtSilence()
-		if r.task == nil || lowest > maxProbation || (r != culprit && culprit.isOnTrial()) || !r.task.mayRecordCrash() {
+		if r.task == nil || r.task.group.job.isFinal() || lowest > maxProbation || (r != culprit && onTrial) || !r.task.mayRecordCrash() {
 			continue
 		}
-		scene.at = laterTime(scene.at, r.startedAt)
-		scene.runs = append(scene.runs, r.id)
+		lost.at = laterTime(lost.at, r.startedAt)
+		lost.runs = append(lost.runs, r.id)
 		s.recordCrashOf(r, r == culprit, suspects > 0 && !r.isSuspect())
 	}
-	s.crashScenes = slices.DeleteFunc(s.crashScenes, func(old crashScene) bool { return scene.at.Sub(old.at) > sceneMemory })
-	if len(scene.runs) > 1 {
-		s.crashScenes = append(s.crashScenes, scene)
+	s.lostTogether = slices.DeleteFunc(s.lostTogether, func(old lostRuns) bool { return lost.at.Sub(old.at) > lostRunsMemory })
+	if len(lost.runs) > 1 {
+		s.lostTogether = append(s.lostTogether, lost)
 	}
 }
 
-// countSuspects returns the number of runs on the worker that are possible causes of its end.
-func (w *worker) countSuspects() int {
+// lostRuns returns the runs that are lost if the worker has ended, sorted, without those of tasks that have ended since.
+func (w *worker) lostRuns() []*run {
+	runs := sortedRuns(w)
+	for i := range w.expired {
+		if r := &w.expired[i]; !r.task.done && !r.task.group.job.isFinal() {
+			runs = append(runs, r)
+		}
+	}
+	return runs
+}
+
+// countSuspects returns the number of runs that are possible causes of their worker's end.
+func countSuspects(runs []*run) int {
 	n := 0
-	for _, r := range w.runs {
+	for _, r := range runs {
 		if r.isSuspect() {
 			n++
 		}
@@ -157,33 +170,28 @@
 	return n
 }
 
-// onlySuspect returns the only run on the worker that is a possible cause of its end, or nil if there is none or several.
-func (w *worker) onlySuspect() *run {
-	if w.countSuspects() != 1 {
+// onlySuspect returns the only run that is a possible cause of the worker's end, or nil if there is none or several.
+func onlySuspect(runs []*run) *run {
+	if countSuspects(runs) != 1 {
 		return nil
 	}
-	for _, r := range w.runs {
-		if r.isSuspect() {
-			return r
-		}
-	}
-	return nil
+	return runs[slices.IndexFunc(runs, (*run).isSuspect)]
 }
 
-// isOnTrial reports whether workers crashed under the run's task before. It is false for no run.
-func (r *run) isOnTrial() bool { return r != nil && r.task != nil && r.task.crashes.total > 0 }
+// hasCrashes reports whether workers crashed under the run's task before. It is false for no run.
+func (r *run) hasCrashes() bool { return r != nil && r.task != nil && r.task.crashes.total > 0 }
 
 // exonerateOthers records that a worker fell silent under a task on trial: earlier crashes have no other cause among the
 // tasks that were beside it.
 func (s *Scheduler) exonerateOthers(culprit TaskID, now time.Time) {
-	s.crashScenes = slices.DeleteFunc(s.crashScenes, func(scene crashScene) bool {
-		if now.Sub(scene.at) > sceneMemory {
+	s.lostTogether = slices.DeleteFunc(s.lostTogether, func(lost lostRuns) bool {
+		if now.Sub(lost.at) > lostRunsMemory {
 			return true
 		}
-		if !slices.ContainsFunc(scene.runs, func(r RunID) bool { return r.Task == culprit }) {
+		if !slices.ContainsFunc(lost.runs, func(r RunID) bool { return r.Task == culprit }) {
 			return false
 		}
-		for _, r := range scene.runs {
+		for _, r := range lost.runs {
 			if t := s.activeTask(r.Task); t != nil && r.Task != culprit {
 				j := t.group.job
 				j.setProgress(j.progress.WithExplainedCrash(r))
@@ -212,7 +220,7 @@
 func (s *Scheduler) recordCrashOf(r *run, alone, beside bool) {
 	t := r.task
 	j := t.group.job
-	v := CrashVerdict{Crash: Crash{Run: r.id, Confirmed: r.confirmed}, Incarnation: r.worker.Incarnation, Alone: alone, Simultaneous: s.countSimultaneous(r.worker)}
+	v := CrashVerdict{Crash: Crash{Run: r.id, Confirmed: r.begun}, Incarnation: r.worker.Incarnation, Alone: alone, Simultaneous: s.countSimultaneous(r.worker)}
 	v.MinAge, v.MaxAge = r.ageAtSilence()
 	v.Coincident = beside || v.Simultaneous > maxSimultaneous
 	j.setProgress(j.progress.WithCrash(v.Crash))
@@ -223,7 +231,7 @@
 		t.crashedAddresses = make(map[string]bool)
 	}
 	t.crashedAddresses[r.worker.Address] = true
-	v.Count, v.ConfirmedCount, v.Telling = t.crashes.total, t.crashes.confirmed, t.crashes.telling
+	v.Count, v.ConfirmedCount, v.Conclusive = t.crashes.total, t.crashes.confirmed, t.crashes.conclusive
 	v.GivenUp = v.isGivenUp()
 	if s.OnCrash != nil {
 		s.OnCrash(v)
@@ -244,24 +252,42 @@
 // recordMiss records a call to a worker without an answer.
 func (s *Scheduler) recordMiss(w *worker, now time.Time) {
 	if w.silentSince.IsZero() && !w.Draining && !w.withdrawn {
-		if culprit := w.onlySuspect(); culprit.isOnTrial() {
+		if culprit := onlySuspect(w.lostRuns()); culprit.hasCrashes() {
 			s.exonerateOthers(culprit.id.Task, now)
 		}
-		for inc, at := range s.silences {
-			if now.Sub(at) > silenceMemory {
+		for inc, other := range s.silences {
+			if now.Sub(other.until) > silenceMemory {
 				delete(s.silences, inc)
 			}
 		}
-		s.silences[w.Incarnation] = now
+		w.recordMiss(now)
+		s.silences[w.Incarnation] = w.silence()
+		return
 	}
 	w.recordMiss(now)
 }
 
-// countSimultaneous returns the number of other workers that fell silent at the same time.
+// silence bounds the time at which a worker fell silent: its last answer, and the first call that was known to have none.
+type silence struct{ after, until time.Time }
+
+// silence returns when the worker fell silent.
+func (w *worker) silence() silence {
+	return silence{laterTime(w.clock.receivedAt, w.silentSince.Add(-maxSilenceDelay)), w.silentSince}
+}
+
+// mayCoincideWith reports whether both can have begun at the same time.
+func (a silence) mayCoincideWith(c silence) bool {
+	return !a.after.After(c.until.Add(simultaneity)) && !c.after.After(a.until.Add(simultaneity))
+}
+
+// countSimultaneous returns the number of other workers that may have fallen silent at the same time.
 func (s *Scheduler) countSimultaneous(w *worker) int {
+	if w.silentSince.IsZero() {
+		return 0
+	}
 	n := 0
-	for inc, at := range s.silences {
-		if inc != w.Incarnation && !w.silentSince.IsZero() && at.Sub(w.silentSince).Abs() <= simultaneity {
+	for inc, other := range s.silences {
+		if inc != w.Incarnation && w.silence().mayCoincideWith(other) {
 			n++
 		}
 	}
@@ -273,6 +299,3 @@
 func (t *task) mayFollowCrash() bool {
 	return t.crashes.total < minCrashes || t.crashChange <= t.group.job.storedChanges
 }
-
-// compareStake orders workers by what runs there, least first.
-func compareStake(a, c *worker) int { return cmp.Compare(len(a.runs), len(c.runs)) }
--- a/core/work/crash_pool_test.go
+++ b/core/work/crash_pool_test.go
@@ -24,6 +24,8 @@
 	lives     int
 	downUntil time.Time
 	crashAt   time.Time
+	// missAfter is the time before which calls to the crashed worker are pending.
+	missAfter time.Time
 	// runs holds when the active runs end.
 	runs    map[work.RunID]time.Time
 	ends    []work.RunEnd
@@ -41,19 +43,21 @@
 	// keepsIDs is true if a crashed worker returns under its ID; losesAnswers if start orders get no answer.
 	keepsIDs, losesAnswers bool
 	crashDelay             time.Duration
-	crashing               map[work.JobID]bool
-	specs                  map[work.JobID]work.Job
-	stored                 map[work.JobID][]byte
-	states                 map[work.JobID]work.State
-	starts                 map[work.TaskID]int
-	others                 []work.JobID
+	// downtime is how long a crashed worker is away. Calls to the workers time out over missSpread.
+	downtime, missSpread time.Duration
+	crashing             map[work.JobID]bool
+	specs                map[work.JobID]work.Job
+	stored               map[work.JobID][]byte
+	states               map[work.JobID]work.State
+	starts               map[work.TaskID]int
+	others               []work.JobID
 	// largestRow is the largest size of a job's stored progress.
 	largestRow int
 }
 
 func newCrashPool(t *testing.T, workers int) *crashPool {
 	p := &crashPool{
-		t: t, is: is.New(t), now: start, crashDelay: crashStep, crashing: make(map[work.JobID]bool), specs: make(map[work.JobID]work.Job),
+		t: t, is: is.New(t), now: start, crashDelay: crashStep, downtime: crashDowntime, crashing: make(map[work.JobID]bool), specs: make(map[work.JobID]work.Job),
 		stored: make(map[work.JobID][]byte), states: make(map[work.JobID]work.State), starts: make(map[work.TaskID]int),
 	}
 	for i := range workers {
@@ -79,7 +83,8 @@
 
 func (p *crashPool) crash(w *crashWorker) {
 	if w.downUntil.IsZero() {
-		w.downUntil, w.crashAt, w.runs, w.ends = p.now.Add(crashDowntime), time.Time{}, make(map[work.RunID]time.Time), nil
+		w.downUntil, w.crashAt, w.runs, w.ends = p.now.Add(p.downtime), time.Time{}, make(map[work.RunID]time.Time), nil
+		w.missAfter = p.now.Add(p.missSpread * time.Duration(slices.Index(p.workers, w)) / time.Duration(len(p.workers)))
 	}
 }
 
@@ -187,6 +192,7 @@
 		}
 		w := p.at(renewal.Address)
 		switch {
+		case !w.downUntil.IsZero() && p.now.Before(w.missAfter):
 		case !w.downUntil.IsZero():
 			p.scheduler.HandleMissedRenewal(inc, p.now)
 		case w.info.Incarnation == inc:
--- a/core/work/incarnations.go
+++ b/core/work/incarnations.go
@@ -27,6 +27,9 @@
 	}
 	for _, w := range slices.Clone(s.sortedWorkers) {
 		if !w.listed && w.isEmpty() {
+			if len(w.expired) > 0 {
+				s.recordCrash(w)
+			}
 			s.removeWorker(w)
 			removed = append(removed, w.Incarnation)
 		}
--- a/core/work/order.go
+++ b/core/work/order.go
@@ -136,6 +136,9 @@
 			if w.listed && r.task != nil && !r.task.group.spec().LongRunning {
 				continue
 			}
+			if w.listed && r.task != nil {
+				w.expired = append(w.expired, *r)
+			}
 			s.presumeEnded(r, CauseLeaseOver, now)
 		}
 	}
@@ -286,7 +289,7 @@
 		if r.phase == phaseStarting {
 			r.phase = phaseRunning
 		}
-		r.confirmed = true
+		r.confirmed, r.begun = true, true
 		r.confirmedSequence = s.sequence
 		if r.task != nil {
 			r.task.group.job.started = true
--- a/core/work/report.go
+++ b/core/work/report.go
@@ -185,7 +185,7 @@
 	w.clock.record(clock, now)
 	w.answered = true
 	w.consecutiveMisses = 0
-	w.silentSince = time.Time{}
+	w.silentSince, w.expired = time.Time{}, nil
 	delete(s.silences, w.Incarnation)
 }
 
@@ -210,6 +210,7 @@
 		r.confirmed = true
 		r.confirmedSequence = s.sequence
 	}
+	r.begun = true
 	r.lastReported = now
 	r.speedPercent = a.SpeedPercent
 	r.load = a.Load
--- a/core/work/run.go
+++ b/core/work/run.go
@@ -39,6 +39,8 @@
 	confirmedSequence uint64
 	// confirmed is true if confirmedSequence is set.
 	confirmed bool
+	// begun is true once the worker has confirmed the start or listed the run.
+	begun bool
 	// startOrder is the order that started the run. It is sent again if repeatStart is true, because it got no
 	// answer. startRepeats counts how often it was sent again.
 	startOrder   Order
--- a/core/work/scheduler.go
+++ b/core/work/scheduler.go
@@ -80,9 +80,9 @@
 	timing      Timing
 	jobs        map[JobID]*job
 	// silences holds when workers fell silent that were not leaving.
-	silences map[Incarnation]time.Time
-	// crashScenes holds the tasks that were on crashed workers together.
-	crashScenes []crashScene
+	silences map[Incarnation]silence
+	// lostTogether holds the tasks that were on crashed workers together.
+	lostTogether []lostRuns
 	// trialsWait is true if tasks that need a trial had to wait in the last round.
 	trialsWait bool
 	// lastTrialAt is the time at which the last task on trial was started.
@@ -158,7 +158,7 @@
 	}
 	s.jobs = make(map[JobID]*job)
 	s.workers = make(map[Incarnation]*worker)
-	s.silences = make(map[Incarnation]time.Time)
+	s.silences = make(map[Incarnation]silence)
 	s.unresolved = make(map[Incarnation]time.Time)
 	s.runsToStop = make(map[*run]stopCause)
 	s.quotas = quotaState{unaccountedRuns: make(map[*run]bool), holds: make(map[string]bool), arrivals: make(map[string]*arrivalAllowance)}
--- a/core/work/trial.go
+++ b/core/work/trial.go
@@ -19,6 +19,9 @@
 	// trialInterval is the time between the starts of two tasks on trial. It is longer than simultaneity, so that the
 	// crashes that they cause are told from a failure of several workers.
 	trialInterval = 80 * time.Millisecond
+	// maxTrials is the number of workers that may be reserved at the same time: as many as have their turn within a
+	// reservation.
+	maxTrials = int(reservation / trialInterval)
 	// maxTrialShare is the inverse of the share of the workers that may have tasks on trial at the same time.
 	maxTrialShare = 2
 )
@@ -53,7 +56,7 @@
 // compareSuspicion orders tasks by how likely they crash workers, most likely first: those with more crashes, then those
 // that were younger. A trial that ends in a crash spares the others theirs.
 func compareSuspicion(a, c *task) int {
-	return cmp.Or(cmp.Compare(c.crashes.telling, a.crashes.telling), cmp.Compare(a.crashes.lowestAge, c.crashes.lowestAge))
+	return cmp.Or(cmp.Compare(c.crashes.conclusive, a.crashes.conclusive), cmp.Compare(a.crashes.lowestAge, c.crashes.lowestAge))
 }
 
 // placeOnTrial starts a task on a worker where nothing else can be the cause of another crash. It returns false if that
@@ -67,12 +70,12 @@
 	w := reservedWorker(t, available, now)
 	if w == nil {
 		if w = s.chooseTrialWorker(t, available, now); w == nil {
-			g.unplaced = true
+			s.recordUnplacedTrial(g, available, now)
 			return Order{}, false
 		}
 		w.trial, w.trialUntil = t, now.Add(reservation)
 	}
-	if !w.isQuiet() || !w.suits(g, now) || now.Sub(s.lastTrialAt) < trialInterval {
+	if !w.hasNoSuspects() || !w.suits(g, now) || now.Sub(s.lastTrialAt) < trialInterval {
 		return Order{}, false
 	}
 	s.lastTrialAt = now
@@ -80,6 +83,16 @@
 	return s.startTask(t, w, now), true
 }
 
+// recordUnplacedTrial records that a task waits for its trial. A long-running task for which no worker has room counts like
+// others for which hosts are requested.
+func (s *Scheduler) recordUnplacedTrial(g *taskGroup, available []*worker, now time.Time) {
+	g.unplaced = true
+	fits := slices.ContainsFunc(available, func(w *worker) bool { return w.suits(g, now) })
+	if g.spec().LongRunning && !fits && (!g.needsApproval() || len(g.approvals) > 0) {
+		s.unplacedTasks[g]++
+	}
+}
+
 // reservedWorker returns the worker that is reserved for a trial of the task, or nil.
 func reservedWorker(t *task, available []*worker, now time.Time) *worker {
 	for _, w := range available {
@@ -107,7 +120,7 @@
 			best = w
 		}
 	}
-	if trials*maxTrialShare > len(available) {
+	if trials*maxTrialShare > len(available) || trials >= maxTrials {
 		return nil
 	}
 	return best
@@ -121,7 +134,7 @@
 		}
 		return -1
 	}
-	return compareStake(a, c)
+	return cmp.Compare(len(a.runs), len(c.runs))
 }
 
 // suits reports whether the worker has what one more task of the step requires.
@@ -131,8 +144,8 @@
 		(spec.SpreadLimit == 0 || g.runsOn(w) < spec.SpreadLimit)
 }
 
-// isQuiet reports whether none of the worker's runs can be the cause of a crash.
-func (w *worker) isQuiet() bool {
+// hasNoSuspects reports whether none of the worker's runs can be the cause of a crash.
+func (w *worker) hasNoSuspects() bool {
 	for _, r := range w.runs {
 		if r.isSuspect() {
 			return false
--- a/core/work/worker.go
+++ b/core/work/worker.go
@@ -115,6 +115,9 @@
 	pendingEnds           []pendingEnd
 	// crashRecorded is true once the end of the worker was recorded for the tasks that it ran.
 	crashRecorded bool
+	// expired holds the runs whose leases expired while the worker was listed and did not answer. They count as lost with
+	// it if it turns out to have ended.
+	expired []run
 	// trial is a task under which workers crashed: until trialUntil the worker gets no other tasks. It is nil if there
 	// is none.
 	trial      *task
