--- a/io/runner/cancel_test.go
+++ b/io/runner/cancel_test.go
@@ -30,17 +30,23 @@
 
 // cancel cancels a job at an entry host and repeats the call until it is acknowledged.
 func (s *fakeSite) cancel(host, id string) {
+	s.t.Helper()
+	s.cancelAt(s.entryHosts[host], id)
+}
+
+// cancelAt is cancel for an entry host that others may be killed beside.
+func (s *fakeSite) cancelAt(h *fakeHost, id string) {
 	s.t.Helper()
 	for range 20 {
 		ctx, done := context.WithTimeout(context.Background(), 3*time.Second)
-		err := s.entryHosts[host].manager.Cancel(ctx, runner.Caller{}, s.queue(), work.JobID(id))
+		err := h.manager.Cancel(ctx, runner.Caller{}, s.queue(), work.JobID(id))
 		done()
 		if err == nil {
 			return
 		}
 		time.Sleep(100 * time.Millisecond)
 	}
-	s.t.Fatalf("job %s is not cancelled at %s", id, host)
+	s.t.Fatalf("job %s is not cancelled", id)
 }
 
 // jobActivity returns how many tasks of a job run, and how often its tasks have ended.
@@ -240,11 +246,11 @@
 				time.Sleep(time.Second)
 				s.assertRuns("j")
 				holder := s.poolHolder()
-				entry := s.otherHost(holder)
+				entry := s.entryHosts[s.otherHost(holder)]
 				cancelled := make(chan struct{})
 				go func() {
 					defer close(cancelled)
-					s.cancel(entry, "j")
+					s.cancelAt(entry, "j")
 				}()
 				time.Sleep(pause)
 				s.kill(holder)
--- a/io/runner/fake_test.go
+++ b/io/runner/fake_test.go
@@ -25,9 +25,11 @@
 
 // fakeSite is a deployment in virtual time: a store, the workers of one pool, and entry hosts.
 type fakeSite struct {
-	t          *testing.T
-	is         *is.I
-	store      *fakeStore
+	t     *testing.T
+	is    *is.I
+	store *fakeStore
+	// workersMu guards the map of workers against calls to them while one is added.
+	workersMu  *sync.Mutex
 	workers    map[string]*fakeWorker
 	entryHosts map[string]*fakeHost
 	// unlistedWorkers is the number of further workers, "joins0" and so on, that the directory doesn't list at first.
@@ -96,6 +98,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		s := &site
 		s.t, s.is, s.store = t, is.New(t), newFakeStore()
+		s.workersMu = new(sync.Mutex)
 		s.workers, s.entryHosts, s.callers = make(map[string]*fakeWorker), make(map[string]*fakeHost), new(sync.Map)
 		s.store.put(platform.RowKey{Table: fakeOperatorsTable, Key: "config"}, 1)
 		for i := range workers {
@@ -131,10 +134,19 @@
 		startedAt: time.Now(), runs: make(map[work.RunID]time.Time), highestAttempts: make(map[work.TaskID]int), firstStarts: make(map[work.TaskID]time.Time),
 		completions: make(map[work.TaskID]int),
 	}
+	s.workersMu.Lock()
+	defer s.workersMu.Unlock()
 	s.workers[id] = w
 	return w
 }
 
+// worker returns the worker with an ID, which is its address too, for a call to it.
+func (s *fakeSite) worker(id string) *fakeWorker {
+	s.workersMu.Lock()
+	defer s.workersMu.Unlock()
+	return s.workers[id]
+}
+
 // listWorker lists a worker in the directory.
 func (s *fakeSite) listWorker(w *fakeWorker) {
 	s.store.put(platform.RowKey{Table: "workers", Key: w.listing.Incarnation.Worker}, w.listing)
--- a/io/runner/fake_worker_test.go
+++ b/io/runner/fake_worker_test.go
@@ -62,7 +62,7 @@
 
 // renewLeases answers a renewal as a worker does, as soon as a run has ended or after the renewal's maximum wait.
 func (s *fakeSite) renewLeases(ctx context.Context, r work.Renewal) (work.Report, error) {
-	w := s.workers[r.Address]
+	w := s.worker(r.Address)
 	w.renewals.Add(1)
 	if err := w.travel(ctx, answerTime); err != nil {
 		return work.Report{}, err
@@ -122,7 +122,7 @@
 
 // sendOrder carries out an order as a worker does.
 func (s *fakeSite) sendOrder(ctx context.Context, o work.Order) work.OrderResult {
-	w := s.workers[o.Incarnation.Worker]
+	w := s.worker(o.Incarnation.Worker)
 	if w.travel(ctx, answerTime) != nil {
 		return work.OrderResult{Outcome: work.OutcomeUnknown}
 	}
