State the figures behind stops for evacuations in the log

A stop for an evacuation was logged without a reason, so that the log couldn't tell whether it was decided while others of its step were away, on old reports, or long before it was sent. It now states how many tasks were away and tolerated, the age of the oldest report that counts, when it was decided, and the number of the order. No decision changes.

--- a/core/work/evacuation.go
+++ b/core/work/evacuation.go
@@ -1,6 +1,7 @@
 package work
 
 import (
+	"fmt"
 	"time"
 )
 
@@ -67,24 +68,37 @@
 				s.blockedEvacuations++
 				continue
 			}
-			if (g.spec().LongRunning && s.toleratesLoss(g, now)) || (!g.spec().LongRunning && overdue && !g.spec().Gang) {
-				r.evacuating = true
-				s.requestStop(r)
+			switch {
+			case g.spec().LongRunning:
+				if a := s.availabilityOf(g, now); a.toleratesLoss() {
+					s.stopForEvacuation(r, a.String(), now)
+				}
+			case overdue && !g.spec().Gang:
+				s.stopForEvacuation(r, fmt.Sprintf("%s after the worker was withdrawn", now.Sub(w.withdrawnAt).Round(time.Millisecond)), now)
 			}
 		}
 	}
 }
 
-// isRunningAtFullPace reports whether a recent report shows the task at full pace on a worker that it can stay
-// on.
-func (s *Scheduler) isRunningAtFullPace(t *task, now time.Time) bool {
+// stopForEvacuation has a run stopped because its worker is to become empty. Reason states the figures behind it. A run that
+// is to be stopped already keeps the first reason.
+func (s *Scheduler) stopForEvacuation(r *run, reason string, now time.Time) {
+	if !r.evacuating {
+		r.evacuating, r.evacuationDecidedAt = true, now
+		r.stopReason = "evacuation: " + reason
+	}
+	s.requestStop(r)
+}
+
+// runAtFullPace returns the run that a recent report shows at full pace on a worker that it can stay on, or nil.
+func (s *Scheduler) runAtFullPace(t *task, now time.Time) *run {
 	for _, r := range t.runs {
 		recent := r.worker.consecutiveMisses == 0 && now.Sub(r.lastReported) < maxReportAge
 		if recent && r.phase == phaseRunning && r.speedPercent >= fullPacePercent && !r.evacuating && !r.stopInFlight && s.isCertainToStay(r) {
-			return true
+			return r
 		}
 	}
-	return false
+	return nil
 }
 
 // isCertainToStay reports whether the run can't be stopping on an order of an earlier holder: its worker has
@@ -100,18 +114,36 @@
 	maxReportAge = 1400 * time.Millisecond
 )
 
-// toleratesLoss reports whether one more task of a long-running step may be taken down. A step that states no
-// limit loses one task at a time.
-func (s *Scheduler) toleratesLoss(g *taskGroup, now time.Time) bool {
-	unavailable := 0
+// availability is how many tasks of a long-running step are at work, as far as the scheduler knows.
+type availability struct {
+	tasks, unavailable int
+	// tolerated is the number of tasks that may be unavailable.
+	tolerated int
+	// oldestReport is the age of the oldest report that shows a task at work.
+	oldestReport time.Duration
+}
+
+// availabilityOf returns the availability of a long-running step. A step that states no limit loses one task at a time.
+func (s *Scheduler) availabilityOf(g *taskGroup, now time.Time) availability {
+	a := availability{tasks: len(g.tasks), tolerated: 1}
+	if g.spec().HasMaxUnavailable {
+		a.tolerated = g.spec().MaxUnavailable
+	}
 	for _, t := range g.tasks {
-		if !s.isRunningAtFullPace(t, now) {
-			unavailable++
+		r := s.runAtFullPace(t, now)
+		if r == nil {
+			a.unavailable++
+			continue
 		}
+		a.oldestReport = max(a.oldestReport, now.Sub(r.lastReported))
 	}
-	tolerated := 1
-	if g.spec().HasMaxUnavailable {
-		tolerated = g.spec().MaxUnavailable
-	}
-	return unavailable < tolerated
+	return a
+}
+
+// toleratesLoss reports whether one more task may be taken down.
+func (a availability) toleratesLoss() bool { return a.unavailable < a.tolerated }
+
+// String returns the figures for the log.
+func (a availability) String() string {
+	return fmt.Sprintf("%d of %d tasks away, %d tolerated, reports up to %s old", a.unavailable, a.tasks, a.tolerated, a.oldestReport.Round(time.Millisecond))
 }
--- a/core/work/order.go
+++ b/core/work/order.go
@@ -152,11 +152,20 @@
 			continue
 		}
 		r.stopInFlight = true
-		orders = append(orders, Order{Kind: OrderStop, Endpoint: r.worker.endpoint(), Epoch: s.Epoch, Run: r.id, Reason: r.stopReason})
+		r.stopsSent++
+		orders = append(orders, Order{Kind: OrderStop, Endpoint: r.worker.endpoint(), Epoch: s.Epoch, Run: r.id, Reason: r.describeStop(now)})
 	}
 	return orders
 }
 
+// describeStop returns the reason of the next stop order, for the log.
+func (r *run) describeStop(now time.Time) string {
+	if !r.evacuating {
+		return r.stopReason
+	}
+	return fmt.Sprintf("%s, decided %s ago, order %d", r.stopReason, now.Sub(r.evacuationDecidedAt).Round(time.Millisecond), r.stopsSent)
+}
+
 // sortedRunsToStop returns the runs to be stopped in a deterministic order.
 func (s *Scheduler) sortedRunsToStop() []*run {
 	runs := make([]*run, 0, len(s.runsToStop))
