Decide a stop for a move again before it is sent again

Callers saw a long-running task stopped for an evacuation while more of its step were away than the job tolerates.

Cause: whether the step tolerates the loss was asked once. The class is a permission that was valid when it was given and is used later. A best-effort task that stood still had the same: it was stopped after it ran again.

A stop for a move now holds for one order. If that is not carried out, the move is decided again, on the availability of the other tasks. A run counts as away while a stop for it may still be carried out, up to lateOrderBound after the last order without an answer. Stops of runs that must end are sent until they are answered, as before.

--- a/core/work/evacuation.go
+++ b/core/work/evacuation.go
@@ -68,33 +68,26 @@
 				s.blockedEvacuations++
 				continue
 			}
+			if s.runsToStop[r] != 0 || now.Before(r.stopRetryAt) {
+				continue
+			}
 			switch {
 			case g.spec().LongRunning:
-				if a := s.availabilityOf(g, now); a.toleratesLoss() {
-					s.stopForEvacuation(r, a.String(), now)
+				if a := s.availabilityWithout(r.task, now); a.toleratesLoss() {
+					s.requestMove(r, "evacuation: "+a.String(), now)
 				}
 			case overdue && !g.spec().Gang:
-				s.stopForEvacuation(r, fmt.Sprintf("%s after the worker was withdrawn", now.Sub(w.withdrawnAt).Round(time.Millisecond)), now)
+				s.requestMove(r, fmt.Sprintf("evacuation: withdrawn for %s", now.Sub(w.withdrawnAt).Round(time.Millisecond)), now)
 			}
 		}
 	}
 }
 
-// stopForEvacuation has a run stopped because its worker is to become empty. Reason states the figures behind it. A run that
-// is to be stopped already keeps the first reason.
-func (s *Scheduler) stopForEvacuation(r *run, reason string, now time.Time) {
-	if !r.evacuating {
-		r.evacuating, r.evacuationDecidedAt = true, now
-		r.stopReason = "evacuation: " + reason
-	}
-	s.requestStop(r)
-}
-
 // runAtFullPace returns the run that a recent report shows at full pace on a worker that it can stay on, or nil.
 func (s *Scheduler) runAtFullPace(t *task, now time.Time) *run {
 	for _, r := range t.runs {
 		recent := r.worker.consecutiveMisses == 0 && now.Sub(r.lastReported) < maxReportAge
-		if recent && r.phase == phaseRunning && r.speedPercent >= fullPacePercent && !r.evacuating && !r.stopInFlight && s.isCertainToStay(r) {
+		if recent && r.phase == phaseRunning && r.speedPercent >= fullPacePercent && !s.mayBeStopping(r, now) && s.isCertainToStay(r) {
 			return r
 		}
 	}
@@ -123,14 +116,19 @@
 	oldestReport time.Duration
 }
 
-// availabilityOf returns the availability of a long-running step. A step that states no limit loses one task at a time.
-func (s *Scheduler) availabilityOf(g *taskGroup, now time.Time) availability {
-	a := availability{tasks: len(g.tasks), tolerated: 1}
-	if g.spec().HasMaxUnavailable {
-		a.tolerated = g.spec().MaxUnavailable
+// availabilityWithout returns the availability of the other tasks of a long-running task's step. A step that states no limit
+// loses one task at a time.
+func (s *Scheduler) availabilityWithout(t *task, now time.Time) availability {
+	spec := t.group.spec()
+	a := availability{tasks: len(t.group.tasks) - 1, tolerated: 1}
+	if spec.HasMaxUnavailable {
+		a.tolerated = spec.MaxUnavailable
 	}
-	for _, t := range g.tasks {
-		r := s.runAtFullPace(t, now)
+	for _, other := range t.group.tasks {
+		if other == t {
+			continue
+		}
+		r := s.runAtFullPace(other, now)
 		if r == nil {
 			a.unavailable++
 			continue
@@ -140,10 +138,10 @@
 	return a
 }
 
-// toleratesLoss reports whether one more task may be taken down.
+// toleratesLoss reports whether the task may be taken down too.
 func (a availability) toleratesLoss() bool { return a.unavailable < a.tolerated }
 
 // String returns the figures for the log.
 func (a availability) String() string {
-	return fmt.Sprintf("%d of %d tasks away, %d tolerated, reports up to %s old", a.unavailable, a.tasks, a.tolerated, a.oldestReport.Round(time.Millisecond))
+	return fmt.Sprintf("%d of %d other tasks away, %d tolerated, reports up to %s old", a.unavailable, a.tasks, a.tolerated, a.oldestReport.Round(time.Millisecond))
 }
--- a/core/work/evacuation_loss_test.go
+++ b/core/work/evacuation_loss_test.go
@@ -71,6 +71,7 @@
 				stops := f.scheduleStops()
 				f.is.Equal(len(stops), 1)
 				f.failStop(stops[0], outcome)
+				f.now = f.now.Add(stopRetryTime)
 				f.scheduler.SetWithdrawn(map[string]bool{"b": true}, f.now)
 				f.answerRenewal("a", a)
 				f.answerRenewal("b", b)
--- a/core/work/order.go
+++ b/core/work/order.go
@@ -160,10 +160,10 @@
 
 // describeStop returns the reason of the next stop order, for the log.
 func (r *run) describeStop(now time.Time) string {
-	if !r.evacuating {
-		return r.stopReason
+	if r.stopReason == "" {
+		return ""
 	}
-	return fmt.Sprintf("%s, decided %s ago, order %d", r.stopReason, now.Sub(r.evacuationDecidedAt).Round(time.Millisecond), r.stopsSent)
+	return fmt.Sprintf("%s, decided %s ago, order %d", r.stopReason, now.Sub(r.stopDecidedAt).Round(time.Millisecond), r.stopsSent)
 }
 
 // sortedRunsToStop returns the runs to be stopped in a deterministic order.
@@ -343,6 +343,10 @@
 	r.stopInFlight = false
 	r.stopRetryAt = now.Add(stopRetryInterval)
 	if res.Outcome != OutcomeOK {
+		if res.Outcome == OutcomeUnknown {
+			r.stopUnansweredAt = now
+		}
+		s.withdrawMove(r)
 		return
 	}
 	r.phase = phaseStopping
--- a/core/work/relocation.go
+++ b/core/work/relocation.go
@@ -39,9 +39,8 @@
 			if s.chooseWorker(r.task.group, available, nil, nil, now) == nil {
 				continue
 			}
-			s.requestStop(r)
 			r.task.moves++
-			r.stopReason = fmt.Sprintf("stood still for %s, move %d of the task", now.Sub(r.haltedAt()).Round(time.Millisecond), r.task.moves)
+			s.requestMove(r, fmt.Sprintf("stood still for %s, move %d of the task", now.Sub(r.haltedAt()).Round(time.Millisecond), r.task.moves), now)
 			s.movedRun = r
 			w.paceControl.haltedAt = now // the others may run once this one is gone
 			return
--- a/core/work/relocation_test.go
+++ b/core/work/relocation_test.go
@@ -18,6 +18,8 @@
 	// stops holds the times of the stop orders since the start of the test.
 	stops []time.Duration
 	began time.Time
+	// losesStops is true while stop orders are not carried out and get no answer.
+	losesStops bool
 }
 
 // newHaltedPool returns a pool of workers with a serving task each, this number of which also run a best-effort task of a step.
@@ -57,7 +59,7 @@
 			}
 			p.answerRenewal(w, report)
 		}
-		for _, o := range p.executeRound() {
+		for _, o := range p.round() {
 			switch o.Kind {
 			case work.OrderPace:
 				p.pace[o.Run] = o.SpeedPercent
@@ -68,11 +70,30 @@
 	}
 }
 
+// round simulates a round.
+func (p *haltedPool) round() []work.Order {
+	if !p.losesStops {
+		return p.executeRound()
+	}
+	orders := p.scheduler.Schedule(p.now, p.now)
+	for _, o := range orders {
+		result := work.OrderResult{WorkerClock: p.now.Sub(start) + time.Second}
+		if o.Kind == work.OrderStop {
+			result = work.OrderResult{Outcome: work.OutcomeUnknown}
+		}
+		p.is.True(p.scheduler.HandleResult(o, result, p.now))
+	}
+	return orders
+}
+
 func (p *haltedPool) stop(o work.Order) {
 	w := o.Incarnation.Worker
 	p.is.True(isFill(startedRun{id: o.Run}))
 	p.is.True(strings.HasPrefix(o.Reason, "stood still for "))
 	p.stops = append(p.stops, p.now.Sub(p.began))
+	if p.losesStops {
+		return
+	}
 	p.runningByWorker[w] = slices.DeleteFunc(p.runningByWorker[w], func(r startedRun) bool { return r.id == o.Run })
 	p.endsByWorker[w] = append(p.endsByWorker[w], work.RunEnd{Number: uint64(len(p.endsByWorker[w]) + 1), Run: o.Run, Reason: work.EndReasonStopped})
 }
@@ -121,6 +142,19 @@
 	})
 }
 
+// TestUnansweredMove guards against a best-effort task that is stopped while it is at work, because a stop from the time in which
+// it stood still is sent again.
+func TestUnansweredMove(t *testing.T) {
+	p := newHaltedPool(t, 1, 1, lasting())
+	p.addWorker()
+	p.losesStops = true
+	for len(p.stops) == 0 {
+		p.play(500*time.Millisecond, true)
+	}
+	p.play(20*time.Second, false)
+	p.is.Equal(len(p.stops), 1)
+}
+
 func TestMovesOfBestEffortTasks(t *testing.T) {
 	t.Run("one of a worker goes, the others may run once it is gone", func(t *testing.T) {
 		p := newHaltedPool(t, 1, 2, lasting())
--- a/core/work/run.go
+++ b/core/work/run.go
@@ -46,24 +46,23 @@
 	startOrder   Order
 	repeatStart  bool
 	startRepeats int
-	// stopReason states the figures behind a stop of a task that is still wanted, for the log; empty otherwise.
-	// stopsSent counts the stop orders.
-	stopReason string
-	stopsSent  int
-	// stopInFlight is true while a stop order has no answer yet.
-	stopInFlight bool
+	// stopReason states the figures behind a stop of a task that is still wanted, decided at stopDecidedAt, for the log;
+	// empty otherwise. stopsSent counts the stop orders.
+	stopReason    string
+	stopDecidedAt time.Time
+	stopsSent     int
+	// stopInFlight is true while a stop order has no answer yet. stopUnansweredAt is when the last one without an answer was
+	// given up; zero if there is none.
+	stopInFlight     bool
+	stopUnansweredAt time.Time
 	// stopRetryAt is the earliest time of the next stop order.
 	stopRetryAt time.Time
 	// speedPercent is the reported speed of the run as a percentage of full speed; load is the reported
 	// ActiveRun.Load.
 	speedPercent int
-	// evacuating is true if the run is stopped because its worker is being evacuated. That was decided at
-	// evacuationDecidedAt.
-	evacuating          bool
-	evacuationDecidedAt time.Time
-	load                int
-	pace                runPace
-	startedAt           time.Time
+	load         int
+	pace         runPace
+	startedAt    time.Time
 	// lastReported is the time of the worker's last report that listed the run.
 	lastReported time.Time
 	// unneededSince is the time of the first report that listed the run although no task needed it, and
--- a/core/work/stop.go
+++ b/core/work/stop.go
@@ -1,6 +1,9 @@
 package work
 
-import "slices"
+import (
+	"slices"
+	"time"
+)
 
 // stopCause is why a run is to be stopped.
 type stopCause int
@@ -10,6 +13,9 @@
 	stopUnneeded stopCause = iota + 1
 	// stopUnanswered means that the run's start order got no answer. A report that lists the run withdraws the stop.
 	stopUnanswered
+	// stopForMove means that the task is to run on another worker. It holds for one order: whether the step can do without
+	// the task is asked again before the next one.
+	stopForMove
 )
 
 // requestStop has a run stopped that must end.
@@ -23,6 +29,28 @@
 	}
 }
 
+// requestMove has a run stopped whose task is to run on another worker. Reason states the figures behind the decision. A stop of a
+// run that must end stays due.
+func (s *Scheduler) requestMove(r *run, reason string, now time.Time) {
+	if s.runsToStop[r] == 0 {
+		s.runsToStop[r] = stopForMove
+		r.stopReason, r.stopDecidedAt = reason, now
+	}
+}
+
+// withdrawMove withdraws the stop of a run that the last order has not moved.
+func (s *Scheduler) withdrawMove(r *run) {
+	if s.runsToStop[r] == stopForMove {
+		delete(s.runsToStop, r)
+	}
+}
+
+// mayBeStopping reports whether the run is to be stopped or a stop order for it may still be carried out.
+func (s *Scheduler) mayBeStopping(r *run, now time.Time) bool {
+	unanswered := !r.stopUnansweredAt.IsZero() && now.Sub(r.stopUnansweredAt) <= lateOrderBound
+	return s.runsToStop[r] != 0 || r.stopInFlight || r.phase == phaseStopping || unanswered
+}
+
 // confirmListed records that a report lists a run whose start order has no answer yet.
 func (s *Scheduler) confirmListed(r *run) {
 	if s.runsToStop[r] == stopUnanswered {
