Count a task as at work only while its worker's lease lasts

Callers saw a long-running task stopped for an evacuation while the leases of 12 and 15 others of its step had run out within two seconds, on an entry host short of processor time.

Cause: a report counted for 1.4 s, whatever the lease. A renewal that follows an unanswered one asks for a report and grants no lease, so that a task was counted as at work on a new report while the lease of its worker had ended or was about to. The class is the same: a statement that was true when it was made is used later, here beyond the time that bounds it.

The scheduler now knows the lease that a worker has confirmed, with the answer to a renewal or to a start, and the highest reading that the worker's clock can have. A task counts as at work while that lease lasts for another second, in which a stop that is decided now is carried out. An earlier holder's lease doesn't count.

--- a/core/work/evacuation.go
+++ b/core/work/evacuation.go
@@ -83,17 +83,26 @@
 	}
 }
 
-// runAtFullPace returns the run that a recent report shows at full pace on a worker that it can stay on, or nil.
-func (s *Scheduler) runAtFullPace(t *task, now time.Time) *run {
+// runAtWork returns the run of a long-running task that is at work, or nil.
+func (s *Scheduler) runAtWork(t *task, now time.Time) *run {
 	for _, r := range t.runs {
-		recent := r.worker.consecutiveMisses == 0 && now.Sub(r.lastReported) < maxReportAge
-		if recent && r.phase == phaseRunning && r.speedPercent >= fullPacePercent && !s.mayBeStopping(r, now) && s.isCertainToStay(r) {
+		if s.isAtWork(r, now) {
 			return r
 		}
 	}
 	return nil
 }
 
+// isAtWork reports whether a recent report shows the run at full pace, and nothing that is known will end it soon: its worker's
+// lease lasts, and no stop may be on its way.
+func (s *Scheduler) isAtWork(r *run, now time.Time) bool {
+	w := r.worker
+	if w.consecutiveMisses > 0 || now.Sub(r.lastReported) >= maxReportAge || !w.clock.holdsLeaseFor(minLeaseLeft, now) {
+		return false
+	}
+	return r.phase == phaseRunning && r.speedPercent >= fullPacePercent && !s.mayBeStopping(r, now) && s.isCertainToStay(r)
+}
+
 // isCertainToStay reports whether the run can't be stopping on an order of an earlier holder: its worker has
 // listed it after the time that any such order would take.
 func (s *Scheduler) isCertainToStay(r *run) bool {
@@ -105,6 +114,9 @@
 	// maxReportAge is the age up to which a worker's report is trusted, a little more than the longest interval
 	// between two renewals.
 	maxReportAge = 1400 * time.Millisecond
+	// minLeaseLeft is how long a worker's lease has to last for its tasks to count as at work: until a stop that is decided
+	// meanwhile has been carried out.
+	minLeaseLeft = time.Second
 )
 
 // availability is how many tasks of a long-running step are at work, as far as the scheduler knows.
@@ -128,7 +140,7 @@
 		if other == t {
 			continue
 		}
-		r := s.runAtFullPace(other, now)
+		r := s.runAtWork(other, now)
 		if r == nil {
 			a.unavailable++
 			continue
--- a/core/work/order.go
+++ b/core/work/order.go
@@ -247,6 +247,9 @@
 		w.startsInFlight--
 	}
 	s.applyResultToWorker(w, res, now)
+	if o.Kind == OrderStart && res.Outcome == OutcomeOK {
+		w.clock.confirm(o.LeaseDeadline)
+	}
 	r := w.runs[o.Run]
 	if res.Outcome == OutcomeGone || res.Outcome == OutcomeReborn || r == nil {
 		return true
--- a/core/work/report.go
+++ b/core/work/report.go
@@ -90,7 +90,7 @@
 		renewal.LeaseDeadline = w.clock.grant(now, s.timing.Lease)
 		renewal.MaxWait = s.limitRenewalWait(w, wait, now)
 	}
-	w.renewalWait = renewal.MaxWait
+	w.renewalWait, w.renewalSequence, w.renewalDeadline = renewal.MaxWait, renewal.Sequence, renewal.LeaseDeadline
 	return renewal, true
 }
 
@@ -153,6 +153,10 @@
 	s.recordAnswer(w, report.WorkerClock, now)
 	answeredAt := w.estimateAnswerTime(now)
 	w.clock.readAt = answeredAt
+	if sequence == w.renewalSequence {
+		w.clock.confirm(w.renewalDeadline)
+		w.clock.recordReport(report.WorkerClock, w.renewedAt)
+	}
 	present := make(map[RunID]bool, len(report.Active)+len(report.Ends))
 	for _, a := range report.Active {
 		present[a.Run] = true
--- a/core/work/worker.go
+++ b/core/work/worker.go
@@ -57,8 +57,12 @@
 	// readAt is the approximate local time at which the worker read its clock. It is before receivedAt if this
 	// process was slow to read the answer.
 	readAt time.Time
-	// latestDeadline is the latest lease deadline that was granted, by the worker's clock.
-	latestDeadline time.Duration
+	// latestDeadline is the latest lease deadline that was granted, by the worker's clock. confirmedDeadline is the latest of
+	// those that the worker has confirmed with an answer; zero if there is none.
+	latestDeadline, confirmedDeadline time.Duration
+	// reportReading is the reading in the last report, and reportAskedAt the local time at which that report was asked for.
+	reportReading time.Duration
+	reportAskedAt time.Time
 }
 
 func (c *leaseClock) record(reading time.Duration, now time.Time) {
@@ -84,6 +88,26 @@
 	return deadline
 }
 
+// confirm records that the worker holds a lease until this deadline; zero if the call granted none.
+func (c *leaseClock) confirm(deadline time.Duration) {
+	c.confirmedDeadline = max(c.confirmedDeadline, deadline)
+}
+
+// recordReport records the reading in a report that was asked for at this time.
+func (c *leaseClock) recordReport(reading time.Duration, askedAt time.Time) {
+	c.reportReading, c.reportAskedAt = reading, askedAt
+}
+
+// maxReading returns the highest reading that the worker's clock can have now. The worker has reported.
+func (c *leaseClock) maxReading(now time.Time) time.Duration {
+	return c.reportReading + now.Sub(c.reportAskedAt)
+}
+
+// holdsLeaseFor reports whether the worker certainly holds a lease for that long.
+func (c *leaseClock) holdsLeaseFor(d time.Duration, now time.Time) bool {
+	return !c.reportAskedAt.IsZero() && c.maxReading(now)+d < c.confirmedDeadline
+}
+
 // allLeasesExpired reports whether every lease granted to this incarnation has certainly expired.
 func (c *leaseClock) allLeasesExpired(now time.Time) bool {
 	return !c.receivedAt.IsZero() && c.minReading(now) > c.latestDeadline
@@ -101,10 +125,12 @@
 	// fullyReported is true once the worker has listed all its runs and all unacknowledged ends.
 	fullyReported bool
 	// renewedAt is the time of the last renewal, and renewalWait the time for which the worker could delay its
-	// answer.
-	renewedAt   time.Time
-	renewalWait time.Duration
-	runs        map[RunID]*run
+	// answer. renewalSequence is its sequence number and renewalDeadline the lease that it grants, if any.
+	renewedAt       time.Time
+	renewalWait     time.Duration
+	renewalSequence uint64
+	renewalDeadline time.Duration
+	runs            map[RunID]*run
 	// reserved is what runs take, including runs that are being stopped. It exceeds Capacity if that has shrunk.
 	reserved Resources
 	// unknownDemands counts the runs whose demand is not known, which reserved lacks.
