Tell the age of a report by the worker's clock

Callers saw a long-running task stopped for an evacuation while others of its step had ended since the reports on which that was decided.

Cause: the time of a report was estimated as late as its long poll could have ended. A report that the worker gave at once, and that a slow entry host read a second later, counted as new for 1.4 s more.

The reading of the worker's clock in each answer tells when it was given: the fastest answer so far bounds the difference between the two clocks, and the stated drift bounds how that has grown. The estimate is the latest possible time, no earlier than that of the request, so that leases are granted as before or for less.

--- a/core/work/report.go
+++ b/core/work/report.go
@@ -151,7 +151,7 @@
 	}
 	var newEnds []RunEnd
 	s.recordAnswer(w, report.WorkerClock, now)
-	answeredAt := w.estimateAnswerTime(now)
+	answeredAt := w.latestAnswerTime(report.WorkerClock, now)
 	w.clock.readAt = answeredAt
 	if sequence == w.renewalSequence {
 		w.clock.confirm(w.renewalDeadline)
--- a/core/work/worker.go
+++ b/core/work/worker.go
@@ -60,6 +60,10 @@
 	// latestDeadline is the latest lease deadline that was granted, by the worker's clock. confirmedDeadline is the latest of
 	// those that the worker has confirmed with an answer; zero if there is none.
 	latestDeadline, confirmedDeadline time.Duration
+	// lowestOffset is the lowest known difference between the local time at which a reading was received, as the time since
+	// offsetBase, and the reading. It was measured at offsetAt.
+	lowestOffset         time.Duration
+	offsetBase, offsetAt time.Time
 	// reportReading is the reading in the last report, and reportAskedAt the local time at which that report was asked for.
 	reportReading time.Duration
 	reportAskedAt time.Time
@@ -68,6 +72,26 @@
 func (c *leaseClock) record(reading time.Duration, now time.Time) {
 	c.receivedAt, c.readAt = now, now
 	c.reading = reading
+	if c.offsetBase.IsZero() {
+		c.offsetBase = now
+	}
+	if offset := now.Sub(c.offsetBase) - reading; c.offsetAt.IsZero() || offset <= c.highestOffset(now) {
+		c.lowestOffset, c.offsetAt = offset, now
+	}
+}
+
+// highestOffset returns the highest difference between local time, since offsetBase, and the worker's clock. Answers take at least as
+// long as the fastest one; the difference grows if the worker's clock is slow.
+func (c *leaseClock) highestOffset(now time.Time) time.Duration {
+	return c.lowestOffset + time.Duration(float64(now.Sub(c.offsetAt))*maxClockDrift)
+}
+
+// latestTimeOf returns the latest local time at which the worker's clock can have had the reading that was received now.
+func (c *leaseClock) latestTimeOf(reading time.Duration, now time.Time) time.Time {
+	if t := c.offsetBase.Add(reading + c.highestOffset(now)); t.Before(now) {
+		return t
+	}
+	return now
 }
 
 // estimate returns the reading of the worker's clock now, on the assumption that it runs as fast as the local
@@ -195,13 +219,14 @@
 // answerDelayMargin is the time beyond the allowed wait within which an answer still counts as read promptly.
 const answerDelayMargin = 100 * time.Millisecond
 
-// estimateAnswerTime returns the approximate time at which the worker answered the last renewal, for an answer
-// that is read now. A process that lacks processor time reads answers late.
-func (w *worker) estimateAnswerTime(now time.Time) time.Time {
-	if latest := w.renewedAt.Add(w.renewalWait + answerDelayMargin); latest.Before(now) {
-		return latest
+// latestAnswerTime returns the latest time at which the worker can have answered the last renewal with this reading of its
+// clock, for an answer that is read now. A process that lacks processor time reads answers late.
+func (w *worker) latestAnswerTime(reading time.Duration, now time.Time) time.Time {
+	latest := w.clock.latestTimeOf(reading, now)
+	if limit := w.renewedAt.Add(w.renewalWait + answerDelayMargin); limit.Before(latest) {
+		latest = limit
 	}
-	return now
+	return laterTime(latest, w.renewedAt)
 }
 
 // recordMiss records a call without an answer.
