Ask whether a stop for a move is still wanted right before it is sent

Callers saw a long-running task stopped for an evacuation long after more of its step had gone than the job tolerates.

Cause: an order was decided and sent by different goroutines, and nothing looked at the time between.

The sender now asks the scheduler right before it sends a stop for a move. The answer rests on the same figures as the decision, at that time: reports are too old after a pause. An order that is no longer wanted counts as not sent, and the log says so.

Evidence: TestEvacuationStopHeldUpBeforeSending fails in 3 of 5 subtests if the order is always confirmed, and passes. io/runner passes.

--- a/core/work/evacuation_loss_test.go
+++ b/core/work/evacuation_loss_test.go
@@ -204,3 +204,57 @@
 		})
 	})
 }
+
+// TestEvacuationStopHeldUpBeforeSending guards against long-running tasks that are stopped for an evacuation although more of
+// their step are away than the job tolerates, by an order that a paused or slow entry host sends long after its decision.
+func TestEvacuationStopHeldUpBeforeSending(t *testing.T) {
+	withStop := func(t *testing.T, test func(f *fixture, a, b work.Report, stop work.Order)) {
+		t.Helper()
+		withEvacuation(t, func(f *fixture, a, b work.Report) {
+			stops := f.scheduleStops()
+			f.is.Equal(len(stops), 1)
+			test(f, a, b, stops[0])
+		})
+	}
+	t.Run("order is sent at once", func(t *testing.T) {
+		withStop(t, func(f *fixture, a, b work.Report, stop work.Order) {
+			f.is.True(f.scheduler.ConfirmOrder(stop, f.now))
+			f.is.Equal(len(f.scheduleStops()), 0)
+		})
+	})
+	t.Run("process was paused", func(t *testing.T) {
+		withStop(t, func(f *fixture, a, b work.Report, stop work.Order) {
+			f.now = f.now.Add(2 * time.Second)
+			f.is.True(!f.scheduler.ConfirmOrder(stop, f.now))
+			f.is.Equal(len(f.scheduleStops()), 0)
+			f.answerRenewal("a", a)
+			f.answerRenewal("b", b)
+			f.answerRenewal("b", b)
+			f.is.Equal(len(f.scheduleStops()), 1)
+		})
+	})
+	t.Run("others fell silent meanwhile", func(t *testing.T) {
+		withStop(t, func(f *fixture, a, b work.Report, stop work.Order) {
+			f.scheduler.HandleMissedRenewal(incarnation("b"), f.now)
+			f.is.True(!f.scheduler.ConfirmOrder(stop, f.now))
+		})
+	})
+	t.Run("worker is no longer withdrawn", func(t *testing.T) {
+		withStop(t, func(f *fixture, a, b work.Report, stop work.Order) {
+			f.scheduler.SetWithdrawn(nil, f.now)
+			f.is.True(!f.scheduler.ConfirmOrder(stop, f.now))
+			f.now = f.now.Add(stopRetryTime)
+			f.answerRenewal("a", a)
+			f.answerRenewal("b", b)
+			f.scheduler.SetWithdrawn(map[string]bool{"b": true}, f.now)
+			f.is.Equal(len(f.scheduleStops()), 1) // the task that was not stopped counts as at work
+		})
+	})
+	t.Run("job was cancelled meanwhile", func(t *testing.T) {
+		withStop(t, func(f *fixture, a, b work.Report, stop work.Order) {
+			f.scheduler.CancelJob("j")
+			f.now = f.now.Add(2 * time.Second)
+			f.is.True(f.scheduler.ConfirmOrder(stop, f.now))
+		})
+	})
+}
--- a/core/work/stop.go
+++ b/core/work/stop.go
@@ -45,6 +45,31 @@
 	}
 }
 
+// ConfirmOrder reports whether an order is still wanted. It is asked right before the order is sent, since the caller may have been
+// paused after the decision. An order that is not wanted counts as not sent, and has no result.
+func (s *Scheduler) ConfirmOrder(o Order, now time.Time) bool {
+	w := s.workers[o.Incarnation]
+	if o.Kind != OrderStop || w == nil {
+		return true
+	}
+	r := w.runs[o.Run]
+	if r == nil || s.runsToStop[r] != stopForMove || s.isMoveTolerated(r, now) {
+		return true
+	}
+	r.stopInFlight = false
+	s.withdrawMove(r)
+	return false
+}
+
+// isMoveTolerated reports whether the task that the run belongs to may still be stopped in order to run on another worker: the
+// worker is to become empty and the step tolerates the loss, or the task stands still.
+func (s *Scheduler) isMoveTolerated(r *run, now time.Time) bool {
+	if !r.worker.withdrawn && !r.worker.Draining {
+		return r.isBestEffort() && r.speedPercent == 0
+	}
+	return !r.task.group.spec().LongRunning || s.availabilityWithout(r.task, now).toleratesLoss()
+}
+
 // mayBeStopping reports whether the run is to be stopped or a stop order for it may still be carried out.
 func (s *Scheduler) mayBeStopping(r *run, now time.Time) bool {
 	unanswered := !r.stopUnansweredAt.IsZero() && now.Sub(r.stopUnansweredAt) <= lateOrderBound
--- a/io/runner/renewals.go
+++ b/io/runner/renewals.go
@@ -150,8 +150,18 @@
 	}
 }
 
-// executeOrder sends one order and passes its result to the scheduler.
+// executeOrder sends one order, if it is still wanted, and passes its result to the scheduler.
 func (h *poolHolder) executeOrder(order work.Order) {
+	h.mu.Lock()
+	wanted := h.scheduler.ConfirmOrder(order, time.Now())
+	h.mu.Unlock()
+	if !wanted {
+		h.manager.record(event.Event{
+			Number: event.WorkRunStopped, Pool: h.pool, Host: order.Incarnation.Worker, Job: string(order.Run.Task.Job),
+			Detail: fmt.Sprintf("%s: withdrawn before it was sent, %s", order.Run, order.Reason),
+		})
+		return
+	}
 	result := h.manager.sendOrder(h.ctx, order)
 	h.recordOrder(order, result)
 	h.mu.Lock()
