--- a/core/work/evacuation.go
+++ b/core/work/evacuation.go
@@ -57,32 +57,37 @@
 			continue
 		}
 		for _, r := range sortedRuns(w) {
-			if r.task == nil || r.phase != phaseRunning {
-				continue
-			}
-			g := r.task.group
-			overdue := w.withdrawn && now.Sub(w.withdrawnAt) > evacuationGrace
-			if g.spec().LongRunning && s.chooseWorker(g, available, nil, nil, now) == nil {
-				g.unplaced = true
-				s.unplacedTasks[g]++ // there is no other worker for the task
-				s.blockedEvacuations++
-				continue
-			}
-			if s.runsToStop[r] != 0 || now.Before(r.stopRetryAt) {
-				continue
-			}
-			switch {
-			case g.spec().LongRunning:
-				if a := s.availabilityWithout(r.task, now); a.toleratesLoss() {
-					s.requestMove(r, "evacuation: "+a.String(), now)
-				}
-			case overdue && !g.spec().Gang:
-				s.requestMove(r, fmt.Sprintf("evacuation: withdrawn for %s", now.Sub(w.withdrawnAt).Round(time.Millisecond)), now)
+			if r.task != nil && r.phase == phaseRunning {
+				s.evacuateRun(r, available, now)
 			}
 		}
 	}
 }
 
+// evacuateRun stops a run if its task can do without it now, or notes that there is no other worker for the task.
+func (s *Scheduler) evacuateRun(r *run, available []*worker, now time.Time) {
+	g, w := r.task.group, r.worker
+	isLongRunning := g.spec().LongRunning
+	if isLongRunning && s.chooseWorker(g, available, nil, nil, now) == nil {
+		g.unplaced = true
+		s.unplacedTasks[g]++
+		s.blockedEvacuations++
+		return
+	}
+	if s.runsToStop[r] != 0 || now.Before(r.stopRetryAt) {
+		return
+	}
+	if isLongRunning {
+		if a := s.availabilityWithout(r.task, now); a.toleratesLoss() {
+			s.requestMove(r, "evacuation: "+a.String())
+		}
+		return
+	}
+	if withdrawn := now.Sub(w.withdrawnAt); w.withdrawn && withdrawn > evacuationGrace && !g.spec().Gang {
+		s.requestMove(r, fmt.Sprintf("evacuation: withdrawn for %s", withdrawn.Round(time.Millisecond)))
+	}
+}
+
 // runAtWork returns the run of a long-running task that is at work, or nil.
 func (s *Scheduler) runAtWork(t *task, now time.Time) *run {
 	for _, r := range t.runs {
--- a/core/work/order.go
+++ b/core/work/order.go
@@ -153,17 +153,17 @@
 		}
 		r.stopInFlight = true
 		r.stopsSent++
-		orders = append(orders, Order{Kind: OrderStop, Endpoint: r.worker.endpoint(), Epoch: s.Epoch, Run: r.id, Reason: r.describeStop(now)})
+		orders = append(orders, Order{Kind: OrderStop, Endpoint: r.worker.endpoint(), Epoch: s.Epoch, Run: r.id, Reason: r.describeStop()})
 	}
 	return orders
 }
 
 // describeStop returns the reason of the next stop order, for the log.
-func (r *run) describeStop(now time.Time) string {
-	if r.stopReason == "" {
-		return ""
+func (r *run) describeStop() string {
+	if r.stopReason == "" || r.stopsSent <= 1 {
+		return r.stopReason
 	}
-	return fmt.Sprintf("%s, decided %s ago, order %d", r.stopReason, now.Sub(r.stopDecidedAt).Round(time.Millisecond), r.stopsSent)
+	return fmt.Sprintf("%s, order %d", r.stopReason, r.stopsSent)
 }
 
 // sortedRunsToStop returns the runs to be stopped in a deterministic order.
--- a/core/work/relocation.go
+++ b/core/work/relocation.go
@@ -40,7 +40,7 @@
 				continue
 			}
 			r.task.moves++
-			s.requestMove(r, fmt.Sprintf("stood still for %s, move %d of the task", now.Sub(r.haltedAt()).Round(time.Millisecond), r.task.moves), now)
+			s.requestMove(r, fmt.Sprintf("stood still for %s, move %d of the task", now.Sub(r.haltedAt()).Round(time.Millisecond), r.task.moves))
 			s.movedRun = r
 			w.paceControl.haltedAt = now // the others may run once this one is gone
 			return
--- a/core/work/run.go
+++ b/core/work/run.go
@@ -46,11 +46,10 @@
 	startOrder   Order
 	repeatStart  bool
 	startRepeats int
-	// stopReason states the figures behind a stop of a task that is still wanted, decided at stopDecidedAt, for the log;
-	// empty otherwise. stopsSent counts the stop orders.
-	stopReason    string
-	stopDecidedAt time.Time
-	stopsSent     int
+	// stopReason states the figures behind a stop of a task that is still wanted, for the log; empty otherwise.
+	// stopsSent counts the stop orders.
+	stopReason string
+	stopsSent  int
 	// stopInFlight is true while a stop order has no answer yet. stopUnansweredAt is when the last one without an answer was
 	// given up; zero if there is none.
 	stopInFlight     bool
--- a/core/work/stop.go
+++ b/core/work/stop.go
@@ -31,10 +31,10 @@
 
 // requestMove has a run stopped whose task is to run on another worker. Reason states the figures behind the decision. A stop of a
 // run that must end stays due.
-func (s *Scheduler) requestMove(r *run, reason string, now time.Time) {
+func (s *Scheduler) requestMove(r *run, reason string) {
 	if s.runsToStop[r] == 0 {
 		s.runsToStop[r] = stopForMove
-		r.stopReason, r.stopDecidedAt = reason, now
+		r.stopReason = reason
 	}
 }
 
