Keep stopping a run that a restarted worker may have started

Callers would see a long-running task that is never started again.

Cause: a worker restarts before it has listed a run, while a stop for an evacuation of the run is in flight. The new process may carry out the start, so that the run becomes an uncertain one of that process, and has to be stopped until the worker answers. The stop stayed a stop for a move, which holds for one order only. After that nothing ended the run: no move is decided for an uncertain run, and a report that lacks it doesn't count as long as the worker has confirmed nothing.

The stop for the move is now withdrawn when the run is transferred, and the run is stopped like any other whose start got no answer.

--- a/core/work/incarnations.go
+++ b/core/work/incarnations.go
@@ -105,6 +105,7 @@
 		r.stopInFlight = false
 		r.repeatStart = false
 		next.attachRun(r)
+		s.withdrawMove(r)
 		s.requestStopUnlessReported(r)
 		return
 	}
