Send no stop that a report has withdrawn

Callers would see a long-running task stopped while it is at work, whatever is away of its step, by an entry host that is short of processor time.

Cause: a start that got no answer is stopped unless a report lists its run. The report withdraws the stop, but not an order that was decided and not sent yet: ConfirmOrder only asked about stops for moves.

A stop order is now sent only while the run is to be stopped.

Evidence: TestUnansweredStartStopHeldUp failed and passes; the tests of core/work about stops, moves, evacuations and cancels pass.

--- a/core/work/stop.go
+++ b/core/work/stop.go
@@ -53,11 +53,19 @@
 		return true
 	}
 	r := w.runs[o.Run]
-	if r == nil || s.runsToStop[r] != stopForMove || s.isMoveTolerated(r, now) {
+	if r == nil {
 		return true
 	}
+	switch s.runsToStop[r] {
+	case stopUnneeded, stopUnanswered:
+		return true
+	case stopForMove:
+		if s.isMoveTolerated(r, now) {
+			return true
+		}
+		s.withdrawMove(r)
+	}
 	r.stopInFlight = false
-	s.withdrawMove(r)
 	return false
 }
 
