Add a failing test of start orders that are sent late

A start that is decided before its job is cancelled, or before its worker announces that it leaves, is sent however long the entry host takes.

--- a/core/work/held_up_orders_test.go
+++ b/core/work/held_up_orders_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"siskincross/core/work"
 )
@@ -30,3 +31,35 @@
 	f.answerRenewal(worker, runningReport([]work.Order{started}, worker))
 	f.is.Equal(len(f.scheduleStops()), 0)
 }
+
+// TestStartHeldUp guards against tasks that begin after their job was cancelled, or on a worker that is about to leave, by a
+// start order that a paused or slow entry host sends long after its decision.
+func TestStartHeldUp(t *testing.T) {
+	cases := map[string]func(f *fixture){
+		"job was cancelled":         func(f *fixture) { f.scheduler.CancelJob("j") },
+		"cancellation is requested": func(f *fixture) { f.is.True(f.scheduler.RequestCancel("j")) },
+		"workers are about to leave": func(f *fixture) {
+			a, b := workerInfo("a"), workerInfo("b")
+			a.Draining, b.Draining = true, true
+			f.scheduler.UpdateWorkers([]work.WorkerInfo{a, b}, f.now)
+		},
+		"workers are no longer listed": func(f *fixture) { f.scheduler.UpdateWorkers(nil, f.now) },
+		"cancellations since the decision are not known": func(f *fixture) {
+			f.scheduler.SetSnapshotTimes(f.now, f.now)
+			f.now = f.now.Add(3 * time.Second)
+		},
+	}
+	for name, change := range cases {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t)
+			f.answerRenewal("a", work.Report{})
+			f.answerRenewal("b", work.Report{})
+			f.scheduler.AddJob(chainJob("j", 1), work.Progress{}, 11, false, f.now)
+			starts := f.scheduler.Schedule(f.now, f.now)
+			f.is.Equal(len(starts), 1)
+			f.is.True(f.scheduler.ConfirmOrder(starts[0], f.now))
+			change(f)
+			f.is.True(!f.scheduler.ConfirmOrder(starts[0], f.now))
+		})
+	}
+}
