Ask whether a start is still wanted right before it is sent

Callers would see tasks begin after the cancellation of their job took effect, or on workers that had announced that they leave, from an entry host that is paused or short of processor time.

Cancellations, the state of workers and the age of both are looked at when a start is decided. Another goroutine sends it, and only the lease in the order bounds how much later: 5 s, while a cancellation has to take effect within 3 s and an announcement within 2 s.

The conditions under which an unanswered start is repeated now hold for the first order too, at the time of sending. A start that is no longer wanted counts as refused. If it is a repeat, the run is stopped, since the first order may still be carried out.

--- a/core/work/held_up_orders_test.go
+++ b/core/work/held_up_orders_test.go
@@ -63,3 +63,39 @@
 		})
 	}
 }
+
+// TestTaskOfUnsentStart guards against tasks that are never started, or run twice, after a start order was not sent.
+func TestTaskOfUnsentStart(t *testing.T) {
+	withStaleSnapshot := func(t *testing.T, repeated bool) (*fixture, work.Order) {
+		f := newFixture(t)
+		f.answerRenewal("a", work.Report{})
+		f.answerRenewal("b", work.Report{})
+		f.scheduler.AddJob(chainJob("j", 1), work.Progress{}, 11, false, f.now)
+		f.scheduler.SetSnapshotTimes(f.now, f.now)
+		starts := f.scheduler.Schedule(f.now, f.now)
+		if repeated {
+			f.answerOrder(starts[0], work.OutcomeUnknown)
+			starts = f.scheduler.Schedule(f.now, f.now)
+		}
+		f.is.Equal(len(starts), 1)
+		f.now = f.now.Add(3 * time.Second)
+		f.is.True(!f.scheduler.ConfirmOrder(starts[0], f.now))
+		f.answerRenewal("a", work.Report{})
+		f.answerRenewal("b", work.Report{})
+		f.scheduler.SetSnapshotTimes(f.now, f.now)
+		f.now = f.now.Add(100 * time.Millisecond)
+		return f, starts[0]
+	}
+	t.Run("task is started again", func(t *testing.T) {
+		f, _ := withStaleSnapshot(t, false)
+		starts := f.scheduler.Schedule(f.now, f.now)
+		f.is.Equal(len(starts), 1)
+		f.is.Equal(starts[0].Kind, work.OrderStart)
+	})
+	t.Run("task whose first order may have been carried out is stopped first", func(t *testing.T) {
+		f, start := withStaleSnapshot(t, true)
+		orders := f.scheduler.Schedule(f.now, f.now)
+		f.is.Equal(len(orders), 1)
+		f.assertStop(orders, start)
+	})
+}
--- a/core/work/stop.go
+++ b/core/work/stop.go
@@ -49,13 +49,34 @@
 // paused after the decision. An order that is not wanted counts as not sent, and has no result.
 func (s *Scheduler) ConfirmOrder(o Order, now time.Time) bool {
 	w := s.workers[o.Incarnation]
-	if o.Kind != OrderStop || w == nil {
+	if w == nil {
 		return true
 	}
 	r := w.runs[o.Run]
-	if r == nil {
+	switch {
+	case r == nil:
 		return true
+	case o.Kind == OrderStart:
+		return s.confirmStart(r, now)
+	case o.Kind == OrderStop:
+		return s.confirmStop(r, now)
 	}
+	return true
+}
+
+// confirmStart is ConfirmOrder for a start order.
+func (s *Scheduler) confirmStart(r *run, now time.Time) bool {
+	if r.task != nil && r.worker.listed && !r.worker.Draining && !s.hasStaleSnapshot(now) {
+		return true
+	}
+	s.startsInFlight--
+	r.worker.startsInFlight--
+	s.handleStartResult(r, OrderResult{Outcome: OutcomeNotSent}, now)
+	return false
+}
+
+// confirmStop is ConfirmOrder for a stop order.
+func (s *Scheduler) confirmStop(r *run, now time.Time) bool {
 	switch s.runsToStop[r] {
 	case stopUnneeded, stopUnanswered:
 		return true
--- a/io/runner/renewals.go
+++ b/io/runner/renewals.go
@@ -156,8 +156,12 @@
 	wanted := h.scheduler.ConfirmOrder(order, time.Now())
 	h.mu.Unlock()
 	if !wanted {
+		number := event.WorkRunStopped
+		if order.Kind == work.OrderStart {
+			number = event.WorkStartRefused
+		}
 		h.manager.record(event.Event{
-			Number: event.WorkRunStopped, Pool: h.pool, Host: order.Incarnation.Worker, Job: string(order.Run.Task.Job),
+			Number: number, Pool: h.pool, Host: order.Incarnation.Worker, Job: string(order.Run.Task.Job),
 			Detail: fmt.Sprintf("%s: withdrawn before it was sent, %s", order.Run, order.Reason),
 		})
 		return
