Repeat orders to hosts only while they interrupt no work

Callers would see tasks at work ended by a move or a maintenance of their host, whatever is away of their step, while the platform's interface to hosts is slow or answers nothing.

Whether a worker is evacuated is asked when an order is issued. If it gets no answer it is repeated every 0.4 to 1.5 s until it is confirmed.

An order is now repeated only while the host's worker is evacuated, or has been replaced, which an order that was carried out does. Until the order is confirmed its worker stays withdrawn, from 0.4 s after the first attempt, so that the pool doesn't take it back meanwhile. The host counts as down for its wave all the time, as before.

Evidence: TestRepeatedOrderOfHostInUse failed in 4 of 4 subtests and passes. core/capacity passes.

--- a/core/capacity/planner.go
+++ b/core/capacity/planner.go
@@ -375,14 +375,23 @@
 	return m.Labels[0]
 }
 
-// retryOrders repeats the orders that have not been confirmed.
+// retryOrders repeats the orders that have not been confirmed, while they interrupt no work. A worker whose host may still
+// carry out an order stays withdrawn.
 func (p *Planner) retryOrders(plan *Plan, now time.Time) {
 	for _, m := range p.sortedHosts() {
-		if m.hasOrder && !m.confirmed && !now.Before(m.nextOrderAt) {
-			m.nextOrderAt = now.Add(orderTimeout)
-			m.attemptsInFlight++
-			plan.Orders = append(plan.Orders, m.order)
+		if !m.hasOrder || m.confirmed {
+			continue
 		}
+		restarted := m.Worker != m.orderedWorker
+		if m.Worker != "" && !restarted && now.Sub(m.orderedAt) >= retryDelay {
+			plan.Withdraw = append(plan.Withdraw, m.Worker)
+		}
+		if now.Before(m.nextOrderAt) || !(restarted || p.evacuated(m)) {
+			continue
+		}
+		m.nextOrderAt = now.Add(orderTimeout)
+		m.attemptsInFlight++
+		plan.Orders = append(plan.Orders, m.order)
 	}
 }
 
