Add a failing test of evacuations with short leases

Where workers grant leases of 3 s at most, no task counts as at work while its worker holds back its answers for 1 s, so that no evacuation of a long-running step begins.

go test -run TestEvacuationWithShortLeases ./core/work fails.

--- /dev/null
+++ b/core/work/short_lease_test.go
@@ -0,0 +1,40 @@
+package work_test
+
+import (
+	"testing"
+	"time"
+
+	"siskincross/core/work"
+)
+
+// TestEvacuationWithShortLeases guards against evacuations that never begin where workers grant short leases: a worker that holds
+// back its answers for as long as it may counts as about to lose its lease.
+func TestEvacuationWithShortLeases(t *testing.T) {
+	f := newFixture(t)
+	f.scheduler = &work.Scheduler{Pool: "pool", Epoch: 10, Timing: work.Timing{MaxLease: 3 * time.Second}}
+	f.scheduler.UpdateWorkers([]work.WorkerInfo{workerInfo("a"), workerInfo("b")}, f.now)
+	f.answerRenewal("a", work.Report{})
+	f.answerRenewal("b", work.Report{})
+	f.scheduler.AddJob(newLongRunningJob("j", 4), work.Progress{}, 11, false, f.now)
+	started := f.executeRound()
+	reports := map[string]work.Report{"a": runningReport(started, "a"), "b": runningReport(started, "b")}
+	for id, r := range reports {
+		f.answerRenewal(id, r)
+	}
+	for range 10 {
+		renewals := make(map[string]work.Renewal)
+		for id := range reports {
+			renewal, ok := f.scheduler.PrepareRenewal(incarnation(id), time.Second, f.now)
+			f.is.True(ok)
+			f.is.Equal(renewal.MaxWait, time.Second)
+			renewals[id] = renewal
+		}
+		f.now = f.now.Add(time.Second)
+		for id, r := range reports {
+			r.WorkerClock = f.now.Sub(start) + time.Second
+			f.scheduler.HandleReport(incarnation(id), renewals[id].Sequence, r, f.now)
+		}
+	}
+	f.scheduler.SetWithdrawn(map[string]bool{"a": true}, f.now)
+	f.is.Equal(len(f.scheduleStops()), 1)
+}
