Bound a worker's clock by its most prompt report

Callers on platforms with short leases would see no evacuation of long-running tasks begin, so that hosts neither move nor are maintained.

Cause: a task counts as at work while the lease of its worker certainly lasts for another second. The highest reading of the worker's clock was estimated from the last report as if the worker had read its clock when it was asked. A worker holds back its answer for up to 1 s, so that this second was added to every estimate. With leases of 3 s no task ever counted as at work.

The clock is never fast, so that each report bounds it for good. The report that bounds it most closely counts: one that the worker gave at once, as the first one. Slow clocks lose what they lag until then, and no more than before.

--- a/core/work/short_lease_test.go
+++ b/core/work/short_lease_test.go
@@ -38,3 +38,22 @@
 	f.scheduler.SetWithdrawn(map[string]bool{"a": true}, f.now)
 	f.is.Equal(len(f.scheduleStops()), 1)
 }
+
+// TestEvacuationWithoutWorkerClock guards against tasks that count as at work whatever their worker's lease, because one report
+// lacked the reading of its clock.
+func TestEvacuationWithoutWorkerClock(t *testing.T) {
+	withEvacuation(t, func(f *fixture, a, b work.Report) {
+		renewal, ok := f.scheduler.PrepareRenewal(incarnation("b"), 0, f.now)
+		f.is.True(ok)
+		f.scheduler.HandleReport(incarnation("b"), renewal.Sequence, b, f.now)
+		for range 3 {
+			f.now = f.now.Add(1500 * time.Millisecond)
+			f.answerRenewal("a", a)
+			f.renewUnanswered("b")
+		}
+		f.answerRenewal("b", b) // grants no lease
+		f.is.Equal(len(f.scheduleStops()), 0)
+		f.answerRenewal("b", b)
+		f.is.Equal(len(f.scheduleStops()), 1)
+	})
+}
--- a/core/work/worker.go
+++ b/core/work/worker.go
@@ -64,7 +64,8 @@
 	// offsetBase, and the reading. It was measured at offsetAt.
 	lowestOffset         time.Duration
 	offsetBase, offsetAt time.Time
-	// reportReading is the reading in the last report, and reportAskedAt the local time at which that report was asked for.
+	// reportReading is the reading in a report that was asked for at the local time reportAskedAt: of all reports, the one that
+	// bounds the worker's clock most closely.
 	reportReading time.Duration
 	reportAskedAt time.Time
 }
@@ -117,12 +118,15 @@
 	c.confirmedDeadline = max(c.confirmedDeadline, deadline)
 }
 
-// recordReport records the reading in a report that was asked for at this time.
+// recordReport records the reading in a report that was asked for at this time; zero if the report had none. A report that the worker
+// held back bounds its clock less closely than one that it gave at once.
 func (c *leaseClock) recordReport(reading time.Duration, askedAt time.Time) {
-	c.reportReading, c.reportAskedAt = reading, askedAt
+	if reading > 0 && (c.reportAskedAt.IsZero() || reading <= c.maxReading(askedAt)) {
+		c.reportReading, c.reportAskedAt = reading, askedAt
+	}
 }
 
-// maxReading returns the highest reading that the worker's clock can have now. The worker has reported.
+// maxReading returns the highest reading that the worker's clock, which is never fast, can have now. The worker has reported.
 func (c *leaseClock) maxReading(now time.Time) time.Duration {
 	return c.reportReading + now.Sub(c.reportAskedAt)
 }
