Keep the tasks of a worker whose drain is given up

Operators would see tasks stopped for the drain of a host that stays in service: the work since the checkpoint is lost, and the tasks wait for a place.

An eviction was decided when the drain began and never again. The stop follows up to 10 s later, or once the checkpoint is saved.

An eviction for a drain now ends with the drain, unless the task was told to stop. Evictions for urgent jobs, teams below their guarantee and cancellations are as before.

--- a/core/job/eviction.go
+++ b/core/job/eviction.go
@@ -59,6 +59,18 @@
 	}
 }
 
+// endDrainEvictions keeps the tasks of a worker that is no longer drained, except those that were told to stop.
+func (s *Scheduler) endDrainEvictions(w *worker) {
+	for _, t := range w.tasks {
+		if t.eviction != evictDrain || !t.lastStopSent.IsZero() {
+			continue
+		}
+		t.eviction, t.stopAt, t.checkpointRequested = evictNone, time.Time{}, false
+		delete(s.evicting, t.entry.job.ID)
+		s.backlog.ensureTeam(t.entry.job.Spec.Team).running++
+	}
+}
+
 // SetDraining replaces the set of workers to drain. Their idempotent tasks are evicted. Tasks that must not
 // run again stay until they end.
 func (s *Scheduler) SetDraining(hosts []host.ID, now time.Time) {
@@ -69,9 +81,13 @@
 	}
 	anyChanged := false
 	for _, w := range s.sortedWorkers {
-		anyChanged = anyChanged || w.draining != draining[w.id]
+		changed := w.draining != draining[w.id]
+		anyChanged = anyChanged || changed
 		w.draining = draining[w.id]
 		if !w.draining {
+			if changed {
+				s.endDrainEvictions(w)
+			}
 			continue
 		}
 		for _, t := range w.tasks {
