--- /dev/null
+++ b/core/work/held_up_orders_test.go
@@ -0,0 +1,101 @@
+package work_test
+
+import (
+	"testing"
+	"time"
+
+	"siskincross/core/work"
+)
+
+// TestUnansweredStartStopHeldUp guards against long-running tasks that are stopped while they are at work: a stop of a start
+// without an answer is sent although a report has listed the run since.
+func TestUnansweredStartStopHeldUp(t *testing.T) {
+	f := newFixture(t)
+	f.answerRenewal("a", work.Report{})
+	f.answerRenewal("b", work.Report{})
+	f.scheduler.AddJob(newLongRunningJob("j", 1), work.Progress{}, 11, false, f.now)
+	var started, stop work.Order
+	for stop.Run.Task.Job == "" {
+		orders := f.scheduler.Schedule(f.now, f.now)
+		f.is.Equal(len(orders), 1)
+		if orders[0].Kind == work.OrderStop {
+			stop = orders[0]
+			continue
+		}
+		started = orders[0]
+		f.answerOrder(started, work.OutcomeUnknown)
+	}
+	worker := started.Incarnation.Worker
+	f.answerRenewal(worker, runningReport([]work.Order{started}, worker))
+	f.is.True(!f.scheduler.ConfirmOrder(stop, f.now))
+	f.answerRenewal(worker, runningReport([]work.Order{started}, worker))
+	f.is.Equal(len(f.scheduleStops()), 0)
+}
+
+// TestStartHeldUp guards against tasks that begin after their job was cancelled, or on a worker that is about to leave, by a
+// start order that a paused or slow entry host sends long after its decision.
+func TestStartHeldUp(t *testing.T) {
+	cases := map[string]func(f *fixture){
+		"job was cancelled":         func(f *fixture) { f.scheduler.CancelJob("j") },
+		"cancellation is requested": func(f *fixture) { f.is.True(f.scheduler.RequestCancel("j")) },
+		"workers are about to leave": func(f *fixture) {
+			a, b := workerInfo("a"), workerInfo("b")
+			a.Draining, b.Draining = true, true
+			f.scheduler.UpdateWorkers([]work.WorkerInfo{a, b}, f.now)
+		},
+		"workers are no longer listed": func(f *fixture) { f.scheduler.UpdateWorkers(nil, f.now) },
+		"cancellations since the decision are not known": func(f *fixture) {
+			f.scheduler.SetSnapshotTimes(f.now, f.now)
+			f.now = f.now.Add(3 * time.Second)
+		},
+	}
+	for name, change := range cases {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t)
+			f.answerRenewal("a", work.Report{})
+			f.answerRenewal("b", work.Report{})
+			f.scheduler.AddJob(chainJob("j", 1), work.Progress{}, 11, false, f.now)
+			starts := f.scheduler.Schedule(f.now, f.now)
+			f.is.Equal(len(starts), 1)
+			f.is.True(f.scheduler.ConfirmOrder(starts[0], f.now))
+			change(f)
+			f.is.True(!f.scheduler.ConfirmOrder(starts[0], f.now))
+		})
+	}
+}
+
+// TestTaskOfUnsentStart guards against tasks that are never started, or run twice, after a start order was not sent.
+func TestTaskOfUnsentStart(t *testing.T) {
+	withStaleSnapshot := func(t *testing.T, repeated bool) (*fixture, work.Order) {
+		f := newFixture(t)
+		f.answerRenewal("a", work.Report{})
+		f.answerRenewal("b", work.Report{})
+		f.scheduler.AddJob(chainJob("j", 1), work.Progress{}, 11, false, f.now)
+		f.scheduler.SetSnapshotTimes(f.now, f.now)
+		starts := f.scheduler.Schedule(f.now, f.now)
+		if repeated {
+			f.answerOrder(starts[0], work.OutcomeUnknown)
+			starts = f.scheduler.Schedule(f.now, f.now)
+		}
+		f.is.Equal(len(starts), 1)
+		f.now = f.now.Add(3 * time.Second)
+		f.is.True(!f.scheduler.ConfirmOrder(starts[0], f.now))
+		f.answerRenewal("a", work.Report{})
+		f.answerRenewal("b", work.Report{})
+		f.scheduler.SetSnapshotTimes(f.now, f.now)
+		f.now = f.now.Add(100 * time.Millisecond)
+		return f, starts[0]
+	}
+	t.Run("task is started again", func(t *testing.T) {
+		f, _ := withStaleSnapshot(t, false)
+		starts := f.scheduler.Schedule(f.now, f.now)
+		f.is.Equal(len(starts), 1)
+		f.is.Equal(starts[0].Kind, work.OrderStart)
+	})
+	t.Run("task whose first order may have been carried out is stopped first", func(t *testing.T) {
+		f, start := withStaleSnapshot(t, true)
+		orders := f.scheduler.Schedule(f.now, f.now)
+		f.is.Equal(len(orders), 1)
+		f.assertStop(orders, start)
+	})
+}
