Count a start's lease only while the worker holds an earlier one

Callers would see a long-running task stopped for an evacuation while others of its step have lapsed on a worker that has just got a new start.

Cause: the answer to a start confirmed a lease, and with it that the tasks of the worker's last report were still at work. If the lease before it had ended meanwhile, they had lapsed; only a later report shows what is there.

The log no longer gives the reason of a move for a stop that has another cause.

--- a/core/work/evacuation_loss_test.go
+++ b/core/work/evacuation_loss_test.go
@@ -142,6 +142,22 @@
 			f.is.Equal(len(f.scheduleStops()), 0)
 		})
 	})
+	t.Run("start grants a lease after that of others has ended", func(t *testing.T) {
+		withEvacuation(t, func(f *fixture, a, b work.Report) {
+			granted := f.now
+			f.now = granted.Add(3900 * time.Millisecond)
+			f.renewUnanswered("b")
+			f.answerRenewal("a", a)
+			f.is.Equal(f.answerRenewal("b", b).LeaseDeadline, time.Duration(0))
+			f.now = granted.Add(5100 * time.Millisecond)
+			f.answerRenewal("a", a)
+			f.scheduler.AddJob(chainJob("k", 1), work.Progress{}, 11, false, f.now)
+			orders := f.executeRound()
+			f.is.Equal(len(orders), 1)
+			f.is.Equal(orders[0].Incarnation.Worker, "b")
+			f.is.Equal(len(f.scheduleStops()), 0)
+		})
+	})
 	t.Run("earlier holder's lease may end at any time", func(t *testing.T) {
 		f := newFixture(t)
 		f.scheduler.AddUnresolvedIncarnation(incarnation("a"), f.now)
--- a/core/work/order.go
+++ b/core/work/order.go
@@ -247,8 +247,8 @@
 		w.startsInFlight--
 	}
 	s.applyResultToWorker(w, res, now)
-	if o.Kind == OrderStart && res.Outcome == OutcomeOK {
-		w.clock.confirm(o.LeaseDeadline)
+	if o.Kind == OrderStart && res.Outcome == OutcomeOK && w.clock.holdsLeaseFor(0, now) {
+		w.clock.confirm(o.LeaseDeadline) // otherwise the runs of the last report may have lapsed before
 	}
 	r := w.runs[o.Run]
 	if res.Outcome == OutcomeGone || res.Outcome == OutcomeReborn || r == nil {
--- a/core/work/stop.go
+++ b/core/work/stop.go
@@ -19,7 +19,10 @@
 )
 
 // requestStop has a run stopped that must end.
-func (s *Scheduler) requestStop(r *run) { s.runsToStop[r] = stopUnneeded }
+func (s *Scheduler) requestStop(r *run) {
+	s.runsToStop[r] = stopUnneeded
+	r.stopReason = ""
+}
 
 // requestStopUnlessReported has a run stopped whose start order got no answer, unless a report lists it first. A stop
 // of a run that must end stays due.
