Send no start of a run that has ended meanwhile

Callers would see a task run twice: a start that is held up in a slow entry host until its worker has ended is sent all the same, and a later process of that worker may carry it out while the task runs elsewhere.

Cause: ConfirmOrder let each order pass whose run is no longer known. A start of such a run is not sent now.

Evidence: two more subtests of TestStartHeldUp failed and pass.

--- a/core/work/held_up_orders_test.go
+++ b/core/work/held_up_orders_test.go
@@ -43,6 +43,15 @@
 			a.Draining, b.Draining = true, true
 			f.scheduler.UpdateWorkers([]work.WorkerInfo{a, b}, f.now)
 		},
+		"worker has ended": func(f *fixture) {
+			f.scheduler.EndIncarnation(incarnation("a"))
+			f.scheduler.EndIncarnation(incarnation("b"))
+		},
+		"workers have ended and are no longer listed": func(f *fixture) {
+			f.scheduler.UpdateWorkers(nil, f.now)
+			f.scheduler.EndIncarnation(incarnation("a"))
+			f.scheduler.EndIncarnation(incarnation("b"))
+		},
 		"workers are no longer listed": func(f *fixture) { f.scheduler.UpdateWorkers(nil, f.now) },
 		"cancellations since the decision are not known": func(f *fixture) {
 			f.scheduler.SetSnapshotTimes(f.now, f.now)
--- a/core/work/stop.go
+++ b/core/work/stop.go
@@ -52,29 +52,31 @@
 // paused after the decision. An order that is not wanted counts as not sent, and has no result.
 func (s *Scheduler) ConfirmOrder(o Order, now time.Time) bool {
 	w := s.workers[o.Incarnation]
-	if w == nil {
-		return true
+	var r *run
+	if w != nil {
+		r = w.runs[o.Run]
 	}
-	r := w.runs[o.Run]
-	switch {
-	case r == nil:
-		return true
-	case o.Kind == OrderStart:
-		return s.confirmStart(r, now)
-	case o.Kind == OrderStop:
-		return s.confirmStop(r, now)
+	switch o.Kind {
+	case OrderStart:
+		return s.confirmStart(w, r, now)
+	case OrderStop:
+		return r == nil || s.confirmStop(r, now)
 	}
 	return true
 }
 
-// confirmStart is ConfirmOrder for a start order.
-func (s *Scheduler) confirmStart(r *run, now time.Time) bool {
-	if r.task != nil && r.worker.listed && !r.worker.Draining && !s.hasStaleSnapshot(now) {
+// confirmStart is ConfirmOrder for a start order. The worker and the run are nil if they are no longer known.
+func (s *Scheduler) confirmStart(w *worker, r *run, now time.Time) bool {
+	if r != nil && r.task != nil && w.listed && !w.Draining && !s.hasStaleSnapshot(now) {
 		return true
 	}
 	s.startsInFlight--
-	r.worker.startsInFlight--
-	s.handleStartResult(r, OrderResult{Outcome: OutcomeNotSent}, now)
+	if w != nil {
+		w.startsInFlight--
+	}
+	if r != nil {
+		s.handleStartResult(r, OrderResult{Outcome: OutcomeNotSent}, now)
+	}
 	return false
 }
 
