Count a crash as confirmed only where the run is known to have begun

Callers saw a job failed after one worker had crashed under its task; two have to, for a job to be given up.

Cause: a worker may restart under its ID while the directory still lists the former incarnation. A start ordered from that one is carried out by the later one, and the answer, which doesn't name the incarnation, says ok. It counted as proof that the former had begun the run. Once the later one was listed, the crash of the former was recorded as confirmed, and the next crash was the second conclusive one. The class is evidence about one incarnation that is taken for evidence about another. It acted elsewhere: a run that moves to the later incarnation kept that proof, so that its end counted as confirmed too.

A crash is now confirmed if a report of that incarnation listed the run, or if the answer to its start can't have come from a later one. The clock of a later one starts anew, after the last report of the former was asked for; an answer in which the clock reads more than the time since then is the former's. An answer that doesn't show this leaves the crash unconfirmed, as an unanswered start does. If the later incarnation then lists the run and crashes, that confirmed crash takes the place of the unconfirmed one of the same attempt, which was dropped before.

Ruled out: a fault of the test's own count. Ruled out as a fix: reports as the only evidence.

Evidence, before and after: TestCrashBeforeStart fails in 3 of 6 subtests, passes.

The clocks of the workers in the crash tests now start anew with each life, as those of real ones do.

--- a/core/work/crash.go
+++ b/core/work/crash.go
@@ -42,7 +42,8 @@
 	// Coincident is true if the crash is likely to have another cause: several other workers fell silent at the same
 	// time, the worker had more likely causes, or one of those crashed another worker.
 	Coincident bool
-	// Confirmed is true if the worker had confirmed the run. Otherwise the run may never have been there.
+	// Confirmed is true if the incarnation that ended is known to have begun the run. Otherwise the run may never have been
+	// there.
 	Confirmed bool
 }
 
@@ -241,6 +242,13 @@
 	}
 }
 
+// hasAnswered reports whether an answer to an order that is received now certainly came from this incarnation, judged by its
+// reading of the worker's clock. A later incarnation, whose clock starts anew, has run for less time: it began after the
+// last report of this one was asked for.
+func (w *worker) hasAnswered(reading time.Duration, now time.Time) bool {
+	return !w.reportAskedAt.IsZero() && reading > now.Sub(w.reportAskedAt)
+}
+
 // clearCrashes records that a run of the task has lasted: it does not crash workers.
 func (s *Scheduler) clearCrashes(t *task) {
 	j := t.group.job
--- a/core/work/crash_pool_test.go
+++ b/core/work/crash_pool_test.go
@@ -22,6 +22,7 @@
 type crashWorker struct {
 	info      work.WorkerInfo
 	lives     int
+	bootedAt  time.Time
 	downUntil time.Time
 	crashAt   time.Time
 	// missAfter is the time before which calls to the crashed worker are pending.
@@ -78,6 +79,7 @@
 		id = fmt.Sprintf("%s-%d", w.info.Address, w.lives)
 	}
 	w.info.Incarnation = work.Incarnation{Worker: id, StartMillis: p.now.UnixMilli()}
+	w.bootedAt = p.now
 	w.runs, w.ends, w.lastEnd, w.downUntil, w.crashAt = make(map[work.RunID]time.Time), nil, 0, time.Time{}, time.Time{}
 }
 
@@ -207,7 +209,7 @@
 }
 
 func (p *crashPool) report(w *crashWorker) work.Report {
-	report := work.Report{WorkerClock: p.now.Sub(start) + time.Second, Ends: slices.Clone(w.ends)}
+	report := work.Report{WorkerClock: p.clock(w), Ends: slices.Clone(w.ends)}
 	for run := range w.runs {
 		report.Active = append(report.Active, work.ActiveRun{Run: run, SpeedPercent: 100})
 	}
@@ -250,9 +252,12 @@
 			p.end(w, o.Run, work.EndReasonStopped)
 		}
 	}
-	return work.OrderResult{WorkerClock: p.now.Sub(start) + time.Second}
+	return work.OrderResult{WorkerClock: p.clock(w)}
 }
 
+// clock returns the reading of the worker's clock, which starts anew with each life, some time before the worker is listed.
+func (p *crashPool) clock(w *crashWorker) time.Duration { return p.now.Sub(w.bootedAt) + crashStep }
+
 func (p *crashPool) commit() {
 	changes := p.scheduler.BeginCommit(100)
 	for _, c := range changes {
--- a/core/work/incarnations.go
+++ b/core/work/incarnations.go
@@ -101,7 +101,7 @@
 		s.detachRun(r)
 		r.worker = next
 		r.phase = phaseUncertain
-		r.confirmed = false
+		r.confirmed, r.begun = false, false
 		r.stopInFlight = false
 		r.repeatStart = false
 		next.attachRun(r)
--- a/core/work/order.go
+++ b/core/work/order.go
@@ -301,7 +301,8 @@
 		if r.phase == phaseStarting {
 			r.phase = phaseRunning
 		}
-		r.confirmed, r.begun = true, true
+		r.confirmed = true
+		r.begun = r.begun || r.worker.hasAnswered(res.WorkerClock, now)
 		r.confirmedSequence = s.sequence
 		if r.task != nil {
 			r.task.group.job.started = true
--- a/core/work/progress.go
+++ b/core/work/progress.go
@@ -100,17 +100,21 @@
 // maxStoredCrashes is the number of crashes that are kept of a task, the latest ones.
 const maxStoredCrashes = 8
 
-// WithCrash returns the progress with a crash added. The same attempt counts once.
+// WithCrash returns the progress with a crash added. The same attempt counts once: its confirmed crash replaces one that
+// was not.
 func (p Progress) WithCrash(c Crash) Progress {
-	if slices.ContainsFunc(p.crashes[c.Run.Task], func(known Crash) bool { return known.Run == c.Run }) {
-		return p
+	known := slices.Clone(p.crashes[c.Run.Task])
+	if i := slices.IndexFunc(known, func(known Crash) bool { return known.Run == c.Run }); i >= 0 {
+		if known[i].Confirmed || !c.Confirmed {
+			return p
+		}
+		known = slices.Delete(known, i, i+1)
 	}
 	p.crashes = maps.Clone(p.crashes)
 	if p.crashes == nil {
 		p.crashes = make(map[TaskID][]Crash)
 	}
-	known := p.crashes[c.Run.Task]
-	p.crashes[c.Run.Task] = append(slices.Clone(known[max(0, len(known)+1-maxStoredCrashes):]), c)
+	p.crashes[c.Run.Task] = append(known[max(0, len(known)+1-maxStoredCrashes):], c)
 	return p
 }
 
--- a/core/work/run.go
+++ b/core/work/run.go
@@ -39,7 +39,7 @@
 	confirmedSequence uint64
 	// confirmed is true if confirmedSequence is set.
 	confirmed bool
-	// begun is true once the worker has confirmed the start or listed the run.
+	// begun is true once the worker's incarnation has certainly begun the run: it listed the run, or answered its start.
 	begun bool
 	// startOrder is the order that started the run. It is sent again if repeatStart is true, because it got no
 	// answer. startRepeats counts how often it was sent again.
--- a/core/work/worker.go
+++ b/core/work/worker.go
@@ -158,7 +158,9 @@
 	renewalWait     time.Duration
 	renewalSequence uint64
 	renewalDeadline time.Duration
-	runs            map[RunID]*run
+	// reportAskedAt is the time of the last renewal that the worker has answered with a report.
+	reportAskedAt time.Time
+	runs          map[RunID]*run
 	// reserved is what runs take, including runs that are being stopped. It exceeds Capacity if that has shrunk.
 	reserved Resources
 	// unknownDemands counts the runs whose demand is not known, which reserved lacks.
