Add a failing test of a submission that is stored after its job's cancel

Callers saw a task run on although its job was cancelled and the cancel acknowledged. The test shows one way to that: a queue moves to another pool while a submission has no answer, the caller repeats it and cancels the job, and the store carries the first submission out afterwards, in the other pool. No holder there learns of the cancel. That this is what callers saw is not shown.

--- a/io/runner/moved_queue_test.go
+++ b/io/runner/moved_queue_test.go
@@ -81,6 +81,55 @@
 	})
 }
 
+// TestSubmissionStoredAfterCancel guards against a job that runs although its cancel was acknowledged: the caller's first
+// submission is stored in another pool than the repeated one, because the queue moved, and only after the cancel.
+func TestSubmissionStoredAfterCancel(t *testing.T) {
+	t.Run("the first submission is stored in the former pool", func(t *testing.T) {
+		withTwoPools(t, func(s *fakeSite) {
+			s.delaySubmissions(fakePool)
+			s.submitInVain("e0", s.queue(), "j")
+			moved := s.moveQueue(otherPool)
+			time.Sleep(500 * time.Millisecond)
+			s.is.NoErr(s.entryHosts["e1"].manager.Submit(context.Background(), runner.Caller{}, moved, newLastingJob("j")))
+			time.Sleep(500 * time.Millisecond)
+			s.assertRuns("j")
+			s.is.NoErr(s.entryHosts["e1"].manager.Cancel(context.Background(), runner.Caller{}, moved, "j"))
+			time.Sleep(commitDelay)
+			s.assertEnded("j")
+		})
+	})
+	t.Run("the repeated submission is stored in the former pool", func(t *testing.T) {
+		withTwoPools(t, func(s *fakeSite) {
+			s.delaySubmissions(otherPool)
+			s.store.withholdTable("e2", fakeOperatorsTable)
+			moved := s.moveQueue(otherPool)
+			time.Sleep(500 * time.Millisecond)
+			s.submitInVain("e0", moved, "j")
+			s.is.NoErr(s.entryHosts["e2"].manager.Submit(context.Background(), runner.Caller{}, s.queue(), newLastingJob("j")))
+			time.Sleep(500 * time.Millisecond)
+			s.assertRuns("j")
+			s.is.NoErr(s.entryHosts["e1"].manager.Cancel(context.Background(), runner.Caller{}, moved, "j"))
+			time.Sleep(commitDelay)
+			s.assertEnded("j")
+		})
+	})
+}
+
+// delaySubmissions makes the store carry out the submissions to a pool late and without an answer.
+func (s *fakeSite) delaySubmissions(pool string) {
+	s.store.mu.Lock()
+	defer s.store.mu.Unlock()
+	s.store.delayCommit = func(c platform.RowTransaction) bool { return c.Purpose == "accept" && c.Writes[0].Partition == pool }
+}
+
+// submitInVain submits a long-running job whose caller gives up before it is stored.
+func (s *fakeSite) submitInVain(host string, q work.Queue, id string) {
+	s.t.Helper()
+	ctx, giveUp := context.WithTimeout(context.Background(), 500*time.Millisecond)
+	defer giveUp()
+	s.is.True(s.entryHosts[host].manager.Submit(ctx, runner.Caller{}, q, newLastingJob(id)) != nil)
+}
+
 // TestCancelOfEqualID guards against the cancel of another queue's job that happens to have the same ID.
 func TestCancelOfEqualID(t *testing.T) {
 	withTwoPools(t, func(s *fakeSite) {
