Refuse submissions that are stored after their job's cancel

Callers saw a task run on although its job was cancelled and the cancel acknowledged, if the job's queue had moved to another pool a moment before.

A caller that gets no answer repeats its submission. If the queue has moved meanwhile, the repeated one is stored in another pool, and the cancel reached the pools that had the job at that time. The store may carry out the first submission seconds later. Its condition, that the pool has no such job, still held, and the holder of that pool ran the job.

The cancel now also stores the job's final state in the pools that serve the queue or served it before and don't have the job, so that the condition of a late submission fails. Queues that never moved cost no further call.

An entry host that has started since the move doesn't know the former pool; that case is still open. That this is what callers saw is not shown.

--- a/io/runner/moved_queue_test.go
+++ b/io/runner/moved_queue_test.go
@@ -130,6 +130,21 @@
 	s.is.True(s.entryHosts[host].manager.Submit(ctx, runner.Caller{}, q, newLastingJob(id)) != nil)
 }
 
+// TestCancelOfCompletedJobAfterQueueMoved guards against a completed job that is shown as cancelled once its queue has moved and
+// its caller has cancelled it.
+func TestCancelOfCompletedJobAfterQueueMoved(t *testing.T) {
+	withTwoPools(t, func(s *fakeSite) {
+		s.is.NoErr(s.submitJob("e0", job("j", 1)))
+		time.Sleep(2 * time.Second)
+		moved := s.moveQueue(otherPool)
+		time.Sleep(500 * time.Millisecond)
+		s.is.NoErr(s.entryHosts["e1"].manager.Cancel(context.Background(), runner.Caller{}, moved, "j"))
+		state, err := s.entryHosts["e1"].manager.State(context.Background(), runner.Caller{}, moved, "j")
+		s.is.NoErr(err)
+		s.is.Equal(state, work.StateCompleted)
+	})
+}
+
 // TestCancelOfEqualID guards against the cancel of another queue's job that happens to have the same ID.
 func TestCancelOfEqualID(t *testing.T) {
 	withTwoPools(t, func(s *fakeSite) {
--- a/io/runner/state.go
+++ b/io/runner/state.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 
 	"golang.org/x/sync/errgroup"
 
@@ -198,17 +199,29 @@
 	return nil
 }
 
-// cancelDuplicates cancels a job in the pools that don't serve its queue. One of them has it too if it was submitted again
-// while the queue moved to another pool. Pools whose partition of the store is unavailable are left out: their outage must
-// not keep other pools' jobs from being cancelled.
+// cancelDuplicates cancels a job in the other pools. One of them has it too if it was submitted again while the queue moved to
+// another pool, or gets it later if a submission has had no answer yet. Pools whose partition of the store is unavailable are
+// left out: their outage must not keep other pools' jobs from being cancelled.
 func (m *Manager) cancelDuplicates(ctx context.Context, caller Caller, q work.Queue, id work.JobID) error {
+	servedBy := m.servingPools(q)
+	hasMoved := len(servedBy) > 1
+	var final []byte
+	if hasMoved {
+		var err error
+		if final, err = m.finalState(ctx, caller, q, id); err != nil {
+			return err
+		}
+	}
 	var reads errgroup.Group
 	for _, pool := range m.poolNames() {
-		if pool == q.Pool || m.storeHealth.isUnavailable(pool) {
+		if (pool == q.Pool && !hasMoved) || m.storeHealth.isUnavailable(pool) {
 			continue
 		}
 		reads.Go(func() error {
 			row, ok, err := m.Rows.ReadRow(ctx, jobKey(pool, id), "cancel")
+			if err == nil && !ok && hasMoved && slices.Contains(servedBy, pool) {
+				return m.refuseLater(ctx, pool, id, final)
+			}
 			if err != nil || !ok || !caller.mayUse(ownerOf(row)) {
 				return err
 			}
@@ -230,3 +243,38 @@
 	}
 	return reads.Wait()
 }
+
+// servingPools returns the pools that serve a queue or did so in an earlier configuration.
+func (m *Manager) servingPools(q work.Queue) []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	pools := slices.Clone(m.formerPools[q.Key()])
+	if !slices.Contains(pools, q.Pool) {
+		pools = append(pools, q.Pool)
+	}
+	return pools
+}
+
+// finalState returns the state row of a job that ended or was cancelled.
+func (m *Manager) finalState(ctx context.Context, caller Caller, q work.Queue, id work.JobID) ([]byte, error) {
+	_, row, err := m.findJob(ctx, caller, q, id)
+	if err != nil {
+		return nil, err
+	}
+	if p, err := work.DecodeProgress(id, row.Value); err == nil && p.State.IsFinal() {
+		return row.Value, nil
+	}
+	return encodedState(work.StateCancelled, ownerOf(row)), nil // the job is found in a pool that is still to be dealt with
+}
+
+// refuseLater stores the final state of a job in a pool that doesn't have the job, so that the store refuses a submission that
+// it carries out later.
+func (m *Manager) refuseLater(ctx context.Context, pool string, id work.JobID, final []byte) error {
+	key := jobKey(pool, id)
+	_, err := m.Rows.Commit(ctx, platform.RowTransaction{
+		Preconditions: []platform.RowPrecondition{{RowKey: key}},
+		Writes:        []platform.RowWrite{{RowKey: key, Value: final}},
+		Purpose:       "cancel",
+	})
+	return err
+}
