Follow a table from the oldest page that was read

A pool's new holder reads the pool's jobs page by page and follows the changes since the version of the first page. The store may answer a read with older rows for some seconds. If a later page was older, a cancel between the two versions was in neither: by reading, the holder ran the job although its cancel was acknowledged, and a read of the queue by a holder counted jobs that the older page lacked as cancelled.

The version of a read is now the lowest of its pages. Changes that a newer page has already are applied again, which changes nothing, and a page from before the takeover makes the holder read again, as an older first page did.

--- a/io/platform/rangereader.go
+++ b/io/platform/rangereader.go
@@ -17,7 +17,8 @@
 type RangeReader struct {
 	// Query is the range to read. Its Limit is ignored.
 	Query RangeQuery
-	// Rows holds the rows read so far. Version is the version of the first page; Rows may lack later changes.
+	// Rows holds the rows read so far. Version is the lowest version of a page, which need not be that of the first one; Rows
+	// may lack later changes.
 	Rows    []VersionedRow
 	Version uint64
 
@@ -48,7 +49,7 @@
 
 // addPage appends a page and prepares the query for the next one.
 func (r *RangeReader) addPage(page Page) {
-	if !r.started {
+	if !r.started || page.Version < r.Version {
 		r.started, r.Version = true, page.Version
 	}
 	if r.limit > 0 {
--- a/io/platform/rows.go
+++ b/io/platform/rows.go
@@ -121,7 +121,7 @@
 	return fmt.Sprintf("the history of table %q is no longer available", e.Table)
 }
 
-// ReadAll reads a range page by page. It returns all rows and the version of the first page.
+// ReadAll reads a range page by page. It returns all rows and the lowest version of a page.
 func (r RowStore) ReadAll(ctx context.Context, q RangeQuery) ([]VersionedRow, uint64, error) {
 	reading := RangeReader{Query: q}
 	if err := reading.ReadRemaining(ctx, r); err != nil {
