Tell apart whose lease a test of evacuations is about

The worker that is evacuated had no lease either in the subtest "lease of others is about to end", so that it passed whatever the lease of the others. It is renewed in time now. The subtest fails if the lease needn't last.

--- a/core/work/evacuation_loss_test.go
+++ b/core/work/evacuation_loss_test.go
@@ -135,9 +135,12 @@
 	})
 	t.Run("lease of others is about to end", func(t *testing.T) {
 		withEvacuation(t, func(f *fixture, a, b work.Report) {
-			f.now = f.now.Add(4700 * time.Millisecond)
+			granted := f.now
+			f.now = granted.Add(2400 * time.Millisecond)
+			f.is.True(f.answerRenewal("a", a).LeaseDeadline > 0)
+			f.now = granted.Add(4700 * time.Millisecond)
 			f.renewUnanswered("b")
-			f.answerRenewal("a", a)
+			f.is.True(f.answerRenewal("a", a).LeaseDeadline > 0)
 			f.answerRenewal("b", b)
 			f.is.Equal(len(f.scheduleStops()), 0)
 		})
