Limit the unanswered starts of a slow holder by the time that they take

Callers saw AVAIL and lost time on small entry hosts: the tasks of whole steps ended together because their leases were not renewed, with no disturbance near. A lapse counts as an order of the process that started the task; no stop was sent.

Cause: congestion collapse. A holder may have 100 starts unanswered whatever they take. On a host that is short of processor time or room on its link they wait for each other, time out, are repeated, stopped and made again, and the renewals of leases and of the process's own member row wait behind them. The row lapses, another host takes the duty, reads the jobs while it is swamped alike, and loses the duty in turn; for five seconds nobody renews leases.

The limit now follows the time from the decision to the answer of starts: each answer later than 50 ms lowers it by a twentieth, down to 10, each other one raises it again.

TestSlowStarts fails without the change (100 starts instead of 10). core/work passes.

--- a/core/work/order.go
+++ b/core/work/order.go
@@ -257,6 +257,9 @@
 	s.sequence++
 	switch o.Kind {
 	case OrderStart:
+		if r.startRepeats == 0 && res.Outcome != OutcomeUnknown && res.Outcome != OutcomeNotSent {
+			s.startWindow.record(now.Sub(r.startedAt))
+		}
 		s.handleStartResult(r, res, now)
 	case OrderStop:
 		s.handleStopResult(r, res, now)
--- a/core/work/place.go
+++ b/core/work/place.go
@@ -11,10 +11,6 @@
 // answer within milliseconds, so the limit allows hundreds of starts a second.
 const maxUnansweredStartsPerWorker = 5
 
-// maxStartsInFlight limits the start orders of a pool that have no answer yet. At 10 ms per answer it allows
-// 10,000 starts a second. A slower holder finds a short queue of answers, none of which has waited long.
-const maxStartsInFlight = 100
-
 // placeTasks starts the tasks that can run now, in the order of their urgency. It starts nothing while the
 // snapshots are stale, since jobs may have been cancelled.
 func (s *Scheduler) placeTasks(now time.Time) []Order {
@@ -72,7 +68,7 @@
 		if !t.isStartable(now) {
 			continue
 		}
-		if s.startsInFlight >= maxStartsInFlight {
+		if s.startsInFlight >= s.startWindow.size() {
 			break
 		}
 		if !s.withinQuota(g, 1) {
@@ -117,7 +113,7 @@
 
 // placeGang starts all tasks of a gang with the same attempt number, or none of them.
 func (s *Scheduler) placeGang(g *taskGroup, available []*worker, now time.Time) []Order {
-	if s.startsInFlight >= maxStartsInFlight {
+	if s.startsInFlight >= s.startWindow.size() {
 		return nil
 	}
 	attempt := 0
--- a/core/work/scheduler.go
+++ b/core/work/scheduler.go
@@ -116,8 +116,9 @@
 	// jobsReadAt and workersReadAt are the times up to which the stored jobs and the worker directory are known;
 	// zero disables the check of their age.
 	jobsReadAt, workersReadAt time.Time
-	// startsInFlight counts the start orders that have no answer yet.
+	// startsInFlight counts the start orders that have no answer yet. startWindow limits them.
 	startsInFlight int
+	startWindow    startWindow
 	// startsToRepeat counts the runs whose start order is to be sent again.
 	startsToRepeat int
 	// adjustsPace is true once a job was added with best-effort tasks or with a latency target.
