--- a/core/capacity/planner.go
+++ b/core/capacity/planner.go
@@ -386,7 +386,8 @@
 		if m.Worker != "" && !restarted && now.Sub(m.orderedAt) >= retryDelay {
 			plan.Withdraw = append(plan.Withdraw, m.Worker)
 		}
-		if now.Before(m.nextOrderAt) || !(restarted || p.evacuated(m)) {
+		interruptsNoWork := restarted || p.evacuated(m)
+		if now.Before(m.nextOrderAt) || !interruptsNoWork {
 			continue
 		}
 		m.nextOrderAt = now.Add(orderTimeout)
--- a/core/work/order.go
+++ b/core/work/order.go
@@ -247,9 +247,6 @@
 		w.startsInFlight--
 	}
 	s.applyResultToWorker(w, res, now)
-	if o.Kind == OrderStart && res.Outcome == OutcomeOK && w.clock.holdsLeaseFor(0, now) {
-		w.clock.confirm(o.LeaseDeadline) // otherwise the runs of the last report may have lapsed before
-	}
 	r := w.runs[o.Run]
 	if res.Outcome == OutcomeGone || res.Outcome == OutcomeReborn || r == nil {
 		return true
@@ -257,9 +254,7 @@
 	s.sequence++
 	switch o.Kind {
 	case OrderStart:
-		if r.startRepeats == 0 && res.Outcome != OutcomeUnknown && res.Outcome != OutcomeNotSent {
-			s.startWindow.record(now.Sub(r.startedAt))
-		}
+		s.observeStart(r, o, res, now)
 		s.handleStartResult(r, res, now)
 	case OrderStop:
 		s.handleStopResult(r, res, now)
@@ -269,6 +264,17 @@
 	return true
 }
 
+// observeStart learns from the answer to a start how long starts take, and what lease the worker holds.
+func (s *Scheduler) observeStart(r *run, o Order, res OrderResult, now time.Time) {
+	if r.startRepeats == 0 && res.Outcome != OutcomeUnknown && res.Outcome != OutcomeNotSent {
+		s.startWindow.record(now.Sub(r.startedAt))
+	}
+	clock := &r.worker.clock
+	if res.Outcome == OutcomeOK && clock.holdsLeaseFor(0, now) {
+		clock.confirm(o.LeaseDeadline) // otherwise the runs of the last report may have lapsed before
+	}
+}
+
 // applyResultToWorker updates the state of the worker from the result of an order.
 func (s *Scheduler) applyResultToWorker(w *worker, res OrderResult, now time.Time) {
 	switch res.Outcome {
--- a/io/runner/state.go
+++ b/io/runner/state.go
@@ -217,33 +217,49 @@
 		if (pool == q.Pool && !hasMoved) || m.storeHealth.isUnavailable(pool) {
 			continue
 		}
-		reads.Go(func() error {
-			row, ok, err := m.Rows.ReadRow(ctx, jobKey(pool, id), "cancel")
-			if err == nil && !ok && hasMoved && slices.Contains(servedBy, pool) {
-				return m.refuseLater(ctx, pool, id, final)
-			}
-			if err != nil || !ok || !caller.mayUse(ownerOf(row)) {
-				return err
-			}
-			spec, ok, err := m.Rows.ReadRow(ctx, specKey(pool, id), "cancel")
-			if err != nil || !ok {
-				return err
-			}
-			job, err := decodeJob(spec)
-			if err == nil && job.Queue == q.Key() {
-				err = m.cancelStored(ctx, pool, row)
-			}
-			var unreadable ErrUnreadableRow
-			if errors.As(err, &unreadable) {
-				m.record(event.Event{Number: event.WorkRowUnreadable, Pool: pool, Job: string(id), Detail: err.Error()})
-				return nil
-			}
-			return err
-		})
+		d := duplicate{pool: pool, queue: q, id: id}
+		if hasMoved && slices.Contains(servedBy, pool) {
+			d.final = final
+		}
+		reads.Go(func() error { return m.cancelDuplicate(ctx, caller, d) })
 	}
 	return reads.Wait()
 }
 
+// duplicate is a job that a pool may have although another pool serves its queue.
+type duplicate struct {
+	pool  string
+	queue work.Queue
+	id    work.JobID
+	// final is the final state to be stored if the pool doesn't have the job and may get it later; nil if it can't.
+	final []byte
+}
+
+// cancelDuplicate cancels a job in one pool, if the pool has it.
+func (m *Manager) cancelDuplicate(ctx context.Context, caller Caller, d duplicate) error {
+	row, ok, err := m.Rows.ReadRow(ctx, jobKey(d.pool, d.id), "cancel")
+	if err == nil && !ok && d.final != nil {
+		return m.refuseLater(ctx, d.pool, d.id, d.final)
+	}
+	if err != nil || !ok || !caller.mayUse(ownerOf(row)) {
+		return err
+	}
+	spec, ok, err := m.Rows.ReadRow(ctx, specKey(d.pool, d.id), "cancel")
+	if err != nil || !ok {
+		return err
+	}
+	job, err := decodeJob(spec)
+	if err == nil && job.Queue == d.queue.Key() {
+		err = m.cancelStored(ctx, d.pool, row)
+	}
+	var unreadable ErrUnreadableRow
+	if errors.As(err, &unreadable) {
+		m.record(event.Event{Number: event.WorkRowUnreadable, Pool: d.pool, Job: string(d.id), Detail: err.Error()})
+		return nil
+	}
+	return err
+}
+
 // servingPools returns the pools that serve a queue or did so in an earlier configuration.
 func (m *Manager) servingPools(q work.Queue) []string {
 	m.mu.Lock()
