--- a/core/work/start_window.go
+++ b/core/work/start_window.go
@@ -7,7 +7,7 @@
 	// 10,000 starts a second.
 	maxStartsInFlight = 100
 	// minStartsInFlight is the limit for a holder all of whose starts are slow.
-	minStartsInFlight = 10
+	minStartsInFlight = 20
 	// slowStart is the time from the decision to the answer of a start beyond which the holder is short of processor time, or
 	// of room on its link. Workers answer within milliseconds.
 	slowStart = 50 * time.Millisecond
--- a/core/work/start_window_test.go
+++ b/core/work/start_window_test.go
@@ -42,6 +42,6 @@
 	f := newPoolFixture(t, workers)
 	f.scheduler.AddJob(chainJob("j", tasks), work.Progress{}, 11, false, f.now)
 	f.is.Equal(f.refuseStarts(1, promptAnswer), 100)
-	f.is.Equal(f.refuseStarts(settlingRounds, lateAnswer), 10)
+	f.is.Equal(f.refuseStarts(settlingRounds, lateAnswer), 20)
 	f.is.Equal(f.refuseStarts(settlingRounds, promptAnswer), 100)
 }
