Require more crashes before a long-running job is given up

Cause: a task under which two workers have crashed is taken for the cause if it was the only possible one the second time. Giving it up stops all tasks of its job together, which no tolerated loss bounds.

A long-running task now has to be the only possible cause at its fourth crash. A task that does crash its workers still gets five starts at most.

Evidence: TestWorkersCrashUnderOneTask failed and passes; the other tests of crashes pass. Ruled out: five crashes in any case, with which TestLongRunningTaskCrashesListedWorkers counts more than five starts.

--- a/core/work/crash.go
+++ b/core/work/crash.go
@@ -16,6 +16,9 @@
 	probationFactor = 2
 	// minCrashes is the number of crashes from which the job of a task can be given up.
 	minCrashes = 2
+	// minCrashesLongRunning is the same for a long-running task. It meets more crashes that have another cause, and all tasks
+	// of its job are stopped with it.
+	minCrashesLongRunning = 4
 	// maxCrashes is the number of crashes after which the job of a task is given up in any case.
 	maxCrashes = 5
 	// maxSimultaneous is the number of other workers up to which their silence at the same time may have other causes.
@@ -58,17 +61,23 @@
 	Alone bool
 	// Simultaneous is the number of other workers that fell silent at the same time.
 	Simultaneous int
+	// LongRunning is true for a long-running task.
+	LongRunning bool
 	// GivenUp is true if the task's job fails for it.
 	GivenUp bool
 }
 
-// isGivenUp reports whether the task is taken for the cause: it was the only possible one at its second crash or later, or
+// isGivenUp reports whether the task is taken for the cause: it was the only possible one at one of its later crashes, or
 // workers have crashed under it too often.
 func (v CrashVerdict) isGivenUp() bool {
+	required := minCrashes
+	if v.LongRunning {
+		required = minCrashesLongRunning
+	}
 	switch {
 	case v.Coincident:
 		return false
-	case v.Alone && v.Confirmed && max(v.Conclusive, v.ConfirmedCount-1) >= minCrashes+v.Simultaneous:
+	case v.Alone && v.Confirmed && max(v.Conclusive, v.ConfirmedCount-1) >= required+v.Simultaneous:
 		return true
 	}
 	return v.Conclusive >= maxCrashes || (v.Alone && v.Count >= maxCrashes)
@@ -221,7 +230,7 @@
 func (s *Scheduler) recordCrashOf(r *run, alone, beside bool) {
 	t := r.task
 	j := t.group.job
-	v := CrashVerdict{Crash: Crash{Run: r.id, Confirmed: r.begun}, Incarnation: r.worker.Incarnation, Alone: alone, Simultaneous: s.countSimultaneous(r.worker)}
+	v := CrashVerdict{Crash: Crash{Run: r.id, Confirmed: r.begun}, Incarnation: r.worker.Incarnation, Alone: alone, Simultaneous: s.countSimultaneous(r.worker), LongRunning: t.group.spec().LongRunning}
 	v.MinAge, v.MaxAge = r.ageAtSilence()
 	v.Coincident = beside || v.Simultaneous > maxSimultaneous
 	j.setProgress(j.progress.WithCrash(v.Crash))
--- a/core/work/crash_test.go
+++ b/core/work/crash_test.go
@@ -149,3 +149,37 @@
 	p.run(60 * time.Second)
 	p.is.Equal(p.states["wide"], work.StateCompleted)
 }
+
+// TestWorkersCrashUnderOneTask guards against a long-running job that is given up, and whose tasks are stopped, because workers
+// that end one after the other happen to run the same task.
+func TestWorkersCrashUnderOneTask(t *testing.T) {
+	p := newCrashPool(t, 6)
+	lasting := newLongRunningJob("lasting", 2)
+	lasting.Steps[0].SpreadLimit = 1
+	p.addJob(lasting)
+	p.run(8 * time.Second)
+	for range 3 {
+		w := p.workerOf(work.TaskID{Job: "lasting"})
+		p.run(500 * time.Millisecond)
+		p.crash(w)
+	}
+	p.run(10 * time.Second)
+	p.is.True(!p.states["lasting"].IsFinal())
+}
+
+// workerOf runs the pool until a worker runs the task, and returns that worker.
+func (p *crashPool) workerOf(t work.TaskID) *crashWorker {
+	p.t.Helper()
+	for range 1000 {
+		for _, w := range p.workers {
+			for r := range w.runs {
+				if r.Task == t {
+					return w
+				}
+			}
+		}
+		p.run(crashStep)
+	}
+	p.t.Fatalf("%s is not started", t)
+	return nil
+}
