--- a/core/work/crash.go
+++ b/core/work/crash.go
@@ -255,7 +255,7 @@
 // reading of the worker's clock. A later incarnation, whose clock starts anew, has run for less time: it began after the
 // last report of this one was asked for.
 func (w *worker) hasAnswered(reading time.Duration, now time.Time) bool {
-	return !w.reportAskedAt.IsZero() && reading > now.Sub(w.reportAskedAt)
+	return !w.answeredRenewalAt.IsZero() && reading > now.Sub(w.answeredRenewalAt)
 }
 
 // clearCrashes records that a run of the task has lasted: it does not crash workers.
--- a/core/work/report.go
+++ b/core/work/report.go
@@ -154,7 +154,7 @@
 	answeredAt := w.latestAnswerTime(report.WorkerClock, now)
 	w.clock.readAt = answeredAt
 	if sequence == w.renewalSequence {
-		w.reportAskedAt = w.renewedAt
+		w.answeredRenewalAt = w.renewedAt
 		w.clock.confirm(w.renewalDeadline)
 		w.clock.recordReport(report.WorkerClock, w.renewedAt)
 	}
--- a/core/work/worker.go
+++ b/core/work/worker.go
@@ -64,10 +64,10 @@
 	// offsetBase, and the reading. It was measured at offsetAt.
 	lowestOffset         time.Duration
 	offsetBase, offsetAt time.Time
-	// reportReading is the reading in a report that was asked for at the local time reportAskedAt: of all reports, the one that
-	// bounds the worker's clock most closely.
-	reportReading time.Duration
-	reportAskedAt time.Time
+	// boundReading is the reading in a report that was asked for at the local time boundAskedAt: of all reports, the one that
+	// bounds the worker's clock most closely from above.
+	boundReading time.Duration
+	boundAskedAt time.Time
 }
 
 func (c *leaseClock) record(reading time.Duration, now time.Time) {
@@ -121,19 +121,19 @@
 // recordReport records the reading in a report that was asked for at this time; zero if the report had none. A report that the worker
 // held back bounds its clock less closely than one that it gave at once.
 func (c *leaseClock) recordReport(reading time.Duration, askedAt time.Time) {
-	if reading > 0 && (c.reportAskedAt.IsZero() || reading <= c.maxReading(askedAt)) {
-		c.reportReading, c.reportAskedAt = reading, askedAt
+	if reading > 0 && (c.boundAskedAt.IsZero() || reading <= c.maxReading(askedAt)) {
+		c.boundReading, c.boundAskedAt = reading, askedAt
 	}
 }
 
 // maxReading returns the highest reading that the worker's clock, which is never fast, can have now. The worker has reported.
 func (c *leaseClock) maxReading(now time.Time) time.Duration {
-	return c.reportReading + now.Sub(c.reportAskedAt)
+	return c.boundReading + now.Sub(c.boundAskedAt)
 }
 
 // holdsLeaseFor reports whether the worker certainly holds a lease for that long.
 func (c *leaseClock) holdsLeaseFor(d time.Duration, now time.Time) bool {
-	return !c.reportAskedAt.IsZero() && c.maxReading(now)+d < c.confirmedDeadline
+	return !c.boundAskedAt.IsZero() && c.maxReading(now)+d < c.confirmedDeadline
 }
 
 // allLeasesExpired reports whether every lease granted to this incarnation has certainly expired.
@@ -158,9 +158,9 @@
 	renewalWait     time.Duration
 	renewalSequence uint64
 	renewalDeadline time.Duration
-	// reportAskedAt is the time of the last renewal that the worker has answered with a report.
-	reportAskedAt time.Time
-	runs          map[RunID]*run
+	// answeredRenewalAt is the time of the last renewal that the worker has answered with a report.
+	answeredRenewalAt time.Time
+	runs              map[RunID]*run
 	// reserved is what runs take, including runs that are being stopped. It exceeds Capacity if that has shrunk.
 	reserved Resources
 	// unknownDemands counts the runs whose demand is not known, which reserved lacks.
--- a/io/replay/grammar.go
+++ b/io/replay/grammar.go
@@ -45,12 +45,12 @@
 	}}
 }
 
-// countField is an integer from 0 to maxCount.
+// countField is an integer from 0 to maxFieldCount.
 func countField(name string, target func(*Event) *int) field {
 	return field{name: name, read: func(e *Event, value string) error {
 		n, err := strconv.Atoi(value)
-		if err != nil || n < 0 || n > maxCount {
-			return fmt.Errorf("%s must be a non-negative integer up to %d, not %q", name, maxCount, value)
+		if err != nil || n < 0 || n > maxFieldCount {
+			return fmt.Errorf("%s must be a non-negative integer up to %d, not %q", name, maxFieldCount, value)
 		}
 		*target(e) = n
 		return nil
@@ -134,10 +134,10 @@
 
 // Maximum values of numbers in traces. maxFactor limits uses-more.
 const (
-	maxRate   = 10_000
-	maxCount  = 1_000_000
-	maxFactor = 100
-	maxShare  = 1
+	maxRate       = 10_000
+	maxFieldCount = 1_000_000
+	maxFactor     = 100
+	maxShare      = 1
 )
 
 var (
