--- a/core/work/evacuation_loss_test.go
+++ b/core/work/evacuation_loss_test.go
@@ -102,7 +102,11 @@
 			f.scheduler.CancelJob("j")
 			f.failStop(stops[0], work.OutcomeUnknown)
 			f.now = f.now.Add(stopRetryTime)
-			f.is.Equal(len(f.scheduleStops()), 4)
+			stops = f.scheduleStops()
+			f.is.Equal(len(stops), 4)
+			for _, o := range stops {
+				f.is.Equal(o.Reason, "") // the log no longer says that it is for an evacuation
+			}
 		})
 	})
 }
@@ -114,19 +118,23 @@
 	f.scheduler.HandleMissedRenewal(incarnation(id), f.now)
 }
 
+// endLeaseAfterReport lets the lease of worker "b" run out after its last report. Renewals after an unanswered one grant no lease.
+func (f *fixture) endLeaseAfterReport(a, b work.Report) {
+	granted := f.now
+	f.now = granted.Add(3900 * time.Millisecond)
+	f.renewUnanswered("b")
+	f.answerRenewal("a", a)
+	f.is.Equal(f.answerRenewal("b", b).LeaseDeadline, time.Duration(0))
+	f.now = granted.Add(5100 * time.Millisecond)
+	f.answerRenewal("a", a)
+}
+
 // TestEvacuationWhileLeasesRunOut guards against long-running tasks that are stopped for an evacuation while others of their
 // step end because their leases are not renewed in time.
 func TestEvacuationWhileLeasesRunOut(t *testing.T) {
-	// Renewals after an unanswered one grant no lease.
 	t.Run("lease of others ends after their last report", func(t *testing.T) {
 		withEvacuation(t, func(f *fixture, a, b work.Report) {
-			granted := f.now
-			f.now = granted.Add(3900 * time.Millisecond)
-			f.renewUnanswered("b")
-			f.answerRenewal("a", a)
-			f.is.Equal(f.answerRenewal("b", b).LeaseDeadline, time.Duration(0))
-			f.now = granted.Add(5100 * time.Millisecond)
-			f.answerRenewal("a", a)
+			f.endLeaseAfterReport(a, b)
 			f.is.Equal(len(f.scheduleStops()), 0)
 			f.answerRenewal("b", b)
 			f.answerRenewal("b", b)
@@ -147,13 +155,7 @@
 	})
 	t.Run("start grants a lease after that of others has ended", func(t *testing.T) {
 		withEvacuation(t, func(f *fixture, a, b work.Report) {
-			granted := f.now
-			f.now = granted.Add(3900 * time.Millisecond)
-			f.renewUnanswered("b")
-			f.answerRenewal("a", a)
-			f.is.Equal(f.answerRenewal("b", b).LeaseDeadline, time.Duration(0))
-			f.now = granted.Add(5100 * time.Millisecond)
-			f.answerRenewal("a", a)
+			f.endLeaseAfterReport(a, b)
 			f.scheduler.AddJob(chainJob("k", 1), work.Progress{}, 11, false, f.now)
 			orders := f.executeRound()
 			f.is.Equal(len(orders), 1)
@@ -277,3 +279,54 @@
 		})
 	})
 }
+
+// oddClock is a worker's clock in the test of odd clocks: reading returns what it shows in a round, given the time since the start.
+type oddClock struct {
+	reading func(round int, sinceStart time.Duration) time.Duration
+	// age is that of a report which has to count as new.
+	age time.Duration
+}
+
+// TestEvacuationWithOddClocks guards against evacuations that never begin because reports count as old: the clock of a worker is
+// as slow as allowed, or has once been read far ahead.
+func TestEvacuationWithOddClocks(t *testing.T) {
+	const rounds = 120
+	cases := map[string]oddClock{
+		"slow clock": {func(_ int, d time.Duration) time.Duration { return time.Duration(0.98 * float64(d)) }, 500 * time.Millisecond},
+		"one reading too high": {func(round int, d time.Duration) time.Duration {
+			if round == 0 {
+				return d + 10*time.Second
+			}
+			return d
+		}, 300 * time.Millisecond},
+	}
+	for name, clock := range cases {
+		t.Run(name, func(t *testing.T) {
+			withEvacuation(t, func(f *fixture, a, b work.Report) {
+				f.scheduler.SetWithdrawn(nil, f.now)
+				for round := range rounds {
+					f.holdBackReports(a, b, func(d time.Duration) time.Duration { return clock.reading(round, d) })
+				}
+				f.now = f.now.Add(clock.age)
+				f.scheduler.SetWithdrawn(map[string]bool{"a": true}, f.now)
+				f.is.Equal(len(f.scheduleStops()), 1)
+			})
+		})
+	}
+}
+
+// holdBackReports simulates a renewal of both workers that is answered after a second, with these readings of their clocks.
+func (f *fixture) holdBackReports(a, b work.Report, reading func(sinceStart time.Duration) time.Duration) {
+	renewals := make(map[string]work.Renewal)
+	for _, id := range []string{"a", "b"} {
+		renewal, ok := f.scheduler.PrepareRenewal(incarnation(id), time.Second, f.now)
+		f.is.True(ok)
+		f.is.Equal(renewal.MaxWait, time.Second)
+		renewals[id] = renewal
+	}
+	f.now = f.now.Add(time.Second)
+	for id, r := range map[string]work.Report{"a": a, "b": b} {
+		r.WorkerClock = reading(f.now.Sub(start)) + time.Second
+		f.scheduler.HandleReport(incarnation(id), renewals[id].Sequence, r, f.now)
+	}
+}
--- a/core/work/short_lease_test.go
+++ b/core/work/short_lease_test.go
@@ -22,18 +22,7 @@
 		f.answerRenewal(id, r)
 	}
 	for range 10 {
-		renewals := make(map[string]work.Renewal)
-		for id := range reports {
-			renewal, ok := f.scheduler.PrepareRenewal(incarnation(id), time.Second, f.now)
-			f.is.True(ok)
-			f.is.Equal(renewal.MaxWait, time.Second)
-			renewals[id] = renewal
-		}
-		f.now = f.now.Add(time.Second)
-		for id, r := range reports {
-			r.WorkerClock = f.now.Sub(start) + time.Second
-			f.scheduler.HandleReport(incarnation(id), renewals[id].Sequence, r, f.now)
-		}
+		f.holdBackReports(reports["a"], reports["b"], func(d time.Duration) time.Duration { return d })
 	}
 	f.scheduler.SetWithdrawn(map[string]bool{"a": true}, f.now)
 	f.is.Equal(len(f.scheduleStops()), 1)
