Show operators how many starts a pool's holder may have unanswered

A holder that is short of processor time starts less, and nothing told so. TestStartLimitIsReported.

--- a/core/work/start_window.go
+++ b/core/work/start_window.go
@@ -38,3 +38,6 @@
 	}
 	w.reduction = maxStartsInFlight - size
 }
+
+// StartLimit returns how many start orders of the pool may be unanswered.
+func (s *Scheduler) StartLimit() int { return s.startWindow.size() }
--- a/core/work/start_window_test.go
+++ b/core/work/start_window_test.go
@@ -50,6 +50,7 @@
 	f.scheduler.AddJob(chainJob("j", tasks), work.Progress{}, 11, false, f.now)
 	f.is.Equal(f.refuseStarts(1, promptAnswer), 100)
 	f.is.Equal(f.refuseStarts(settlingRounds, lateAnswer), 20)
+	f.is.Equal(f.scheduler.StartLimit(), 20)
 	f.is.Equal(f.refuseStarts(settlingRounds, promptAnswer), 100)
 }
 
--- a/io/runner/holder.go
+++ b/io/runner/holder.go
@@ -85,8 +85,8 @@
 	unresolved []work.Incarnation
 	// awaitedEnds holds, for jobs that are being cancelled, a channel that is closed once the job is no longer held.
 	awaitedEnds map[work.JobID]chan struct{}
-	// sharesReportedAt is when the metrics of organisations were last updated.
-	sharesReportedAt time.Time
+	// loadReportedAt is when the metrics of the pool's load were last updated.
+	loadReportedAt time.Time
 }
 
 func newPoolHolder(t *tenure) *poolHolder {
@@ -186,7 +186,7 @@
 	for _, q := range requests {
 		h.group.Go(func() { h.requestApprovals(q) })
 	}
-	h.reportShares(now)
+	h.reportLoad(now)
 	h.startDueCommit(now)
 	h.startDueGrantCall(now)
 	h.rereadOverdueQueue(now)
--- a/io/runner/shares.go
+++ b/io/runner/shares.go
@@ -41,27 +41,6 @@
 	return kept
 }
 
-// shareReportInterval is the time between two updates of the metrics of organisations.
-const shareReportInterval = time.Second
-
-// reportShares updates the metrics of what the organisations have in the pool.
-func (h *poolHolder) reportShares(now time.Time) {
-	h.mu.Lock()
-	if now.Sub(h.sharesReportedAt) < shareReportInterval {
-		h.mu.Unlock()
-		return
-	}
-	h.sharesReportedAt = now
-	loads := h.scheduler.OrganisationLoads(now)
-	h.mu.Unlock()
-	for name, l := range loads {
-		scope := h.manager.scope.Tagged(map[string]string{"pool": h.pool, "organisation": name})
-		scope.Gauge("organisation_waiting_tasks").Update(float64(l.WaitingTasks))
-		scope.Gauge("organisation_jobs_beyond_share").Update(float64(l.JobsBeyondShare))
-		scope.Gauge("organisation_share_level").Update(l.Level)
-	}
-}
-
 // resubmissionPeriod is the time for which callers may repeat a submission that was accepted. A holder knows the jobs
 // that ended within that time once it has held the duty for as long.
 const resubmissionPeriod = 10 * time.Second
