--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -278,6 +278,60 @@
 	return r.runTwice(id)
 }
 
+// lateOrderCase: a start order gets no answer and is carried out 8.2 s later. Meanwhile its worker has started again under its ID and is then
+// cut off, while a task that lasts runs there.
+func (r *rig) lateOrderCase(address string) string {
+	r.configure(1, map[string]string{"/puxa/": "desk"}, "desk")
+	one, two := r.startEdge(address), r.startEdge(address)
+	const id, batch, lasting = "i-0002", "00000000000000d1", "00000000000000d2"
+	holdsUp := func(c call) (time.Duration, bool) {
+		return 8200 * time.Millisecond, r.trouble && jobOf(c.Task) == batch
+	}
+	first := r.startWorkerAt(id, "desk", "127.0.0.1:0", time.Hour, holdsUp)
+	r.awaitReady(one)
+	r.awaitReady(two)
+	time.Sleep(4 * time.Second)
+	start := time.Now()
+	phases := phase(map[string]any{"count": 1, "cpu": 2000, "memMb": 500, "estimateMs": 1500})
+	if status, _ := r.ask(one, http.MethodPost, "/puxa/"+batch, map[string]any{"spec": spec(work{Ms: 1500, CPU: 2000, Mem: 500}), "phases": phases}, 3*time.Second); status != 200 {
+		fatal("the job is not accepted: %d", status)
+	}
+	at(start, 600*time.Millisecond)
+	reused := first.listener.Addr().String()
+	first.crashAndReturn()
+	at(start, 1100*time.Millisecond)
+	second := r.startWorkerAt(id, "desk", reused, 0, nil)
+	at(start, 3*time.Second)
+	phases = phase(map[string]any{"count": 1, "cpu": 2600, "memMb": 8800, "estimateMs": 500, "longRunning": true, "lossy": 1})
+	if status, _ := r.ask(one, http.MethodPost, "/puxa/"+lasting, map[string]any{"spec": spec(work{CPU: 2600, Mem: 8800}), "phases": phases}, 3*time.Second); status != 200 {
+		fatal("the job is not accepted: %d", status)
+	}
+	at(start, 3500*time.Millisecond)
+	r.startWorker("i-0003", "desk")
+	at(start, 4500*time.Millisecond)
+	second.setCut(true)
+	at(start, 10*time.Second)
+	second.setCut(false)
+	at(start, 15*time.Second)
+	var runs []begun
+	for _, b := range r.copyRuns() {
+		if jobOf(b.task) == lasting {
+			runs = append(runs, b)
+		}
+	}
+	for i, b := range runs {
+		for _, c := range runs[i+1:] {
+			if end := b.ended; b.ended.IsZero() || c.at.Before(end) {
+				if b.ended.IsZero() {
+					end = time.Now()
+				}
+				return fmt.Sprintf("TWICE: run %d of %s on %s begins %.2f s before run %d on %s ends; both workers are up", c.attempt, c.task, c.worker.id, end.Sub(c.at).Seconds(), b.attempt, b.worker.id)
+			}
+		}
+	}
+	return ""
+}
+
 // runTwice returns how the rule TWICE is broken for a job whose runs go on, or an empty string.
 func (r *rig) runTwice(id string) string {
 	running := make(map[string]*worker)
--- a/review/standin/rig.go
+++ b/review/standin/rig.go
@@ -338,6 +338,8 @@
 		broken = r.cancelCase(address)
 	case "moved":
 		broken = r.movedCase(address)
+	case "lateorder":
+		broken = r.lateOrderCase(address)
 	case "late":
 		broken = r.lateCase(address)
 	case "occurrences":
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -51,9 +51,12 @@
 	listener net.Listener
 	server   *http.Server
 	stop     chan struct{}
+	// holdsUp reports for a start order after which delay it is carried out, without an answer.
+	holdsUp func(c call) (time.Duration, bool)
 
 	mu       sync.Mutex
 	dead     bool
+	cut      bool
 	fence    uint64
 	deadline time.Time
 	active   map[string]*activeRun
@@ -65,12 +68,17 @@
 }
 
 func (r *rig) startWorker(id, pool string) *worker {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	return r.startWorkerAt(id, pool, "127.0.0.1:0", 0, nil)
+}
+
+// startWorkerAt starts a worker at an address that has been up for some time.
+func (r *rig) startWorkerAt(id, pool, address string, age time.Duration, holdsUp func(call) (time.Duration, bool)) *worker {
+	l, err := net.Listen("tcp", address)
 	if err != nil {
 		fatal("listen: %v", err)
 	}
 	w := &worker{
-		rig: r, id: id, pool: pool, born: time.Now(), listener: l, stop: make(chan struct{}),
+		rig: r, id: id, pool: pool, born: time.Now().Add(-age), listener: l, holdsUp: holdsUp, stop: make(chan struct{}),
 		active: make(map[string]*activeRun), highest: make(map[string]int), ended: make(chan struct{}),
 	}
 	w.server = &http.Server{Handler: w}
@@ -137,6 +145,12 @@
 
 // crash ends the worker's life without a word. Its entry is removed after three check-in intervals of silence.
 func (w *worker) crash() {
+	w.crashAndReturn()
+	time.AfterFunc(3*heartbeat, func() { w.rig.store.put("servers", w.id, nil) })
+}
+
+// crashAndReturn is crash for a worker that starts again under its ID before its entry is removed.
+func (w *worker) crashAndReturn() {
 	w.mu.Lock()
 	w.dead = true
 	for task, a := range w.active {
@@ -147,7 +161,6 @@
 	close(w.stop)
 	_ = w.server.Close()
 	w.rig.note("worker %s crashes", w.id)
-	time.AfterFunc(3*heartbeat, func() { w.rig.store.put("servers", w.id, nil) })
 }
 
 type call struct {
@@ -166,11 +179,23 @@
 		out.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	if w.holdsUp != nil && r.URL.Path == "/run-start" {
+		if delay, ok := w.holdsUp(c); ok {
+			w.rig.note("the start of %s run %d at worker %s gets no answer; it is carried out %.1f s later", c.Task, c.Attempt, w.id, delay.Seconds())
+			time.AfterFunc(delay, func() { w.rig.carryOut(w.id, c) })
+			<-r.Context().Done()
+			return
+		}
+	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.dead {
 		panic(http.ErrAbortHandler)
 	}
+	if w.cut {
+		w.lose(r)
+		return
+	}
 	if r.Header.Get("X-Expect-Instance") != w.id {
 		out.WriteHeader(http.StatusMisdirectedRequest)
 		return
@@ -180,12 +205,7 @@
 		return
 	}
 	w.fence = c.FencingToken
-	if c.DeadlineMs > 0 {
-		until := min(w.born.Add(time.Duration(c.DeadlineMs)*time.Millisecond).Sub(time.Now()), maxHold)
-		if d := time.Now().Add(until); d.After(w.deadline) {
-			w.deadline = d
-		}
-	}
+	w.extend(c.DeadlineMs)
 	switch r.URL.Path {
 	case "/run-start":
 		w.start(out, c)
@@ -206,6 +226,54 @@
 	}
 }
 
+// extend extends the lease of everything that runs on the worker. It never shortens.
+func (w *worker) extend(deadlineMs int64) {
+	if deadlineMs <= 0 {
+		return
+	}
+	until := min(time.Until(w.born.Add(time.Duration(deadlineMs)*time.Millisecond)), maxHold)
+	if d := time.Now().Add(until); d.After(w.deadline) {
+		w.deadline = d
+	}
+}
+
+// lose waits until the caller has given up: the worker is cut off. The caller holds the lock.
+func (w *worker) lose(r *http.Request) {
+	w.mu.Unlock()
+	<-r.Context().Done()
+	w.mu.Lock()
+}
+
+// setCut cuts the worker off from all machines of the system, or ends that. It runs on and checks in.
+func (w *worker) setCut(cut bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.cut = cut
+	w.rig.note("worker %s is cut off from the machines of the system: %t", w.id, cut)
+}
+
+// carryOut has the worker that has the ID now carry out a start order that was held up. Its deadline counts also if the start is rejected as old.
+func (r *rig) carryOut(id string, c call) {
+	for _, w := range r.liveWorkers() {
+		if w.id != id {
+			continue
+		}
+		w.mu.Lock()
+		answer := "is carried out"
+		switch {
+		case c.FencingToken < w.fence:
+			answer = "is rejected: fence"
+		case c.Attempt <= w.highest[c.Task] || w.active[c.Task] != nil:
+			w.extend(c.DeadlineMs)
+			answer = fmt.Sprintf("is rejected: old; the lease lasts %.1f s from now", time.Until(w.deadline).Seconds())
+		default:
+			answer = "is late for this script"
+		}
+		w.mu.Unlock()
+		r.note("the start of %s run %d that was held up %s", c.Task, c.Attempt, answer)
+	}
+}
+
 func (w *worker) conflict(out http.ResponseWriter, reason string) {
 	out.WriteHeader(http.StatusConflict)
 	w.answer(out, map[string]any{"reason": reason})
@@ -269,6 +337,10 @@
 		if w.dead {
 			panic(http.ErrAbortHandler)
 		}
+		if w.cut {
+			w.lose(r)
+			return
+		}
 	}
 	active := [][]any{}
 	for task, a := range w.active {
