--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -164,7 +164,9 @@
 	r.awaitReady(one)
 	r.awaitReady(two)
 	time.Sleep(4 * time.Second)
+	r.mu.Lock()
 	r.quiet = true
+	r.mu.Unlock()
 	const tasks = 8
 	small := func(n int) string { return fmt.Sprintf("/puxa/%016x", 0x5000+n) }
 	accepted := make(map[string]int)
@@ -357,6 +359,8 @@
 func (r *rig) loseAccepts(pool, id string) {
 	var from time.Time
 	lost, writes := 0, 0
+	r.store.mu.Lock()
+	defer r.store.mu.Unlock()
 	r.store.loses = func(tx transaction) (time.Duration, bool) {
 		r.store.mu.Lock()
 		defer r.store.mu.Unlock()
--- a/review/standin/rig.go
+++ b/review/standin/rig.go
@@ -13,6 +13,8 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"runtime"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -302,9 +304,10 @@
 
 func (r *rig) liveWorkers() []*worker {
 	r.mu.Lock()
-	defer r.mu.Unlock()
+	workers := slices.Clone(r.workers)
+	r.mu.Unlock()
 	var live []*worker
-	for _, w := range r.workers {
+	for _, w := range workers { // the lock of a worker is taken before that of the rig
 		w.mu.Lock()
 		if !w.dead {
 			live = append(live, w)
@@ -314,7 +317,11 @@
 	return live
 }
 
+// maxDuration bounds the duration of a script.
+const maxDuration = 118 * time.Second
+
 func main() {
+	runtime.LockOSThread() // the processes end with the thread that started them
 	if len(os.Args) != 4 {
 		fatal("usage: standin CASE PROGRAM RECORD")
 	}
@@ -328,6 +335,7 @@
 	}
 	r := &rig{dir: dir, program: os.Args[2], trouble: os.Getenv("TROUBLE") != "0", began: time.Now(), record: record}
 	current = r
+	time.AfterFunc(maxDuration, func() { fatal("the script takes longer than %s", maxDuration) })
 	address := ""
 	r.store, address = newStore()
 	broken := ""
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -124,8 +124,11 @@
 			return
 		}
 	}
-	if s.loses != nil {
-		if delay, lost := s.loses(tx); lost {
+	s.mu.Lock()
+	loses := s.loses
+	s.mu.Unlock()
+	if loses != nil {
+		if delay, lost := loses(tx); lost {
 			time.AfterFunc(delay, func() { s.perform(tx) })
 			<-r.Context().Done() // nothing further is delivered on this channel
 			return
