Store the jobs of a queue in one pool at a time

Cause: the former pools of a queue were kept in the memory of each process, from the versions that it had seen, and were only read before a job was stored.

The assignment of a queue and a gate for each of its pools are stored now, and each transaction that stores jobs expects the version of an open gate.

TestGateCost: 20 submissions after the first cost no read. Ruled out: a read of each pool per submission, and a stored list of former pools that is only read, which leaves the late transaction.

A subtest of TestSubmissionStoredAfterCancel let an entry host with an outdated configuration store the job in the former pool; this is refused now, which the subtest requires instead. TestOtherOrganisationsJob counts the read of the assignment for a job that is not found.

--- a/core/event/work.go
+++ b/core/event/work.go
@@ -48,6 +48,7 @@
 	WorkRunLingers
 	WorkerCrashed
 	WorkerEntryRejected
+	QueueAssigned
 )
 
 var workEntries = []CatalogueEntry{
@@ -97,4 +98,5 @@
 	{WorkRunLingers, "work", "A worker still runs an attempt that no task needs, a second or longer after that was known; the line says whether it is being stopped."},
 	{WorkerCrashed, "work", "A worker ended while it ran an attempt whose task may be the cause; the line says how often that has happened to the task, and whether its job is given up."},
 	{WorkerEntryRejected, "work", "An entry of the directory is malformed or has values out of range, and names no worker to use; it is recorded again only for another reason."},
+	{QueueAssigned, "work", "A queue was assigned to a pool, and its jobs are stored there from now on; jobs that its former pools hold stay where they are."},
 }
--- a/core/work/catalogue.go
+++ b/core/work/catalogue.go
@@ -81,6 +81,16 @@
 // PoolNames returns the sorted names of all pools.
 func (c Catalogue) PoolNames() []string { return slices.Sorted(maps.Keys(c.Pools)) }
 
+// QueueByKey returns the queue that requests of this host and prefix select.
+func (c Catalogue) QueueByKey(key string) (Queue, bool) {
+	for _, q := range c.queues {
+		if q.Key() == key {
+			return q, true
+		}
+	}
+	return Queue{}, false
+}
+
 // FindQueue returns the queue of a request and the part of its path after the prefix.
 func (c Catalogue) FindQueue(host, path string) (Queue, string, bool) {
 	for _, q := range c.queues {
--- a/io/runner/batch.go
+++ b/io/runner/batch.go
@@ -28,6 +28,8 @@
 	// acceptCommitPause is the pause of a duty's holder between two commits of callers' jobs. Jobs that entry hosts
 	// forward meanwhile share the next commit, and commits of progress get a turn in the partition.
 	acceptCommitPause = 8 * time.Millisecond
+	// maxQueuesPerCommit bounds the gates in such a transaction, one a queue.
+	maxQueuesPerCommit = 8
 )
 
 // batcher collects the submissions for one pool into group commits.
@@ -211,11 +213,15 @@
 func (b *batcher) takeGroup() []*submission {
 	size, n := 0, 0
 	owners := make(map[work.JobID]string)
+	queues := make(map[string]bool)
 	for n < len(b.queued) && n < maxJobsPerCommit && (n == 0 || size+len(b.queued[n].encodedSpec) < maxBytesPerCommit) {
 		job := b.queued[n].job
 		if owner, ok := owners[job.ID]; ok && owner != job.Organisation {
 			break
 		}
+		if queues[job.Queue] = true; len(queues) > maxQueuesPerCommit {
+			break
+		}
 		owners[job.ID] = job.Organisation
 		size += len(b.queued[n].encodedSpec)
 		n++
@@ -231,7 +237,11 @@
 func (m *Manager) storeGroup(pool string, b *batcher, group []*submission) {
 	var retry backoff
 	for len(group) > 0 {
-		err := m.commitGroup(pool, group)
+		var gates []gate
+		if group, gates = m.awaitAdmission(pool, group); len(group) == 0 {
+			return
+		}
+		err := m.commitGroup(pool, group, gates)
 		var conflict platform.ErrVersionMismatch
 		var unavailable platform.ErrUnavailable
 		var invalid platform.ErrInvalid
@@ -240,6 +250,7 @@
 			completeAll(group, nil)
 			return
 		case errors.As(err, &conflict):
+			m.forgetChangedGates(conflict)
 			group = completeStored(pool, group, conflict)
 			continue
 		case errors.As(err, &unavailable) && unavailable.Overloaded:
@@ -273,9 +284,12 @@
 // commitGroup tries once to store a group. If this process holds the pool's duty, the duty's fence is part of the
 // transaction and its holder receives the jobs. Jobs that are stored after another member took the duty must be
 // unknown to all earlier holders, since the next holder relies on that.
-func (m *Manager) commitGroup(pool string, group []*submission) error {
+func (m *Manager) commitGroup(pool string, group []*submission, gates []gate) error {
 	h := m.readyHolder(pool)
 	tx := acceptTransaction(pool, group)
+	for _, g := range gates {
+		tx.Preconditions = append(tx.Preconditions, g.RowPrecondition)
+	}
 	if h == nil {
 		_, err := m.Rows.Commit(m.ctx, tx)
 		return err
@@ -311,6 +325,46 @@
 	return tx
 }
 
+// awaitAdmission admits a group until the store has answered for each submission or its caller's deadline has passed. It returns
+// those that are to be stored, with their gates.
+func (m *Manager) awaitAdmission(pool string, group []*submission) ([]*submission, []gate) {
+	var retry backoff
+	for {
+		admitted, gates, err := m.admitGroup(pool, group)
+		if err == nil {
+			return admitted, gates
+		}
+		if group = failUnadmitted(admitted, err); len(group) == 0 {
+			return nil, nil
+		}
+		if !m.awaitRetry(m.ctx, &retry) {
+			completeAll(group, ErrOutcomeUnknown{"the process is shutting down"})
+			return nil, nil
+		}
+	}
+}
+
+// failUnadmitted answers the submissions that can't be admitted because of the store: those of which no commit can have taken
+// effect if the store is unavailable, and those whose callers' deadlines have passed. It returns the others.
+func failUnadmitted(group []*submission, err error) []*submission {
+	var unavailable platform.ErrUnavailable
+	if errors.As(err, &unavailable) {
+		group = refuseUncommitted(group, err)
+	}
+	kept := group[:0]
+	for _, s := range group {
+		switch {
+		case s.ctx.Err() == nil:
+			kept = append(kept, s)
+		case s.maybeStored:
+			s.finish(ErrOutcomeUnknown{err.Error()})
+		default:
+			s.finish(ErrNotAccepted{Reason: err.Error(), RetryAfter: storeRetryAfter})
+		}
+	}
+	return kept
+}
+
 // completeAll answers all submissions of a group.
 func completeAll(group []*submission, err error) {
 	for _, s := range group {
--- a/io/runner/caller.go
+++ b/io/runner/caller.go
@@ -54,7 +54,7 @@
 // handedJob returns the message that forwards a submission of the caller.
 func (c Caller) handedJob(s *submission) *peerpb.HandedJob {
 	wait := max(time.Millisecond, time.Until(s.waitsUntil))
-	message := &peerpb.HandedJob{Id: string(s.job.ID), Row: s.encodedSpec, WaitMillis: uint32(wait.Milliseconds())}
+	message := &peerpb.HandedJob{Id: string(s.job.ID), Row: s.encodedSpec, Configuration: s.configuration, WaitMillis: uint32(wait.Milliseconds())}
 	if s.job.Organisation != "" {
 		message.KeyDigest, message.KeyVersion = c.Key[:], c.Version
 	}
--- a/io/runner/fake_store_test.go
+++ b/io/runner/fake_store_test.go
@@ -47,6 +47,8 @@
 	refuseCommit func(entryHost string, c platform.RowTransaction) bool
 	// maxValueBytes is the maximum size of a value; zero means any.
 	maxValueBytes int
+	// countReads, if set, is called for each read of rows by an entry host.
+	countReads func(platform.RangeQuery)
 	// afterCommit, if set, is called with all rows after each commit.
 	afterCommit func(rows map[platform.RowKey]platform.VersionedRow)
 }
@@ -151,6 +153,15 @@
 	return silent || s.dropsPage(q) || s.isWithheld(entryHost, q.Table)
 }
 
+// recordRead calls countReads for a read of rows.
+func (s *fakeStore) recordRead(q platform.RangeQuery) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.countReads != nil {
+		s.countReads(q)
+	}
+}
+
 // setTransactionTime sets how long each transaction of a partition takes.
 func (s *fakeStore) setTransactionTime(transactionTime time.Duration) {
 	s.mu.Lock()
@@ -194,6 +205,7 @@
 			if err := s.simulateCall(ctx, entryHost); err != nil {
 				return platform.Page{}, err
 			}
+			s.recordRead(q)
 			if s.losesPage(entryHost, q) {
 				<-ctx.Done()
 				return platform.Page{}, platform.ErrOutcomeUnknown{Service: "store", Reason: ctx.Err().Error()}
--- a/io/runner/forward.go
+++ b/io/runner/forward.go
@@ -304,7 +304,7 @@
 			return nil, err
 		}
 		group = append(group, &submission{
-			job: job, caller: caller, encodedSpec: forwarded.GetRow(), forwarded: true, receivedAt: time.Now(),
+			job: job, caller: caller, encodedSpec: forwarded.GetRow(), configuration: forwarded.GetConfiguration(), forwarded: true, receivedAt: time.Now(),
 			waitsUntil: time.Now().Add(forwardedWait(forwarded)), ctx: ctx, done: make(chan error, 1),
 		})
 	}
--- a/io/runner/holder.go
+++ b/io/runner/holder.go
@@ -63,6 +63,8 @@
 	rosterWritePending bool
 	// oldestChangeAt is when the oldest uncommitted change occurred.
 	oldestChangeAt time.Time
+	// gatesVersion is the version of the configuration whose queues' gates were last to be opened.
+	gatesVersion uint64
 	// lastCount holds the last stored numbers of waiting jobs, by queue.
 	lastCount   map[string]int
 	lastCountAt time.Time
@@ -163,6 +165,7 @@
 func (h *poolHolder) runRound(changes uint64) {
 	now := time.Now()
 	h.refreshWorkers(changes, now)
+	h.openNewGates()
 	organisations := h.manager.Catalogue().Organisations
 	learnsInterference := h.manager.learnsInterference()
 	h.mu.Lock()
--- a/io/runner/manager.go
+++ b/io/runner/manager.go
@@ -71,8 +71,8 @@
 	// reportedMembers holds the members of earlier versions that forwarded jobs without an organisation.
 	reportedMembers map[string]bool
 	waves           map[string]work.MaintenanceWave
-	// formerPools holds the pools that served a queue in earlier configurations, by the queue's key.
-	formerPools map[string][]string
+	// gates holds the open gates of the queues for which this process has stored jobs.
+	gates map[gateID]gate
 	// members holds the rows of the members, and failureDetector judges which of them are live.
 	members         map[string]duty.MemberRow
 	failureDetector duty.FailureDetector
@@ -136,7 +136,7 @@
 		m.withdrawnKeys = make(map[organisation.KeyDigest]withdrawal)
 		m.reportedMembers = make(map[string]bool)
 		m.waves = make(map[string]work.MaintenanceWave)
-		m.formerPools = make(map[string][]string)
+		m.gates = make(map[gateID]gate)
 		m.members = make(map[string]duty.MemberRow)
 		m.failureDetector = duty.FailureDetector{Lease: memberLease}
 		m.detectorAtEcho = m.failureDetector
--- a/io/runner/operators.go
+++ b/io/runner/operators.go
@@ -158,11 +158,7 @@
 	m.catalogue = c
 	difference := previous.Organisations.Difference(c.Organisations)
 	m.recordWithdrawnKeys(difference.WithdrawnKeys, c)
-	for _, q := range previous.Queues() {
-		if !slices.Contains(m.formerPools[q.Key()], q.Pool) {
-			m.formerPools[q.Key()] = append(m.formerPools[q.Key()], q.Pool)
-		}
-	}
+	m.forgetGatesExcept(c.Queues())
 	m.mu.Unlock()
 	detail := fmt.Sprintf("version %d replaces %d, %d queues, %d pools", c.Version, previous.Version, len(c.Queues()), len(c.Pools))
 	if c.Organisations.RequiresKeys() || previous.Organisations.RequiresKeys() {
--- a/io/runner/requests.go
+++ b/io/runner/requests.go
@@ -18,7 +18,7 @@
 		return 0, false, nil
 	}
 	request := &peerpb.JobRequest{
-		Pool: q.Pool, Id: string(id), Cancel: cancel, Organisation: caller.Organisation, KeyVersion: caller.Version,
+		Pool: q.Pool, Queue: q.Key(), Public: q.Public, Id: string(id), Cancel: cancel, Organisation: caller.Organisation, KeyVersion: caller.Version,
 		CatalogueVersion: m.Catalogue().Version, WaitMillis: uint32(max(time.Millisecond, time.Until(waitsUntil(ctx))).Milliseconds()),
 	}
 	if caller.Organisation != "" {
@@ -88,7 +88,8 @@
 	if m.recheckKey(caller) != nil {
 		return &peerpb.JobReply{Outcome: peerpb.JobReply_KEY_REFUSED}
 	}
-	q, id := work.Queue{Pool: request.GetPool()}, work.JobID(request.GetId())
+	// Host and path prefix together make up the key.
+	q, id := work.Queue{Pool: request.GetPool(), Host: request.GetQueue(), Public: request.GetPublic()}, work.JobID(request.GetId())
 	var state work.State
 	var err error
 	if request.GetCancel() {
--- a/io/runner/state.go
+++ b/io/runner/state.go
@@ -51,18 +51,24 @@
 // of which may have served the queue before.
 func (m *Manager) findJob(ctx context.Context, caller Caller, q work.Queue, id work.JobID) (string, platform.VersionedRow, error) {
 	pools := []string{q.Pool}
-	for _, name := range m.poolNames() {
-		if name != q.Pool {
-			pools = append(pools, name)
-		}
-	}
-	for _, pool := range pools {
-		row, ok, err := m.Rows.ReadRow(ctx, jobKey(pool, id), "state")
+	for i := 0; i < len(pools); i++ {
+		row, ok, err := m.Rows.ReadRow(ctx, jobKey(pools[i], id), "state")
 		if err != nil {
 			return "", row, err
 		}
 		if ok && caller.mayUse(ownerOf(row)) {
-			return pool, row, nil
+			return pools[i], row, nil
+		}
+		if i > 0 {
+			continue
+		}
+		if pools, err = m.storingPools(ctx, q, "state"); err != nil {
+			return "", row, err
+		}
+		for _, name := range m.poolNames() {
+			if !slices.Contains(pools, name) {
+				pools = append(pools, name)
+			}
 		}
 	}
 	return "", platform.VersionedRow{}, ErrJobNotFound{id}
@@ -71,23 +77,6 @@
 // Cancel cancels a job in each pool that has it. It returns nil once the cancel is stored, or if the job is final. Otherwise it
 // returns ErrJobNotFound, ErrNotAccepted or ErrOutcomeUnknown. Another organisation's job is treated like none.
 func (m *Manager) Cancel(ctx context.Context, caller Caller, q work.Queue, id work.JobID) error {
-	if err := m.cancelOnce(ctx, caller, q, id); err != nil {
-		return err
-	}
-	var retry backoff
-	for {
-		err := m.cancelDuplicates(ctx, caller, q, id)
-		if err == nil {
-			return nil
-		}
-		if !m.awaitRetry(ctx, &retry) {
-			return ErrOutcomeUnknown{err.Error()}
-		}
-	}
-}
-
-// cancelOnce is Cancel for the first pool that has the job.
-func (m *Manager) cancelOnce(ctx context.Context, caller Caller, q work.Queue, id work.JobID) error {
 	_, ok, err := m.forwardRequest(ctx, caller, q, id, true)
 	var unknown ErrOutcomeUnknown
 	switch {
@@ -100,12 +89,29 @@
 	return m.localCancel(ctx, caller, q, id)
 }
 
-// localCancel is cancelOnce without the help of other entry hosts. The holder of the pool's duty stores the cancel of a job that
-// it holds together with other changes, in which a transaction of its own would be a conflict.
+// localCancel is Cancel without the help of other entry hosts.
 func (m *Manager) localCancel(ctx context.Context, caller Caller, q work.Queue, id work.JobID) error {
 	if m.storeHealth.isUnavailable(q.Pool) {
 		return ErrNotAccepted{Reason: errStoreUnavailable().Error(), RetryAfter: storeRetryAfter}
 	}
+	if err := m.cancelFirst(ctx, caller, q, id); err != nil {
+		return err
+	}
+	var retry backoff
+	for {
+		err := m.cancelDuplicates(ctx, caller, q, id)
+		if err == nil {
+			return nil
+		}
+		if !m.awaitRetry(ctx, &retry) {
+			return ErrOutcomeUnknown{err.Error()}
+		}
+	}
+}
+
+// cancelFirst is localCancel for the first pool that has the job. The holder of the pool's duty stores the cancel of a job that it
+// holds together with other changes, in which a transaction of its own would be a conflict.
+func (m *Manager) cancelFirst(ctx context.Context, caller Caller, q work.Queue, id work.JobID) error {
 	if h := m.readyHolder(q.Pool); h != nil && h.cancelJob(ctx, caller, id) {
 		return nil
 	}
@@ -199,98 +205,41 @@
 	return nil
 }
 
-// cancelDuplicates cancels a job in the other pools. One of them has it too if it was submitted again while the queue moved to
-// another pool, or gets it later if a submission has had no answer yet. Pools whose partition of the store is unavailable are
-// left out: their outage must not keep other pools' jobs from being cancelled.
+// cancelDuplicates cancels a job in the other pools that may have stored jobs of its queue. One of them has it too if an entry host
+// of an earlier version stored it again after the queue had moved. Pools whose partition of the store is unavailable are left
+// out: their outage must not keep other pools' jobs from being cancelled.
 func (m *Manager) cancelDuplicates(ctx context.Context, caller Caller, q work.Queue, id work.JobID) error {
-	servedBy := m.servingPools(q)
-	hasMoved := len(servedBy) > 1
-	var final []byte
-	if hasMoved {
-		var err error
-		if final, err = m.finalState(ctx, caller, q, id); err != nil {
-			return err
-		}
+	pools, err := m.storingPools(ctx, q, "cancel")
+	if err != nil {
+		return err
 	}
 	var reads errgroup.Group
-	for _, pool := range m.poolNames() {
-		if (pool == q.Pool && !hasMoved) || m.storeHealth.isUnavailable(pool) {
-			continue
-		}
-		d := duplicate{pool: pool, queue: q, id: id}
-		if hasMoved && slices.Contains(servedBy, pool) {
-			d.final = final
+	for _, pool := range pools[1:] {
+		if !m.storeHealth.isUnavailable(pool) {
+			reads.Go(func() error { return m.cancelDuplicate(ctx, caller, pool, q, id) })
 		}
-		reads.Go(func() error { return m.cancelDuplicate(ctx, caller, d) })
 	}
 	return reads.Wait()
 }
 
-// duplicate is a job that a pool may have although another pool serves its queue.
-type duplicate struct {
-	pool  string
-	queue work.Queue
-	id    work.JobID
-	// final is the final state to be stored if the pool doesn't have the job and may get it later; nil if it can't.
-	final []byte
-}
-
 // cancelDuplicate cancels a job in one pool, if the pool has it.
-func (m *Manager) cancelDuplicate(ctx context.Context, caller Caller, d duplicate) error {
-	row, ok, err := m.Rows.ReadRow(ctx, jobKey(d.pool, d.id), "cancel")
-	if err == nil && !ok && d.final != nil {
-		return m.refuseLater(ctx, d.pool, d.id, d.final)
-	}
+func (m *Manager) cancelDuplicate(ctx context.Context, caller Caller, pool string, q work.Queue, id work.JobID) error {
+	row, ok, err := m.Rows.ReadRow(ctx, jobKey(pool, id), "cancel")
 	if err != nil || !ok || !caller.mayUse(ownerOf(row)) {
 		return err
 	}
-	spec, ok, err := m.Rows.ReadRow(ctx, specKey(d.pool, d.id), "cancel")
+	spec, ok, err := m.Rows.ReadRow(ctx, specKey(pool, id), "cancel")
 	if err != nil || !ok {
 		return err
 	}
 	job, err := decodeJob(spec)
-	if err == nil && job.Queue == d.queue.Key() {
-		err = m.cancelStored(ctx, d.pool, row)
+	if err == nil && job.Queue == q.Key() {
+		err = m.cancelStored(ctx, pool, row)
 	}
 	var unreadable ErrUnreadableRow
 	if errors.As(err, &unreadable) {
-		m.record(event.Event{Number: event.WorkRowUnreadable, Pool: d.pool, Job: string(d.id), Detail: err.Error()})
+		m.record(event.Event{Number: event.WorkRowUnreadable, Pool: pool, Job: string(id), Detail: err.Error()})
 		return nil
 	}
 	return err
 }
-
-// servingPools returns the pools that serve a queue or did so in an earlier configuration.
-func (m *Manager) servingPools(q work.Queue) []string {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	pools := slices.Clone(m.formerPools[q.Key()])
-	if !slices.Contains(pools, q.Pool) {
-		pools = append(pools, q.Pool)
-	}
-	return pools
-}
-
-// finalState returns the state row of a job that ended or was cancelled.
-func (m *Manager) finalState(ctx context.Context, caller Caller, q work.Queue, id work.JobID) ([]byte, error) {
-	_, row, err := m.findJob(ctx, caller, q, id)
-	if err != nil {
-		return nil, err
-	}
-	if p, err := work.DecodeProgress(id, row.Value); err == nil && p.State.IsFinal() {
-		return row.Value, nil
-	}
-	return encodedState(work.StateCancelled, ownerOf(row)), nil // the job is found in a pool that is still to be dealt with
-}
-
-// refuseLater stores the final state of a job in a pool that doesn't have the job, so that the store refuses a submission that
-// it carries out later.
-func (m *Manager) refuseLater(ctx context.Context, pool string, id work.JobID, final []byte) error {
-	key := jobKey(pool, id)
-	_, err := m.Rows.Commit(ctx, platform.RowTransaction{
-		Preconditions: []platform.RowPrecondition{{RowKey: key}},
-		Writes:        []platform.RowWrite{{RowKey: key, Value: final}},
-		Purpose:       "cancel",
-	})
-	return err
-}
--- a/io/runner/submission.go
+++ b/io/runner/submission.go
@@ -13,6 +13,10 @@
 	job         work.Job
 	caller      Caller
 	encodedSpec []byte
+	// configuration is the version of the configuration in which the pool serves the job's queue; zero if it is not known.
+	configuration uint64
+	// admittedBy is the version of the gate's row under which the job was looked for in the former pools of its queue.
+	admittedBy uint64
 	// maybeStored is true once a commit with the job had an unknown outcome.
 	maybeStored bool
 	// forwarded is true if another entry host sent the job. Such a job is stored here or not at all.
--- a/io/runner/submit.go
+++ b/io/runner/submit.go
@@ -4,11 +4,11 @@
 	"context"
 	"errors"
 	"fmt"
-	"slices"
 	"time"
 
 	"siskincross/core/event"
 	"siskincross/core/work"
+	"siskincross/io/platform"
 )
 
 // ErrNotAccepted is returned for a job that is not stored and will not be stored.
@@ -50,6 +50,7 @@
 // the job is stored. It returns work.ErrInvalid for a job that can't be run or is too large.
 func (m *Manager) Submit(ctx context.Context, caller Caller, q work.Queue, job work.Job) error {
 	m.init()
+	q, configuration := m.currentQueue(q)
 	job.Organisation = caller.jobOrganisation(q)
 	job.Queue, job.Priority, job.MaxFailedAttempts = q.Key(), q.Priority, q.MaxFailedAttempts
 	job.Objective, job.PolicyService, job.AcceptedAt = q.Objective, q.PolicyService, time.Now()
@@ -70,15 +71,14 @@
 	if err := checkRowSize(job.ID, row); err != nil {
 		return err
 	}
-	sub := &submission{job: job, caller: caller, encodedSpec: row, receivedAt: time.Now(), waitsUntil: waitsUntil(ctx), ctx: ctx, done: make(chan error, 1)}
-	if stored, err := m.storedInFormerPool(ctx, caller, q, job.ID); stored || err != nil {
-		return err
-	}
 	if !m.hasHosts(q.Pool) {
-		err := ErrNotAccepted{Reason: "the configuration has no pool " + q.Pool + " in service", RetryAfter: unservedRetryAfter}
+		err := m.submitUnserved(ctx, caller, q, job.ID)
 		m.recordSubmission(q, job, err)
 		return err
 	}
+	sub := &submission{
+		job: job, caller: caller, encodedSpec: row, configuration: configuration, receivedAt: time.Now(), waitsUntil: waitsUntil(ctx), ctx: ctx, done: make(chan error, 1),
+	}
 	m.enqueue(q.Pool, sub)
 	select {
 	case err := <-sub.done:
@@ -124,30 +124,31 @@
 	return ok && !p.Standby
 }
 
-// storedInFormerPool reports whether the caller's job is stored in a pool that served its queue before and doesn't now. A caller may
-// repeat a submission after the queue has moved to another pool. Another organisation's job of that ID doesn't count:
-// it stays as it is beside the new one.
-func (m *Manager) storedInFormerPool(ctx context.Context, caller Caller, q work.Queue, id work.JobID) (bool, error) {
-	m.mu.Lock()
-	pools := slices.Clone(m.formerPools[q.Key()])
-	m.mu.Unlock()
-	served := m.hasHosts(q.Pool)
-	if !served && !slices.Contains(pools, q.Pool) {
-		pools = append(pools, q.Pool)
+// currentQueue returns the queue as the configuration in force has it, and the version of that configuration. A queue that it
+// doesn't have is returned as it is, with version zero.
+func (m *Manager) currentQueue(q work.Queue) (work.Queue, uint64) {
+	c := m.Catalogue()
+	if current, ok := c.QueueByKey(q.Key()); ok {
+		return current, c.Version
 	}
-	for _, pool := range pools {
-		if pool == q.Pool && served {
-			continue
-		}
-		row, ok, err := m.Rows.ReadRow(ctx, jobKey(pool, id), "accept")
-		if err != nil {
-			return false, ErrNotAccepted{Reason: err.Error(), RetryAfter: storeRetryAfter}
-		}
-		if ok && caller.mayUse(ownerOf(row)) {
-			return true, nil
-		}
+	return q, 0
+}
+
+// submitUnserved is Submit for a queue whose pool is not in service. The job may be stored all the same, by an earlier submission.
+func (m *Manager) submitUnserved(ctx context.Context, caller Caller, q work.Queue, id work.JobID) error {
+	pools, err := m.storingPools(ctx, q, "accept")
+	var row platform.VersionedRow
+	found := false
+	if err == nil {
+		row, found, err = m.findRow(ctx, caller, pools, id, "accept")
+	}
+	switch {
+	case err != nil:
+		return ErrNotAccepted{Reason: err.Error(), RetryAfter: storeRetryAfter}
+	case found:
+		return caller.checkStored(id, row)
 	}
-	return false, nil
+	return ErrNotAccepted{Reason: "the configuration has no pool " + q.Pool + " in service", RetryAfter: unservedRetryAfter}
 }
 
 // recordSubmission records the result of a submission.
