Bar a cancelled job that isn't stored from being stored later

Cause: the cancel of a job that no pool has left nothing in the store, while the entry host, the holder of the pool's duty or the store itself could still store it.

The cancel now stores a row under the job's ID in each pool that may store jobs of the queue. It is no job, but each transaction that would store one expects that there is no row. A submission that meets it is refused for good.

Ruled out: waiting for what is under way, which a process can't know of the other ones or of the store.

--- a/io/runner/caller.go
+++ b/io/runner/caller.go
@@ -32,10 +32,16 @@
 // mayUse reports whether the caller may see and cancel the jobs of an organisation. Anybody may those without one.
 func (c Caller) mayUse(owner string) bool { return owner == "" || owner == c.Organisation }
 
+// barredRetryAfter is the Retry-After value of a job that was cancelled before it was stored. No retry will be accepted.
+const barredRetryAfter = time.Hour
+
 // checkStored returns nil if a job that is stored under the ID of a submission may be the submitted one. Another
 // organisation's job is left as it is, and the refusal is that of a passing failure, which doesn't tell that there is one.
 func (c Caller) checkStored(id work.JobID, row platform.VersionedRow) error {
-	if c.mayUse(ownerOf(row)) {
+	switch {
+	case c.mayUse(ownerOf(row)) && isBarred(row):
+		return ErrNotAccepted{Reason: "the job was cancelled before it was stored", RetryAfter: barredRetryAfter}
+	case c.mayUse(ownerOf(row)):
 		return nil
 	}
 	return ErrNotAccepted{Reason: "the ID " + string(id) + " belongs to a job of another organisation", RetryAfter: storeRetryAfter}
--- a/io/runner/cancel_test.go
+++ b/io/runner/cancel_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"sync"
 	"testing"
@@ -276,3 +277,66 @@
 		})
 	})
 }
+
+// assertNeverStarted checks that no task of a job runs now or did so before, nor within cancelBound.
+func (s *fakeSite) assertNeverStarted(id string) {
+	s.t.Helper()
+	time.Sleep(cancelBound)
+	if running, ended := s.jobActivity(id); running+ended > 0 {
+		s.t.Errorf("job %s was cancelled before it was stored: %d tasks run, %d have ended", id, running, ended)
+	}
+}
+
+// TestCancelBeforeSubmissionIsStored guards against a job that runs although its cancel was answered: the submission, whose outcome
+// its caller doesn't know, is stored later.
+func TestCancelBeforeSubmissionIsStored(t *testing.T) {
+	for _, linked := range []bool{false, true} {
+		site := func() fakeSite {
+			if linked {
+				return fakeSite{peers: newFakePeers()}
+			}
+			return fakeSite{}
+		}
+		run := func(name string, test func(s *fakeSite, entry string)) {
+			t.Run(fmt.Sprintf("%s, linked %t", name, linked), func(t *testing.T) {
+				runFakeSite(t, site(), 3, 4, func(s *fakeSite) { test(s, s.otherHost(s.poolHolder())) })
+			})
+		}
+		cancelled := func(s *fakeSite, entry string) {
+			s.t.Helper()
+			var none runner.ErrJobNotFound
+			err := s.entryHosts[entry].manager.Cancel(context.Background(), runner.Caller{}, s.queue(), "j")
+			s.is.True(errors.As(err, &none))
+			_, err = s.entryHosts[entry].manager.State(context.Background(), runner.Caller{}, s.queue(), "j")
+			s.is.True(errors.As(err, &none)) // it is still no job
+		}
+		run("the store carries out the submission late", func(s *fakeSite, entry string) {
+			s.delaySubmissions(fakePool)
+			s.submitInVain(entry, s.queue(), "j")
+			cancelled(s, entry)
+			time.Sleep(commitDelay)
+			s.assertNeverStarted("j")
+		})
+		run("the entry host tries again", func(s *fakeSite, entry string) {
+			s.store.mu.Lock()
+			s.store.refuseCommit = func(_ string, c platform.RowTransaction) bool { return c.Purpose == "accept" }
+			s.store.mu.Unlock()
+			submitted := make(chan error, 1)
+			go func() { submitted <- s.submitJob(entry, newLastingJob("j")) }()
+			time.Sleep(500 * time.Millisecond)
+			cancelled(s, s.poolHolder())
+			s.store.mu.Lock()
+			s.store.refuseCommit = nil
+			s.store.mu.Unlock()
+			s.is.True(<-submitted != nil)
+			s.assertNeverStarted("j")
+		})
+		run("the submission is repeated after the cancel", func(s *fakeSite, entry string) {
+			cancelled(s, entry)
+			var refused runner.ErrNotAccepted
+			s.is.True(errors.As(s.submitJob(s.poolHolder(), newLastingJob("j")), &refused))
+			s.is.True(refused.RetryAfter >= time.Minute) // no retry helps
+			s.assertNeverStarted("j")
+		})
+	}
+}
--- a/io/runner/moved_queue_test.go
+++ b/io/runner/moved_queue_test.go
@@ -109,8 +109,10 @@
 			s.submitInVain("e0", moved, "j")
 			var refused runner.ErrNotAccepted
 			s.is.True(errors.As(s.submitJob("e2", newLastingJob("j")), &refused))
+			var none runner.ErrJobNotFound
+			s.is.True(errors.As(s.entryHosts["e1"].manager.Cancel(context.Background(), runner.Caller{}, moved, "j"), &none))
 			time.Sleep(commitDelay)
-			s.assertRunsInOnePool("j")
+			s.assertNeverStarted("j")
 		})
 	})
 }
--- a/io/runner/rows.go
+++ b/io/runner/rows.go
@@ -131,6 +131,14 @@
 	State work.State `json:"state"`
 	// Organisation is absent in rows of earlier versions and of jobs that need no key; anybody may read those.
 	Organisation string `json:"organisation,omitempty"`
+	// Barred is set if the job was cancelled when it wasn't stored. It is never stored then, and counts as none.
+	Barred bool `json:"barred,omitempty"`
+}
+
+// isBarred reports whether a row only keeps a job from being stored.
+func isBarred(row platform.VersionedRow) bool {
+	var state stateRow
+	return json.Unmarshal(row.Value, &state) == nil && state.Barred
 }
 
 // encodedState returns the value of the row of a job's state.
--- a/io/runner/state.go
+++ b/io/runner/state.go
@@ -1,6 +1,7 @@
 package runner
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"slices"
@@ -56,7 +57,7 @@
 		if err != nil {
 			return "", row, err
 		}
-		if ok && caller.mayUse(ownerOf(row)) {
+		if ok && caller.mayUse(ownerOf(row)) && !isBarred(row) {
 			return pools[i], row, nil
 		}
 		if i > 0 {
@@ -75,7 +76,8 @@
 }
 
 // Cancel cancels a job in each pool that has it. It returns nil once the cancel is stored, or if the job is final. Otherwise it
-// returns ErrJobNotFound, ErrNotAccepted or ErrOutcomeUnknown. Another organisation's job is treated like none.
+// returns ErrJobNotFound, ErrNotAccepted or ErrOutcomeUnknown. After ErrJobNotFound no submission of the job is stored any more,
+// also none that is under way. Another organisation's job is treated like none.
 func (m *Manager) Cancel(ctx context.Context, caller Caller, q work.Queue, id work.JobID) error {
 	_, ok, err := m.forwardRequest(ctx, caller, q, id, true)
 	var unknown ErrOutcomeUnknown
@@ -163,9 +165,13 @@
 // tryCancel tries once to cancel a job. It reports whether the returned error, or nil, is the final result.
 func (m *Manager) tryCancel(ctx context.Context, caller Caller, q work.Queue, id work.JobID) (bool, error) {
 	pool, row, err := m.findJob(ctx, caller, q, id)
+	var none ErrJobNotFound
+	if errors.As(err, &none) {
+		barred, barErr := m.barJob(ctx, caller, q, id)
+		return barred, cmp.Or(barErr, err)
+	}
 	if err != nil {
-		var none ErrJobNotFound
-		return errors.As(err, &none), err
+		return false, err
 	}
 	err = m.cancelStored(ctx, pool, row)
 	var unreadable ErrUnreadableRow
@@ -243,3 +249,32 @@
 	}
 	return err
 }
+
+// barJob stores rows that keep a job from being stored in any pool that may store jobs of its queue: a submission may be under way
+// at an entry host or at the store, which may carry it out later. It reports whether the result is final; if not, the job has
+// been stored meanwhile.
+func (m *Manager) barJob(ctx context.Context, caller Caller, q work.Queue, id work.JobID) (bool, error) {
+	pools, err := m.storingPools(ctx, q, "cancel")
+	if err != nil {
+		return false, err
+	}
+	barred := encodeRow(stateRow{State: work.StateCancelled, Organisation: caller.jobOrganisation(q), Barred: true})
+	for _, pool := range pools {
+		key := jobKey(pool, id)
+		_, err := m.Rows.Commit(ctx, platform.RowTransaction{
+			Preconditions: []platform.RowPrecondition{{RowKey: key}},
+			Writes:        []platform.RowWrite{{RowKey: key, Value: barred}},
+			Purpose:       "cancel",
+		})
+		var conflict platform.ErrVersionMismatch
+		switch {
+		case errors.As(err, &conflict):
+			if row, ok := conflict.Find(key); !ok || (caller.mayUse(ownerOf(row)) && !isBarred(row)) {
+				return false, nil
+			}
+		case err != nil:
+			return false, err
+		}
+	}
+	return true, nil
+}
