Keep a job whose progress the store refuses from stopping its pool

Cause: the progress of a repeated job has an entry for each occurrence and step and outgrows a row. And a transaction joins the progress of up to 32 jobs: once the store refuses it for good, the same changes are sent for ever.

Finished occurrences are stored as ranges now, and occurrences are opened in their order while half a row has room for their progress. Failed attempts of done tasks are dropped. A refused transaction is split into its changes, and a job whose progress is refused three times by itself, or that no row can hold, fails with a line in the log.

Ruled out: several rows a job, which leaves the graver fault and makes each commit of such a job larger.

--- a/core/event/work.go
+++ b/core/event/work.go
@@ -49,6 +49,8 @@
 	WorkerCrashed
 	WorkerEntryRejected
 	QueueAssigned
+	QueueUnassigned
+	ProgressRefused
 )
 
 var workEntries = []CatalogueEntry{
@@ -99,4 +101,6 @@
 	{WorkerCrashed, "work", "A worker ended while it ran an attempt whose task may be the cause; the line says how often that has happened to the task, and whether its job is given up."},
 	{WorkerEntryRejected, "work", "An entry of the directory is malformed or has values out of range, and names no worker to use; it is recorded again only for another reason."},
 	{QueueAssigned, "work", "A queue was assigned to a pool, and its jobs are stored there from now on; jobs that its former pools hold stay where they are."},
+	{QueueUnassigned, "work", "The assignment of a queue to a pool could not be read or stored and is retried."},
+	{ProgressRefused, "work", "The store refused the progress of a job by itself, or no row can hold it; after the third time, or at once, the job fails, so that it holds up no other job."},
 }
--- a/core/work/cancel.go
+++ b/core/work/cancel.go
@@ -14,6 +14,13 @@
 	s.removeJob(j)
 }
 
+// GiveUpJob makes a job fail whose progress can't be stored. The end is to be stored like other changes.
+func (s *Scheduler) GiveUpJob(id JobID) {
+	if j := s.jobs[id]; j != nil && !j.isFinal() {
+		s.finishJob(j, StateFailed)
+	}
+}
+
 // RequestCancel cancels a held job unless it is final, and reports whether it is held. The cancellation is to be stored
 // like other changes.
 func (s *Scheduler) RequestCancel(id JobID) bool {
--- a/core/work/progress.go
+++ b/core/work/progress.go
@@ -29,7 +29,9 @@
 // Progress is the part of a job's state that must survive its duty holder. It is immutable.
 type Progress struct {
 	State State
-	// done holds the completed tasks by occurrence and step.
+	// finished holds the occurrences of a repeated job of which all tasks are done: sorted ranges with gaps between them.
+	finished []occurrenceRange
+	// done holds the completed tasks of the other occurrences by occurrence and step.
 	done map[stepKey]bitmap
 	// failures holds the failed attempts by task.
 	failures map[TaskID][]int
@@ -55,7 +57,7 @@
 
 // IsDone reports whether the task is done.
 func (p Progress) IsDone(t TaskID) bool {
-	return p.done[stepKey{t.Occurrence, t.Step}].has(t.Index)
+	return p.HasFinishedOccurrence(t.Occurrence) || p.done[stepKey{t.Occurrence, t.Step}].has(t.Index)
 }
 
 // FailureCount returns the number of failed attempts of the task.
@@ -75,6 +77,10 @@
 	}
 	key := stepKey{t.Occurrence, t.Step}
 	p.done[key] = p.done[key].with(t.Index)
+	if _, ok := p.failures[t]; ok {
+		p.failures = maps.Clone(p.failures)
+		delete(p.failures, t)
+	}
 	return p
 }
 
@@ -145,8 +151,8 @@
 	return p
 }
 
-// progressRow is the stored form of Progress. Done maps "occurrence.step" to a bitmap in base64; Failures maps
-// "occurrence.step.index" to the failed attempts.
+// progressRow is the stored form of Progress. Done maps "occurrence.step" to a bitmap in base64, and "first-last" to an empty text for
+// occurrences that are done; versions without those can't read the row. Failures maps "occurrence.step.index" to the failed attempts.
 type progressRow struct {
 	State    State             `json:"state"`
 	Done     map[string]string `json:"done,omitempty"`
@@ -165,11 +171,27 @@
 	Confirmed  bool `json:"confirmed,omitempty"`
 }
 
-// Encode returns the value of the stored row. A final state is stored without details.
+// MaxProgressBytes bounds the stored form of a job's progress. It is the limit of the table service for a row.
+const MaxProgressBytes = 48 << 10
+
+// Encode returns the value of the stored row. A final state is stored without details. The record of crashes is left out if the row
+// would exceed MaxProgressBytes with it.
 func (p Progress) Encode() ([]byte, error) {
+	value, err := p.encode()
+	if len(value) > MaxProgressBytes && len(p.crashes) > 0 {
+		p.crashes = nil
+		return p.encode()
+	}
+	return value, err
+}
+
+func (p Progress) encode() ([]byte, error) {
 	row := progressRow{State: p.State}
 	if !p.State.IsFinal() {
-		row.Done = make(map[string]string, len(p.done))
+		row.Done = make(map[string]string, len(p.done)+len(p.finished))
+		for _, r := range p.finished {
+			row.Done[r.String()] = ""
+		}
 		for key, bits := range p.done {
 			row.Done[fmt.Sprintf("%d.%d", key.occurrence, key.step)] = base64.RawStdEncoding.EncodeToString(bits)
 		}
@@ -190,6 +212,10 @@
 	}
 	p := Progress{State: row.State, done: make(map[stepKey]bitmap), failures: make(map[TaskID][]int)}
 	for name, text := range row.Done {
+		if r, ok := parseOccurrenceRange(name); ok {
+			p.finished = append(p.finished, r)
+			continue
+		}
 		var key stepKey
 		if _, err := fmt.Sscanf(name, "%d.%d", &key.occurrence, &key.step); err != nil {
 			return Progress{}, fmt.Errorf("decode progress of job %s: step %q: %w", id, name, err)
@@ -200,6 +226,7 @@
 		}
 		p.done[key] = bits
 	}
+	slices.SortFunc(p.finished, func(a, b occurrenceRange) int { return a.first - b.first })
 	for name, attempts := range row.Failures {
 		t := TaskID{Job: id}
 		if _, err := fmt.Sscanf(name, "%d.%d.%d", &t.Occurrence, &t.Step, &t.Index); err != nil {
--- a/core/work/report.go
+++ b/core/work/report.go
@@ -338,6 +338,9 @@
 	}
 	s.compareCompletedRuns(g)
 	j.finished[stepKey{g.occurrence, g.step}] = true
+	if j.isOccurrenceFinished(g.occurrence) {
+		j.closeOccurrence(g.occurrence)
+	}
 	j.groups = withoutGroup(j.groups, g)
 	s.groups = withoutGroup(s.groups, g)
 	s.activateReadySteps(j, j.latestActivatedDueTime())
--- a/core/work/run.go
+++ b/core/work/run.go
@@ -178,6 +178,8 @@
 	// activated and finished hold the steps that were activated and finished, by occurrence.
 	activated map[stepKey]bool
 	finished  map[stepKey]bool
+	// firstUnfinished is an occurrence before which all are finished.
+	firstUnfinished int
 	// arrivedAt is the time at which the job was added, or its AcceptedAt if an earlier holder may have started
 	// it.
 	arrivedAt time.Time
--- a/core/work/scheduler.go
+++ b/core/work/scheduler.go
@@ -310,24 +310,33 @@
 	return s.jobs[id] != nil || s.recentlyEnded.has(id)
 }
 
-// activateReadySteps activates the steps whose dependencies are done and whose occurrence is due, and completes
-// the job if all steps are done.
+// activateReadySteps activates the steps whose dependencies are done and whose occurrence is due and may be open, and completes
+// the job if all steps are done. Occurrences become due in their order.
 func (s *Scheduler) activateReadySteps(j *job, now time.Time) {
-	complete := true
-	waiting := false
-	for k := range j.OccurrenceCount() {
-		if due := j.DueTime(k); !due.IsZero() && (now.IsZero() || due.After(now)) {
-			complete = false
-			waiting = true
+	complete, waiting := true, false
+	open := 0
+	for k := j.firstUnfinished; k < j.OccurrenceCount(); k++ {
+		if j.progress.HasFinishedOccurrence(k) {
+			if k == j.firstUnfinished {
+				j.firstUnfinished++
+			}
 			continue
 		}
+		if open++; !j.isDue(k, now) || (open > 1 && open*j.occurrenceBytes() > maxOpenProgressBytes) {
+			complete, waiting = false, true
+			break
+		}
 		for i := range j.Steps {
 			key := stepKey{k, i}
 			if !j.activated[key] && s.dependenciesDone(j, k, i) {
 				s.activateStep(j, key)
 			}
-			complete = complete && j.finished[key]
 		}
+		if j.isOccurrenceFinished(k) {
+			j.closeOccurrence(k)
+			continue
+		}
+		complete = false
 	}
 	if j.awaitsDueTime && !waiting {
 		j.awaitsDueTime = false
@@ -338,6 +347,12 @@
 	}
 }
 
+// isDue reports whether an occurrence may start. The zero time is before all due times.
+func (j *job) isDue(k int, now time.Time) bool {
+	due := j.DueTime(k)
+	return due.IsZero() || (!now.IsZero() && !due.After(now))
+}
+
 // dependenciesDone reports whether the steps that a step depends on are done in this occurrence.
 func (s *Scheduler) dependenciesDone(j *job, occurrence, step int) bool {
 	for _, dependency := range j.Steps[step].DependsOn {
--- a/io/runner/assignment.go
+++ b/io/runner/assignment.go
@@ -249,6 +249,7 @@
 			if err == nil || errors.As(err, &outdated) {
 				break
 			}
+			h.manager.record(event.Event{Number: event.QueueUnassigned, Pool: h.pool, Detail: "queue " + q.Key() + ": " + err.Error()})
 			if !h.manager.awaitRetry(h.ctx, &retry) || h.manager.Catalogue().Version != c.Version {
 				return
 			}
--- a/io/runner/commits.go
+++ b/io/runner/commits.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"slices"
 	"time"
 
@@ -21,6 +22,10 @@
 	// progressCommitDelay is how long other progress waits. The ends of runs in it are not acknowledged meanwhile, which
 	// delays no one.
 	progressCommitDelay = 120 * time.Millisecond
+	// maxRefusals is the number of times that the store refuses the progress of a job by itself until the job is given up.
+	maxRefusals = 3
+	// auxiliaryRetryPause is how long the count and the need are not stored after the store has refused them by themselves.
+	auxiliaryRetryPause = 30 * time.Second
 )
 
 // startDueCommit starts a commit of the pending changes if one is due.
@@ -40,8 +45,7 @@
 	if final {
 		delay = finalCommitDelay
 	}
-	count, countDue := h.duePendingCount(now)
-	need, needDue := h.dueNeed(now)
+	count, countDue, need, needDue := h.dueAuxiliary(now)
 	if changed && now.Sub(h.oldestChangeAt) < delay {
 		changed = false
 		time.AfterFunc(delay, h.wake)
@@ -62,8 +66,7 @@
 func (h *poolHolder) startRosterCommit(roster map[work.Incarnation]bool, now time.Time) {
 	changed, _ := h.scheduler.HasPendingChanges()
 	changed = changed && h.commitFailures == 0
-	count, countDue := h.duePendingCount(now)
-	need, needDue := h.dueNeed(now)
+	count, countDue, need, needDue := h.dueAuxiliary(now)
 	if needDue {
 		if later := h.rosterForNeed(need); later != nil {
 			roster = later
@@ -72,6 +75,16 @@
 	h.startCommit(poolCommit{purpose: "roster", changes: h.takeChanges(changed), rows: h.auxiliaryWrites(count, countDue, need, needDue), roster: roster})
 }
 
+// dueAuxiliary returns the count and the need, and whether they are to be stored. The caller holds the lock.
+func (h *poolHolder) dueAuxiliary(now time.Time) (count pendingCountRow, countDue bool, need needRow, needDue bool) {
+	if now.Before(h.auxiliaryRetryAt) {
+		return count, false, need, false
+	}
+	count, countDue = h.duePendingCount(now)
+	need, needDue = h.dueNeed(now)
+	return count, countDue, need, needDue
+}
+
 // takeChanges begins the commit of the changes of jobs that fit into a transaction, if there are any. The caller holds
 // the lock.
 func (h *poolHolder) takeChanges(changed bool) []work.ProgressChange {
@@ -161,15 +174,27 @@
 	return rows
 }
 
-// commit stores the changes and the other writes of a commit in one transaction.
+// commit stores the changes and the other writes of a commit in one transaction. If the store refuses it for good, it stores each
+// change and the other writes by themselves, so that what it refuses holds up nothing else.
 func (h *poolHolder) commit(c poolCommit, writes []platform.RowWrite, preconditions []platform.RowPrecondition) {
-	tx := h.progressTransaction(c.changes)
+	tx, changes := h.progressTransaction(c.changes)
 	tx.Purpose = c.purpose
 	tx.Preconditions = append(tx.Preconditions, preconditions...)
 	tx.Writes = append(tx.Writes, writes...)
-	version, err := h.manager.Rows.Commit(h.ctx, tx)
-	h.applyCommitResult(c.changes, version, err)
+	version, err := h.commitTransaction(tx)
+	var invalid platform.ErrInvalid
+	if errors.As(err, &invalid) && len(changes) > 0 {
+		h.commitApart(c.purpose, changes)
+		changes = nil
+		tx = platform.RowTransaction{Preconditions: append(preconditions, h.fencePrecondition()), Writes: writes, Purpose: c.purpose}
+		version, err = h.commitTransaction(tx)
+	}
+	h.applyCommitResult(changes, version, err)
 	h.mu.Lock()
+	h.commitInFlight = false
+	if errors.As(err, &invalid) {
+		h.auxiliaryRetryAt = time.Now().Add(auxiliaryRetryPause)
+	}
 	h.updateAuxiliaryVersions(writes, version, err)
 	switch {
 	case len(c.rows) == 0:
@@ -187,16 +212,62 @@
 	h.wake()
 }
 
+// commitTransaction commits a transaction unless it writes nothing.
+func (h *poolHolder) commitTransaction(tx platform.RowTransaction) (uint64, error) {
+	if len(tx.Writes) == 0 {
+		return 0, nil
+	}
+	return h.manager.Rows.Commit(h.ctx, tx)
+}
+
+// commitApart stores changes one by one. A job whose change the store refuses each time is given up.
+func (h *poolHolder) commitApart(purpose string, changes []work.ProgressChange) {
+	for _, c := range changes {
+		tx, alone := h.progressTransaction([]work.ProgressChange{c})
+		tx.Purpose = purpose
+		version, err := h.manager.Rows.Commit(h.ctx, tx)
+		h.applyCommitResult(alone, version, err)
+		var invalid platform.ErrInvalid
+		if errors.As(err, &invalid) {
+			h.countRefusal(c.ID, err)
+		}
+		if h.endIfFenced(err) {
+			return
+		}
+	}
+}
+
+// countRefusal counts that the store has refused the change of a job, and gives the job up after maxRefusals. The refused change
+// is not being committed any more.
+func (h *poolHolder) countRefusal(id work.JobID, err error) {
+	h.mu.Lock()
+	h.refusals[id]++
+	count := h.refusals[id]
+	if count == maxRefusals {
+		h.scheduler.GiveUpJob(id)
+	}
+	h.mu.Unlock()
+	h.manager.record(event.Event{Number: event.ProgressRefused, Pool: h.pool, Job: string(id), Detail: fmt.Sprintf("refusal %d of %d: %v", count, maxRefusals, err)})
+}
+
 // progressTransaction returns the transaction for job changes: the state of each job, the progress of those that are
-// not final, and the removal of the other rows of those that are.
-func (h *poolHolder) progressTransaction(changes []work.ProgressChange) platform.RowTransaction {
+// not final, and the removal of the other rows of those that are. It returns the changes that are part of it, and hands the others
+// back to the scheduler: those beyond the size of a transaction, and those that don't fit into a row, whose jobs are given up.
+func (h *poolHolder) progressTransaction(changes []work.ProgressChange) (platform.RowTransaction, []work.ProgressChange) {
 	tx := platform.RowTransaction{Preconditions: []platform.RowPrecondition{h.fencePrecondition()}}
-	for _, c := range changes {
+	var included []work.ProgressChange
+	size := 0
+	for i, c := range changes {
 		details, err := c.Progress.Encode()
-		if err != nil {
-			h.manager.record(event.Event{Number: event.WorkCommitFailed, Pool: h.pool, Job: string(c.ID), Detail: err.Error()})
+		if err != nil || len(details) > work.MaxProgressBytes {
+			h.giveUpJob(c, len(details), err)
 			continue
 		}
+		if size += len(details); size > maxBytesPerCommit && len(included) > 0 {
+			h.abortCommit(changes[i:])
+			break
+		}
+		included = append(included, c)
 		key := jobKey(h.pool, c.ID)
 		tx.Preconditions = append(tx.Preconditions, platform.RowPrecondition{RowKey: key, Version: c.Version})
 		tx.Writes = append(tx.Writes, platform.RowWrite{RowKey: key, Value: encodedState(c.Progress.State, c.Organisation)})
@@ -210,7 +281,24 @@
 			tx.Deletes = append(tx.Deletes, specKey(h.pool, c.ID))
 		}
 	}
-	return tx
+	return tx, included
+}
+
+// giveUpJob makes a job fail whose progress can't be stored.
+func (h *poolHolder) giveUpJob(c work.ProgressChange, size int, err error) {
+	h.abortCommit([]work.ProgressChange{c})
+	h.mu.Lock()
+	h.scheduler.GiveUpJob(c.ID)
+	h.mu.Unlock()
+	h.manager.record(event.Event{Number: event.ProgressRefused, Pool: h.pool, Job: string(c.ID), Detail: fmt.Sprintf(
+		"its progress takes %d bytes, at most %d can be stored (%v); the job is given up", size, work.MaxProgressBytes, err)})
+}
+
+// abortCommit hands changes back to the scheduler.
+func (h *poolHolder) abortCommit(changes []work.ProgressChange) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.scheduler.AbortCommit(changes)
 }
 
 // trimToTransaction returns the first changes that fit into one transaction, and hands the others back to the
@@ -248,13 +336,13 @@
 func (h *poolHolder) applyCommitResult(changes []work.ProgressChange, version uint64, err error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.commitInFlight = false
 	var conflict platform.ErrVersionMismatch
 	switch {
 	case err == nil:
 		h.minReadVersion = max(h.minReadVersion, version)
 		h.scheduler.CompleteCommit(changes, version)
 		for _, c := range changes {
+			delete(h.refusals, c.ID)
 			if c.Progress.State.IsFinal() {
 				delete(h.withProgressRow, c.ID)
 				h.feed.expectCommit(version, time.Now())
--- a/io/runner/fake_store_test.go
+++ b/io/runner/fake_store_test.go
@@ -47,6 +47,8 @@
 	refuseCommit func(entryHost string, c platform.RowTransaction) bool
 	// maxValueBytes is the maximum size of a value; zero means any.
 	maxValueBytes int
+	// refusesWrite, if set, selects the writes that the store refuses for good.
+	refusesWrite func(platform.RowWrite) bool
 	// countReads, if set, is called for each read of rows by an entry host.
 	countReads func(platform.RangeQuery)
 	// afterCommit, if set, is called with all rows after each commit.
@@ -271,6 +273,9 @@
 		if s.maxValueBytes > 0 && len(w.Value) > s.maxValueBytes {
 			return 0, platform.ErrInvalid{Service: "store", Reason: "a row is too large"}
 		}
+		if s.refusesWrite != nil && s.refusesWrite(w) {
+			return 0, platform.ErrInvalid{Service: "store", Reason: "the row is refused"}
+		}
 	}
 	var current []platform.VersionedRow
 	stale := false
--- a/io/runner/holder.go
+++ b/io/runner/holder.go
@@ -63,6 +63,11 @@
 	rosterWritePending bool
 	// oldestChangeAt is when the oldest uncommitted change occurred.
 	oldestChangeAt time.Time
+	// refusals counts how often the store has refused the progress of a job by itself. It has no entry for jobs whose progress is
+	// stored.
+	refusals map[work.JobID]int
+	// auxiliaryRetryAt is the time before which the count and the need are not stored.
+	auxiliaryRetryAt time.Time
 	// gatesVersion is the version of the configuration whose queues' gates were last to be opened.
 	gatesVersion uint64
 	// lastCount holds the last stored numbers of waiting jobs, by queue.
@@ -96,7 +101,7 @@
 		tenure: t, pool: t.name, minReadVersion: t.epoch,
 		scheduler:    &work.Scheduler{Pool: t.name, Epoch: t.epoch, Term: t.term, Timing: t.manager.Timing},
 		renewalLoops: make(map[work.Incarnation]bool), confirmedRoster: make(map[work.Incarnation]bool), possibleRoster: make(map[work.Incarnation]bool), evacuation: newEvacuation(),
-		withProgressRow: make(map[work.JobID]bool), awaitedEnds: make(map[work.JobID]chan struct{}),
+		withProgressRow: make(map[work.JobID]bool), awaitedEnds: make(map[work.JobID]chan struct{}), refusals: make(map[work.JobID]int),
 	}
 	h.scheduler.OnPresumedEnd = h.recordPresumedEnd
 	h.scheduler.OnCrash = h.recordCrash
