Count a silent worker as crashed only once its end is proven

Cause: a worker that was no longer listed and whose leases had expired counted as crashed. A worker that is cut off for long shows the same and lives.

Its lost runs are remembered for a minute now. They count once another incarnation with a later start is listed under its ID, at its address or on its host, or answers there, and are dropped if the worker itself is back.

Evidence: TestCutWorkersAreNoCrashes failed before (51 and 24 crashes recorded though none happened, and the lasting job given up) and passes. Tasks that do crash their workers are still given up, also if these return after they were unlisted (TestCrashOfUnlistedWorkerCounts, and all earlier tests of crashes). Ruled out: a longer wait before silence counts, as cuts have no bound.

--- a/core/work/crash_pool_test.go
+++ b/core/work/crash_pool_test.go
@@ -27,6 +27,8 @@
 	crashAt   time.Time
 	// missAfter is the time before which calls to the crashed worker are pending.
 	missAfter time.Time
+	// cutAt and cutUntil bound the time in which nobody reaches the worker, and it reaches nobody; zero if it isn't cut off.
+	cutAt, cutUntil time.Time
 	// runs holds when the active runs end.
 	runs    map[work.RunID]time.Time
 	ends    []work.RunEnd
@@ -43,7 +45,9 @@
 	epoch     uint64
 	// keepsIDs is true if a crashed worker returns under its ID; losesAnswers if start orders get no answer.
 	keepsIDs, losesAnswers bool
-	crashDelay             time.Duration
+	// unlistsCrashed is true if the directory lists crashed workers for listedSilence only.
+	unlistsCrashed bool
+	crashDelay     time.Duration
 	// downtime is how long a crashed worker is away. Calls to the workers time out over missSpread.
 	downtime, missSpread time.Duration
 	crashing             map[work.JobID]bool
@@ -90,6 +94,38 @@
 	}
 }
 
+const (
+	// listedSilence is the time after which the directory no longer lists a silent worker, and cutLease that after which the leases
+	// on it have lapsed.
+	listedSilence = 4500 * time.Millisecond
+	cutLease      = 5 * time.Second
+)
+
+// cut cuts a worker off for a while.
+func (p *crashPool) cut(w *crashWorker, d time.Duration) {
+	if w.downUntil.IsZero() && w.cutUntil.IsZero() {
+		w.cutAt, w.cutUntil = p.now, p.now.Add(d)
+	}
+}
+
+// advanceCut ends the runs of a cut worker whose leases have lapsed, and the cut itself.
+func (p *crashPool) advanceCut(w *crashWorker) {
+	if w.cutUntil.IsZero() {
+		return
+	}
+	if p.now.Sub(w.cutAt) >= cutLease {
+		for run := range w.runs {
+			p.end(w, run, work.EndReasonLapsed)
+		}
+	}
+	if !p.now.Before(w.cutUntil) {
+		w.cutAt, w.cutUntil = time.Time{}, time.Time{}
+	}
+}
+
+// isSilent reports whether calls to the worker get no answer.
+func (w *crashWorker) isSilent() bool { return !w.downUntil.IsZero() || !w.cutUntil.IsZero() }
+
 // takeOver replaces the holder. What is not stored is lost.
 func (p *crashPool) takeOver() {
 	p.epoch += 10
@@ -163,6 +199,7 @@
 		if !w.downUntil.IsZero() && !p.now.Before(w.downUntil) {
 			p.boot(w)
 		}
+		p.advanceCut(w)
 		for run, endsAt := range w.runs {
 			if !p.now.Before(endsAt) {
 				p.end(w, run, work.EndReasonDone)
@@ -177,11 +214,20 @@
 	w.ends = append(w.ends, work.RunEnd{Number: w.lastEnd, Run: run, Reason: reason})
 }
 
-// listed returns the directory, which lists crashed workers until they return.
+// listed returns the directory, which lists crashed workers until they return, and workers that are cut off for listedSilence.
 func (p *crashPool) listed() []work.WorkerInfo {
 	var infos []work.WorkerInfo
 	for _, w := range p.workers {
-		infos = append(infos, w.info)
+		silentFor := p.now.Sub(w.cutAt)
+		if w.cutUntil.IsZero() {
+			silentFor = 0
+		}
+		if p.unlistsCrashed && !w.downUntil.IsZero() {
+			silentFor = p.downtime - w.downUntil.Sub(p.now)
+		}
+		if silentFor < listedSilence {
+			infos = append(infos, w.info)
+		}
 	}
 	return infos
 }
@@ -195,7 +241,7 @@
 		w := p.at(renewal.Address)
 		switch {
 		case !w.downUntil.IsZero() && p.now.Before(w.missAfter):
-		case !w.downUntil.IsZero():
+		case w.isSilent():
 			p.scheduler.HandleMissedRenewal(inc, p.now)
 		case w.info.Incarnation == inc:
 			w.ends = slices.DeleteFunc(w.ends, func(e work.RunEnd) bool { return e.Number <= renewal.AcknowledgedEnd })
@@ -224,7 +270,7 @@
 func (p *crashPool) execute(o work.Order) work.OrderResult {
 	w := p.at(o.Address)
 	switch {
-	case !w.downUntil.IsZero():
+	case w.isSilent():
 		return work.OrderResult{Outcome: work.OutcomeNotSent}
 	case w.info.Incarnation.Worker != o.Incarnation.Worker:
 		return work.OrderResult{Outcome: work.OutcomeGone}
--- a/core/work/incarnations.go
+++ b/core/work/incarnations.go
@@ -24,12 +24,11 @@
 		}
 		w.WorkerInfo = info
 		w.listed = true
+		s.silentEnds.forget(info.Incarnation)
 	}
 	for _, w := range slices.Clone(s.sortedWorkers) {
 		if !w.listed && w.isEmpty() {
-			if len(w.expired) > 0 {
-				s.recordCrash(w)
-			}
+			s.recordSilentEnd(w, now)
 			s.removeWorker(w)
 			removed = append(removed, w.Incarnation)
 		}
@@ -45,6 +44,9 @@
 func (s *Scheduler) addIncarnation(info WorkerInfo) *worker {
 	w := &worker{WorkerInfo: info, runs: make(map[RunID]*run)}
 	s.workers[info.Incarnation] = w
+	for _, ended := range s.silentEnds.takeReplaced(info) {
+		s.recordCrash(ended)
+	}
 	for _, earlier := range s.sortedWorkers {
 		if earlier.Incarnation.Worker != info.Incarnation.Worker {
 			continue
@@ -52,7 +54,7 @@
 		if earlier.Incarnation.StartMillis >= info.Incarnation.StartMillis {
 			continue
 		}
-		s.recordCrash(earlier)
+		s.recordCertainEnd(earlier.Incarnation)
 		for _, r := range sortedRuns(earlier) {
 			s.endOrTransferRun(r, w)
 		}
--- a/core/work/order.go
+++ b/core/work/order.go
@@ -116,7 +116,7 @@
 			continue
 		}
 		if !w.listed {
-			s.recordCrash(w)
+			s.recordSilentEnd(w, now)
 		}
 		for _, r := range sortedRuns(w) {
 			if w.listed && r.task != nil && !r.task.group.spec().LongRunning {
@@ -226,6 +226,7 @@
 
 // EndIncarnation ends an incarnation that has certainly ended, because another one answers at its address.
 func (s *Scheduler) EndIncarnation(inc Incarnation) {
+	s.recordCertainEnd(inc)
 	w := s.workers[inc]
 	if w == nil {
 		return
@@ -233,7 +234,6 @@
 	if !s.hasSuccessor(inc) {
 		delete(s.unresolved, inc)
 	}
-	s.recordCrash(w)
 	for _, r := range sortedRuns(w) {
 		s.presumeEnded(r, CauseLifeOver, time.Time{})
 	}
--- a/core/work/report.go
+++ b/core/work/report.go
@@ -192,6 +192,7 @@
 	w.consecutiveMisses = 0
 	w.silentSince, w.expired = time.Time{}, nil
 	delete(s.silences, w.Incarnation)
+	s.silentEnds.forget(w.Incarnation)
 }
 
 // endAbsentRuns ends the runs that the worker had confirmed before the renewal was sent and that its report
--- a/core/work/scheduler.go
+++ b/core/work/scheduler.go
@@ -80,7 +80,8 @@
 	timing      Timing
 	jobs        map[JobID]*job
 	// silences holds when workers fell silent that were not leaving.
-	silences map[Incarnation]silence
+	silences   map[Incarnation]silence
+	silentEnds silentEnds
 	// lostTogether holds the tasks that were on crashed workers together.
 	lostTogether []lostRuns
 	// trialsWait is true if tasks that need a trial had to wait in the last round.
