Suspend a holder that can't know whether it was replaced

Cause, as reproduced: a holder that is cut off from the store took the store for unavailable to everybody. It went on renewing leases and starting tasks on the workers that only it reached, while the next holder waited for these leases to expire and started the tasks elsewhere. A process that had been paused took the pause for the same.

A holder now grants leases and starts tasks only until another member can have taken its duty. Later it goes on only while at least half of the members that it is linked to answer and none of them gets answers of the store.

TestStoreSilentToAll: no lease lapses in an outage of 30 s for everybody. Ruled out: suspension without questions, which lets all leases lapse in outages of more than seven seconds.

--- a/core/event/level.go
+++ b/core/event/level.go
@@ -24,7 +24,7 @@
 	case MemberLapsed, PeerLost, PeerRefused, StoreUnavailable, ClaimLost, TargetEjected,
 		JobUnknown, JobParked, JobCommitFailed, JobRowUnreadable, WorkerSuspected,
 		HostFailed, DrainOverdue, MaintenanceBehind, ListDoubted, RoutesSilenced, DutyConflict,
-		WorkUnsure, WorkDutyFailed, WorkStartUnsure, WorkerSilent, WorkerLost, WorkerEntryRejected, WorkCommitFailed, WorkRowUnreadable, ProgressRefused,
+		WorkUnsure, WorkDutyFailed, WorkStartUnsure, WorkerSilent, WorkerLost, WorkerEntryRejected, WorkCommitFailed, WorkRowUnreadable, ProgressRefused, WorkDutyUncertain,
 		CatalogueUnreadable, MemberGone, MachineOrderFailed, LinesLeftOut, WorkGivenUp, OrganisationFaulty, ConfigurationOutdated, ConfigurationFinding:
 		return LevelWarn
 	default:
--- a/core/event/work.go
+++ b/core/event/work.go
@@ -51,6 +51,8 @@
 	QueueAssigned
 	QueueUnassigned
 	ProgressRefused
+	WorkDutyUncertain
+	WorkDutyCertain
 )
 
 var workEntries = []CatalogueEntry{
@@ -103,4 +105,6 @@
 	{QueueAssigned, "work", "A queue was assigned to a pool, and its jobs are stored there from now on; jobs that its former pools hold stay where they are."},
 	{QueueUnassigned, "work", "The assignment of a queue to a pool could not be read or stored and is retried."},
 	{ProgressRefused, "work", "The store refused the progress of a job by itself, or no row can hold it; after the third time, or at once, the job fails, so that it holds up no other job."},
+	{WorkDutyUncertain, "work", "An entry host can't know any more that it alone decides about a pool, because the store answers others or can't be asked about; it grants no leases and starts nothing meanwhile."},
+	{WorkDutyCertain, "work", "An entry host knows again that it alone decides about a pool."},
 }
--- a/core/work/report.go
+++ b/core/work/report.go
@@ -84,7 +84,7 @@
 		// whose end was forgotten again, on a worker that has not seen this epoch.
 		renewal.AcknowledgedEnd = w.advanceAcknowledged()
 	}
-	if !w.clock.receivedAt.IsZero() && w.consecutiveMisses == 0 && now.Sub(w.clock.receivedAt) < maxAnswerAge {
+	if s.isValid(now) && !w.clock.receivedAt.IsZero() && w.consecutiveMisses == 0 && now.Sub(w.clock.receivedAt) < maxAnswerAge {
 		// A worker that does not answer gets no further lease, so that the expiry of its leases is known. Nor does one
 		// that was not asked for long: this holder was paused, may have been replaced, and learns that first.
 		renewal.LeaseDeadline = w.clock.grant(now, s.timing.Lease)
--- a/core/work/scheduler.go
+++ b/core/work/scheduler.go
@@ -119,7 +119,9 @@
 	jobsReadAt, workersReadAt time.Time
 	// startsInFlight counts the start orders that have no answer yet. startWindow limits them.
 	startsInFlight int
-	startWindow    startWindow
+	// validUntil is the time until which leases may be granted; zero if there is no bound.
+	validUntil  time.Time
+	startWindow startWindow
 	// startsToRepeat counts the runs whose start order is to be sent again.
 	startsToRepeat int
 	// adjustsPace is true once a job was added with best-effort tasks or with a latency target.
--- a/core/work/snapshot_age.go
+++ b/core/work/snapshot_age.go
@@ -19,9 +19,18 @@
 	s.jobsReadAt, s.workersReadAt = jobs, workers
 }
 
+// SetValidity sets the time until which no other holder can have started tasks of the pool. Later, no leases are granted and nothing is
+// started. The zero time means that there is no such bound.
+func (s *Scheduler) SetValidity(until time.Time) { s.validUntil = until }
+
+// isValid reports whether no other holder can have started tasks of the pool yet.
+func (s *Scheduler) isValid(now time.Time) bool {
+	return s.validUntil.IsZero() || !now.After(s.validUntil)
+}
+
 // hasStaleSnapshot reports whether a snapshot is so old that cancellations or leaving workers may be missing
-// from it.
+// from it, or that another holder may have taken over.
 func (s *Scheduler) hasStaleSnapshot(now time.Time) bool {
-	return (!s.jobsReadAt.IsZero() && now.Sub(s.jobsReadAt) > maxJobSnapshotAge) ||
+	return !s.isValid(now) || (!s.jobsReadAt.IsZero() && now.Sub(s.jobsReadAt) > maxJobSnapshotAge) ||
 		(!s.workersReadAt.IsZero() && now.Sub(s.workersReadAt) > maxWorkerSnapshotAge)
 }
--- a/io/runner/fake_peers_test.go
+++ b/io/runner/fake_peers_test.go
@@ -17,6 +17,8 @@
 	handlers map[string]map[peer.Kind]peer.Handler
 	// hung holds the names of the entry hosts that receive messages and do not process them.
 	hung map[string]bool
+	// cut holds the names of the entry hosts that exchange no messages with others.
+	cut map[string]bool
 	// dropReplies holds the names of the entry hosts whose replies are lost.
 	dropReplies map[string]bool
 	// handIns counts the HandIn messages sent to each entry host.
@@ -28,7 +30,7 @@
 
 func newFakePeers() *fakePeers {
 	return &fakePeers{
-		handlers: make(map[string]map[peer.Kind]peer.Handler), hung: make(map[string]bool), dropReplies: make(map[string]bool), handIns: make(map[string]int),
+		handlers: make(map[string]map[peer.Kind]peer.Handler), hung: make(map[string]bool), cut: make(map[string]bool), dropReplies: make(map[string]bool), handIns: make(map[string]int),
 	}
 }
 
@@ -55,7 +57,8 @@
 	host, _, _ := strings.Cut(to, "/")
 	p.mu.Lock()
 	handler, known := p.handlers[to][peer.KindOf(message)]
-	hung, dropReply := p.hung[host], p.dropReplies[host]
+	fromHost, _, _ := strings.Cut(from, "/")
+	hung, dropReply := p.hung[host] || p.cut[host] || p.cut[fromHost], p.dropReplies[host]
 	if peer.KindOf(message) == peer.KindHandIn {
 		p.handIns[host]++
 	}
--- a/io/runner/fake_test.go
+++ b/io/runner/fake_test.go
@@ -53,6 +53,8 @@
 	startInterval time.Duration
 	// versions holds the configurations that differ from catalogue by the value of their row; nil if there is one only.
 	versions map[int]work.Catalogue
+	// mayReach, if set, reports whether an entry host reaches a worker.
+	mayReach func(entryHost, worker string) bool
 	// peers, if set, connects the entry hosts.
 	peers *fakePeers
 	// organisations share the pool, and jobs have this objective.
@@ -183,6 +185,7 @@
 	if executors.SendOrder == nil {
 		executors = platform.Executors{RenewLeases: s.renewLeases, SendOrder: s.sendOrder}
 	}
+	executors = s.limitReach(name, executors)
 	if s.usage != nil {
 		rows = s.usage.wrap(name, rows)
 	}
--- a/io/runner/fake_worker_test.go
+++ b/io/runner/fake_worker_test.go
@@ -1,6 +1,7 @@
 package runner_test
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"slices"
@@ -23,6 +24,8 @@
 	ends            []work.RunEnd
 	lastEndNumber   uint64
 	highestAttempts map[work.TaskID]int
+	// taskTime is how long a task runs; zero means the constant of that name.
+	taskTime time.Duration
 	// silent is true while the worker answers nothing.
 	silent bool
 	// firstStarts holds when each task was first started, and done how often each was completed.
@@ -144,7 +147,7 @@
 		return work.OrderResult{Outcome: work.OutcomeOld, WorkerClock: w.clock()}
 	default:
 		w.deadline = max(w.deadline, o.LeaseDeadline)
-		w.runs[o.Run] = time.Now().Add(taskTime)
+		w.runs[o.Run] = time.Now().Add(cmp.Or(w.taskTime, taskTime))
 		if _, known := w.firstStarts[o.Run.Task]; !known {
 			w.firstStarts[o.Run.Task] = time.Now()
 		}
--- a/io/runner/forward.go
+++ b/io/runner/forward.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -75,6 +76,14 @@
 			addresses[name] = s.Member.Address
 		}
 	}
+	for _, name := range slices.Sorted(maps.Keys(m.members)) {
+		if len(addresses) >= minLinkedPeers {
+			break
+		}
+		if address := m.members[name].Member.Address; name != m.MemberName && address != "" {
+			addresses[name] = address
+		}
+	}
 	changed := !maps.Equal(addresses, m.linkedPeers)
 	m.linkedPeers = addresses
 	m.mu.Unlock()
--- a/io/runner/holder.go
+++ b/io/runner/holder.go
@@ -63,6 +63,8 @@
 	rosterWritePending bool
 	// oldestChangeAt is when the oldest uncommitted change occurred.
 	oldestChangeAt time.Time
+	// validityLapsed is true while it is not certain that this process still holds the duty.
+	validityLapsed bool
 	// refusals counts how often the store has refused the progress of a job by itself. It has no entry for jobs whose progress is
 	// stored.
 	refusals map[work.JobID]int
@@ -171,6 +173,7 @@
 	now := time.Now()
 	h.refreshWorkers(changes, now)
 	h.openNewGates()
+	h.updateValidity(now)
 	organisations := h.manager.Catalogue().Organisations
 	learnsInterference := h.manager.learnsInterference()
 	h.mu.Lock()
@@ -200,14 +203,14 @@
 	h.rereadOverdueQueue(now)
 }
 
-// storeSilenceLimit is how long the store must have answered no call before it counts as unavailable to everybody.
-// Callers' cancels can't be stored then either, so scheduling continues.
+// storeSilenceLimit is how long the store must have answered no call before other members are believed that it is silent to
+// everybody. Callers' cancels can't be stored then either, so scheduling continues.
 const storeSilenceLimit = 2 * time.Second
 
 // inputSnapshotTimes returns the times as of which callers' cancels and the workers' drain states are known. The
 // caller holds the lock.
 func (h *poolHolder) inputSnapshotTimes(now time.Time) (jobs, workers time.Time) {
-	if !h.manager.storeHealth.answeredSince(now.Add(-storeSilenceLimit)) {
+	if !h.manager.storeHealth.answeredSince(now.Add(-storeSilenceLimit)) && h.manager.isSilenceConfirmed(h.pool, now) {
 		return now, now
 	}
 	return h.feed.snapshotTime, h.manager.workers.snapshotTime()
--- /dev/null
+++ b/io/runner/isolated_test.go
@@ -0,0 +1,117 @@
+package runner_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"siskincross/core/work"
+	"siskincross/io/platform"
+)
+
+// limitReach returns the calls to workers of an entry host that reaches only some of them.
+func (s *fakeSite) limitReach(entryHost string, all platform.Executors) platform.Executors {
+	awaitTimeout := func(ctx context.Context) error {
+		select {
+		case <-time.After(time.Second):
+		case <-ctx.Done():
+		}
+		return errNoAnswer
+	}
+	limited := all
+	limited.RenewLeases = func(ctx context.Context, r work.Renewal) (work.Report, error) {
+		if s.mayReach != nil && !s.mayReach(entryHost, r.Incarnation.Worker) {
+			return work.Report{}, awaitTimeout(ctx)
+		}
+		return all.RenewLeases(ctx, r)
+	}
+	limited.SendOrder = func(ctx context.Context, o work.Order) work.OrderResult {
+		if s.mayReach != nil && !s.mayReach(entryHost, o.Incarnation.Worker) {
+			_ = awaitTimeout(ctx)
+			return work.OrderResult{Outcome: work.OutcomeUnknown}
+		}
+		return all.SendOrder(ctx, o)
+	}
+	return limited
+}
+
+// isolate cuts an entry host and a worker off from all others, which no longer list the worker after a while.
+func (s *fakeSite) isolate(entryHost, worker string) {
+	s.store.setSilent(entryHost, true)
+	s.peers.injectFault(s.peers.cut, entryHost)
+	s.workersMu.Lock()
+	s.mayReach = func(from, to string) bool { return (from == entryHost) == (to == worker) }
+	s.workersMu.Unlock()
+	go func() {
+		time.Sleep(4500 * time.Millisecond)
+		_, _ = s.store.commit(platform.RowTransaction{Deletes: []platform.RowKey{{Table: "workers", Key: worker}}}) // never fails
+	}()
+}
+
+// activeRuns returns the workers on which each task runs.
+func (s *fakeSite) activeRuns() map[work.TaskID][]string {
+	active := make(map[work.TaskID][]string)
+	for id, w := range s.workers {
+		w.mu.Lock()
+		w.settleRuns()
+		for run := range w.runs {
+			active[run.Task] = append(active[run.Task], id)
+		}
+		w.mu.Unlock()
+	}
+	return active
+}
+
+// TestIsolatedHolder guards against tasks that run twice because a pool's holder, cut off with a worker from all others, goes on
+// while the next holder starts the tasks again.
+func TestIsolatedHolder(t *testing.T) {
+	for _, cut := range []time.Duration{8 * time.Second, 30 * time.Second} {
+		t.Run(fmt.Sprint(cut), func(t *testing.T) {
+			runFakeSite(t, fakeSite{peers: newFakePeers()}, 5, 4, func(s *fakeSite) {
+				s.workersMu.Lock()
+				for _, w := range s.workers {
+					w.taskTime = time.Hour
+				}
+				s.workersMu.Unlock()
+				s.is.NoErr(s.submit("e0", "long", 8))
+				s.submitLasting("e0", "lasting")
+				time.Sleep(2 * time.Second)
+				s.isolate(s.poolHolder(), "w0")
+				for end := time.Now().Add(cut); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+					for task, workers := range s.activeRuns() {
+						if len(workers) > 1 {
+							t.Fatalf("%s runs on %v", task, workers)
+						}
+					}
+				}
+				running, _ := s.jobActivity("long")
+				s.is.True(running > 0)
+			})
+		})
+	}
+}
+
+// TestStoreSilentToAll guards against tasks whose leases lapse in an outage of the store in which no other member can take the duty.
+func TestStoreSilentToAll(t *testing.T) {
+	runFakeSite(t, fakeSite{peers: newFakePeers()}, 5, 4, func(s *fakeSite) {
+		s.workersMu.Lock()
+		for _, w := range s.workers {
+			w.taskTime = time.Hour
+		}
+		s.workersMu.Unlock()
+		s.is.NoErr(s.submit("e0", "long", 8))
+		time.Sleep(2 * time.Second)
+		s.store.setSilent("*", true)
+		for range 300 {
+			time.Sleep(100 * time.Millisecond)
+			running, ended := s.jobActivity("long")
+			s.is.Equal(running, 8)
+			s.is.Equal(ended, 0)
+		}
+		s.store.setSilent("*", false)
+		time.Sleep(10 * time.Second)
+		running, _ := s.jobActivity("long")
+		s.is.Equal(running, 8)
+	})
+}
--- a/io/runner/manager.go
+++ b/io/runner/manager.go
@@ -98,6 +98,8 @@
 	hostsState hostsTableState
 	leaving    bool
 	batchers   map[string]*batcher
+	// storeSilences holds what other members have answered about a store that is silent to this one, by pool.
+	storeSilences map[string]storeSilence
 	// dutyAnswers holds what the holders of duties answered last, by duty.
 	dutyAnswers map[string]dutyAnswer
 	// lastHandIns holds the last answered hand-in by pool.
@@ -147,6 +149,7 @@
 		m.hostsState.startedHosts = make(map[string][]string)
 		m.batchers = make(map[string]*batcher)
 		m.dutyOffers, m.dutyOffered = make(map[string]versionedHolder), make(chan struct{}, 1)
+		m.storeSilences = make(map[string]storeSilence)
 		m.dutyAnswers = make(map[string]dutyAnswer)
 		m.predecessors = make(map[string]bool)
 		m.lastHandIns = make(map[string]handIn)
--- a/io/runner/questions.go
+++ b/io/runner/questions.go
@@ -83,7 +83,8 @@
 	return answer.held && answer.epoch == row.version && now.Sub(answer.askedAt) < dutyAnswerValidity
 }
 
-// handleDutyQuestion answers whether this member carries out a duty. It does not if the store turns it away.
+// handleDutyQuestion answers whether this member carries out a duty, and whether the store answers it. It does not carry the duty out if
+// the store turns it away.
 func (m *Manager) handleDutyQuestion(_ context.Context, _ string, message *peerpb.Envelope) *peerpb.Envelope {
 	question := message.GetDutyQuestion()
 	m.mu.Lock()
@@ -92,7 +93,9 @@
 	m.mu.Unlock()
 	held := t != nil && !leaving && t.epoch == question.GetEpoch() && t.ctx.Err() == nil && !m.storeHealth.isUnavailable(t.name) &&
 		m.storeHealth.answeredSince(time.Now().Add(-storeSilenceLimit))
-	return m.newDutyAnswer(held)
+	answer := m.newDutyAnswer(held)
+	answer.GetDutyAnswer().StoreSilent = m.storeHealth.isUnavailable(question.GetDuty()) || !m.storeHealth.answeredSince(time.Now().Add(-storeSilenceLimit))
+	return answer
 }
 
 // newDutyAnswer returns the answer to a question or an offer.
--- a/io/runner/renewals.go
+++ b/io/runner/renewals.go
@@ -36,6 +36,7 @@
 	}()
 	silent := false
 	for h.ctx.Err() == nil {
+		h.updateValidity(time.Now())
 		h.mu.Lock()
 		renewal, ok := h.scheduler.PrepareRenewal(incarnation, renewPollWait, time.Now())
 		misses := h.scheduler.ConsecutiveMisses(incarnation)
@@ -152,6 +153,7 @@
 
 // executeOrder sends one order, if it is still wanted, and passes its result to the scheduler.
 func (h *poolHolder) executeOrder(order work.Order) {
+	h.updateValidity(time.Now())
 	h.mu.Lock()
 	wanted := h.scheduler.ConfirmOrder(order, time.Now())
 	h.mu.Unlock()
