Count late starts to a worker's earlier life in its leases

The worker was cut off, its leases counted as expired, and the task was started elsewhere.

Unanswered starts are remembered for the time in which they may be carried out, and a later life's leases count as expired only after that and the longest lease.

Evidence: TestLateStartExtendsNextLease fails without it.

--- a/core/work/crash_pool_test.go
+++ b/core/work/crash_pool_test.go
@@ -45,6 +45,9 @@
 	epoch     uint64
 	// keepsIDs is true if a crashed worker returns under its ID; losesAnswers if start orders get no answer.
 	keepsIDs, losesAnswers bool
+	// unanswered is the job whose starts get no answer and aren't carried out; unansweredAt is the address of the last one.
+	unanswered   work.JobID
+	unansweredAt string
 	// unlistsCrashed is true if the directory lists crashed workers for listedSilence only.
 	unlistsCrashed bool
 	crashDelay     time.Duration
@@ -278,6 +281,10 @@
 		return work.OrderResult{Outcome: work.OutcomeReborn, StartMillis: w.info.Incarnation.StartMillis}
 	}
 	task := o.Run.Task
+	if o.Kind == work.OrderStart && task.Job == p.unanswered {
+		p.unansweredAt = o.Address
+		return work.OrderResult{Outcome: work.OutcomeUnknown}
+	}
 	switch o.Kind {
 	case work.OrderStart:
 		if _, known := w.runs[o.Run]; !known {
--- a/core/work/order.go
+++ b/core/work/order.go
@@ -112,7 +112,7 @@
 // expiry, and the worker will report that.
 func (s *Scheduler) endExpiredRuns(now time.Time) {
 	for _, w := range s.sortedWorkers {
-		if len(w.runs) == 0 || w.consecutiveMisses == 0 || (!w.clock.allLeasesExpired(now) && !s.isLostUnheard(w, now)) {
+		if len(w.runs) == 0 || w.consecutiveMisses == 0 || (!s.leasesExpired(w, now) && !s.isLostUnheard(w, now)) {
 			continue
 		}
 		if !w.listed {
--- a/core/work/result.go
+++ b/core/work/result.go
@@ -26,6 +26,9 @@
 	}
 	if o.Kind == OrderStart {
 		s.startsInFlight--
+		if res.Outcome == OutcomeUnknown {
+			s.lateStarts.add(o.Incarnation, now)
+		}
 	}
 	w := s.workers[o.Incarnation]
 	if w == nil {
--- a/core/work/scheduler.go
+++ b/core/work/scheduler.go
@@ -82,6 +82,7 @@
 	// silences holds when workers fell silent that were not leaving.
 	silences   map[Incarnation]silence
 	silentEnds silentEnds
+	lateStarts lateStarts
 	// lostTogether holds the tasks that were on crashed workers together.
 	lostTogether []lostRuns
 	// trialsWait is true if tasks that need a trial had to wait in the last round.
@@ -191,7 +192,7 @@
 		return false
 	}
 	for inc := range s.unresolved {
-		if w := s.workers[inc]; !now.After(s.earlierLeasesEnd(inc)) || (w != nil && w.answered && !w.clock.allLeasesExpired(now)) {
+		if w := s.workers[inc]; !now.After(s.earlierLeasesEnd(inc)) || (w != nil && w.answered && !s.leasesExpired(w, now)) {
 			return false
 		}
 	}
