Stop storing refused changes apart once the store fails otherwise

Read as a newcomer before the landing: storing 32 changes one by one could wait for a silent store 32 times, and a member that can't reach the rows of the members, or those of the duty, can't take it either and now says so when it is asked.

--- a/io/runner/commits.go
+++ b/io/runner/commits.go
@@ -220,18 +220,21 @@
 	return h.manager.Rows.Commit(h.ctx, tx)
 }
 
-// commitApart stores changes one by one. A job whose change the store refuses each time is given up.
+// commitApart stores changes one by one, until the store fails in another way. A job whose change the store refuses each time is
+// given up.
 func (h *poolHolder) commitApart(purpose string, changes []work.ProgressChange) {
-	for _, c := range changes {
+	for i, c := range changes {
 		tx, alone := h.progressTransaction([]work.ProgressChange{c})
 		tx.Purpose = purpose
-		version, err := h.manager.Rows.Commit(h.ctx, tx)
+		version, err := h.commitTransaction(tx)
 		h.applyCommitResult(alone, version, err)
 		var invalid platform.ErrInvalid
-		if errors.As(err, &invalid) {
+		var conflict platform.ErrVersionMismatch
+		switch {
+		case errors.As(err, &invalid):
 			h.countRefusal(c.ID, err)
-		}
-		if h.endIfFenced(err) {
+		case err != nil && (h.endIfFenced(err) || !errors.As(err, &conflict)):
+			h.abortCommit(changes[i+1:])
 			return
 		}
 	}
--- a/io/runner/questions.go
+++ b/io/runner/questions.go
@@ -94,10 +94,17 @@
 	held := t != nil && !leaving && t.epoch == question.GetEpoch() && t.ctx.Err() == nil && !m.storeHealth.isUnavailable(t.name) &&
 		m.storeHealth.answeredSince(time.Now().Add(-storeSilenceLimit))
 	answer := m.newDutyAnswer(held)
-	answer.GetDutyAnswer().StoreSilent = m.storeHealth.isUnavailable(question.GetDuty()) || !m.storeHealth.answeredSince(time.Now().Add(-storeSilenceLimit))
+	answer.GetDutyAnswer().StoreSilent = m.storeIsSilent(question.GetDuty())
 	return answer
 }
 
+// storeIsSilent reports whether this member can't take a duty now, because the store doesn't answer it, or not about the duty or the
+// members.
+func (m *Manager) storeIsSilent(duty string) bool {
+	const memberPartition = ""
+	return m.storeHealth.isUnavailable(duty) || m.storeHealth.isUnavailable(memberPartition) || !m.storeHealth.answeredSince(time.Now().Add(-storeSilenceLimit))
+}
+
 // newDutyAnswer returns the answer to a question or an offer.
 func (m *Manager) newDutyAnswer(held bool) *peerpb.Envelope {
 	return &peerpb.Envelope{Member: m.MemberName, Body: &peerpb.Envelope_DutyAnswer{DutyAnswer: &peerpb.DutyAnswer{Held: held}}}
--- a/io/runner/validity.go
+++ b/io/runner/validity.go
@@ -66,7 +66,7 @@
 // store that is away for all members keeps others from taking the duty; this holder goes on then.
 func (h *poolHolder) askAboutSilence(until, now time.Time) {
 	m := h.manager
-	if until.IsZero() || now.Add(heartbeatInterval).Before(until) && !m.isSilenceConfirmed(h.pool, now) {
+	if until.IsZero() || now.Add(heartbeatInterval).Before(until) {
 		return
 	}
 	m.mu.Lock()
