Forget an unanswered start once the worker lists its run

TestLeaseOfLaterIncarnation failed since the last change of leases: a lasting task was started again only 21 s after its worker fell silent, though the only unanswered start had shown to be carried out.

Each order is carried out once at most, so the run in a report accounts for one of those that were sent for it. Entries are found by run, and dropped after their time.

--- a/core/work/report.go
+++ b/core/work/report.go
@@ -211,6 +211,7 @@
 	if r == nil {
 		r = s.adoptRun(w, a.Run, now)
 	}
+	s.lateStarts.show(a.Run)
 	s.confirmListed(r)
 	if r.phase == phaseRunning && !r.confirmed {
 		r.confirmed = true
@@ -254,6 +255,7 @@
 
 // recordEnd processes one end. It records which change of the job must be stored before the end is acknowledged.
 func (s *Scheduler) recordEnd(w *worker, e RunEnd, now time.Time) {
+	s.lateStarts.show(e.Run)
 	r := w.runs[e.Run]
 	t := s.findTask(e.Run.Task)
 	if r != nil {
--- a/core/work/result.go
+++ b/core/work/result.go
@@ -27,7 +27,7 @@
 	if o.Kind == OrderStart {
 		s.startsInFlight--
 		if res.Outcome == OutcomeUnknown {
-			s.lateStarts.add(o.Incarnation, now)
+			s.lateStarts.add(o, now)
 		}
 	}
 	w := s.workers[o.Incarnation]
