--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -15,7 +15,10 @@
 
 // cases are the scripted cases by name. Each gets whether the disruption is to happen.
 var cases = map[string]func(w *world, trouble bool) (int, error){
-	"many-ends": manyEnds,
+	"many-ends":   manyEnds,
+	"two-crashes": twoCrashes,
+	"moved-queue": movedQueue,
+	"odd-entry":   oddEntry,
 }
 
 func main() {
--- a/review/standin-2/manyends.go
+++ b/review/standin-2/manyends.go
@@ -104,7 +104,7 @@
 	for _, id := range ids {
 		states[w.state(queuePrefix, id, alive[0])]++
 	}
-	waiting := w.record.waiting(ids[:manyJobs], from)
+	waiting := w.record.waiting(ids[:manyJobs], tasksPerJob, from)
 	w.noteEnds()
 	w.record.note("states", "%v of %d jobs", states, len(ids))
 	if waiting == 0 && states["completed"] == len(ids) {
@@ -134,24 +134,29 @@
 	return time.Time{}
 }
 
-// waiting counts the jobs all of whose tasks of the first step had ended as done before a moment, and none of which was started since.
-func (r *record) waiting(ids []string, from time.Time) int {
-	done, lastStart := make(map[string]int), make(map[string]time.Time)
-	completed := make(map[string]bool)
+// waiting counts the jobs of two steps whose first one, of some tasks, had ended as done before a moment, that have begun no task of the
+// second one, and of which nothing has run since.
+func (r *record) waiting(ids []string, tasks int, from time.Time) int {
+	done, begun := make(map[string]int), make(map[string]bool)
+	running, ranSince := make(map[string]int), make(map[string]bool)
 	for _, e := range r.all() {
 		job, step := stepOf(e.Task)
 		switch {
 		case e.Kind == "start":
-			lastStart[job] = e.At
-		case e.Kind == "end" && e.Detail == "done" && step == 0 && e.At.Before(from):
-			done[job]++
-		case e.Kind == "end" && e.Detail == "done" && step == 1:
-			completed[job] = true
+			running[job]++
+			begun[job] = begun[job] || step == 1
+			ranSince[job] = ranSince[job] || e.At.After(from)
+		case e.Kind == "end":
+			running[job]--
+			ranSince[job] = ranSince[job] || e.At.After(from)
+			if step == 0 && e.Detail == "done" && e.At.Before(from) {
+				done[job]++
+			}
 		}
 	}
 	n := 0
 	for _, id := range ids {
-		if done[id] == tasksPerJob && !completed[id] && lastStart[id].Before(from.Add(-taskTime)) {
+		if done[id] == tasks && !begun[id] && running[id] == 0 && !ranSince[id] {
 			n++
 		}
 	}
--- a/review/standin-2/worker.go
+++ b/review/standin-2/worker.go
@@ -15,13 +15,12 @@
 
 // Bounds of workers, as in the settings file.
 const (
-	maxHold        = 6 * time.Second
-	stopTime       = 100 * time.Millisecond
-	heartbeat      = 1500 * time.Millisecond
-	maxEnds        = 500
-	workerCPU      = 64000
-	workerMemMb    = 131072
-	startupOfLasts = 700 * time.Millisecond
+	maxHold     = 6 * time.Second
+	stopTime    = 100 * time.Millisecond
+	heartbeat   = 1500 * time.Millisecond
+	maxEnds     = 500
+	workerCPU   = 64000
+	workerMemMb = 131072
 )
 
 // amounts is what a worker offers or a task takes.
@@ -36,8 +35,6 @@
 	Ms    int `json:"ms"`
 	CPU   int `json:"cpu"`
 	MemMb int `json:"memMb"`
-	// Lasts is set for tasks that run until they are stopped.
-	Lasts bool `json:"lasts"`
 }
 
 // activeRun is a run on a worker.
@@ -60,13 +57,13 @@
 
 // worker is one life of a worker.
 type worker struct {
-	id, service, host, rack, address string
-	born                             time.Time
-	store                            *store
-	record                           *record
-	listener                         net.Listener
-	server                           *http.Server
-	stop                             context.CancelFunc
+	id, service, host, rack, kind, address string
+	born                                   time.Time
+	store                                  *store
+	record                                 *record
+	listener                               net.Listener
+	server                                 *http.Server
+	stop                                   context.CancelFunc
 
 	mu       sync.Mutex
 	active   map[string]*activeRun
@@ -76,19 +73,24 @@
 	acked    uint64
 	fence    uint64
 	deadline time.Duration
-	changed  chan struct{}
+	// written is when the last check-in was written.
+	written time.Time
+	changed chan struct{}
+	// dark is set once the worker has crashed.
+	dark bool
 	// fault, if it is set, may answer a call in place of the worker and then returns true.
 	fault func(w http.ResponseWriter, r *http.Request, serve func(http.ResponseWriter)) bool
 }
 
-func startWorker(s *store, rec *record, id, service, host, rack string) (*worker, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+// startWorkerAt starts a life of a worker at an address; port 0 stands for any.
+func startWorkerAt(s *store, rec *record, address, id, service, host, rack, kind string) (*worker, error) {
+	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	w := &worker{
-		id: id, service: service, host: host, rack: rack, address: l.Addr().String(), born: time.Now(), store: s, record: rec, listener: l, stop: stop,
+		id: id, service: service, host: host, rack: rack, kind: kind, address: l.Addr().String(), born: time.Now(), store: s, record: rec, listener: l, stop: stop,
 		active: make(map[string]*activeRun), highest: make(map[string]int), changed: make(chan struct{}),
 	}
 	w.server = &http.Server{Handler: w, ReadHeaderTimeout: 10 * time.Second}
@@ -104,14 +106,15 @@
 	tick := time.NewTicker(5 * time.Millisecond)
 	defer tick.Stop()
 	var sequence int
-	var written time.Time
 	for {
-		if sequence == 0 || time.Since(written) >= heartbeat {
+		if sequence == 0 || time.Since(w.written) >= heartbeat {
 			sequence++
-			written = time.Now()
+			w.mu.Lock()
+			w.written = time.Now()
+			w.mu.Unlock()
 			w.store.put("servers", w.id, map[string]any{
 				"service": w.service, "address": w.address, "zone": "z1", "version": "v1", "slots": 8, "state": "ready", "coldLeftMs": 0,
-				"capacity": amounts{CPU: workerCPU, MemMb: workerMemMb}, "labels": []string{"a", w.rack}, "clockMs": w.clock().Milliseconds(), "seqNo": sequence, "born": w.born.UnixMilli(),
+				"capacity": amounts{CPU: workerCPU, MemMb: workerMemMb}, "labels": []string{w.kind, w.rack}, "clockMs": w.clock().Milliseconds(), "seqNo": sequence, "born": w.born.UnixMilli(),
 			})
 		}
 		select {
@@ -152,6 +155,13 @@
 	return len(w.ends)
 }
 
+// isDark reports whether the worker has crashed and doesn't answer.
+func (w *worker) isDark() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.dark
+}
+
 // running returns the number of runs.
 func (w *worker) running() int {
 	w.mu.Lock()
@@ -234,6 +244,9 @@
 			case <-time.After(time.Duration(min(order.WaitMs, 2000)) * time.Millisecond):
 			case <-r.Context().Done():
 			}
+			if w.isDark() {
+				<-r.Context().Done()
+			}
 			w.mu.Lock()
 		}
 		w.list(out)
@@ -284,9 +297,6 @@
 	}
 	w.extend(deadlineMs)
 	run := &activeRun{task: task, attempt: attempt, spec: s, started: time.Now(), how: "done", endsAt: time.Now().Add(time.Duration(s.Ms) * time.Millisecond)}
-	if s.Lasts {
-		run.how = ""
-	}
 	w.active[task] = run
 	w.record.add(event{Kind: "start", Task: task, Attempt: attempt, Worker: w.id})
 	respond(out, http.StatusOK, w.head())
@@ -296,11 +306,7 @@
 func (w *worker) list(out http.ResponseWriter) {
 	active, ended := [][]any{}, [][]any{}
 	for _, r := range w.active {
-		percent := 100
-		if r.spec.Lasts && time.Since(r.started) < startupOfLasts {
-			percent = 50
-		}
-		active = append(active, []any{r.task, r.attempt, "", percent, r.spec.CPU})
+		active = append(active, []any{r.task, r.attempt, "", 100, r.spec.CPU})
 	}
 	for _, e := range w.ends[:min(len(w.ends), maxEnds)] {
 		ended = append(ended, []any{e.number, e.task, e.attempt, e.how, ""})
@@ -310,12 +316,6 @@
 	respond(out, http.StatusOK, body)
 }
 
-// kill ends the worker at once. Its entry is removed by the platform.
-func (w *worker) kill() {
-	w.stop()
-	_ = w.server.Close()
-}
-
 // stepOf returns the job and the step of a task's name.
 func stepOf(task string) (job string, step int) {
 	parts := strings.Split(task, ".")
--- a/review/standin-2/world.go
+++ b/review/standin-2/world.go
@@ -17,10 +17,11 @@
 )
 
 const (
-	service     = "desk"
-	queueHost   = "letting.example"
-	queuePrefix = "/quotes/"
-	lastPrefix  = "/ledger/"
+	service      = "desk"
+	otherService = "hall"
+	queueHost    = "letting.example"
+	queuePrefix  = "/quotes/"
+	lastPrefix   = "/ledger/"
 )
 
 // world is a small deployment: entry hosts as processes of their own, and stand-ins of the store, the cloud interface and the workers.
@@ -33,6 +34,9 @@
 	mu           sync.Mutex
 	workers      []*worker
 	edges        []*edge
+	services     []string
+	// moved is the service of the first queue, if it is not the usual one.
+	moved string
 }
 
 // edge is a process of the product.
@@ -56,7 +60,7 @@
 	if err != nil {
 		return nil, err
 	}
-	w := &world{dir: dir, program: program, record: newRecord(), store: newStore()}
+	w := &world{dir: dir, program: program, record: newRecord(), store: newStore(), services: []string{service}}
 	if w.storeAddress, err = serve(w.store); err != nil {
 		return nil, err
 	}
@@ -75,17 +79,24 @@
 			"service": service, "attempts": 4, "sloFactor": 2.0,
 		}
 	}
+	first := route("r-quotes", queuePrefix)
+	if w.moved != "" {
+		first["service"] = w.moved
+	}
+	services := []any{}
+	for _, name := range w.services {
+		services = append(services, map[string]any{"name": name, "admissionCheck": true, "healthPath": "/health", "maxConns": 64})
+	}
 	w.store.put("op", "config", map[string]any{
-		"version": version, "routes": []any{route("r-quotes", queuePrefix), route("r-ledger", lastPrefix)},
-		"services": []any{map[string]any{"name": service, "admissionCheck": true, "healthPath": "/health", "maxConns": 64}},
-		"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 262144, "headerTimeoutMs": 10000, "idleTimeoutMs": 60000},
+		"version": version, "routes": []any{first, route("r-ledger", lastPrefix)}, "services": services,
+		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 262144, "headerTimeoutMs": 10000, "idleTimeoutMs": 60000},
 	})
 }
 
-// serveCloud serves the list of machines. There is one pool, so no machine can be moved, and no wave.
+// serveCloud serves the list of machines. Each service has machines of a kind of its own, so none can be moved, and there is no wave.
 func (w *world) serveCloud(out http.ResponseWriter, r *http.Request) {
 	if r.URL.Path != "/machines" {
-		w.record.note("cloud", "%s refused: there is no other pool", r.URL.Path)
+		w.record.add(event{Kind: "cloud", Detail: r.URL.Path + " refused: the pool is one of other machines"})
 		out.WriteHeader(http.StatusBadRequest)
 		return
 	}
@@ -94,16 +105,19 @@
 	machines := []any{}
 	for _, x := range w.workers {
 		machines = append(machines, map[string]any{
-			"hostId": x.host, "pool": x.service, "state": "up", "zone": "z1", "labels": []string{"a", x.rack},
+			"hostId": x.host, "pool": x.service, "state": "up", "zone": "z1", "labels": []string{x.kind, x.rack},
 			"capacity": amounts{CPU: workerCPU, MemMb: workerMemMb}, "id": x.id,
 		})
 	}
 	respond(out, http.StatusOK, map[string]any{"machines": machines, "nextToken": nil})
 }
 
-func (w *world) addWorkers(n int) error {
-	for i := range n {
-		x, err := startWorker(w.store, w.record, workerName(i), service, fmt.Sprintf("m-%04x", 0xa10+i), fmt.Sprintf("r1-%d", i/4))
+func (w *world) addWorkers(n int) error { return w.addWorkersOf(service, "a", 0, n) }
+
+// addWorkersOf starts workers of a service on machines of a kind, numbered from first.
+func (w *world) addWorkersOf(name, kind string, first, n int) error {
+	for i := first; i < first+n; i++ {
+		x, err := startWorkerAt(w.store, w.record, "127.0.0.1:0", workerName(i), name, fmt.Sprintf("m-%04x", 0xa10+i), fmt.Sprintf("r1-%d", i/4), kind)
 		if err != nil {
 			return err
 		}
@@ -114,13 +128,17 @@
 	return nil
 }
 
+func loopback(port int) string { return fmt.Sprintf("127.0.0.1:%d", port) }
+
+// freePort returns a free port below those that the system gives to clients.
 func freePort() (int, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return 0, err
+	for range 100 {
+		port := 10000 + rand.IntN(20000)
+		if l, err := net.Listen("tcp", loopback(port)); err == nil {
+			return port, l.Close()
+		}
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().(*net.TCPAddr).Port, nil
+	return 0, fmt.Errorf("no free port")
 }
 
 // addEdge writes the settings of an entry host and starts it.
@@ -255,12 +273,11 @@
 
 // phase is a step of a job on the wire.
 type phase struct {
-	Count       int   `json:"count"`
-	CPU         int   `json:"cpu"`
-	MemMb       int   `json:"memMb"`
-	EstimateMs  int   `json:"estimateMs"`
-	After       []int `json:"after,omitempty"`
-	LongRunning bool  `json:"longRunning,omitempty"`
+	Count      int   `json:"count"`
+	CPU        int   `json:"cpu"`
+	MemMb      int   `json:"memMb"`
+	EstimateMs int   `json:"estimateMs"`
+	After      []int `json:"after,omitempty"`
 }
 
 // submit hands a job in, again after each answer that allows it, and reports whether it was accepted.
