--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -19,6 +19,7 @@
 	"two-crashes": twoCrashes,
 	"moved-queue": movedQueue,
 	"odd-entry":   oddEntry,
+	"odd-id":      oddID,
 }
 
 func main() {
