--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Builds the stand-in of the scripts of cases 6 to 9. Its sources end in .txt, since the project allows the platform's names in no other .go file.
+# Builds the stand-in of the scripts of cases 6 to 10. Its sources end in .txt, since the project allows the platform's names in no other .go file.
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target
