--- /dev/null
+++ b/core/work/takeover.go
@@ -0,0 +1,108 @@
+package work
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+)
+
+// AddUnresolvedIncarnation adds an incarnation on which an earlier holder may have started tasks. Until each
+// such incarnation or a later one of its worker has reported, or none of them is listed and the leases have expired,
+// tasks of jobs that were accepted before this holder's epoch are not started. Long-running tasks are started once
+// all leases of earlier holders have expired.
+func (s *Scheduler) AddUnresolvedIncarnation(inc Incarnation, now time.Time) {
+	s.initialise()
+	s.unresolved[inc] = now.Add(s.earlierLeaseBound())
+}
+
+// earlierLeasesExpired reports whether every lease that an earlier holder granted has certainly expired, so that
+// none of its runs is active on a worker that has not reported to this holder. Runs may have succeeded before.
+//
+// A holder that was replaced without having ended may renew a lease until a worker rejects its epoch, but not
+// after the lease expired.
+func (s *Scheduler) earlierLeasesExpired(now time.Time) bool {
+	if !s.LastForcedTakeover.IsZero() && !now.After(s.LastForcedTakeover.Add(2*s.earlierLeaseBound())) {
+		return false
+	}
+	for inc := range s.unresolved {
+		if w := s.workers[inc]; !now.After(s.earlierLeasesEnd(inc)) || (w != nil && w.answered && !s.leasesExpired(w, now)) {
+			return false
+		}
+	}
+	return true
+}
+
+// earlierLeaseBound returns the longest time that a lease of an earlier holder can last, measured by the local clock.
+// Earlier holders grant the same lease; their estimate of a worker's clock is ahead by its drift during a lease at most.
+func (s *Scheduler) earlierLeaseBound() time.Duration {
+	return s.localLeaseBound(time.Duration(float64(s.timing.Lease) * (1 + maxClockDrift)))
+}
+
+// earlierLeasesEnd returns the time at which leases of earlier holders on an unresolved incarnation are certain to have
+// expired. If a later incarnation carried out a start that was ordered from this one, the deadline was by another clock, and
+// only the longest lease that workers grant bounds the run.
+func (s *Scheduler) earlierLeasesEnd(inc Incarnation) time.Time {
+	until := s.unresolved[inc]
+	if s.hasSuccessor(inc) {
+		until = until.Add(s.localLeaseBound(s.timing.MaxLease) - s.earlierLeaseBound())
+	}
+	return until
+}
+
+// localLeaseBound returns the longest time that a lease can last, measured by the local clock.
+func (s *Scheduler) localLeaseBound(lease time.Duration) time.Duration {
+	return time.Duration(float64(lease) / (1 - maxClockDrift))
+}
+
+// mayHaveEarlierLease reports whether an earlier holder may have granted a lease for tasks to a worker that has not
+// answered yet. Earlier holders started tasks on the incarnations of their roster only.
+func (s *Scheduler) mayHaveEarlierLease(worker string) bool {
+	for inc := range s.unresolved {
+		if inc.Worker == worker {
+			return true
+		}
+	}
+	return false
+}
+
+// allResolved reports whether every run that an earlier holder may have started is known. It drops the
+// incarnations that no longer need to be waited for.
+func (s *Scheduler) allResolved(now time.Time) bool {
+	for inc, until := range s.unresolved {
+		w := s.workers[inc]
+		switch {
+		case w != nil && w.fullyReported, s.hasReportingSuccessor(inc):
+			delete(s.unresolved, inc)
+		case now.After(until) && !s.isListed(inc):
+			delete(s.unresolved, inc)
+		}
+	}
+	return len(s.unresolved) == 0
+}
+
+// UnresolvedIncarnations returns the incarnations that jobs of earlier holders still wait for, sorted by worker.
+func (s *Scheduler) UnresolvedIncarnations(now time.Time) []Incarnation {
+	s.initialise()
+	if s.allResolved(now) {
+		return nil
+	}
+	incarnations := slices.Collect(maps.Keys(s.unresolved))
+	slices.SortFunc(incarnations, func(a, c Incarnation) int { return cmp.Compare(a.Worker, c.Worker) })
+	return incarnations
+}
+
+// ReadyForHandOver reports whether the next holder would have no incarnation to wait for: every incarnation with
+// runs is listed and answers.
+func (s *Scheduler) ReadyForHandOver(now time.Time) bool {
+	s.initialise()
+	if !s.allResolved(now) {
+		return false
+	}
+	for _, w := range s.sortedWorkers {
+		if len(w.runs) > 0 && (w.consecutiveMisses > 0 || !w.listed) {
+			return false
+		}
+	}
+	return true
+}
