End the wait for the report of a listed worker that is silent

What callers saw: a task whose worker reaches the store and not the entry hosts was not started again as long as that lasted (LOST). Found by looking for the cause of the takeover's wait on related paths; not seen on the platform.

Cause: runs that end by themselves were kept beyond their leases while their worker was listed, for the report of an earlier success, without a limit. The same for a listed incarnation that never answered and may carry out an unanswered start.

Change: the wait ends 10 s after the first call without an answer, and 21.2 s for an incarnation that has never answered.

Ruled out: ending the run with its lease (5.2 s): allowed, and more work would be done twice.

--- a/core/work/incarnations.go
+++ b/core/work/incarnations.go
@@ -114,10 +114,10 @@
 	s.presumeEnded(r, CauseLifeOver, time.Time{})
 }
 
-// isLostUnheard reports whether the worker is no longer listed, has never answered, and can't run anything any more that an
-// unanswered order to an earlier incarnation started on it.
-func (s *Scheduler) isLostUnheard(w *worker, now time.Time) bool {
-	return !w.listed && !w.answered && now.Sub(w.silentSince) > lateOrderBound+s.localLeaseBound(s.timing.MaxLease)
+// isUnheard reports whether the worker has never answered, and can't run anything any more that an unanswered order to an
+// earlier incarnation started on it.
+func (s *Scheduler) isUnheard(w *worker, now time.Time) bool {
+	return !w.answered && now.Sub(w.silentSince) > lateOrderBound+s.localLeaseBound(s.timing.MaxLease)
 }
 
 // attachRun adds a run to the worker.
--- a/core/work/order.go
+++ b/core/work/order.go
@@ -108,18 +108,19 @@
 }
 
 // endExpiredRuns ends the runs on unreachable workers whose leases have certainly expired. While such a worker
-// is listed, only its long-running and unneeded runs are ended: another run may have succeeded before the
-// expiry, and the worker will report that.
+// is listed, its runs that end by themselves are not ended before listedSilenceLimit, unless they are unneeded: another run may
+// have succeeded before the expiry, and the worker will report that.
 func (s *Scheduler) endExpiredRuns(now time.Time) {
 	for _, w := range s.sortedWorkers {
-		if len(w.runs) == 0 || w.consecutiveMisses == 0 || (!s.leasesExpired(w, now) && !s.isLostUnheard(w, now)) {
+		if len(w.runs) == 0 || w.consecutiveMisses == 0 || (!s.leasesExpired(w, now) && !s.isUnheard(w, now)) {
 			continue
 		}
 		if !w.listed {
 			s.recordSilentEnd(w, now)
 		}
+		awaitsReport := w.listed && now.Sub(w.silentSince) <= listedSilenceLimit
 		for _, r := range sortedRuns(w) {
-			if w.listed && r.task != nil && !r.task.group.spec().LongRunning {
+			if awaitsReport && r.task != nil && !r.task.group.spec().LongRunning {
 				continue
 			}
 			if w.listed && r.task != nil {
