Let a holder without the store go on only if all other members are without it

Cause: a holder whose store is silent went on if half of the members that it was linked to, three at least, answered that the store is silent to them too. Two entry hosts that are cut off together with the holder, as in a zone that is apart, were enough, while another member took the duty. A worker that only the first holder reaches had its leases renewed, and the next holder started its tasks elsewhere.

In the users' record two processes of one zone lose their duties within 106 ms, and the lease of the first worker was renewed after the next holder had started the task elsewhere.

Change: every member that was live when the store last answered is asked, over links made for it, and all must answer that it is silent.

Ruled out: a majority of all members; the part with the store may be the smaller one (the subtests with three others).

--- a/io/runner/fake_peers_test.go
+++ b/io/runner/fake_peers_test.go
@@ -17,8 +17,8 @@
 	handlers map[string]map[peer.Kind]peer.Handler
 	// hung holds the names of the entry hosts that receive messages and do not process them.
 	hung map[string]bool
-	// cut holds the names of the entry hosts that exchange no messages with others.
-	cut map[string]bool
+	// apart holds the names of the entry hosts that exchange messages among themselves only.
+	apart map[string]bool
 	// dropReplies holds the names of the entry hosts whose replies are lost.
 	dropReplies map[string]bool
 	// handIns counts the HandIn messages sent to each entry host.
@@ -30,7 +30,7 @@
 
 func newFakePeers() *fakePeers {
 	return &fakePeers{
-		handlers: make(map[string]map[peer.Kind]peer.Handler), hung: make(map[string]bool), cut: make(map[string]bool), dropReplies: make(map[string]bool), handIns: make(map[string]int),
+		handlers: make(map[string]map[peer.Kind]peer.Handler), hung: make(map[string]bool), apart: make(map[string]bool), dropReplies: make(map[string]bool), handIns: make(map[string]int),
 	}
 }
 
@@ -58,7 +58,7 @@
 	p.mu.Lock()
 	handler, known := p.handlers[to][peer.KindOf(message)]
 	fromHost, _, _ := strings.Cut(from, "/")
-	hung, dropReply := p.hung[host] || p.cut[host] || p.cut[fromHost], p.dropReplies[host]
+	hung, dropReply := p.hung[host] || p.apart[host] != p.apart[fromHost], p.dropReplies[host]
 	if peer.KindOf(message) == peer.KindHandIn {
 		p.handIns[host]++
 	}
--- a/io/runner/forward.go
+++ b/io/runner/forward.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"maps"
-	"slices"
 	"sync"
 	"time"
 
@@ -60,11 +59,9 @@
 	return h.loaded && h.ctx.Err() == nil
 }
 
-// connectToHolders connects to the members that hold duties according to their own rows or to those of the duties.
+// connectToHolders connects to the members that hold duties according to their own rows or to those of the duties, and to no
+// others.
 func (m *Manager) connectToHolders() {
-	if m.Peers.SetPeers == nil {
-		return
-	}
 	m.mu.Lock()
 	addresses := make(map[string]string)
 	named := make(map[string]bool, len(m.holderRows))
@@ -76,14 +73,32 @@
 			addresses[name] = s.Member.Address
 		}
 	}
-	for _, name := range slices.Sorted(maps.Keys(m.members)) {
-		if len(addresses) >= minLinkedPeers {
-			break
-		}
-		if address := m.members[name].Member.Address; name != m.MemberName && address != "" {
+	m.mu.Unlock()
+	m.setLinkedPeers(addresses)
+}
+
+// connectTo connects to further members, until connectToHolders is called.
+func (m *Manager) connectTo(members []string) {
+	m.mu.Lock()
+	addresses := maps.Clone(m.linkedPeers)
+	if addresses == nil {
+		addresses = make(map[string]string, len(members))
+	}
+	for _, name := range members {
+		if address := m.members[name].Member.Address; address != "" {
 			addresses[name] = address
 		}
 	}
+	m.mu.Unlock()
+	m.setLinkedPeers(addresses)
+}
+
+// setLinkedPeers replaces the members that Peers connects to.
+func (m *Manager) setLinkedPeers(addresses map[string]string) {
+	if m.Peers.SetPeers == nil {
+		return
+	}
+	m.mu.Lock()
 	changed := !maps.Equal(addresses, m.linkedPeers)
 	m.linkedPeers = addresses
 	m.mu.Unlock()
--- a/io/runner/isolated_test.go
+++ b/io/runner/isolated_test.go
@@ -36,12 +36,17 @@
 	return limited
 }
 
-// isolate cuts an entry host and a worker off from all others, which no longer list the worker after a while.
-func (s *fakeSite) isolate(entryHost, worker string) {
-	s.store.setSilent(entryHost, true)
-	s.peers.injectFault(s.peers.cut, entryHost)
+// isolate cuts entry hosts and a worker off from all others, which no longer list the worker after a while. Those that are cut off
+// still reach each other.
+func (s *fakeSite) isolate(worker string, entryHosts ...string) {
+	apart := make(map[string]bool)
+	for _, h := range entryHosts {
+		apart[h] = true
+		s.store.setSilent(h, true)
+		s.peers.injectFault(s.peers.apart, h)
+	}
 	s.workersMu.Lock()
-	s.mayReach = func(from, to string) bool { return (from == entryHost) == (to == worker) }
+	s.mayReach = func(from, to string) bool { return apart[from] == (to == worker) }
 	s.workersMu.Unlock()
 	go func() {
 		time.Sleep(4500 * time.Millisecond)
@@ -63,32 +68,47 @@
 	return active
 }
 
-// TestIsolatedHolder guards against tasks that run twice because a pool's holder, cut off with a worker from all others, goes on
-// while the next holder starts the tasks again.
+// assertRunsOnce checks for some time that no task runs on two workers.
+func (s *fakeSite) assertRunsOnce(d time.Duration) {
+	s.t.Helper()
+	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		for task, workers := range s.activeRuns() {
+			if len(workers) > 1 {
+				s.t.Fatalf("%s runs on %v", task, workers)
+			}
+		}
+	}
+}
+
+// TestIsolatedHolder guards against tasks that run twice because a pool's holder, cut off with a worker and perhaps other entry
+// hosts from all others, goes on while the next holder starts the tasks again.
 func TestIsolatedHolder(t *testing.T) {
-	for _, cut := range []time.Duration{8 * time.Second, 30 * time.Second} {
-		t.Run(fmt.Sprint(cut), func(t *testing.T) {
-			runFakeSite(t, fakeSite{peers: newFakePeers()}, 5, 4, func(s *fakeSite) {
-				s.workersMu.Lock()
-				for _, w := range s.workers {
-					w.taskTime = time.Hour
-				}
-				s.workersMu.Unlock()
-				s.is.NoErr(s.submit("e0", "long", 8))
-				s.submitLasting("e0", "lasting")
-				time.Sleep(2 * time.Second)
-				s.isolate(s.poolHolder(), "w0")
-				for end := time.Now().Add(cut); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
-					for task, workers := range s.activeRuns() {
-						if len(workers) > 1 {
-							t.Fatalf("%s runs on %v", task, workers)
+	const hosts = 7
+	for _, with := range []int{0, 1, 2, 3} { // entry hosts that are cut off with the holder
+		for _, cut := range []time.Duration{8 * time.Second, 30 * time.Second} {
+			t.Run(fmt.Sprintf("with %d others for %s", with, cut), func(t *testing.T) {
+				runFakeSite(t, fakeSite{peers: newFakePeers()}, hosts, 4, func(s *fakeSite) {
+					s.workersMu.Lock()
+					for _, w := range s.workers {
+						w.taskTime = time.Hour
+					}
+					s.workersMu.Unlock()
+					s.is.NoErr(s.submit("e0", "long", 8))
+					s.submitLasting("e0", "lasting")
+					time.Sleep(2 * time.Second)
+					apart := []string{s.poolHolder()}
+					for _, name := range s.hostNames() {
+						if name != apart[0] && len(apart) <= with {
+							apart = append(apart, name)
 						}
 					}
-				}
-				running, _ := s.jobActivity("long")
-				s.is.True(running > 0)
+					s.isolate("w0", apart...)
+					s.assertRunsOnce(cut)
+					running, _ := s.jobActivity("long")
+					s.is.True(running > 0)
+				})
 			})
-		})
+		}
 	}
 }
 
--- a/io/runner/validity.go
+++ b/io/runner/validity.go
@@ -2,8 +2,9 @@
 
 import (
 	"context"
-	"math/rand/v2"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"siskincross/core/event"
@@ -11,28 +12,32 @@
 )
 
 const (
-	// silenceQuestionInterval is the minimum time between two rounds of questions whether the store is silent to others too.
-	silenceQuestionInterval = 400 * time.Millisecond
-	// silenceAnswerValidity is how long such a round counts. The next round begins and ends within it.
-	silenceAnswerValidity = silenceQuestionInterval + dutyQuestionTimeout + 150*time.Millisecond
-	// maxSilenceQuestions bounds the members that are asked in a round.
-	maxSilenceQuestions = 12
-	// minLinkedPeers is the number of members that a holder is linked to if there are as many.
-	minLinkedPeers = 3
+	// minSilenceInterval is the minimum time between two rounds of questions whether the store is silent to others too.
+	// silenceIntervalPerMember is what each member that is asked adds to it, so that the rate of questions is bounded.
+	minSilenceInterval       = 400 * time.Millisecond
+	silenceIntervalPerMember = 20 * time.Millisecond
+	// silenceAnswerSlack is how much longer a round counts than until the next one has ended.
+	silenceAnswerSlack = 150 * time.Millisecond
 )
 
 // storeSilence is what the other members have answered about a partition of the store that doesn't answer this one.
 type storeSilence struct {
-	// confirmedAt is when the last round of questions began in which no member had an answer of the store.
-	confirmedAt time.Time
+	// confirmedUntil is how long the last round of questions counts in which no member had an answer of the store.
+	confirmedUntil time.Time
 	// askedAt is when the last round began, and pending is true until it ends.
 	askedAt time.Time
 	pending bool
 }
 
+// witnesses returns the names of the other members that were live when the store last answered this one: those that may take its
+// duties if the store answers them. The caller holds the lock.
+func (m *Manager) witnesses() []string {
+	return slices.DeleteFunc(m.failureDetector.Live(), func(name string) bool { return name == m.MemberName })
+}
+
 // validUntil returns the time until which no other member can have taken the holder's duty and started its tasks again, as far as
 // that is known: another member takes it once this one's row was not renewed for memberLease. The zero time means that it can't be
-// known, because there are no links to other members.
+// known, because there are no links to other members, or that there is none.
 func (h *poolHolder) validUntil() time.Time {
 	m := h.manager
 	if m.Peers.Call == nil {
@@ -43,11 +48,11 @@
 	h.mu.Unlock()
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if len(m.linkedPeers) == 0 {
+	if len(m.witnesses()) == 0 {
 		return time.Time{}
 	}
 	until := m.heartbeatAt.Add(memberLease)
-	for _, t := range []time.Time{queueReadAt.Add(memberLease - heartbeatInterval), m.storeSilences[h.pool].confirmedAt.Add(silenceAnswerValidity)} {
+	for _, t := range []time.Time{queueReadAt.Add(memberLease - heartbeatInterval), m.storeSilences[h.pool].confirmedUntil} {
 		if t.After(until) {
 			until = t
 		}
@@ -59,7 +64,7 @@
 func (m *Manager) isSilenceConfirmed(pool string, now time.Time) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.Peers.Call == nil || len(m.linkedPeers) == 0 || now.Before(m.storeSilences[pool].confirmedAt.Add(silenceAnswerValidity))
+	return m.Peers.Call == nil || len(m.witnesses()) == 0 || now.Before(m.storeSilences[pool].confirmedUntil)
 }
 
 // askAboutSilence asks other members whether the store is silent to them too, while this one has got no answer for some time. A
@@ -70,29 +75,26 @@
 		return
 	}
 	m.mu.Lock()
+	witnesses := m.witnesses()
+	interval := minSilenceInterval + silenceIntervalPerMember*time.Duration(len(witnesses))
 	silence := m.storeSilences[h.pool]
-	due := !silence.pending && now.Sub(silence.askedAt) >= silenceQuestionInterval
+	due := !silence.pending && now.Sub(silence.askedAt) >= interval
 	if due {
 		silence.pending, silence.askedAt = true, now
 		m.storeSilences[h.pool] = silence
 	}
-	var members []string
-	for name := range m.linkedPeers {
-		members = append(members, name)
-	}
 	m.mu.Unlock()
 	if !due {
 		return
 	}
-	rand.Shuffle(len(members), func(i, j int) { members[i], members[j] = members[j], members[i] })
-	members = members[:min(len(members), maxSilenceQuestions)]
+	m.connectTo(witnesses)
 	h.group.Go(func() {
-		confirmed := h.confirmSilence(members)
+		confirmed := h.confirmSilence(witnesses)
 		m.mu.Lock()
 		silence := m.storeSilences[h.pool]
 		silence.pending = false
 		if confirmed {
-			silence.confirmedAt = now
+			silence.confirmedUntil = now.Add(interval + dutyQuestionTimeout + silenceAnswerSlack)
 		}
 		m.storeSilences[h.pool] = silence
 		m.mu.Unlock()
@@ -100,31 +102,26 @@
 	})
 }
 
-// confirmSilence reports whether at least half of the members answer, and none of them gets answers of the store.
+// confirmSilence reports whether all these members answer that they get no answers of the store. One that doesn't answer may have
+// taken the duty.
 func (h *poolHolder) confirmSilence(members []string) bool {
 	ctx, cancel := context.WithTimeout(h.ctx, dutyQuestionTimeout)
 	defer cancel()
 	question := &peerpb.Envelope{Member: h.manager.MemberName, Body: &peerpb.Envelope_DutyQuestion{DutyQuestion: &peerpb.DutyQuestion{Duty: h.pool, Epoch: h.epoch}}}
-	var mu sync.Mutex
-	silent, answered := 0, 0
+	var silent atomic.Int64
 	var calls sync.WaitGroup
 	for _, member := range members {
 		calls.Go(func() {
 			reply, err := h.manager.Peers.Call(ctx, member, question)
-			mu.Lock()
-			defer mu.Unlock()
-			switch {
-			case err != nil: // counts as no answer
-			case reply.GetDutyAnswer().GetStoreSilent():
-				silent++
-				answered++
-			default:
-				answered++
+			if err == nil && reply.GetDutyAnswer().GetStoreSilent() {
+				silent.Add(1)
+				return
 			}
+			cancel() // the other answers don't matter any more
 		})
 	}
 	calls.Wait()
-	return 2*answered >= len(members) && silent == answered
+	return int(silent.Load()) == len(members)
 }
 
 // updateValidity passes the time until which the duty is certain to the scheduler, and records when that has passed or is known again.
