Acknowledge stored ends at a takeover before all ends are known

Cause: a worker lists 500 ends at a time and the next ones once these are acknowledged; a new holder acknowledged nothing before it knew all ends of all workers.

Change: stored ends are acknowledged to a worker that has answered the epoch if replaced holders are suspended, or if every worker of the roster has answered the epoch. The reason for the wait, an earlier holder that starts a forgotten task again, is kept: it needs neither.

Ruled out: reading further pages without acknowledging; the platform has no such call.

--- a/core/work/report.go
+++ b/core/work/report.go
@@ -79,9 +79,7 @@
 	s.sequence++
 	w.renewedAt = now
 	renewal := Renewal{Endpoint: w.endpoint(), Epoch: s.Epoch, AcknowledgedEnd: w.acknowledged, Sequence: s.sequence}
-	if s.allResolved(now) {
-		// Ends stay unacknowledged until then: an earlier holder that has not been fenced yet could start a task
-		// whose end was forgotten again, on a worker that has not seen this epoch.
+	if s.mayAcknowledge(w, now) {
 		renewal.AcknowledgedEnd = w.advanceAcknowledged()
 	}
 	if s.isValid(now) && !w.clock.receivedAt.IsZero() && w.consecutiveMisses == 0 && now.Sub(w.clock.receivedAt) < maxAnswerAge {
--- a/core/work/takeover.go
+++ b/core/work/takeover.go
@@ -115,6 +115,24 @@
 	}
 }
 
+// mayAcknowledge reports whether the worker may forget ends that are stored. An earlier holder that goes on could start a task
+// whose end was forgotten again, on a worker that has not seen this epoch. It can't if holders that may have been replaced are
+// suspended, as SetValidity does, or if there is no such worker.
+func (s *Scheduler) mayAcknowledge(w *worker, now time.Time) bool {
+	return s.allResolved(now) || (w.answered && (!s.validUntil.IsZero() || s.allAnswered()))
+}
+
+// allAnswered reports whether every worker on which an earlier holder may start tasks has seen this epoch.
+func (s *Scheduler) allAnswered() bool {
+	for inc := range s.unresolved {
+		w := s.workers[inc]
+		if (w == nil || !w.answered) && !slices.ContainsFunc(s.laterIncarnations(inc), func(w *worker) bool { return w.answered }) {
+			return false
+		}
+	}
+	return true
+}
+
 // UnresolvedIncarnations returns the incarnations that jobs of earlier holders still wait for, sorted by worker.
 func (s *Scheduler) UnresolvedIncarnations(now time.Time) []Incarnation {
 	s.initialise()
--- a/io/runner/fake_worker_test.go
+++ b/io/runner/fake_worker_test.go
@@ -97,7 +97,7 @@
 	w.deadline = max(w.deadline, r.LeaseDeadline)
 	w.settleRuns()
 	w.ends = slices.DeleteFunc(w.ends, func(e work.RunEnd) bool { return e.Number <= r.AcknowledgedEnd })
-	report := work.Report{WorkerClock: w.clock(), Ends: slices.Clone(w.ends)}
+	report := work.Report{WorkerClock: w.clock(), Ends: slices.Clone(w.ends[:min(len(w.ends), work.MaxEndsPerReport)])}
 	for run := range w.runs {
 		report.Active = append(report.Active, work.ActiveRun{Run: run, SpeedPercent: 100})
 	}
