Count the pending jobs of a queue in all pools that may have stored some

Cause: PendingJobs asked the pool only that serves the queue now; a queue's jobs stay where they were stored.

Change: it adds up the counts of the pools that storingPools names, as State and Cancel do, read once for each version of the configuration.

--- a/io/runner/manager.go
+++ b/io/runner/manager.go
@@ -73,6 +73,8 @@
 	waves           map[string]work.MaintenanceWave
 	// gates holds the open gates of the queues for which this process has stored jobs.
 	gates map[gateID]gate
+	// queuePools holds the pools that may have stored jobs of a queue, by the queue and the pool that serves it.
+	queuePools map[gateID]queuePools
 	// members holds the rows of the members, and failureDetector judges which of them are live.
 	members         map[string]duty.MemberRow
 	failureDetector duty.FailureDetector
@@ -139,6 +141,7 @@
 		m.reportedMembers = make(map[string]bool)
 		m.waves = make(map[string]work.MaintenanceWave)
 		m.gates = make(map[gateID]gate)
+		m.queuePools = make(map[gateID]queuePools)
 		m.members = make(map[string]duty.MemberRow)
 		m.failureDetector = duty.FailureDetector{Lease: memberLease}
 		m.detectorAtEcho = m.failureDetector
--- a/io/runner/moved_queue_test.go
+++ b/io/runner/moved_queue_test.go
@@ -261,6 +261,92 @@
 	})
 }
 
+// TestPendingAfterQueueMoved guards against a count of pending jobs without those that wait in the pool that served their queue before.
+func TestPendingAfterQueueMoved(t *testing.T) {
+	const (
+		waiting  = 12
+		countAge = 2500 * time.Millisecond // counts are this old at most, with the time to adopt a configuration
+	)
+	// submitWaiting submits jobs that no worker has room for.
+	submitWaiting := func(s *fakeSite) {
+		for _, w := range s.workers {
+			w.listing.Draining = true
+			s.listWorker(w)
+		}
+		time.Sleep(time.Second)
+		for i := range waiting {
+			s.is.NoErr(s.submit("e0", fmt.Sprintf("j%02d", i), 1))
+		}
+		time.Sleep(countAge)
+	}
+	assertPending := func(s *fakeSite, q work.Queue, want int) {
+		s.t.Helper()
+		for _, name := range s.hostNames() {
+			n, err := s.entryHosts[name].manager.PendingJobs(context.Background(), q)
+			s.is.NoErr(err)
+			s.is.Equal(n, want)
+		}
+	}
+	t.Run("counted at each entry host", func(t *testing.T) {
+		withTwoPools(t, func(s *fakeSite) {
+			submitWaiting(s)
+			assertPending(s, s.queue(), waiting)
+			moved := s.moveQueue(otherPool)
+			time.Sleep(countAge)
+			assertPending(s, moved, waiting)
+		})
+	})
+	t.Run("counted once where both pools have jobs", func(t *testing.T) {
+		withTwoPools(t, func(s *fakeSite) {
+			submitWaiting(s)
+			moved := s.moveQueue(otherPool)
+			time.Sleep(time.Second)
+			s.is.NoErr(s.entryHosts["e1"].manager.Submit(context.Background(), runner.Caller{}, moved, job("k", 1)))
+			time.Sleep(countAge)
+			assertPending(s, moved, waiting+1)
+		})
+	})
+	t.Run("counted after the queue has moved back", func(t *testing.T) {
+		withTwoPools(t, func(s *fakeSite) {
+			submitWaiting(s)
+			moved := s.moveQueue(otherPool)
+			time.Sleep(time.Second)
+			s.is.NoErr(s.entryHosts["e1"].manager.Submit(context.Background(), runner.Caller{}, moved, job("k", 1)))
+			time.Sleep(countAge)
+			assertPending(s, moved, waiting+1)
+			back := s.catalogue().WithQueues([]work.Queue{s.queue()})
+			back.Version = 3
+			s.versions[3] = back
+			s.store.put(platform.RowKey{Table: fakeOperatorsTable, Key: "config"}, 3)
+			time.Sleep(countAge)
+			assertPending(s, s.queue(), waiting+1)
+		})
+	})
+	t.Run("other pools' outage keeps no count from a queue that has not moved", func(t *testing.T) {
+		withTwoPools(t, func(s *fakeSite) {
+			submitWaiting(s)
+			s.store.silencePartition(otherPool)
+			time.Sleep(3 * time.Second)
+			assertPending(s, s.queue(), waiting)
+		})
+	})
+	t.Run("pools of a queue are read once for each configuration", func(t *testing.T) {
+		withTwoPools(t, func(s *fakeSite) {
+			submitWaiting(s)
+			reads := 0
+			s.store.countReads = func(q platform.RangeQuery) {
+				if q.Table == "route" {
+					reads++
+				}
+			}
+			for range 10 {
+				assertPending(s, s.queue(), waiting)
+			}
+			s.is.True(reads <= len(s.entryHosts))
+		})
+	})
+}
+
 // TestGateCost guards against submissions that cost calls of the store for each pool that a queue might have had.
 func TestGateCost(t *testing.T) {
 	withTwoPools(t, func(s *fakeSite) {
--- a/io/runner/pending.go
+++ b/io/runner/pending.go
@@ -6,6 +6,8 @@
 	"maps"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"siskincross/core/event"
 	"siskincross/core/work"
 	"siskincross/io/platform"
@@ -51,32 +53,82 @@
 	return h.loaded && !h.feed.isOverdue(now) && now.Sub(h.feed.lastAnswer) < maxQueueLag
 }
 
-// PendingJobs returns the number of jobs of a queue without a started task. The count is at most two seconds old.
+// PendingJobs returns the number of jobs of a queue without a started task, in all pools that may have stored some. The count is at
+// most two seconds old.
 func (m *Manager) PendingJobs(ctx context.Context, q work.Queue) (int, error) {
-	if h := m.poolHolder(q.Pool); h != nil {
+	pools, err := m.countedPools(ctx, q)
+	if err != nil {
+		return 0, err
+	}
+	counts := make([]int, len(pools))
+	var reads errgroup.Group
+	for i, pool := range pools {
+		reads.Go(func() (err error) {
+			counts[i], err = m.pendingJobsIn(ctx, pool, q.Key())
+			return err
+		})
+	}
+	err = reads.Wait()
+	total := 0
+	for _, n := range counts {
+		total += n
+	}
+	return total, err
+}
+
+// queuePools is what is known of the pools that may have stored jobs of a queue.
+type queuePools struct {
+	// version is the version of the configuration that was in force when the pools were read: a queue moves with a later one.
+	version uint64
+	pools   []string
+}
+
+// countedPools is storingPools with one read of the store a configuration.
+func (m *Manager) countedPools(ctx context.Context, q work.Queue) ([]string, error) {
+	id := gateID{q.Key(), q.Pool}
+	m.mu.Lock()
+	version, known := m.catalogue.Version, m.queuePools[id]
+	m.mu.Unlock()
+	if known.pools != nil && known.version == version {
+		return known.pools, nil
+	}
+	pools, err := m.storingPools(ctx, q, "pending")
+	if err != nil {
+		return nil, err
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	maps.DeleteFunc(m.queuePools, func(_ gateID, p queuePools) bool { return p.version < version })
+	m.queuePools[id] = queuePools{version, pools}
+	return pools, nil
+}
+
+// pendingJobsIn returns the number of a queue's jobs without a started task in one pool.
+func (m *Manager) pendingJobsIn(ctx context.Context, pool, queue string) (int, error) {
+	if h := m.poolHolder(pool); h != nil {
 		h.mu.Lock()
 		known, pending := h.queueIsCurrent(time.Now()), h.scheduler.PendingJobCounts()
 		h.mu.Unlock()
 		if known {
-			return pending[q.Key()], nil
+			return pending[queue], nil
 		}
 	}
-	if m.storeHealth.isUnavailable(q.Pool) {
+	if m.storeHealth.isUnavailable(pool) {
 		return 0, errStoreUnavailable()
 	}
-	row, ok, err := m.Rows.ReadRow(ctx, pendingCountKey(q.Pool), "pending")
+	row, ok, err := m.Rows.ReadRow(ctx, pendingCountKey(pool), "pending")
 	if err != nil {
 		return 0, err
 	}
 	if ok {
 		var count pendingCountRow
 		if err := decodeRow(row, &count); err != nil {
-			m.record(event.Event{Number: event.WorkRowUnreadable, Pool: q.Pool, Detail: err.Error()})
+			m.record(event.Event{Number: event.WorkRowUnreadable, Pool: pool, Detail: err.Error()})
 		} else if storeTime, ok := m.Rows.EstimateClock(); ok && storeTime-time.Duration(count.AtMillis)*time.Millisecond < maxCountAge {
-			return count.Pending[q.Key()], nil
+			return count.Pending[queue], nil
 		}
 	}
-	return m.countPending(ctx, q, row.Version)
+	return m.countPending(ctx, pool, queue, row.Version)
 }
 
 // pendingCountKey returns the key of the row with the count of a pool's pending jobs.
@@ -87,13 +139,13 @@
 // countPending counts the pending jobs from their rows. Concurrent calls for the same pool share one read. The count
 // replaces the stale one in the store, so that other entry hosts need not read all rows too, unless the store is slow:
 // rows are read at once, while a transaction delays those of callers' jobs.
-func (m *Manager) countPending(ctx context.Context, q work.Queue, staleVersion uint64) (int, error) {
-	counts, err, _ := m.countReads.Do(q.Pool, func() (any, error) {
+func (m *Manager) countPending(ctx context.Context, pool, queue string, staleVersion uint64) (int, error) {
+	counts, err, _ := m.countReads.Do(pool, func() (any, error) {
 		storeTime, known := m.Rows.EstimateClock()
-		pending, err := m.readPendingCounts(ctx, q.Pool)
+		pending, err := m.readPendingCounts(ctx, pool)
 		if err == nil && known && m.storeHealth.slowLatency() == 0 {
 			m.group.Go(func() {
-				m.storePendingCount(q.Pool, staleVersion, pendingCountRow{AtMillis: storeTime.Milliseconds(), Pending: pending})
+				m.storePendingCount(pool, staleVersion, pendingCountRow{AtMillis: storeTime.Milliseconds(), Pending: pending})
 			})
 		}
 		return pending, err
@@ -101,7 +153,7 @@
 	if err != nil {
 		return 0, err
 	}
-	return counts.(map[string]int)[q.Key()], nil
+	return counts.(map[string]int)[queue], nil
 }
 
 // storePendingCount stores a count unless another writer has replaced the stale one.
