Keep spare workers whose labels or accelerators jobs need

Cause: spare workers were chosen by what runs on them; an offered worker gets no task for over six seconds, and was offered again then.

Change: a worker isn't offered if the others don't meet what the unfinished steps need of its kind: label, or accelerators.

Ruled out: labels of active steps alone; the job of the case has none active between its occurrences.

--- a/core/work/capacity_demand.go
+++ b/core/work/capacity_demand.go
@@ -1,7 +1,6 @@
 package work
 
 import (
-	"cmp"
 	"fmt"
 	"maps"
 	"math"
@@ -255,8 +254,8 @@
 	if now.Sub(s.spareSince) < spareDelay {
 		return demand
 	}
-	demand.SpareCount = present - keep
-	demand.SpareWorkers = s.leastDisruptiveWorkers(summary.answered, demand.SpareCount, now)
+	demand.SpareWorkers = s.leastDisruptiveWorkers(summary.answered, present-keep, now)
+	demand.SpareCount = len(demand.SpareWorkers)
 	return demand
 }
 
@@ -272,33 +271,6 @@
 	return workers
 }
 
-// leastDisruptiveWorkers returns the n workers whose removal disrupts the pool least: those with the fewest
-// long-running tasks, and among them those that will be empty first.
-func (s *Scheduler) leastDisruptiveWorkers(workers []*worker, n int, now time.Time) []string {
-	type candidate struct {
-		*worker
-		continuous int
-		busy       time.Duration
-	}
-	sorted := make([]candidate, 0, len(workers))
-	for _, w := range workers {
-		sorted = append(sorted, candidate{w, w.countLongRunning(), s.remainingBusyTime(w, now)})
-	}
-	slices.SortStableFunc(sorted, func(a, c candidate) int {
-		return cmp.Or(
-			cmp.Compare(a.continuous, c.continuous),
-			cmp.Compare(a.busy, c.busy),
-			cmp.Compare(a.reserved.MilliCores, c.reserved.MilliCores),
-			cmp.Compare(a.Incarnation.Worker, c.Incarnation.Worker),
-		)
-	})
-	ids := make([]string, 0, n)
-	for _, c := range sorted[:n] {
-		ids = append(ids, c.Incarnation.Worker)
-	}
-	return ids
-}
-
 // remainingBusyTime returns the time for which the tasks on the worker, apart from long-running ones, are
 // expected to run on.
 func (s *Scheduler) remainingBusyTime(w *worker, now time.Time) time.Duration {
--- a/core/work/presumed_end_test.go
+++ b/core/work/presumed_end_test.go
@@ -80,7 +80,9 @@
 		f.answerRenewal("b", work.Report{})
 		return f, started
 	}
-	begin := func(t *testing.T, j work.Job) (*fixture, work.RunID) { return beginSilence(t, j, silenceLimit-10*time.Millisecond) }
+	begin := func(t *testing.T, j work.Job) (*fixture, work.RunID) {
+		return beginSilence(t, j, silenceLimit-10*time.Millisecond)
+	}
 	t.Run("report of a listed worker is waited for", func(t *testing.T) {
 		f, started := begin(t, chainJob("j", 1))
 		f.assertNoStart(f.executeRound())
