--- a/core/work/incarnations.go
+++ b/core/work/incarnations.go
@@ -117,7 +117,7 @@
 // isUnheard reports whether the worker has never answered, and can't run anything any more that an unanswered order to an
 // earlier incarnation started on it.
 func (s *Scheduler) isUnheard(w *worker, now time.Time) bool {
-	return !w.answered && now.Sub(w.silentSince) > lateOrderBound+s.localLeaseBound(s.timing.MaxLease)
+	return !w.answered && w.silentFor(now) > lateOrderBound+s.localLeaseBound(s.timing.MaxLease)
 }
 
 // attachRun adds a run to the worker.
--- a/core/work/order.go
+++ b/core/work/order.go
@@ -118,7 +118,7 @@
 		if !w.listed {
 			s.recordSilentEnd(w, now)
 		}
-		awaitsReport := w.listed && now.Sub(w.silentSince) <= listedSilenceLimit
+		awaitsReport := w.listed && w.silentFor(now) <= listedSilenceLimit
 		for _, r := range sortedRuns(w) {
 			if awaitsReport && r.task != nil && !r.task.group.spec().LongRunning {
 				continue
--- a/core/work/worker.go
+++ b/core/work/worker.go
@@ -244,6 +244,14 @@
 	w.lastMissAt = now
 }
 
+// silentFor returns for how long the worker has answered no call; zero if it has answered the last one.
+func (w *worker) silentFor(now time.Time) time.Duration {
+	if w.silentSince.IsZero() {
+		return 0
+	}
+	return now.Sub(w.silentSince)
+}
+
 // freeResources returns what the runs leave of the capacity. It is negative while the worker is overfull.
 func (w *worker) freeResources() Resources { return w.Capacity.Sub(w.reserved) }
 
