--- a/io/runner/moved_queue_test.go
+++ b/io/runner/moved_queue_test.go
@@ -287,6 +287,14 @@
 			s.is.Equal(n, want)
 		}
 	}
+	// moveAndSubmit moves the queue and submits one more job, which the other pool stores.
+	moveAndSubmit := func(s *fakeSite) {
+		moved := s.moveQueue(otherPool)
+		time.Sleep(time.Second)
+		s.is.NoErr(s.entryHosts["e1"].manager.Submit(context.Background(), runner.Caller{}, moved, job("k", 1)))
+		time.Sleep(countAge)
+		assertPending(s, moved, waiting+1)
+	}
 	t.Run("counted at each entry host", func(t *testing.T) {
 		withTwoPools(t, func(s *fakeSite) {
 			submitWaiting(s)
@@ -299,21 +307,13 @@
 	t.Run("counted once where both pools have jobs", func(t *testing.T) {
 		withTwoPools(t, func(s *fakeSite) {
 			submitWaiting(s)
-			moved := s.moveQueue(otherPool)
-			time.Sleep(time.Second)
-			s.is.NoErr(s.entryHosts["e1"].manager.Submit(context.Background(), runner.Caller{}, moved, job("k", 1)))
-			time.Sleep(countAge)
-			assertPending(s, moved, waiting+1)
+			moveAndSubmit(s)
 		})
 	})
 	t.Run("counted after the queue has moved back", func(t *testing.T) {
 		withTwoPools(t, func(s *fakeSite) {
 			submitWaiting(s)
-			moved := s.moveQueue(otherPool)
-			time.Sleep(time.Second)
-			s.is.NoErr(s.entryHosts["e1"].manager.Submit(context.Background(), runner.Caller{}, moved, job("k", 1)))
-			time.Sleep(countAge)
-			assertPending(s, moved, waiting+1)
+			moveAndSubmit(s)
 			back := s.catalogue().WithQueues([]work.Queue{s.queue()})
 			back.Version = 3
 			s.versions[3] = back
