Log which acknowledgement another incarnation has answered, and ends that are missing

Now work-given-up has the number of the last end that the worker listed, worker-lost after a renewal that another incarnation answered has the number that the renewal acknowledged, and worker-ends-missing tells of a gap in the numbers, which only forgotten ends leave. An earlier holder may have acknowledged the first ends of an incarnation that it knew, so those don't count. No decision changes.

--- a/core/event/work.go
+++ b/core/event/work.go
@@ -54,6 +54,7 @@
 	WorkDutyUncertain
 	WorkDutyCertain
 	WorkDutyKept
+	WorkerEndsMissing
 )
 
 var workEntries = []CatalogueEntry{
@@ -109,4 +110,5 @@
 	{WorkDutyUncertain, "work", "An entry host can't know any more that it alone decides about a pool, because the store answers others or can't be asked about; it grants no leases and starts nothing meanwhile."},
 	{WorkDutyCertain, "work", "An entry host knows again that it alone decides about a pool."},
 	{WorkDutyKept, "work", "An entry host that gets no answers of the store goes on deciding about a pool, because the store is silent to all members that could take the duty; the line says how many were asked."},
+	{WorkerEndsMissing, "work", "The numbers of the ends that a worker lists leave a gap: it has forgotten ends that it never listed to this holder, and their tasks may be started again."},
 }
--- a/core/work/incarnations.go
+++ b/core/work/incarnations.go
@@ -42,7 +42,8 @@
 // addIncarnation adds an incarnation. Orders to an earlier incarnation whose answers were lost may be carried
 // out by the new one.
 func (s *Scheduler) addIncarnation(info WorkerInfo, now time.Time) *worker {
-	w := &worker{WorkerInfo: info, runs: make(map[RunID]*run)}
+	_, known := s.unresolved[info.Incarnation]
+	w := &worker{WorkerInfo: info, runs: make(map[RunID]*run), knownFromStart: !known}
 	s.workers[info.Incarnation] = w
 	for _, ended := range s.silentEnds.takeReplaced(info) {
 		s.recordCrash(ended)
--- a/core/work/presumed_end.go
+++ b/core/work/presumed_end.go
@@ -38,12 +38,14 @@
 	LeaseDeadline  time.Duration
 	// ConsecutiveMisses is the number of consecutive calls that the worker did not answer.
 	ConsecutiveMisses int
+	// LastEnd is the number of the last end that the incarnation has listed; zero if there is none.
+	LastEnd uint64
 }
 
 // presumeEnded ends a run whose end was not reported. Now is zero if the worker's clock is irrelevant.
 func (s *Scheduler) presumeEnded(r *run, cause PresumedEndCause, now time.Time) {
 	if s.OnPresumedEnd != nil {
-		end := PresumedEnd{Run: r.id, Incarnation: r.worker.Incarnation, Cause: cause, WillRestart: r.task != nil, ConsecutiveMisses: r.worker.consecutiveMisses}
+		end := PresumedEnd{Run: r.id, Incarnation: r.worker.Incarnation, Cause: cause, WillRestart: r.task != nil, ConsecutiveMisses: r.worker.consecutiveMisses, LastEnd: r.worker.lastEnd}
 		end.MinAge, end.MaxAge = r.ageAtSilence()
 		if clock := &r.worker.clock; !now.IsZero() && !clock.receivedAt.IsZero() {
 			end.SinceLastAnswer = now.Sub(clock.receivedAt)
--- a/core/work/report.go
+++ b/core/work/report.go
@@ -167,6 +167,7 @@
 	for _, e := range report.Ends {
 		present[e.Run] = true
 		if e.Number > w.lastEnd {
+			s.noteMissingEnds(w, e.Number)
 			w.lastEnd = e.Number
 			s.recordEnd(w, e, now)
 			newEnds = append(newEnds, e)
--- a/core/work/scheduler.go
+++ b/core/work/scheduler.go
@@ -68,6 +68,8 @@
 	OnCrash func(CrashVerdict)
 	// OnLingeringRun is called while a worker lists a run that no task needs, every lingerInterval. It may be nil.
 	OnLingeringRun func(LingeringRun)
+	// OnMissingEnds is called when the numbers of the ends that a worker lists leave a gap. It may be nil.
+	OnMissingEnds func(MissingEnds)
 	// OnInterference is called when two kinds of tasks are kept apart from now on, or no longer. It may be nil.
 	OnInterference func(interference.Verdict)
 	// LastForcedTakeover is the time of the last takeover from a holder that may not have ended, by the local
--- a/core/work/worker.go
+++ b/core/work/worker.go
@@ -169,6 +169,8 @@
 	// the worker may forget.
 	lastEnd, acknowledged uint64
 	pendingEnds           []pendingEnd
+	// knownFromStart is true if no earlier holder can have acknowledged ends of this incarnation.
+	knownFromStart bool
 	// crashRecorded is true once the end of the worker was recorded for the tasks that it ran.
 	crashRecorded bool
 	// expired holds the runs whose leases expired while the worker was listed and did not answer. They count as lost with
--- a/io/runner/holder.go
+++ b/io/runner/holder.go
@@ -112,6 +112,7 @@
 	h.scheduler.OnPresumedEnd = h.recordPresumedEnd
 	h.scheduler.OnCrash = h.recordCrash
 	h.scheduler.OnLingeringRun = h.recordLingeringRun
+	h.scheduler.OnMissingEnds = h.recordMissingEnds
 	h.scheduler.Quota = quota.Ledger{Pool: t.name, Epoch: t.epoch}
 	h.scheduler.OnInterference = h.recordInterference
 	t.run = func() {
--- a/io/runner/renewals.go
+++ b/io/runner/renewals.go
@@ -127,7 +127,7 @@
 		h.end(err.Error())
 		return false
 	case errors.As(err, &mismatch):
-		h.applyMismatch(incarnation, mismatch)
+		h.applyMismatch(renewal, mismatch)
 	default:
 		h.scheduler.HandleMissedRenewal(incarnation, time.Now())
 	}
@@ -136,13 +136,15 @@
 
 // applyMismatch handles the answer of another process at the address of an incarnation. It records only the first one in a row, since the
 // entry of the incarnation may stay listed. An earlier incarnation does not prove that this one has ended. The caller holds the lock.
-func (h *poolHolder) applyMismatch(incarnation work.Incarnation, mismatch platform.ErrWrongIncarnation) {
+func (h *poolHolder) applyMismatch(renewal work.Renewal, mismatch platform.ErrWrongIncarnation) {
+	incarnation := renewal.Incarnation
 	if mismatch.Actual != 0 && mismatch.Actual <= incarnation.StartMillis {
 		h.scheduler.HandleMissedRenewal(incarnation, time.Now())
 		return
 	}
 	if h.scheduler.ConsecutiveMisses(incarnation) == 0 {
-		h.manager.record(event.Event{Number: event.WorkerLost, Pool: h.pool, Host: incarnation.Worker, Detail: mismatch.Error()})
+		h.manager.record(event.Event{Number: event.WorkerLost, Pool: h.pool, Host: incarnation.Worker, Detail: fmt.Sprintf(
+			"%v, the renewal acknowledged ends up to %d", mismatch, renewal.AcknowledgedEnd)})
 	}
 	if mismatch.Actual != 0 {
 		h.scheduler.ReplaceIncarnation(incarnation, mismatch.Actual, time.Now())
@@ -188,8 +190,16 @@
 	}
 	h.manager.record(event.Event{
 		Number: event.WorkGivenUp, Pool: h.pool, Host: end.Incarnation.Worker, Job: string(end.Run.Task.Job),
-		Detail: fmt.Sprintf("%s: %s, restart %t, aged %s to %s when the worker fell silent, last answer %s ago, worker clock at least %s, last lease until %s, %d renewals unanswered",
-			end.Run, end.Cause, end.WillRestart, end.MinAge.Round(time.Millisecond), end.MaxAge.Round(time.Millisecond), end.SinceLastAnswer.Round(time.Millisecond), end.MinWorkerClock.Round(time.Millisecond), end.LeaseDeadline.Round(time.Millisecond), end.ConsecutiveMisses),
+		Detail: fmt.Sprintf("%s: %s, restart %t, aged %s to %s when the worker fell silent, last answer %s ago, worker clock at least %s, last lease until %s, %d renewals unanswered, last end listed %d",
+			end.Run, end.Cause, end.WillRestart, end.MinAge.Round(time.Millisecond), end.MaxAge.Round(time.Millisecond), end.SinceLastAnswer.Round(time.Millisecond), end.MinWorkerClock.Round(time.Millisecond), end.LeaseDeadline.Round(time.Millisecond), end.ConsecutiveMisses, end.LastEnd),
+	})
+}
+
+// recordMissingEnds records that a worker has forgotten ends that it never listed to this holder.
+func (h *poolHolder) recordMissingEnds(m work.MissingEnds) {
+	h.manager.record(event.Event{
+		Number: event.WorkerEndsMissing, Pool: h.pool, Host: m.Incarnation.Worker,
+		Detail: fmt.Sprintf("started at %d, ends %d to %d", m.Incarnation.StartMillis, m.First, m.Last),
 	})
 }
 
