Show that restarted workers carry out acknowledgements meant for their former incarnations

Callers see a task run again after its end as done was acknowledged. The stand-ins were kinder than the platform: a worker that is back under its ID refused a renewal to its former incarnation before it carried anything out, and an acknowledgement never counted for ends that come after it. Now the workers of io/runner's tests, of the path tests, of the storms and of the random model carry out whatever arrives, keep the acknowledged number and forget later ends up to it; the model delivers some unanswered renewals late, to whichever incarnation is there.

--- a/core/work/model_test.go
+++ b/core/work/model_test.go
@@ -52,6 +52,8 @@
 	runs         map[work.RunID]*modelRun
 	ends         []work.RunEnd
 	lastEnd      uint64
+	// cursor is the highest number that a renewal acknowledged. Ends up to it are forgotten, also those that come later.
+	cursor uint64
 	// lastEndBeforeLapse is the number of the last end that the expiry of the worker's lease has followed.
 	lastEndBeforeLapse uint64
 	// highestEndedAttempt is the highest attempt that was stopped or ended on the worker, by task.
@@ -91,6 +93,12 @@
 	receiver  work.Incarnation
 }
 
+// delayedRenewal is a renewal that is carried out late.
+type delayedRenewal struct {
+	arrivesAt time.Time
+	renewal   work.Renewal
+}
+
 type model struct {
 	t             *rapid.T
 	now           time.Time
@@ -102,6 +110,8 @@
 	workers       []*modelWorker
 	schedulers    []*modelScheduler
 	delayedOrders []delayedOrder
+	// delayedRenewals holds the renewals that the worker carries out late, whichever its incarnation is then.
+	delayedRenewals []delayedRenewal
 	// listsLate is true if schedulers read the directory, which holds the workers as of their last registration, and if
 	// answers to orders don't tell which incarnation answered.
 	listsLate bool
@@ -203,11 +213,37 @@
 			m.executeOrder(delayed.order, true)
 		}
 	}
+	m.carryOutDelayedRenewals()
 	m.sendHeldUpOrders()
 	m.deliverResults(func(u *unansweredOrder) bool { return !u.answeredAt.After(m.now) })
 	m.updateDirectory()
 }
 
+// delayRenewal has some of the renewals without an answer carried out late.
+func (m *model) delayRenewal(renewal work.Renewal) {
+	if m.calm || rapid.IntRange(0, 3).Draw(m.t, "late renewal") > 0 {
+		return
+	}
+	delay := time.Duration(rapid.IntRange(100, 9000).Draw(m.t, "late")) * time.Millisecond
+	m.delayedRenewals = append(m.delayedRenewals, delayedRenewal{m.now.Add(delay), renewal})
+}
+
+// carryOutDelayedRenewals carries out the delayed renewals that are due.
+func (m *model) carryOutDelayedRenewals() {
+	due := m.delayedRenewals
+	m.delayedRenewals = nil
+	for _, delayed := range due {
+		w := m.workerByID(delayed.renewal.Incarnation.Worker)
+		switch {
+		case delayed.arrivesAt.After(m.now):
+			m.delayedRenewals = append(m.delayedRenewals, delayed)
+		case w.alive && delayed.renewal.Epoch >= w.highestEpoch:
+			m.endDueRuns(w)
+			m.carryOutRenewal(w, delayed.renewal)
+		}
+	}
+}
+
 // endDueRuns ends the runs of a worker whose time is over or whose lease has lapsed.
 func (m *model) endDueRuns(w *modelWorker) {
 	if !w.alive {
@@ -243,6 +279,7 @@
 	case work.EndReasonFailed:
 		m.oracle.failedRuns[run.run] = true
 	}
+	m.forgetEnds(w)
 }
 
 // executeOrder executes an order on its worker and returns the worker's answer. Late tells that the order was delayed.
@@ -427,6 +464,7 @@
 	w := m.workerByID(inc.Worker)
 	if !w.alive || !w.reachable {
 		m.disturb(w)
+		m.delayRenewal(renewal)
 		sched.HandleMissedRenewal(inc, m.now)
 		return false
 	}
@@ -435,18 +473,25 @@
 		sched.stopped = true
 		return false
 	}
-	w.highestEpoch = renewal.Epoch
+	m.carryOutRenewal(w, renewal)
 	if w.incarnation != inc {
 		sched.ReplaceIncarnation(inc, w.incarnation.StartMillis, m.now)
 		return false
 	}
-	m.acknowledge(w, renewal.AcknowledgedEnd)
-	w.deadline = max(w.deadline, min(renewal.LeaseDeadline, w.readClock(m.now)+modelMaxLease))
 	return true
 }
 
-func (m *model) acknowledge(w *modelWorker, cursor uint64) {
-	for len(w.ends) > 0 && w.ends[0].Number <= cursor {
+// carryOutRenewal has a worker carry out a renewal, also one that was sent to a former incarnation.
+func (m *model) carryOutRenewal(w *modelWorker, renewal work.Renewal) {
+	w.highestEpoch = renewal.Epoch
+	w.cursor = max(w.cursor, renewal.AcknowledgedEnd)
+	m.forgetEnds(w)
+	w.deadline = max(w.deadline, min(renewal.LeaseDeadline, w.readClock(m.now)+modelMaxLease))
+}
+
+// forgetEnds forgets the ends up to the worker's cursor, which acknowledges them.
+func (m *model) forgetEnds(w *modelWorker) {
+	for len(w.ends) > 0 && w.ends[0].Number <= w.cursor {
 		e := w.ends[0]
 		w.ends = w.ends[1:]
 		// A task whose end the expiry of the worker's lease has followed may be started again before the acknowledgement.
--- a/io/runner/fake_worker_test.go
+++ b/io/runner/fake_worker_test.go
@@ -15,14 +15,16 @@
 
 // fakeWorker is a worker whose tasks all run for taskTime.
 type fakeWorker struct {
-	mu              sync.Mutex
-	listing         work.WorkerInfo
-	startedAt       time.Time
-	highestEpoch    uint64
-	deadline        time.Duration
-	runs            map[work.RunID]time.Time
-	ends            []work.RunEnd
-	lastEndNumber   uint64
+	mu            sync.Mutex
+	listing       work.WorkerInfo
+	startedAt     time.Time
+	highestEpoch  uint64
+	deadline      time.Duration
+	runs          map[work.RunID]time.Time
+	ends          []work.RunEnd
+	lastEndNumber uint64
+	// cursor is the highest number that a renewal acknowledged. Ends up to it are forgotten, also those that come later.
+	cursor          uint64
 	highestAttempts map[work.TaskID]int
 	// taskTime is how long a task runs; zero means the constant of that name.
 	taskTime time.Duration
@@ -62,6 +64,32 @@
 		w.lastEndNumber++
 		w.ends = append(w.ends, work.RunEnd{Number: w.lastEndNumber, Run: run, Reason: how})
 	}
+	w.forgetEnds()
+}
+
+// forgetEnds forgets the ends up to the cursor. The caller holds the lock.
+func (w *fakeWorker) forgetEnds() {
+	w.ends = slices.DeleteFunc(w.ends, func(e work.RunEnd) bool { return e.Number <= w.cursor })
+}
+
+// fakeMaxLease is the longest lease that a worker grants.
+const fakeMaxLease = 6 * time.Second
+
+// restart ends the worker's incarnation and starts the next one, which knows nothing of the former one.
+func (w *fakeWorker) restart() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.startedAt = time.Now()
+	w.listing.Incarnation.StartMillis = w.startedAt.UnixMilli()
+	w.highestEpoch, w.deadline, w.ends, w.lastEndNumber, w.cursor = 0, 0, nil, 0, 0
+	w.runs, w.highestAttempts = make(map[work.RunID]time.Time), make(map[work.TaskID]int)
+}
+
+// incarnation returns the incarnation that answers now.
+func (w *fakeWorker) incarnation() work.Incarnation {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.listing.Incarnation
 }
 
 var errNoAnswer = errors.New("no answer")
@@ -74,13 +102,14 @@
 	if err := w.travel(ctx, answerTime); err != nil {
 		return work.Report{}, err
 	}
-	switch actual := w.listing.Incarnation; {
-	case actual.Worker != r.Incarnation.Worker:
+	actual := w.incarnation()
+	if actual.Worker != r.Incarnation.Worker {
 		return work.Report{}, platform.ErrWrongIncarnation{Worker: r.Incarnation.Worker}
-	case actual != r.Incarnation:
+	}
+	w.applyRenewal(r)
+	if actual != r.Incarnation { // only the answer tells, and the renewal is carried out
 		return work.Report{}, platform.ErrWrongIncarnation{Worker: r.Incarnation.Worker, Actual: actual.StartMillis}
 	}
-	w.extendLease(r)
 	for end := time.Now().Add(r.MaxWait); time.Now().Before(end); {
 		w.mu.Lock()
 		w.settleRuns()
@@ -98,10 +127,10 @@
 	if r.Epoch < w.highestEpoch {
 		return work.Report{}, platform.ErrStaleEpoch{Host: r.Incarnation.Worker, Epoch: r.Epoch}
 	}
-	w.highestEpoch = r.Epoch
-	w.deadline = max(w.deadline, r.LeaseDeadline)
+	if actual != w.listing.Incarnation {
+		return work.Report{}, errNoAnswer // it has ended meanwhile
+	}
 	w.settleRuns()
-	w.ends = slices.DeleteFunc(w.ends, func(e work.RunEnd) bool { return e.Number <= r.AcknowledgedEnd })
 	report := work.Report{WorkerClock: w.clock(), Ends: slices.Clone(w.ends[:min(len(w.ends), work.MaxEndsPerReport)])}
 	for run := range w.runs {
 		report.Active = append(report.Active, work.ActiveRun{Run: run, SpeedPercent: 100})
@@ -118,8 +147,8 @@
 	}
 }
 
-// extendLease extends the lease of the runs when a renewal arrives, before its answer waits for an end.
-func (w *fakeWorker) extendLease(r work.Renewal) {
+// applyRenewal extends the lease of the runs and forgets ends when a renewal arrives, before its answer waits for an end.
+func (w *fakeWorker) applyRenewal(r work.Renewal) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if r.Epoch < w.highestEpoch {
@@ -127,7 +156,9 @@
 	}
 	w.settleRuns() // a run whose lease has lapsed stays so
 	w.highestEpoch = r.Epoch
-	w.deadline = max(w.deadline, r.LeaseDeadline)
+	w.deadline = max(w.deadline, min(r.LeaseDeadline, w.clock()+fakeMaxLease))
+	w.cursor = max(w.cursor, r.AcknowledgedEnd)
+	w.forgetEnds()
 }
 
 // travel waits for the latency of a call to a worker. A silent worker doesn't answer before the call times out.
