Fence former incarnations of a worker off once the next one has answered

Callers saw tasks on two workers after a worker was back under its ID: a call that was meant for its former incarnation, without an answer, is carried out by the next one, seconds later. The header of a call names the worker and not its incarnation, and a new incarnation has seen no fencing token, so all calls of one holder were alike to it. The class: something sent to one incarnation is carried out by the next.

The low eight bits of the fencing token now count the incarnations of the worker that the holder knows, above them is the epoch. Once the next incarnation has answered, it refuses renewals, starts and stops to the former ones. A refusal by it isn't taken for a replaced holder. Its first answer also counts as one that may follow the longest lease, as renewals to the former incarnation may have granted it.

Processes of earlier versions send lower tokens, which workers refuse after a takeover by this one: an upgrade is fine, a downgrade needs the workers to start again.

--- a/core/work/incarnations.go
+++ b/core/work/incarnations.go
@@ -14,7 +14,7 @@
 		w.listed = false
 	}
 	for _, info := range infos {
-		if s.hasSuccessor(info.Incarnation) {
+		if s.HasLaterIncarnation(info.Incarnation) {
 			continue
 		}
 		w := s.workers[info.Incarnation]
@@ -43,7 +43,7 @@
 // out by the new one.
 func (s *Scheduler) addIncarnation(info WorkerInfo, now time.Time) *worker {
 	_, known := s.unresolved[info.Incarnation]
-	w := &worker{WorkerInfo: info, runs: make(map[RunID]*run), knownFromStart: !known}
+	w := &worker{WorkerInfo: info, runs: make(map[RunID]*run), knownFromStart: !known, generation: s.generations.next(info.Incarnation.Worker, now)}
 	s.workers[info.Incarnation] = w
 	for _, ended := range s.silentEnds.takeReplaced(info) {
 		s.recordCrash(ended)
@@ -86,8 +86,8 @@
 	return slices.ContainsFunc(s.laterIncarnations(inc), func(w *worker) bool { return w.fullyReported })
 }
 
-// hasSuccessor reports whether a later incarnation of the worker is known.
-func (s *Scheduler) hasSuccessor(inc Incarnation) bool { return len(s.laterIncarnations(inc)) > 0 }
+// HasLaterIncarnation reports whether a later incarnation of the worker is known. It refuses calls to this one once it has answered.
+func (s *Scheduler) HasLaterIncarnation(inc Incarnation) bool { return len(s.laterIncarnations(inc)) > 0 }
 
 // isListed reports whether the incarnation or a later one of its worker is listed. A later one may hold the end of a run that
 // was ordered from this one.
--- a/core/work/model_test.go
+++ b/core/work/model_test.go
@@ -47,7 +47,7 @@
 	draining     bool
 	bootedAt     time.Time
 	clockRate    float64
-	highestEpoch uint64
+	highestToken uint64
 	deadline     time.Duration
 	runs         map[work.RunID]*modelRun
 	ends         []work.RunEnd
@@ -237,7 +237,7 @@
 		switch {
 		case delayed.arrivesAt.After(m.now):
 			m.delayedRenewals = append(m.delayedRenewals, delayed)
-		case w.alive && delayed.renewal.Epoch >= w.highestEpoch:
+		case w.alive && delayed.renewal.FencingToken() >= w.highestToken:
 			m.endDueRuns(w)
 			m.carryOutRenewal(w, delayed.renewal)
 		}
@@ -292,13 +292,13 @@
 	clock := w.readClock(m.now)
 	outcome := work.OutcomeOK
 	switch {
-	case o.Epoch < w.highestEpoch:
+	case o.FencingToken() < w.highestToken:
 		return work.OrderResult{Outcome: work.OutcomeFenced, WorkerClock: clock}
 	case o.Kind == work.OrderStart:
-		w.highestEpoch = o.Epoch
+		w.highestToken = o.FencingToken()
 		outcome = m.startRun(w, o, late)
 	case o.Kind == work.OrderStop:
-		w.highestEpoch = o.Epoch
+		w.highestToken = o.FencingToken()
 		if run := w.runs[o.Run]; run != nil {
 			m.stopRun(w, run, o, late)
 		}
@@ -469,8 +469,9 @@
 		return false
 	}
 	m.endDueRuns(w)
-	if renewal.Epoch < w.highestEpoch {
-		sched.stopped = true
+	if renewal.FencingToken() < w.highestToken {
+		sched.stopped = !sched.HasLaterIncarnation(inc)
+		sched.HandleMissedRenewal(inc, m.now)
 		return false
 	}
 	m.carryOutRenewal(w, renewal)
@@ -483,7 +484,7 @@
 
 // carryOutRenewal has a worker carry out a renewal, also one that was sent to a former incarnation.
 func (m *model) carryOutRenewal(w *modelWorker, renewal work.Renewal) {
-	w.highestEpoch = renewal.Epoch
+	w.highestToken = renewal.FencingToken()
 	w.cursor = max(w.cursor, renewal.AcknowledgedEnd)
 	m.forgetEnds(w)
 	w.deadline = max(w.deadline, min(renewal.LeaseDeadline, w.readClock(m.now)+modelMaxLease))
--- a/core/work/order.go
+++ b/core/work/order.go
@@ -233,7 +233,7 @@
 	if w == nil {
 		return
 	}
-	if !s.hasSuccessor(inc) {
+	if !s.HasLaterIncarnation(inc) {
 		delete(s.unresolved, inc)
 	}
 	for _, r := range sortedRuns(w) {
--- a/core/work/report.go
+++ b/core/work/report.go
@@ -78,6 +78,7 @@
 	}
 	s.sequence++
 	w.renewedAt = now
+	s.generations.called(inc.Worker, now)
 	renewal := Renewal{Endpoint: w.endpoint(), Epoch: s.Epoch, AcknowledgedEnd: w.acknowledged, Sequence: s.sequence}
 	if s.mayAcknowledge(w, now) {
 		renewal.AcknowledgedEnd = w.advanceAcknowledged()
@@ -182,8 +183,8 @@
 
 // recordAnswer records that the worker answered a call with the scheduler's epoch.
 func (s *Scheduler) recordAnswer(w *worker, clock time.Duration, now time.Time) {
-	if w.clock.receivedAt.IsZero() && (len(w.runs) > 0 || s.mayHaveEarlierLease(w.Incarnation.Worker)) {
-		// An order to an earlier incarnation, or an earlier holder, may have granted the longest lease just before.
+	if w.clock.receivedAt.IsZero() && (len(w.runs) > 0 || w.generation > 0 || s.mayHaveEarlierLease(w.Incarnation.Worker)) {
+		// A call to an earlier incarnation, or an earlier holder, may have granted the longest lease just before.
 		w.clock.latestDeadline = max(w.clock.latestDeadline, clock+s.timing.MaxLease)
 	}
 	w.clock.record(clock, now)
--- a/core/work/result.go
+++ b/core/work/result.go
@@ -22,7 +22,10 @@
 // HandleResult processes the result of an order. It returns false if another process holds the duty now.
 func (s *Scheduler) HandleResult(o Order, res OrderResult, now time.Time) bool {
 	if res.Outcome == OutcomeFenced {
-		return false
+		if !s.HasLaterIncarnation(o.Incarnation) {
+			return false
+		}
+		res = OrderResult{Outcome: OutcomeGone} // the later incarnation has refused it
 	}
 	if o.Kind == OrderStart {
 		s.startsInFlight--
--- a/core/work/scheduler.go
+++ b/core/work/scheduler.go
@@ -84,6 +84,8 @@
 	silences   map[Incarnation]silence
 	silentEnds silentEnds
 	lateStarts lateStarts
+	// generations tells calls to an incarnation of a worker from those to later ones.
+	generations generations
 	// lostTogether holds the tasks that were on crashed workers together.
 	lostTogether []lostRuns
 	// trialsWait is true if tasks that need a trial had to wait in the last round.
--- a/core/work/takeover.go
+++ b/core/work/takeover.go
@@ -89,7 +89,7 @@
 // expired. If a later incarnation carried out a start that was ordered from this one, the deadline was by another clock, and
 // only the longest lease that workers grant bounds the run.
 func (s *Scheduler) earlierLeasesEnd(inc Incarnation) time.Time {
-	if s.hasSuccessor(inc) {
+	if s.HasLaterIncarnation(inc) {
 		return s.lastEarlierGrant(inc).Add(s.localLeaseBound(s.timing.MaxLease))
 	}
 	return s.lastEarlierGrant(inc).Add(s.earlierLeaseBound())
--- a/core/work/worker.go
+++ b/core/work/worker.go
@@ -42,6 +42,8 @@
 type Endpoint struct {
 	Incarnation Incarnation
 	Address     string
+	// Generation counts the earlier incarnations of the worker that the caller knows. It is part of the fencing token.
+	Generation uint8
 }
 
 // maxClockDrift is the largest fraction by which a worker's monotonic clock may run slower than the local clock,
@@ -145,6 +147,8 @@
 type worker struct {
 	WorkerInfo
 	clock leaseClock
+	// generation is the Endpoint.Generation of calls to the incarnation.
+	generation uint8
 	// listed is true while the directory lists this incarnation.
 	listed bool
 	// answered is true once the worker answered a call with the scheduler's epoch, which fences earlier holders
@@ -211,7 +215,7 @@
 	requiredChange uint64
 }
 
-func (w *worker) endpoint() Endpoint { return Endpoint{Incarnation: w.Incarnation, Address: w.Address} }
+func (w *worker) endpoint() Endpoint { return Endpoint{Incarnation: w.Incarnation, Address: w.Address, Generation: w.generation} }
 
 // maxAnswerAge is the greatest age of a worker's last answer at which tasks are started on it: the longest
 // interval between two renewals plus the timeout of a call. A holder that was paused for longer may have been
--- a/io/runner/fake_worker_test.go
+++ b/io/runner/fake_worker_test.go
@@ -18,7 +18,7 @@
 	mu            sync.Mutex
 	listing       work.WorkerInfo
 	startedAt     time.Time
-	highestEpoch  uint64
+	highestToken  uint64
 	deadline      time.Duration
 	runs          map[work.RunID]time.Time
 	ends          []work.RunEnd
@@ -81,7 +81,7 @@
 	defer w.mu.Unlock()
 	w.startedAt = time.Now()
 	w.listing.Incarnation.StartMillis = w.startedAt.UnixMilli()
-	w.highestEpoch, w.deadline, w.ends, w.lastEndNumber, w.cursor = 0, 0, nil, 0, 0
+	w.highestToken, w.deadline, w.ends, w.lastEndNumber, w.cursor = 0, 0, nil, 0, 0
 	w.runs, w.highestAttempts = make(map[work.RunID]time.Time), make(map[work.TaskID]int)
 }
 
@@ -124,7 +124,7 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if r.Epoch < w.highestEpoch {
+	if r.FencingToken() < w.highestToken {
 		return work.Report{}, platform.ErrStaleEpoch{Host: r.Incarnation.Worker, Epoch: r.Epoch}
 	}
 	if actual != w.listing.Incarnation {
@@ -151,11 +151,11 @@
 func (w *fakeWorker) applyRenewal(r work.Renewal) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if r.Epoch < w.highestEpoch {
+	if r.FencingToken() < w.highestToken {
 		return
 	}
 	w.settleRuns() // a run whose lease has lapsed stays so
-	w.highestEpoch = r.Epoch
+	w.highestToken = r.FencingToken()
 	w.deadline = max(w.deadline, min(r.LeaseDeadline, w.clock()+fakeMaxLease))
 	w.cursor = max(w.cursor, r.AcknowledgedEnd)
 	w.forgetEnds()
@@ -188,10 +188,10 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if o.Epoch < w.highestEpoch {
+	if o.FencingToken() < w.highestToken {
 		return work.OrderResult{Outcome: work.OutcomeFenced, WorkerClock: w.clock()}
 	}
-	w.highestEpoch = o.Epoch
+	w.highestToken = o.FencingToken()
 	w.settleRuns()
 	switch {
 	case o.Kind == work.OrderStop:
