Name incarnations that precede an unknown one as unsettled in the roster

Found by reading: between the write of a roster that has a restarted worker and its admission, an acknowledgement may still be sent to the former incarnation, and the next holder would trust the restarted one. Shifting the lease of a probe could overflow after many late ones.

--- a/core/work/acknowledgement.go
+++ b/core/work/acknowledgement.go
@@ -1,6 +1,7 @@
 package work
 
 import (
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -33,18 +34,33 @@
 	s.strays[inc] = strayAcknowledgement{cursor: anyEnd, until: now}
 }
 
-// UnsettledIncarnations returns the incarnations that the next holder must pass to AddUnsettledIncarnation.
-func (s *Scheduler) UnsettledIncarnations(now time.Time) []Incarnation {
+// UnsettledIncarnations returns the incarnations that the next holder must pass to AddUnsettledIncarnation if this roster is stored.
+func (s *Scheduler) UnsettledIncarnations(roster map[Incarnation]bool, now time.Time) []Incarnation {
 	s.initialise()
 	s.dropOldStrays(now)
-	var incarnations []Incarnation
+	unsettled := make(map[Incarnation]bool)
 	for inc, stray := range s.strays {
 		if !stray.rosterOnly || s.workers[inc] == nil || s.HasLaterIncarnation(inc) {
-			incarnations = append(incarnations, inc)
+			unsettled[inc] = true
 		}
 	}
-	slices.SortFunc(incarnations, compareIncarnations)
-	return incarnations
+	for inc := range roster {
+		// Acknowledgements to this one may still be sent before a later one is admitted.
+		if s.precedesUnknown(inc, roster) {
+			unsettled[inc] = true
+		}
+	}
+	return slices.SortedFunc(maps.Keys(unsettled), compareIncarnations)
+}
+
+// precedesUnknown reports whether a roster has a later incarnation of the worker that isn't known yet.
+func (s *Scheduler) precedesUnknown(inc Incarnation, roster map[Incarnation]bool) bool {
+	for later := range roster {
+		if later.Worker == inc.Worker && later.StartMillis > inc.StartMillis && s.workers[later] == nil {
+			return true
+		}
+	}
+	return false
 }
 
 // dropOldStrays drops what concerns no incarnation that may still be heard of.
--- a/core/work/acknowledgement_test.go
+++ b/core/work/acknowledgement_test.go
@@ -256,16 +256,38 @@
 	}
 	t.Run("the next holder is told what is unsettled", func(t *testing.T) {
 		f := takeOver(t, []work.Incarnation{former}, nil)
-		f.is.Equal(f.scheduler.UnsettledIncarnations(f.now), []work.Incarnation{former})
+		f.is.Equal(f.scheduler.UnsettledIncarnations(nil, f.now), []work.Incarnation{former})
 		probe := f.executeRound()
 		f.is.Equal(len(probe), 1)
 		f.answer(f.renew(next), 10*time.Second, work.Report{Ends: []work.RunEnd{{Number: 1, Run: probe[0].Run, Reason: work.EndReasonLapsed}}})
-		f.is.Equal(len(f.scheduler.UnsettledIncarnations(f.now)), 0)
+		f.is.Equal(len(f.scheduler.UnsettledIncarnations(nil, f.now)), 0)
+	})
+	t.Run("and which incarnation precedes one that isn't known yet", func(t *testing.T) {
+		f := newRestartFixture(t)
+		roster := map[work.Incarnation]bool{former: true, next: true, incarnation("b"): true}
+		f.is.Equal(f.scheduler.UnsettledIncarnations(roster, f.now), []work.Incarnation{former})
+		f.restart(0)
+		f.is.Equal(len(f.scheduler.UnsettledIncarnations(roster, f.now)), 0)
+	})
+	t.Run("a start that arrives late has the next probe last longer", func(t *testing.T) {
+		f := takeOver(t, []work.Incarnation{former}, nil)
+		last := time.Duration(0)
+		for i := range 3 {
+			clock := longestLease + time.Duration(2+i)*time.Second
+			f.answer(f.renew(next), clock, work.Report{})
+			probe := f.scheduler.Schedule(f.now, f.now)
+			f.is.Equal(len(probe), 1)
+			f.is.True(probe[0].LeaseDeadline-clock > last)
+			last = probe[0].LeaseDeadline - clock
+			f.is.True(last < time.Second)
+			f.answerOrder(probe[0], work.OutcomeLate)
+			f.now = f.now.Add(time.Second)
+		}
 	})
 	t.Run("what no incarnation shows is forgotten", func(t *testing.T) {
 		f := &restartFixture{fixture: newFixture(t)}
 		f.scheduler.AddUnsettledIncarnation(incarnation("gone"), f.now)
-		f.is.Equal(len(f.scheduler.UnsettledIncarnations(f.now.Add(time.Minute))), 1)
-		f.is.Equal(len(f.scheduler.UnsettledIncarnations(f.now.Add(2*time.Minute))), 0)
+		f.is.Equal(len(f.scheduler.UnsettledIncarnations(nil, f.now.Add(time.Minute))), 1)
+		f.is.Equal(len(f.scheduler.UnsettledIncarnations(nil, f.now.Add(2*time.Minute))), 0)
 	})
 }
--- a/core/work/model_test.go
+++ b/core/work/model_test.go
@@ -541,7 +541,8 @@
 func (m *model) storedListings(sched *modelScheduler) []work.WorkerInfo {
 	list := m.listings()
 	if sched.Epoch == m.epoch {
-		m.roster, m.unsettled = sched.RequiredRoster(list, sched.withdrawing), sched.UnsettledIncarnations(m.now)
+		m.roster = sched.RequiredRoster(list, sched.withdrawing)
+		m.unsettled = sched.UnsettledIncarnations(m.roster, m.now)
 		sched.roster = maps.Clone(m.roster)
 	}
 	evacuated := sched.EvacuatedIncarnations()
--- a/core/work/probe.go
+++ b/core/work/probe.go
@@ -6,9 +6,9 @@
 // whether or not it does, the run has lapsed, and the task may start again.
 
 const (
-	// probeLease is the lease of a probe, by the worker's clock. It is doubled up to maxProbeLease if starts arrive after its end.
-	probeLease    = 60 * time.Millisecond
-	maxProbeLease = 240 * time.Millisecond
+	// probeLease is the lease of a probe, by the worker's clock. It is doubled maxProbeDoublings times at most if starts arrive after its end.
+	probeLease        = 60 * time.Millisecond
+	maxProbeDoublings = 2
 	// probePollInterval is the polling interval of a worker with a probe, whose end it may forget without an answer.
 	probePollInterval = 30 * time.Millisecond
 	// probeEstimateFactor is by how much the estimated duration of a task must exceed the lease of its probe.
@@ -73,7 +73,7 @@
 
 // probeLease returns the lease of the next probe on the worker.
 func (w *worker) probeLease() time.Duration {
-	return min(probeLease<<min(w.lateProbes, maxProbes), maxProbeLease)
+	return probeLease << min(w.lateProbes, maxProbeDoublings)
 }
 
 // needsLease reports whether the worker has a run that is wanted for longer than a probe.
--- a/io/runner/holder.go
+++ b/io/runner/holder.go
@@ -304,7 +304,7 @@
 		row.Incarnations = append(row.Incarnations, incarnationRow{Worker: incarnation.Worker, StartMillis: incarnation.StartMillis})
 		h.possibleRoster[incarnation] = true
 	}
-	for _, incarnation := range h.scheduler.UnsettledIncarnations(h.rosterWrittenAt) {
+	for _, incarnation := range h.scheduler.UnsettledIncarnations(roster, h.rosterWrittenAt) {
 		row.Unsettled = append(row.Unsettled, incarnationRow{Worker: incarnation.Worker, StartMillis: incarnation.StartMillis})
 	}
 	// The stored roster may lack the removed incarnations from here on, so they must get no work.
