--- a/io/runner/fake_test.go
+++ b/io/runner/fake_test.go
@@ -134,7 +134,7 @@
 			Capacity: work.Resources{MilliCores: 10_000, MemoryMB: 10_000},
 		},
 		startedAt: time.Now(), runs: make(map[work.RunID]time.Time), highestAttempts: make(map[work.TaskID]int), firstStarts: make(map[work.TaskID]time.Time),
-		completions: make(map[work.TaskID]int),
+		completions: make(map[work.TaskID]int), lastStarts: make(map[work.TaskID]time.Time), doneAt: make(map[work.RunID]time.Time), noted: make(map[work.RunID]bool),
 	}
 	s.workersMu.Lock()
 	defer s.workersMu.Unlock()
--- a/io/runner/fake_worker_test.go
+++ b/io/runner/fake_worker_test.go
@@ -33,6 +33,11 @@
 	// firstStarts holds when each task was first started, and done how often each was completed.
 	firstStarts map[work.TaskID]time.Time
 	completions map[work.TaskID]int
+	// lastStarts holds when each task was last started. doneAt holds when each run was done, and noted those of which the end was
+	// acknowledged.
+	lastStarts map[work.TaskID]time.Time
+	doneAt     map[work.RunID]time.Time
+	noted      map[work.RunID]bool
 	// latestLease is the latest lease deadline of a renewal sent to the worker, and leaseSentAt when it was sent first.
 	latestLease time.Duration
 	leaseSentAt time.Time
@@ -58,6 +63,7 @@
 		}
 		if how == work.EndReasonDone {
 			w.completions[run.Task]++
+			w.doneAt[run] = time.Now()
 		}
 		delete(w.runs, run)
 		w.highestAttempts[run.Task] = max(w.highestAttempts[run.Task], run.Attempt)
@@ -69,7 +75,12 @@
 
 // forgetEnds forgets the ends up to the cursor. The caller holds the lock.
 func (w *fakeWorker) forgetEnds() {
-	w.ends = slices.DeleteFunc(w.ends, func(e work.RunEnd) bool { return e.Number <= w.cursor })
+	w.ends = slices.DeleteFunc(w.ends, func(e work.RunEnd) bool {
+		if e.Number <= w.cursor {
+			w.noted[e.Run] = true
+		}
+		return e.Number <= w.cursor
+	})
 }
 
 // fakeMaxLease is the longest lease that a worker grants.
@@ -205,6 +216,7 @@
 	default:
 		w.deadline = max(w.deadline, o.LeaseDeadline)
 		w.runs[o.Run] = time.Now().Add(cmp.Or(w.taskTime, taskTime))
+		w.lastStarts[o.Run.Task] = time.Now()
 		if _, known := w.firstStarts[o.Run.Task]; !known {
 			w.firstStarts[o.Run.Task] = time.Now()
 		}
