Bound how long an unanswered start holds up acknowledgements

Found by reading: a worker that reports and refuses stops never lists a start without an answer as ended, so no end would be acknowledged there any more, and after 500 of them none is listed; and the worker would get no tasks. Such a start counts for the 15 s in which it may be carried out, and doesn't keep tasks off the worker meanwhile. The new subtest waits for ever without that.

--- a/core/work/acknowledgement.go
+++ b/core/work/acknowledgement.go
@@ -108,32 +108,41 @@
 		w.acknowledgeableSince = now
 	}
 	// If a start and an acknowledgement both reached the next incarnation before it is known, the end of that run could be forgotten.
-	if !w.admitted || w.consecutiveMisses > 0 || !w.hasReportedStarts() || !s.isValid(now) || s.HasLaterIncarnation(w.Incarnation) {
+	starts, uncertain := w.unreportedStarts(now)
+	if !w.admitted || w.consecutiveMisses > 0 || starts || uncertain || !s.isValid(now) || s.HasLaterIncarnation(w.Incarnation) {
 		return 0
 	}
 	return w.acknowledged
 }
 
-// hasReportedStarts reports whether a report of the incarnation has listed every run that it was told to start.
-func (w *worker) hasReportedStarts() bool {
-	if w.startsInFlight > 0 {
-		return false
-	}
+// unreportedStarts reports whether the worker was told to start what no report of this incarnation has listed yet, and whether an order of
+// them got no answer. The latter may never be listed, and count for as long as they may be carried out.
+func (w *worker) unreportedStarts(now time.Time) (starts, uncertain bool) {
+	starts = w.startsInFlight > 0
 	for _, r := range w.runs {
-		if r.lastReported.IsZero() {
-			return false
+		switch {
+		case !r.lastReported.IsZero() || now.Sub(r.startedAt) > lateOrderBound:
+		case r.phase == phaseUncertain || r.phase == phaseStopping:
+			uncertain = true
+		default:
+			starts = true
 		}
 	}
-	return true
+	return starts, uncertain
 }
 
-// maxAcknowledgementDelay is how long starts may hold up an acknowledgement. After that the worker gets none until it is sent.
+// maxAcknowledgementDelay is how long starts may hold up an acknowledgement. After that the worker gets none until it is sent, unless it
+// waits for an order without an answer.
 const maxAcknowledgementDelay = time.Second
 
 // mayForgetStarted reports whether the next incarnation of the worker, as long as it isn't known, could forget the end of a run that is
 // started now, or whether an acknowledgement has to be sent first.
 func (w *worker) mayForgetStarted(now time.Time) bool {
 	delayed := !w.acknowledgeableSince.IsZero() && now.Sub(w.acknowledgeableSince) > maxAcknowledgementDelay
+	if delayed {
+		_, uncertain := w.unreportedStarts(now)
+		delayed = !uncertain
+	}
 	return w.sentCursor > 0 || now.Before(w.strayUntil) || delayed
 }
 
--- a/core/work/acknowledgement_test.go
+++ b/core/work/acknowledgement_test.go
@@ -110,6 +110,27 @@
 		f.is.Equal(f.answerRenewal("a", report).AcknowledgedEnd, uint64(0))
 		f.is.Equal(f.answerRenewal("a", report).AcknowledgedEnd, uint64(1))
 	})
+	t.Run("but not for longer than a start without an answer may be carried out", func(t *testing.T) {
+		f := newRestartFixture(t)
+		f.endTask()
+		listed := f.lastEnd(runID("b", 0, 0, 1))
+		f.submit(chainJob("z", 1))
+		started := f.scheduler.Schedule(f.now, f.now)
+		f.is.Equal(len(started), 1)
+		f.answerOrder(started[0], work.OutcomeUnknown)
+		for _, o := range f.scheduler.Schedule(f.now, f.now) {
+			f.answerOrder(o, work.OutcomeUnknown)
+		}
+		waited := 0
+		for begin := f.now; f.answerRenewal("a", listed).AcknowledgedEnd == 0; waited++ {
+			f.is.True(f.now.Sub(begin) < 20*time.Second)
+			f.now = f.now.Add(500 * time.Millisecond)
+			for _, o := range f.scheduler.Schedule(f.now, f.now) {
+				f.answerOrder(o, work.OutcomeUnhealthy) // a worker that refuses all orders stops nothing
+			}
+		}
+		f.is.True(waited > 0)
+	})
 	t.Run("nothing starts on a worker beside an acknowledgement", func(t *testing.T) {
 		f := newRestartFixture(t)
 		f.endTask()
