Tell the members of a takeover that the silent holder can't know of

What callers saw: a task on two workers at once (TestNewcomerReachesOthers, in each run; known red until now), when a process started after all others had lost the store, had the store itself, and reached the other entry hosts but not the holder.

Cause: a holder without the store goes on while all members that can take its duty say that the store is silent to them. It asks those it has read of, and those that asked it. A member that it can't know, and that it isn't linked to, takes the duty meanwhile.

A member that the store has answered for less than witnessRetention now tells all others whose duties it is about to take, and takes none before they have answered or their time for it is over. They pass its name on with their answers to that holder, which then counts it as one to be asked; without its answer the holder's permission ends 1.5 s after the last round, which the next holder waits for already. Members known for longer send nothing, so a takeover costs them no call. The notice goes out with the question to the holder, before it lapses, so that it delays no takeover whose members answer.

--- a/io/peer/kind.go
+++ b/io/peer/kind.go
@@ -30,6 +30,7 @@
 	KindDutyOffer
 	KindJobRequest
 	KindJobReply
+	KindTakeoverNotice
 )
 
 // KindOf returns the kind of the envelope's body.
@@ -81,6 +82,8 @@
 		return KindJobRequest
 	case *peerpb.Envelope_JobReply:
 		return KindJobReply
+	case *peerpb.Envelope_TakeoverNotice:
+		return KindTakeoverNotice
 	default:
 		return KindUnknown
 	}
--- a/io/peer/kind_enumer.go
+++ b/io/peer/kind_enumer.go
@@ -8,11 +8,11 @@
 	"strings"
 )
 
-const _KindName = "unknownhelloroutesroute-reportconfig-headconfig-reporttimeline-requesttimeline-replyload-reportvouchacknowledgementconfig-changeconfig-outcomehand-inhand-in-outcomeduty-questionduty-answerduty-offerjob-requestjob-reply"
+const _KindName = "unknownhelloroutesroute-reportconfig-headconfig-reporttimeline-requesttimeline-replyload-reportvouchacknowledgementconfig-changeconfig-outcomehand-inhand-in-outcomeduty-questionduty-answerduty-offerjob-requestjob-replytakeover-notice"
 
-var _KindIndex = [...]uint8{0, 7, 12, 18, 30, 41, 54, 70, 84, 95, 100, 115, 128, 142, 149, 164, 177, 188, 198, 209, 218}
+var _KindIndex = [...]uint8{0, 7, 12, 18, 30, 41, 54, 70, 84, 95, 100, 115, 128, 142, 149, 164, 177, 188, 198, 209, 218, 233}
 
-const _KindLowerName = "unknownhelloroutesroute-reportconfig-headconfig-reporttimeline-requesttimeline-replyload-reportvouchacknowledgementconfig-changeconfig-outcomehand-inhand-in-outcomeduty-questionduty-answerduty-offerjob-requestjob-reply"
+const _KindLowerName = "unknownhelloroutesroute-reportconfig-headconfig-reporttimeline-requesttimeline-replyload-reportvouchacknowledgementconfig-changeconfig-outcomehand-inhand-in-outcomeduty-questionduty-answerduty-offerjob-requestjob-replytakeover-notice"
 
 func (i Kind) String() string {
 	if i < 0 || i >= Kind(len(_KindIndex)-1) {
@@ -45,9 +45,10 @@
 	_ = x[KindDutyOffer-(17)]
 	_ = x[KindJobRequest-(18)]
 	_ = x[KindJobReply-(19)]
+	_ = x[KindTakeoverNotice-(20)]
 }
 
-var _KindValues = []Kind{KindUnknown, KindHello, KindRoutes, KindRouteReport, KindConfigHead, KindConfigReport, KindTimelineRequest, KindTimelineReply, KindLoadReport, KindVouch, KindAcknowledgement, KindConfigChange, KindConfigOutcome, KindHandIn, KindHandInOutcome, KindDutyQuestion, KindDutyAnswer, KindDutyOffer, KindJobRequest, KindJobReply}
+var _KindValues = []Kind{KindUnknown, KindHello, KindRoutes, KindRouteReport, KindConfigHead, KindConfigReport, KindTimelineRequest, KindTimelineReply, KindLoadReport, KindVouch, KindAcknowledgement, KindConfigChange, KindConfigOutcome, KindHandIn, KindHandInOutcome, KindDutyQuestion, KindDutyAnswer, KindDutyOffer, KindJobRequest, KindJobReply, KindTakeoverNotice}
 
 var _KindNameToValueMap = map[string]Kind{
 	_KindName[0:7]:     KindUnknown,
@@ -70,6 +71,7 @@
 	_KindName[188:198]: KindDutyOffer,
 	_KindName[198:209]: KindJobRequest,
 	_KindName[209:218]: KindJobReply,
+	_KindName[218:233]: KindTakeoverNotice,
 }
 
 var _KindLowerNameToValueMap = map[string]Kind{
@@ -93,6 +95,7 @@
 	_KindLowerName[188:198]: KindDutyOffer,
 	_KindLowerName[198:209]: KindJobRequest,
 	_KindLowerName[209:218]: KindJobReply,
+	_KindLowerName[218:233]: KindTakeoverNotice,
 }
 
 var _KindNames = []string{
@@ -116,6 +119,7 @@
 	_KindName[188:198],
 	_KindName[198:209],
 	_KindName[209:218],
+	_KindName[218:233],
 }
 
 // KindString retrieves an enum value from the enum constants string name.
--- a/io/runner/duties.go
+++ b/io/runner/duties.go
@@ -44,6 +44,7 @@
 		names := m.dutyNames()
 		m.takeOfferedDuties(ctx)
 		m.askSilentHolders(names, now)
+		m.sendTakeoverNotices(names, now)
 		assignment := m.assignedHolders(names, live)
 		for _, name := range names {
 			if now.Sub(started) >= watch {
@@ -119,7 +120,7 @@
 	}
 	step, to := duty.NextStep(pool.Pool{Name: name, Holder: row.Holder}, view)
 	switch {
-	case step == duty.StepTake && !row.ended && m.holderAnswers(name, row, time.Now()):
+	case step == duty.StepTake && !row.ended && (m.holderAnswers(name, row, time.Now()) || m.mustSendNotice(row.Holder, time.Now())):
 	case step == duty.StepTake, row.Holder == m.MemberName && t == nil:
 		if m.beginTaking(name, row, time.Now()) {
 			m.takeDuty(ctx, name, row)
--- a/io/runner/manager.go
+++ b/io/runner/manager.go
@@ -100,6 +100,8 @@
 	// connected is whether we could read and write the store at the last check. lostConnection is whether we could at an
 	// earlier check and have not been able to since.
 	connected, lostConnection bool
+	// connectedSince is since when the store has answered us without a gap; zero before its first answer.
+	connectedSince time.Time
 	// silenceStretched is whether the store was slow at the last check of the members.
 	silenceStretched bool
 	// holderRows holds the holders of the duties, with the versions of their rows.
@@ -121,6 +123,10 @@
 	doubters map[string]time.Time
 	// dutyAnswers holds what the holders of duties answered last, by duty.
 	dutyAnswers map[string]dutyAnswer
+	// takeoverNotices holds the notices that this member has sent, by the member whose duties it takes, and takers when which
+	// other members have sent one.
+	takeoverNotices map[string]takeoverNotice
+	takers          map[takeover]time.Time
 	// lastHandIns holds the last answered hand-in by pool.
 	lastHandIns map[string]handIn
 	// takesDuties is true while this member takes duties that are offered to it. dutyOffers holds those that were offered and
@@ -173,6 +179,8 @@
 		m.abstainsUntil = make(map[string]time.Time)
 		m.doubters = make(map[string]time.Time)
 		m.dutyAnswers = make(map[string]dutyAnswer)
+		m.takeoverNotices = make(map[string]takeoverNotice)
+		m.takers = make(map[takeover]time.Time)
 		m.predecessors = make(map[string]bool)
 		m.lastHandIns = make(map[string]handIn)
 		m.handInRetryAt = make(map[string]time.Time)
@@ -191,6 +199,7 @@
 		m.Peers.Handle(peer.KindJobRequest, m.handleJobRequest)
 		m.Peers.Handle(peer.KindDutyQuestion, m.handleDutyQuestion)
 		m.Peers.Handle(peer.KindDutyOffer, m.handleDutyOffer)
+		m.Peers.Handle(peer.KindTakeoverNotice, m.handleTakeoverNotice)
 	}
 	ended := make(chan error, 1)
 	for _, loop := range []func(context.Context){m.followOperators, m.runMember, m.followDirectory, m.followHostsTable, m.monitorStore} {
--- a/io/runner/members.go
+++ b/io/runner/members.go
@@ -341,6 +341,9 @@
 		m.failureDetector = m.failureDetector.WithRenewalGrace(recoveryGrace)
 	}
 	m.silenceStretched = counted < elapsed
+	if connected && !m.connected {
+		m.connectedSince = now
+	}
 	m.lostConnection = !connected && (m.lostConnection || m.connected)
 	m.connected = connected
 	before := m.failureDetector.Lapsed()
--- a/io/runner/questions.go
+++ b/io/runner/questions.go
@@ -101,6 +101,9 @@
 		m.storeHealth.answeredSince(time.Now().Add(-storeSilenceLimit))
 	answer := m.newDutyAnswer(held)
 	answer.GetDutyAnswer().StoreSilent = !replaced && m.storeIsSilent(question.GetDuty()) && m.abstain(question.GetDuty(), time.Now())
+	if question.GetStoreSilent() {
+		answer.GetDutyAnswer().Takers = m.takersOf(from, time.Now())
+	}
 	return answer
 }
 
--- a/io/runner/validity.go
+++ b/io/runner/validity.go
@@ -6,7 +6,6 @@
 	"maps"
 	"slices"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"siskincross/core/event"
@@ -173,11 +172,11 @@
 	}
 	m.connectTo(witnesses)
 	h.group.Go(func() {
-		silent := h.countSilent(witnesses)
+		silent, takers := h.countSilent(witnesses)
 		m.mu.Lock()
 		silence := m.storeSilences[h.pool]
 		silence.pending, silence.asked, silence.silent = false, len(witnesses), silent
-		if silent == len(witnesses) && !m.suspension.forget(now).IsZero() && !silence.doubtedAt.After(now) {
+		if silent == len(witnesses) && !m.addWitnesses(takers, witnesses, now) && !m.suspension.forget(now).IsZero() && !silence.doubtedAt.After(now) {
 			silence.confirmedAt = now
 			silence.confirmedUntil = now.Add(interval + dutyQuestionTimeout + silenceAnswerSlack)
 		}
@@ -187,28 +186,47 @@
 	})
 }
 
-// countSilent returns how many of these members answer that they get no answers of the store. One that doesn't answer may have
-// taken the duty, so the others are not waited for then.
-func (h *poolHolder) countSilent(members []string) int {
+// addWitnesses adds members that take this one's duties to those that are asked. It reports false if all of them have been asked. The
+// caller holds the lock.
+func (m *Manager) addWitnesses(takers, asked []string, now time.Time) bool {
+	added := false
+	for _, name := range takers {
+		if slices.Contains(asked, name) || name == m.MemberName {
+			continue
+		}
+		added = true
+		if _, ok := m.doubters[name]; !ok {
+			m.doubters[name] = now
+		}
+	}
+	return added
+}
+
+// countSilent returns how many of these members answer that they get no answers of the store, and which members they know to take
+// this one's duties. One that doesn't answer may have taken the duty, so the others are not waited for then.
+func (h *poolHolder) countSilent(members []string) (silent int, takers []string) {
 	ctx, cancel := context.WithTimeout(h.ctx, dutyQuestionTimeout)
 	defer cancel()
 	question := &peerpb.Envelope{Member: h.manager.MemberName, Body: &peerpb.Envelope_DutyQuestion{DutyQuestion: &peerpb.DutyQuestion{
 		Duty: h.pool, Epoch: h.epoch, StoreSilent: true,
 	}}}
-	var silent atomic.Int64
+	var mu sync.Mutex
 	var calls sync.WaitGroup
 	for _, member := range members {
 		calls.Go(func() {
 			reply, err := h.manager.Peers.Call(ctx, member, question)
-			if err == nil && reply.GetDutyAnswer().GetStoreSilent() {
-				silent.Add(1)
+			if err != nil || !reply.GetDutyAnswer().GetStoreSilent() {
+				cancel() // the other answers don't matter any more
 				return
 			}
-			cancel() // the other answers don't matter any more
+			mu.Lock()
+			defer mu.Unlock()
+			silent++
+			takers = append(takers, reply.GetDutyAnswer().GetTakers()...)
 		})
 	}
 	calls.Wait()
-	return int(silent.Load())
+	return silent, takers
 }
 
 // updateValidity passes the time until which the duty is certain to the scheduler, and records when that has passed or is known again,
