Give up a long-running job only if workers without it crash less often

Cause: each crash of a worker counted as evidence against the long-running tasks on it, however often workers crashed without them. Tasks that run all the time are there at most crashes; with trials they are the only suspects as well.

A verdict on a long-running task now needs that so many crashes be improbable (1e-5) at the rate at which the pool's other workers crashed, over the ages of its runs. Those that are probable (0.05 and more) are forgotten. The rate counts crashes and worker time with a memory of two minutes; a holder that has seen little assumes one crash more.

Ruled out: fewer crashes before a verdict, since tasks that do crash workers must be given up within five starts (still asserted).

--- a/core/work/crash.go
+++ b/core/work/crash.go
@@ -63,6 +63,10 @@
 	Simultaneous int
 	// LongRunning is true for a long-running task.
 	LongRunning bool
+	// Chance is the probability of as many crashes under a long-running task if it has nothing to do with them; zero for others.
+	Chance float64
+	// Forgotten is true if the crashes would be enough to give up the job, and are likely to be chance. They don't count any more.
+	Forgotten bool
 	// GivenUp is true if the task's job fails for it.
 	GivenUp bool
 }
@@ -97,12 +101,15 @@
 	// and highestAge the highest one at any crash.
 	young                 bool
 	lowestAge, highestAge time.Duration
+	// exposure is the sum of the ages of all runs when their workers crashed.
+	exposure time.Duration
 }
 
 func newCrashRecord(crashes []Crash) crashRecord {
 	r := crashRecord{total: len(crashes), lowestAge: maxProbation}
 	for _, c := range crashes {
 		r.highestAge = max(r.highestAge, c.MaxAge)
+		r.exposure += c.MaxAge
 		if c.Confirmed {
 			r.confirmed++
 		}
@@ -140,6 +147,7 @@
 	}
 	w.crashRecorded = true
 	runs := w.lostRuns()
+	s.crashRate.add(w.endedAt(), runs)
 	culprit := onlySuspect(runs)
 	suspects, onTrial := countSuspects(runs), culprit.hasCrashes()
 	lost := lostRuns{}
@@ -243,14 +251,25 @@
 	t.crashedAddresses[r.worker.Address] = true
 	v.Count, v.ConfirmedCount, v.Conclusive = t.crashes.total, t.crashes.confirmed, t.crashes.conclusive
 	v.GivenUp = v.isGivenUp()
+	if v.LongRunning {
+		v.Chance = s.chanceOfCrashes(t, r.worker.endedAt())
+		v.Forgotten = v.GivenUp && v.Chance >= minForgottenChance
+		v.GivenUp = v.GivenUp && v.Chance <= maxVerdictChance
+	}
 	if s.OnCrash != nil {
 		s.OnCrash(v)
 	}
-	if v.GivenUp {
+	switch {
+	case v.GivenUp:
 		s.finishJob(j, StateFailed)
+	case v.Forgotten:
+		s.clearCrashes(t)
 	}
 }
 
+// endedAt returns about when a worker ended that has crashed.
+func (w *worker) endedAt() time.Time { return laterTime(w.clock.receivedAt, w.silentSince) }
+
 // hasAnswered reports whether an answer to an order that is received now certainly came from this incarnation, judged by its
 // reading of the worker's clock. A later incarnation, whose clock starts anew, has run for less time: it began after the
 // last report of this one was asked for.
--- a/core/work/incarnations.go
+++ b/core/work/incarnations.go
@@ -26,6 +26,7 @@
 		w.listed, w.admitted = true, true
 		s.silentEnds.forget(info.Incarnation)
 	}
+	s.crashRate.setListed(len(infos), now)
 	for _, w := range slices.Clone(s.sortedWorkers) {
 		if !w.listed && w.isEmpty() {
 			s.recordSilentEnd(w, now)
--- a/core/work/scheduler.go
+++ b/core/work/scheduler.go
@@ -85,6 +85,7 @@
 	jobs        map[JobID]*job
 	// silences holds when workers fell silent that were not leaving.
 	silences   map[Incarnation]silence
+	crashRate  crashRate
 	silentEnds silentEnds
 	lateStarts lateStarts
 	// strays holds what calls to an incarnation may have acknowledged at a later one of its worker, by the former.
--- a/io/runner/renewals.go
+++ b/io/runner/renewals.go
@@ -228,8 +228,8 @@
 func (h *poolHolder) recordCrash(v work.CrashVerdict) {
 	h.manager.record(event.Event{
 		Number: event.WorkerCrashed, Pool: h.pool, Host: v.Incarnation.Worker, Job: string(v.Run.Task.Job),
-		Detail: fmt.Sprintf("%s: crash %d of the task, %d conclusive, job given up %t, aged %s to %s, the only possible cause %t, start confirmed %t, %d other workers silent at the same time",
-			v.Run, v.Count, v.Conclusive, v.GivenUp, v.MinAge.Round(time.Millisecond), v.MaxAge.Round(time.Millisecond), v.Alone, v.Confirmed, v.Simultaneous),
+		Detail: fmt.Sprintf("%s: crash %d of the task, %d conclusive, job given up %t, crashes forgotten %t at a chance of %.2g, aged %s to %s, the only possible cause %t, start confirmed %t, %d other workers silent at the same time",
+			v.Run, v.Count, v.Conclusive, v.GivenUp, v.Forgotten, v.Chance, v.MinAge.Round(time.Millisecond), v.MaxAge.Round(time.Millisecond), v.Alone, v.Confirmed, v.Simultaneous),
 	})
 }
 
