--- a/io/runner/abstain_test.go
+++ b/io/runner/abstain_test.go
@@ -21,10 +21,9 @@
 					holder, others := s.splitHosts(6)
 					s.store.withholdTable(holder[0], "queue-"+fakePool) // a poll on its way would tell that the duty isn't taken
 					s.isolateBesideLinks("w0", holder...)
-					time.Sleep(lost)
-					s.setSilent(others, true)
-					time.AfterFunc(outage, func() { s.setSilent(others, false) })
-					takenAt := s.awaitTakeover(12 * time.Second)
+					time.AfterFunc(lost, func() { s.setSilent(others, true) })
+					time.AfterFunc(lost+outage, func() { s.setSilent(others, false) })
+					takenAt := s.awaitTakeover(lost + 12*time.Second) // it may come before the others lose the store
 					s.is.True(!takenAt.IsZero())
 					time.Sleep(4 * time.Second)
 					if late := s.lastEvent(holder[0], event.WorkDutyUncertain).Sub(takenAt); late > roundInterval {
