--- a/io/runner/duties.go
+++ b/io/runner/duties.go
@@ -120,7 +120,7 @@
 	}
 	step, to := duty.NextStep(pool.Pool{Name: name, Holder: row.Holder}, view)
 	switch {
-	case step == duty.StepTake && !row.ended && (m.holderAnswers(name, row, time.Now()) || m.mustSendNotice(row.Holder, time.Now())):
+	case step == duty.StepTake && !row.ended && m.mustWaitForHolder(name, row, time.Now()):
 	case step == duty.StepTake, row.Holder == m.MemberName && t == nil:
 		if m.beginTaking(name, row, time.Now()) {
 			m.takeDuty(ctx, name, row)
@@ -133,6 +133,11 @@
 	}
 }
 
+// mustWaitForHolder reports whether a duty must not be taken yet from a holder that has lapsed and may not have ended.
+func (m *Manager) mustWaitForHolder(name string, row versionedHolder, now time.Time) bool {
+	return m.holderAnswers(name, row, now) || m.mustSendNotice(row.Holder, now)
+}
+
 // retakeDuty takes a duty that an earlier incarnation of this entry host held, once this one has a member row. The earlier one
 // has ended, and other members may not know that yet.
 func (m *Manager) retakeDuty(ctx context.Context, name string) {
