--- a/core/work/held_up_orders_test.go
+++ b/core/work/held_up_orders_test.go
@@ -32,6 +32,31 @@
 	f.is.Equal(len(f.scheduleStops()), 0)
 }
 
+// TestUnansweredStartStopWhileOthersAway guards against a long-running task that is stopped at work while more of its step are away than
+// may be: the answers of its start were lost, and it is not known whether the worker runs it.
+func TestUnansweredStartStopWhileOthersAway(t *testing.T) {
+	f := newFixture(t)
+	f.answerRenewal("a", work.Report{})
+	f.answerRenewal("b", work.Report{})
+	f.scheduler.AddJob(newLongRunningJob("j", 3), work.Progress{}, 11, false, f.now)
+	unanswered := make(map[work.RunID]int)
+	for round := range 10 {
+		for _, o := range f.scheduler.Schedule(f.now, f.now) {
+			switch {
+			case o.Kind == work.OrderStop && unanswered[o.Run] > 0:
+				f.is.True(!f.scheduler.ConfirmOrder(o, f.now)) // the first task is away, and only one may be
+			case o.Kind == work.OrderStart && o.Run.Task.Index == 0:
+				f.answerOrder(o, work.OutcomeUnhealthy)
+			case o.Kind == work.OrderStart:
+				unanswered[o.Run]++
+				f.answerOrder(o, work.OutcomeUnknown)
+			}
+		}
+		f.now = start.Add(time.Duration(round) * 10 * time.Millisecond)
+	}
+	f.is.Equal(len(unanswered), 2)
+}
+
 // TestStartHeldUp guards against tasks that begin after their job was cancelled, or on a worker that is about to leave, by a
 // start order that a paused or slow entry host sends long after its decision.
 func TestStartHeldUp(t *testing.T) {
