--- a/io/runner/takeovernotice.go
+++ b/io/runner/takeovernotice.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"fmt"
 	"maps"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
+	"siskincross/core/event"
 	"siskincross/io/peer/peerpb"
 )
 
@@ -34,8 +37,8 @@
 // this one for less than witnessRetention. The caller holds the lock.
 func (m *Manager) isNewcomer(now time.Time) bool { return now.Sub(m.connectedSince) < witnessRetention }
 
-// sendTakeoverNotices tells all members about the silent holders of duties whose duties this member takes soon, if they may not know
-// it: they don't ask it whether the store is silent, and may not be reached.
+// sendTakeoverNotices tells all other members which silent holders this one may replace soon, if those may not know it: they don't ask
+// this member whether the store is silent to it, and may not be reached.
 func (m *Manager) sendTakeoverNotices(names []string, now time.Time) {
 	if m.Peers.Call == nil {
 		return
@@ -85,15 +88,24 @@
 	ctx, cancel := context.WithTimeout(m.ctx, dutyQuestionTimeout)
 	defer cancel()
 	notice := &peerpb.Envelope{Member: m.MemberName, Body: &peerpb.Envelope_TakeoverNotice{TakeoverNotice: &peerpb.TakeoverNotice{Holders: holders}}}
+	var mu sync.Mutex
+	var unreached []string
 	var calls sync.WaitGroup
 	for _, member := range members {
 		calls.Go(func() {
-			// One that isn't reached now gets the next notice. Without any answer the duties are taken all the same: a member that
-			// reaches nobody can't know whether there is anybody.
-			_, _ = m.Peers.Call(ctx, member, notice)
+			if _, err := m.Peers.Call(ctx, member, notice); err != nil {
+				mu.Lock()
+				defer mu.Unlock()
+				unreached = append(unreached, fmt.Sprintf("%s: %v", member, err))
+			}
 		})
 	}
 	calls.Wait()
+	// Those that weren't reached get the next notice. The duties are taken all the same: a member that reaches nobody can't know whether
+	// there is anybody.
+	if len(unreached) > 0 {
+		m.record(event.Event{Number: event.WorkDutyFailed, Detail: "tell others whose duties are taken: " + strings.Join(unreached, ", ")})
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, holder := range holders {
