--- a/core/event/number_enumer.go
+++ b/core/event/number_enumer.go
@@ -22,8 +22,8 @@
 	_NumberLowerName_5 = "peer-connectedpeer-lostpeer-refused"
 	_NumberName_6      = "store-unavailablestore-recoveredcommit-outcome-resolvedcallers-crowded"
 	_NumberLowerName_6 = "store-unavailablestore-recoveredcommit-outcome-resolvedcallers-crowded"
-	_NumberName_7      = "work-acceptedwork-not-acceptedwork-unsurework-cancelledwork-endedwork-duty-takenwork-duty-lostwork-duty-failedwork-startedwork-start-refusedwork-start-unsurework-run-endedwork-run-stoppedworker-listedworker-lostworker-silentworker-heardwork-commit-failedwork-row-unreadablecatalogue-adoptedcatalogue-unreadablemember-appearedmember-gonemachine-orderedmachine-order-failedwave-seenwave-completedlines-left-outneed-statedplan-storedfeed-silentwork-advisedwork-advice-failedwork-pacedwork-given-upmember-stands-bymember-activework-duty-settledhand-in-failedquota-reachedquota-clearedgrants-failedinterference-judgedwork-run-lingersworker-crashedworker-entry-rejectedqueue-assignedqueue-unassignedprogress-refusedwork-duty-uncertainwork-duty-certainwork-duty-keptworker-ends-missingworker-ends-uncertain"
-	_NumberLowerName_7 = "work-acceptedwork-not-acceptedwork-unsurework-cancelledwork-endedwork-duty-takenwork-duty-lostwork-duty-failedwork-startedwork-start-refusedwork-start-unsurework-run-endedwork-run-stoppedworker-listedworker-lostworker-silentworker-heardwork-commit-failedwork-row-unreadablecatalogue-adoptedcatalogue-unreadablemember-appearedmember-gonemachine-orderedmachine-order-failedwave-seenwave-completedlines-left-outneed-statedplan-storedfeed-silentwork-advisedwork-advice-failedwork-pacedwork-given-upmember-stands-bymember-activework-duty-settledhand-in-failedquota-reachedquota-clearedgrants-failedinterference-judgedwork-run-lingersworker-crashedworker-entry-rejectedqueue-assignedqueue-unassignedprogress-refusedwork-duty-uncertainwork-duty-certainwork-duty-keptworker-ends-missingworker-ends-uncertain"
+	_NumberName_7      = "work-acceptedwork-not-acceptedwork-unsurework-cancelledwork-endedwork-duty-takenwork-duty-lostwork-duty-failedwork-startedwork-start-refusedwork-start-unsurework-run-endedwork-run-stoppedworker-listedworker-lostworker-silentworker-heardwork-commit-failedwork-row-unreadablecatalogue-adoptedcatalogue-unreadablemember-appearedmember-gonemachine-orderedmachine-order-failedwave-seenwave-completedlines-left-outneed-statedplan-storedfeed-silentwork-advisedwork-advice-failedwork-pacedwork-given-upmember-stands-bymember-activework-duty-settledhand-in-failedquota-reachedquota-clearedgrants-failedinterference-judgedwork-run-lingersworker-crashedworker-entry-rejectedqueue-assignedqueue-unassignedprogress-refusedwork-duty-uncertainwork-duty-certainwork-duty-keptworker-ends-missingworker-ends-uncertainworker-fenced"
+	_NumberLowerName_7 = "work-acceptedwork-not-acceptedwork-unsurework-cancelledwork-endedwork-duty-takenwork-duty-lostwork-duty-failedwork-startedwork-start-refusedwork-start-unsurework-run-endedwork-run-stoppedworker-listedworker-lostworker-silentworker-heardwork-commit-failedwork-row-unreadablecatalogue-adoptedcatalogue-unreadablemember-appearedmember-gonemachine-orderedmachine-order-failedwave-seenwave-completedlines-left-outneed-statedplan-storedfeed-silentwork-advisedwork-advice-failedwork-pacedwork-given-upmember-stands-bymember-activework-duty-settledhand-in-failedquota-reachedquota-clearedgrants-failedinterference-judgedwork-run-lingersworker-crashedworker-entry-rejectedqueue-assignedqueue-unassignedprogress-refusedwork-duty-uncertainwork-duty-certainwork-duty-keptworker-ends-missingworker-ends-uncertainworker-fenced"
 )
 
 var (
@@ -34,7 +34,7 @@
 	_NumberIndex_4 = [...]uint8{0, 15, 30, 44, 58, 71, 90, 101, 123, 144, 159, 180}
 	_NumberIndex_5 = [...]uint8{0, 14, 23, 35}
 	_NumberIndex_6 = [...]uint8{0, 17, 32, 55, 70}
-	_NumberIndex_7 = [...]uint16{0, 13, 30, 41, 55, 65, 80, 94, 110, 122, 140, 157, 171, 187, 200, 211, 224, 236, 254, 273, 290, 310, 325, 336, 351, 371, 380, 394, 408, 419, 430, 441, 453, 471, 481, 494, 510, 523, 540, 554, 567, 580, 593, 612, 628, 642, 663, 677, 693, 709, 728, 745, 759, 778, 799}
+	_NumberIndex_7 = [...]uint16{0, 13, 30, 41, 55, 65, 80, 94, 110, 122, 140, 157, 171, 187, 200, 211, 224, 236, 254, 273, 290, 310, 325, 336, 351, 371, 380, 394, 408, 419, 430, 441, 453, 471, 481, 494, 510, 523, 540, 554, 567, 580, 593, 612, 628, 642, 663, 677, 693, 709, 728, 745, 759, 778, 799, 812}
 )
 
 func (i Number) String() string {
@@ -60,7 +60,7 @@
 	case 700 <= i && i <= 703:
 		i -= 700
 		return _NumberName_6[_NumberIndex_6[i]:_NumberIndex_6[i+1]]
-	case 800 <= i && i <= 853:
+	case 800 <= i && i <= 854:
 		i -= 800
 		return _NumberName_7[_NumberIndex_7[i]:_NumberIndex_7[i+1]]
 	default:
@@ -198,9 +198,10 @@
 	_ = x[WorkDutyKept-(851)]
 	_ = x[WorkerEndsMissing-(852)]
 	_ = x[WorkerEndsUncertain-(853)]
+	_ = x[WorkerFenced-(854)]
 }
 
-var _NumberValues = []Number{ProcessStarted, ProcessServing, ProcessStopping, ProcessStopped, RequestAnswered, RequestNotRun, RequestUnknown, RequestRetried, RequestReplayed, ClaimLost, TargetEjected, TargetRestored, MemberJoined, MemberLapsed, DutyTaken, DutyReleased, HostAdopted, HostDraining, HostDrained, HostRebooting, HostReady, HostServing, HostFailed, HostLeaving, HostForgotten, HostMoved, WorkRefused, WorkResumed, DrainOverdue, MaintenanceBehind, ListDoubted, ListTrusted, RoutesSilenced, RoutesVouched, DutyConflict, JobAccepted, JobCancelRequested, JobReleased, JobStarted, JobFinished, JobRequeued, JobFailed, JobParked, JobUnknown, JobCancelled, JobLateAttempt, JobLapsed, JobLeaving, WorkerSuspected, WorkerCleared, JobDutyTaken, JobDutyLost, JobCommitFailed, JobRowUnreadable, ConfigAccepted, ConfigInForce, ConfigRefused, ConfigAdopted, ConfigProved, OrganisationFaulty, KeyRefused, ConfigurationOutdated, ConfigurationCurrent, RequestRefused, ConfigurationFinding, PeerConnected, PeerLost, PeerRefused, StoreUnavailable, StoreRecovered, CommitOutcomeResolved, CallersCrowded, WorkAccepted, WorkNotAccepted, WorkUnsure, WorkCancelled, WorkEnded, WorkDutyTaken, WorkDutyLost, WorkDutyFailed, WorkStarted, WorkStartRefused, WorkStartUnsure, WorkRunEnded, WorkRunStopped, WorkerListed, WorkerLost, WorkerSilent, WorkerHeard, WorkCommitFailed, WorkRowUnreadable, CatalogueAdopted, CatalogueUnreadable, MemberAppeared, MemberGone, MachineOrdered, MachineOrderFailed, WaveSeen, WaveCompleted, LinesLeftOut, NeedStated, PlanStored, FeedSilent, WorkAdvised, WorkAdviceFailed, WorkPaced, WorkGivenUp, MemberStandsBy, MemberActive, WorkDutySettled, HandInFailed, QuotaReached, QuotaCleared, GrantsFailed, InterferenceJudged, WorkRunLingers, WorkerCrashed, WorkerEntryRejected, QueueAssigned, QueueUnassigned, ProgressRefused, WorkDutyUncertain, WorkDutyCertain, WorkDutyKept, WorkerEndsMissing, WorkerEndsUncertain}
+var _NumberValues = []Number{ProcessStarted, ProcessServing, ProcessStopping, ProcessStopped, RequestAnswered, RequestNotRun, RequestUnknown, RequestRetried, RequestReplayed, ClaimLost, TargetEjected, TargetRestored, MemberJoined, MemberLapsed, DutyTaken, DutyReleased, HostAdopted, HostDraining, HostDrained, HostRebooting, HostReady, HostServing, HostFailed, HostLeaving, HostForgotten, HostMoved, WorkRefused, WorkResumed, DrainOverdue, MaintenanceBehind, ListDoubted, ListTrusted, RoutesSilenced, RoutesVouched, DutyConflict, JobAccepted, JobCancelRequested, JobReleased, JobStarted, JobFinished, JobRequeued, JobFailed, JobParked, JobUnknown, JobCancelled, JobLateAttempt, JobLapsed, JobLeaving, WorkerSuspected, WorkerCleared, JobDutyTaken, JobDutyLost, JobCommitFailed, JobRowUnreadable, ConfigAccepted, ConfigInForce, ConfigRefused, ConfigAdopted, ConfigProved, OrganisationFaulty, KeyRefused, ConfigurationOutdated, ConfigurationCurrent, RequestRefused, ConfigurationFinding, PeerConnected, PeerLost, PeerRefused, StoreUnavailable, StoreRecovered, CommitOutcomeResolved, CallersCrowded, WorkAccepted, WorkNotAccepted, WorkUnsure, WorkCancelled, WorkEnded, WorkDutyTaken, WorkDutyLost, WorkDutyFailed, WorkStarted, WorkStartRefused, WorkStartUnsure, WorkRunEnded, WorkRunStopped, WorkerListed, WorkerLost, WorkerSilent, WorkerHeard, WorkCommitFailed, WorkRowUnreadable, CatalogueAdopted, CatalogueUnreadable, MemberAppeared, MemberGone, MachineOrdered, MachineOrderFailed, WaveSeen, WaveCompleted, LinesLeftOut, NeedStated, PlanStored, FeedSilent, WorkAdvised, WorkAdviceFailed, WorkPaced, WorkGivenUp, MemberStandsBy, MemberActive, WorkDutySettled, HandInFailed, QuotaReached, QuotaCleared, GrantsFailed, InterferenceJudged, WorkRunLingers, WorkerCrashed, WorkerEntryRejected, QueueAssigned, QueueUnassigned, ProgressRefused, WorkDutyUncertain, WorkDutyCertain, WorkDutyKept, WorkerEndsMissing, WorkerEndsUncertain, WorkerFenced}
 
 var _NumberNameToValueMap = map[string]Number{
 	_NumberName_0[0:15]:    ProcessStarted,
@@ -329,6 +330,7 @@
 	_NumberName_7[745:759]: WorkDutyKept,
 	_NumberName_7[759:778]: WorkerEndsMissing,
 	_NumberName_7[778:799]: WorkerEndsUncertain,
+	_NumberName_7[799:812]: WorkerFenced,
 }
 
 var _NumberLowerNameToValueMap = map[string]Number{
@@ -458,6 +460,7 @@
 	_NumberLowerName_7[745:759]: WorkDutyKept,
 	_NumberLowerName_7[759:778]: WorkerEndsMissing,
 	_NumberLowerName_7[778:799]: WorkerEndsUncertain,
+	_NumberLowerName_7[799:812]: WorkerFenced,
 }
 
 var _NumberNames = []string{
@@ -587,6 +590,7 @@
 	_NumberName_7[745:759],
 	_NumberName_7[759:778],
 	_NumberName_7[778:799],
+	_NumberName_7[799:812],
 }
 
 // NumberString retrieves an enum value from the enum constants string name.
--- a/core/event/work.go
+++ b/core/event/work.go
@@ -56,6 +56,7 @@
 	WorkDutyKept
 	WorkerEndsMissing
 	WorkerEndsUncertain
+	WorkerFenced
 )
 
 var workEntries = []CatalogueEntry{
@@ -113,4 +114,5 @@
 	{WorkDutyKept, "work", "An entry host that gets no answers of the store goes on deciding about a pool, because the store is silent to all members that could take the duty; the line says how many were asked."},
 	{WorkerEndsMissing, "work", "The numbers of the ends that a worker lists leave a gap: it has forgotten ends that it never listed to this holder, and their tasks may be started again."},
 	{WorkerEndsUncertain, "work", "A restarted worker may forget ends before it lists them, because calls to its earlier incarnations may have acknowledged them; it gets only starts with a short lease until it has listed an end, which a second line tells."},
+	{WorkerFenced, "work", "A silent worker was called until one of its incarnations answered, or until no start order without an answer could be carried out any more, so that a new incarnation refuses such orders. The detail has the number of calls and what ended them."},
 }
--- a/core/work/incarnations.go
+++ b/core/work/incarnations.go
@@ -30,6 +30,7 @@
 	for _, w := range slices.Clone(s.sortedWorkers) {
 		if !w.listed && w.isEmpty() {
 			s.recordSilentEnd(w, now)
+			s.keepEarlierStarts(w, now)
 			s.removeWorker(w)
 			removed = append(removed, w.Incarnation)
 		}
@@ -106,7 +107,7 @@
 // order, or may still do so, the run becomes an uncertain run of that one instead. Answers to orders don't tell which
 // incarnation gave them; reports do.
 func (s *Scheduler) endOrTransferRun(r *run, next *worker, now time.Time) {
-	if r.phase == phaseStarting || r.phase == phaseUncertain || r.lastReported.IsZero() || s.lateStarts.mayCome(r.id, now) {
+	if r.phase == phaseStarting || r.phase == phaseUncertain || r.lastReported.IsZero() || s.lateStarts.mayCome(r.worker.Incarnation.Worker, r.id, now) {
 		s.detachRun(r)
 		r.worker = next
 		r.phase = phaseUncertain
--- a/core/work/order.go
+++ b/core/work/order.go
@@ -47,7 +47,7 @@
 	OutcomeUnknown
 	// OutcomeNotSent means that the order never reached the worker.
 	OutcomeNotSent
-	// OutcomeFenced means that the worker has seen a higher epoch.
+	// OutcomeFenced means that the worker has seen a higher fencing token.
 	OutcomeFenced
 	// OutcomeOld means that a start was refused because a later attempt has ended on the worker.
 	OutcomeOld
@@ -218,6 +218,7 @@
 			r.startRepeats++
 			w.startsInFlight++
 			s.startsInFlight++
+			r.startOrder.Endpoint = w.endpoint()
 			orders = append(orders, r.startOrder)
 		}
 	}
@@ -239,6 +240,7 @@
 	if w == nil {
 		return
 	}
+	w.ended = true
 	if !s.HasLaterIncarnation(inc) {
 		delete(s.unresolved, inc)
 	}
--- a/core/work/report.go
+++ b/core/work/report.go
@@ -113,6 +113,9 @@
 	if len(w.runs) > 0 && now.Sub(w.lastMissAt) < observationAfterMiss {
 		wait = min(wait, observationInterval)
 	}
+	if _, late := s.lateStarts.target(w.Incarnation.Worker, now); late {
+		wait = min(wait, observationInterval) // an incarnation that ends unnoticed may be followed by one that carries it out
+	}
 	if s.trialsWait || w.inTrial(now) {
 		wait = min(wait, trialPollInterval)
 	}
@@ -198,7 +201,7 @@
 		w.clock.latestDeadline = max(w.clock.latestDeadline, clock+s.timing.MaxLease)
 	}
 	w.clock.record(clock, now)
-	w.answered = true
+	w.answered, w.ended = true, false
 	w.consecutiveMisses = 0
 	w.silentSince, w.expired = time.Time{}, nil
 	delete(s.silences, w.Incarnation)
@@ -221,7 +224,7 @@
 	if r == nil {
 		r = s.adoptRun(w, a.Run, now)
 	}
-	s.lateStarts.show(a.Run)
+	s.lateStarts.show(w.Incarnation.Worker, a.Run)
 	s.confirmListed(r)
 	if r.phase == phaseRunning && !r.confirmed {
 		r.confirmed = true
@@ -265,7 +268,7 @@
 
 // recordEnd processes one end. It records which change of the job must be stored before the end is acknowledged.
 func (s *Scheduler) recordEnd(w *worker, e RunEnd, now time.Time) {
-	s.lateStarts.show(e.Run)
+	s.lateStarts.show(w.Incarnation.Worker, e.Run)
 	r := w.runs[e.Run]
 	t := s.findTask(e.Run.Task)
 	if r != nil {
--- a/core/work/result.go
+++ b/core/work/result.go
@@ -22,10 +22,12 @@
 // HandleResult processes the result of an order. It returns false if another process holds the duty now.
 func (s *Scheduler) HandleResult(o Order, res OrderResult, now time.Time) bool {
 	if res.Outcome == OutcomeFenced {
-		if !s.HasLaterIncarnation(o.Incarnation) {
+		switch {
+		case !s.HasSupersededToken(o.Endpoint):
 			return false
+		case s.HasLaterIncarnation(o.Incarnation):
+			res = OrderResult{Outcome: OutcomeGone} // the later incarnation has refused it
 		}
-		res = OrderResult{Outcome: OutcomeGone} // the later incarnation has refused it
 	}
 	if o.Kind == OrderStart {
 		s.startsInFlight--
@@ -33,7 +35,7 @@
 		case OutcomeUnknown:
 			s.lateStarts.add(o, now)
 		case OutcomeOK:
-			s.lateStarts.answered(o.Run)
+			s.lateStarts.answered(o.Incarnation.Worker, o.Run)
 		}
 	}
 	w := s.workers[o.Incarnation]
--- a/core/work/scheduler.go
+++ b/core/work/scheduler.go
@@ -105,8 +105,10 @@
 	groups []*taskGroup
 	// unresolved holds the incarnations on which runs of an earlier holder may exist or have ended unheard of, with the
 	// time at which they were added. earlierRunsEnded is true once all these runs have certainly ended.
-	unresolved          map[Incarnation]time.Time
-	earlierRunsEnded    bool
+	unresolved       map[Incarnation]time.Time
+	earlierRunsEnded bool
+	// takenAt is the time at which the incarnations on the stored roster were added; zero if there were none.
+	takenAt             time.Time
 	jobsAwaitingDueTime int
 	// dirty holds the jobs with changes that are not stored yet.
 	dirty []*job
--- a/core/work/takeover.go
+++ b/core/work/takeover.go
@@ -18,6 +18,7 @@
 func (s *Scheduler) AddUnresolvedIncarnation(inc Incarnation, now time.Time) {
 	s.initialise()
 	s.unresolved[inc] = now
+	s.takenAt = laterTime(s.takenAt, now)
 	s.earlierRunsEnded = false
 	if _, known := s.strays[inc]; !known {
 		s.strays[inc] = strayAcknowledgement{cursor: anyEnd, until: now, rosterOnly: true}
--- a/core/work/worker.go
+++ b/core/work/worker.go
@@ -42,8 +42,9 @@
 type Endpoint struct {
 	Incarnation Incarnation
 	Address     string
-	// Generation counts the earlier incarnations of the worker that the caller knows. It is part of the fencing token.
-	Generation uint8
+	// Generation grows with each incarnation of the worker that the caller knows, and when earlier calls have to be fenced off. It is
+	// part of the fencing token.
+	Generation uint32
 }
 
 // maxClockDrift is the largest fraction by which a worker's monotonic clock may run slower than the local clock,
@@ -148,7 +149,7 @@
 	WorkerInfo
 	clock leaseClock
 	// generation is the Endpoint.Generation of calls to the incarnation.
-	generation uint8
+	generation uint32
 	// listed is true while the directory lists this incarnation.
 	listed bool
 	// answered is true once the worker answered a call with the scheduler's epoch, which fences earlier holders
@@ -193,6 +194,8 @@
 	admitted bool
 	// knownFromStart is true if no earlier holder can have acknowledged ends of this incarnation.
 	knownFromStart bool
+	// ended is true once another process has answered at the worker's address.
+	ended bool
 	// crashRecorded is true once the end of the worker was recorded for the tasks that it ran.
 	crashRecorded bool
 	// expired holds the runs whose leases expired while the worker was listed and did not answer. They count as lost with
--- a/io/runner/directory.go
+++ b/io/runner/directory.go
@@ -47,6 +47,14 @@
 	changeCount uint64
 }
 
+// isInOtherPool reports whether the directory lists the worker in another pool.
+func (d *directoryCache) isInOtherPool(worker, pool string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	w, listed := d.workers[worker]
+	return listed && w.Pool != pool
+}
+
 // followDirectory keeps the cache up to date while this process holds a duty.
 func (m *Manager) followDirectory(ctx context.Context) {
 	var version uint64
--- a/io/runner/fake_test.go
+++ b/io/runner/fake_test.go
@@ -96,9 +96,14 @@
 
 // runFakeSite runs a test in virtual time on the given site.
 func runFakeSite(t *testing.T, site fakeSite, hosts, workers int, test func(*fakeSite)) {
+	t.Helper()
+	withSite(t, &site, hosts, workers, test)
+}
+
+// withSite is runFakeSite for a site that its own fields refer to.
+func withSite(t *testing.T, s *fakeSite, hosts, workers int, test func(*fakeSite)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		s := &site
 		s.t, s.is, s.store = t, is.New(t), newFakeStore()
 		s.workersMu = new(sync.Mutex)
 		s.workers, s.entryHosts, s.callers = make(map[string]*fakeWorker), make(map[string]*fakeHost), new(sync.Map)
--- a/io/runner/holder.go
+++ b/io/runner/holder.go
@@ -43,6 +43,8 @@
 	loaded bool
 	// renewalLoops holds the incarnations with a running renewWorkerLeases goroutine.
 	renewalLoops map[work.Incarnation]bool
+	// fenceLoops holds the workers with a running fenceWorker goroutine.
+	fenceLoops map[string]bool
 	// confirmedRoster holds the incarnations that are known to be on the stored roster and that may get work.
 	// possibleRoster holds those that may be on the stored roster. Incarnations that are being removed, and those of a
 	// failed commit, are in possibleRoster only.
@@ -106,7 +108,7 @@
 	h := &poolHolder{
 		tenure: t, pool: t.name, minReadVersion: t.epoch,
 		scheduler:    &work.Scheduler{Pool: t.name, Epoch: t.epoch, Term: t.term, Timing: t.manager.Timing},
-		renewalLoops: make(map[work.Incarnation]bool), confirmedRoster: make(map[work.Incarnation]bool), possibleRoster: make(map[work.Incarnation]bool), evacuation: newEvacuation(),
+		renewalLoops: make(map[work.Incarnation]bool), fenceLoops: make(map[string]bool), confirmedRoster: make(map[work.Incarnation]bool), possibleRoster: make(map[work.Incarnation]bool), evacuation: newEvacuation(),
 		withProgressRow: make(map[work.JobID]bool), awaitedEnds: make(map[work.JobID]chan struct{}), refusals: make(map[work.JobID]int),
 	}
 	h.scheduler.OnPresumedEnd = h.recordPresumedEnd
@@ -199,6 +201,7 @@
 			h.group.Go(func() { h.renewWorkerLeases(incarnation) })
 		}
 	}
+	h.startFenceLoops(now)
 	h.mu.Unlock()
 	for _, o := range orders {
 		h.group.Go(func() { h.executeOrder(o) })
--- /dev/null
+++ b/io/runner/late_start_unheard_life_test.go
@@ -0,0 +1,92 @@
+package runner_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"siskincross/core/work"
+	"siskincross/io/platform"
+)
+
+// lostStarts leaves the first start order to a worker without an answer, and keeps it to be carried out later.
+type lostStarts struct {
+	mu     sync.Mutex
+	worker string
+	orders []work.Order
+}
+
+// sendOrder is the SendOrder of a site's executors.
+func (l *lostStarts) sendOrder(s *fakeSite) func(context.Context, work.Order) work.OrderResult {
+	return func(ctx context.Context, o work.Order) work.OrderResult {
+		l.mu.Lock()
+		lost := o.Kind == work.OrderStart && o.Incarnation.Worker == l.worker && len(l.orders) == 0
+		if lost {
+			l.orders = append(l.orders, o)
+		}
+		l.mu.Unlock()
+		if lost {
+			<-ctx.Done()
+			return work.OrderResult{Outcome: work.OutcomeUnknown}
+		}
+		return s.sendOrder(ctx, o)
+	}
+}
+
+// carriesOut reports whether the worker carries the kept order out now.
+func (l *lostStarts) carriesOut(s *fakeSite) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s.is.Equal(len(l.orders), 1)
+	result := s.sendOrder(context.Background(), l.orders[0])
+	return result.Outcome == work.OutcomeOK
+}
+
+// TestLateStartOnUnheardLife guards against a task that runs again after its end was acknowledged: its first start order got no answer, the
+// repeated one was carried out, the worker crashed, and its next life carries the first one out before it is listed or called.
+func TestLateStartOnUnheardLife(t *testing.T) {
+	// fencedAfter is the time after the birth of a life at which it refuses orders to former ones: a call that has just been given up,
+	// the pause before the next one, and its way.
+	const fencedAfter = 60 * time.Millisecond
+	for name, c := range map[string]struct {
+		// unlistedAfter is the time after the crash at which the directory drops the worker, and downFor that of the next birth.
+		unlistedAfter, downFor time.Duration
+		// holderKilled is true if the pool's holder is killed a second after the crash.
+		holderKilled bool
+	}{
+		"listed all the while":            {unlistedAfter: 10 * time.Second, downFor: 3 * time.Second},
+		"no longer listed":                {unlistedAfter: 4500 * time.Millisecond, downFor: 6500 * time.Millisecond},
+		"dropped at once":                 {unlistedAfter: 0, downFor: 4 * time.Second},
+		"back soon":                       {unlistedAfter: 10 * time.Second, downFor: 1800 * time.Millisecond},
+		"listed, known to the former one": {unlistedAfter: 10 * time.Second, downFor: 6500 * time.Millisecond, holderKilled: true},
+		"dropped under the next holder":   {unlistedAfter: 5500 * time.Millisecond, downFor: 6500 * time.Millisecond, holderKilled: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			lost := &lostStarts{worker: "w0"}
+			site := fakeSite{}
+			site.executors = platform.Executors{RenewLeases: site.renewLeases, SendOrder: lost.sendOrder(&site)}
+			withSite(t, &site, 3, 1, func(s *fakeSite) {
+				s.is.NoErr(s.submit("e0", "j", 1))
+				s.awaitCompleted("e0", "j", 5*time.Second)
+				time.Sleep(500 * time.Millisecond) // the end is acknowledged
+				w := s.workers["w0"]
+				w.setSilent(true)
+				crashedAt := time.Now()
+				if c.holderKilled {
+					time.Sleep(time.Second)
+					s.kill(s.poolHolder())
+				}
+				if c.unlistedAfter < c.downFor {
+					time.Sleep(time.Until(crashedAt.Add(c.unlistedAfter)))
+					s.silenceWorker("w0")
+				}
+				time.Sleep(time.Until(crashedAt.Add(c.downFor)))
+				w.restart()
+				w.setSilent(false)
+				time.Sleep(fencedAfter)
+				s.is.True(!lost.carriesOut(s)) // the life refuses the order though it is not listed yet
+			})
+		})
+	}
+}
--- a/io/runner/renewals.go
+++ b/io/runner/renewals.go
@@ -124,7 +124,7 @@
 				Detail: fmt.Sprintf("%s: %s, end number %d of the worker", e.Run, e.Reason, e.Number),
 			})
 		}
-	case errors.As(err, &stale) && !h.scheduler.HasLaterIncarnation(incarnation):
+	case errors.As(err, &stale) && !h.scheduler.HasSupersededToken(renewal.Endpoint):
 		h.end(err.Error())
 		return false
 	case errors.As(err, &mismatch):
