--- a/core/work/late_start.go
+++ b/core/work/late_start.go
@@ -62,7 +62,8 @@
 func (l *lateStarts) dropOld(now time.Time) {
 	for worker, runs := range l.byWorker {
 		for run, orders := range runs {
-			if orders = slices.DeleteFunc(orders, func(late lateStart) bool { return now.Sub(late.until) > lateStartMemory }); len(orders) == 0 {
+			orders = slices.DeleteFunc(orders, func(late lateStart) bool { return now.Sub(late.until) > lateStartMemory })
+			if runs[run] = orders; len(orders) == 0 {
 				delete(runs, run)
 			}
 		}
--- a/core/work/shares.go
+++ b/core/work/shares.go
@@ -105,7 +105,7 @@
 
 // placeByShare starts the tasks of sorted steps. Steps of one class go in the order of share.Queue.
 func (s *Scheduler) placeByShare(groups []*taskGroup, available []*worker, now time.Time) []Order {
-	groups = slices.DeleteFunc(groups, func(g *taskGroup) bool { return countStartable(g.tasks, now) == 0 })
+	groups = slices.DeleteFunc(slices.Clone(groups), func(g *taskGroup) bool { return countStartable(g.tasks, now) == 0 }) // the caller goes on with all of them
 	for _, g := range groups {
 		g.rank = g.precedence()
 		g.begun = g.remainingTasks < len(g.tasks) || slices.ContainsFunc(g.tasks, func(t *task) bool { return len(t.runs) > 0 })
