--- a/core/work/quota.go
+++ b/core/work/quota.go
@@ -9,7 +9,7 @@
 type quotaState struct {
 	// unaccountedRuns holds the adopted runs of which neither the organisation nor the demand is known.
 	unaccountedRuns map[*run]bool
-	// free is the capacity of the available workers that no task which lacks room has counted on in this round.
+	// free is the capacity of the workers that may get tasks or probes which no task that lacks room has counted on in this round.
 	free Resources
 	// holds holds the organisations of which a gang has waited long for room. Steps after the gang get none in this round.
 	holds map[string]bool
@@ -84,6 +84,11 @@
 	for _, w := range available {
 		s.quotas.free = s.quotas.free.Add(w.freeResources().Max(Resources{}))
 	}
+	for _, w := range s.sortedWorkers {
+		if s.probesFor(w, now) > 0 {
+			s.quotas.free = s.quotas.free.Add(w.freeResources().Max(Resources{}))
+		}
+	}
 }
 
 // adoptQuota charges the organisation of an adopted run. A run of a job that is not known stays unaccounted for until
--- a/core/work/worker.go
+++ b/core/work/worker.go
@@ -187,8 +187,10 @@
 	// forgettableEnds is the number of the last end that the incarnation may forget before it lists it, as calls to earlier
 	// incarnations may have acknowledged it there; zero if there is none. forgottenEnds counts those that it has forgotten.
 	forgettableEnds, forgottenEnds uint64
-	// probes counts the probes that were started on the worker, and lateProbes those of them that arrived after the end of their lease.
+	// probes counts the probes that were started on the worker, the last one at probedAt, and lateProbes those of them that arrived after
+	// the end of their lease.
 	probes, lateProbes int
+	probedAt           time.Time
 	// admitted is true once the directory has listed the incarnation to this scheduler, which it does for incarnations on the stored
 	// roster only.
 	admitted bool
