--- a/core/quota/ledger.go
+++ b/core/quota/ledger.go
@@ -31,6 +31,8 @@
 	// nextWriteAt is the earliest time of the next write that a start waits for, and nextTrimAt that of other writes.
 	nextWriteAt, nextTrimAt time.Time
 	nextReadAt              time.Time
+	// roundAt is the time of the last call of BeginRound.
+	roundAt time.Time
 	// writeDue is true if the last call of NextWrite found a write that starts wait for.
 	writeDue bool
 }
@@ -62,9 +64,11 @@
 	unsure *unsureWrite
 	// inherited is the grant of the earlier holder, and adopted the demand of the runs that were taken over from it.
 	inherited, adopted resource.Amount
-	// wanted holds the runs that lacked room in the last round, the most urgent first.
-	wanted []want
-	peak   peak
+	// wanted holds the runs that lacked room in the last round, the most urgent first, and obtainable the demand of those for which the
+	// limit has room.
+	wanted     []want
+	obtainable resource.Amount
+	peak       peak
 	// atLimit is true while wanted runs don't fit within the limit.
 	atLimit bool
 }
@@ -168,18 +172,40 @@
 
 // BeginRound forgets the runs that lacked room in the last round.
 func (l *Ledger) BeginRound(now time.Time) {
+	l.roundAt = now
 	for _, a := range l.accounts {
 		a.enforce(now)
-		a.wanted = a.wanted[:0]
+		a.wanted, a.obtainable = a.wanted[:0], resource.Amount{}
 	}
 }
 
-// Want records that runs lack room, in the order of their urgency.
-func (l *Ledger) Want(organisation string, demand resource.Amount, count int) {
+// Want records that runs lack room, in the order of their urgency. It returns for how many of them the limit has room, as far as is known
+// of the other pools.
+func (l *Ledger) Want(organisation string, demand resource.Amount, count int) int {
 	a := l.accounts[organisation]
-	if a != nil && a.bound {
-		a.wanted = append(a.wanted, want{demand.LimitedBy(a.limit), count})
+	if a == nil || !a.bound {
+		return 0
 	}
+	demand = demand.LimitedBy(a.limit)
+	a.wanted = append(a.wanted, want{demand, count})
+	if a.exceedsLimit() {
+		return 0
+	}
+	floor := l.floor(a)
+	n := min(count, unitsWithin(l.ceiling(a, floor, l.roundAt).Sub(floor).Sub(a.obtainable), demand))
+	a.obtainable = a.obtainable.Add(demand.Times(n))
+	return n
+}
+
+// FitsBeside reports whether a demand fits within the limit of the organisation beside what other pools have been granted and what is
+// lasting in this one.
+func (l *Ledger) FitsBeside(organisation string, demand, lasting resource.Amount) bool {
+	a := l.accounts[organisation]
+	if a == nil || !a.bound {
+		return true
+	}
+	others := a.total.Sub(a.own.Granted)
+	return coversPositive(a.limit.Sub(others).Sub(lasting), demand.LimitedBy(a.limit))
 }
 
 // Superseded reports whether a later holder of the pool has written to the store.
--- a/core/work/quota.go
+++ b/core/work/quota.go
@@ -9,8 +9,9 @@
 type quotaState struct {
 	// unaccountedRuns holds the adopted runs of which neither the organisation nor the demand is known.
 	unaccountedRuns map[*run]bool
-	// free is the capacity of the workers that may get tasks or probes which no task that lacks room has counted on in this round.
-	free Resources
+	// rooms holds what the workers that may get tasks or probes have free, without what tasks that wait for their organisation's grant
+	// have counted on in this round.
+	rooms []workerRoom
 	// holds holds the organisations of which a gang has waited long for room. Steps after the gang get none in this round.
 	holds map[string]bool
 	// arrivals holds, by organisation, the arrivals that its limit lets count.
@@ -37,29 +38,62 @@
 	return !s.quotas.holds[u.organisation] && s.Quota.Fits(u.organisation, u.demand.Times(count))
 }
 
-// wantQuota records that tasks of a step lack room in their organisation's grant: as many units of this demand as the
-// workers have room for. Room that the pool can't use would be missing in another pool.
+// workerRoom is what a worker has free.
+type workerRoom struct {
+	*worker
+	free Resources
+}
+
+// fits reports whether a task of the step could run there, given a decision of the policy service if that is still to be asked.
+func (r *workerRoom) fits(g *taskGroup) bool {
+	spec := g.spec()
+	decision, decided := g.approvals[r.Incarnation]
+	return r.free.Covers(spec.reservedResources()) && r.hasLabel(spec.RequiredLabel) && !(decided && decision.isDenied())
+}
+
+// wantQuota records that tasks of a step lack room in their organisation's grant: as many units of this demand, each a task or a whole
+// gang, as workers have room for. Room that the pool can't use would be missing in another pool. What the organisation's limit can't
+// give stays free for others.
 func (s *Scheduler) wantQuota(g *taskGroup, demand Resources, count int) {
-	reserved := g.spec().reservedResources()
+	tasks := 1
 	if g.spec().Gang {
-		reserved = reserved.Times(len(g.tasks))
+		tasks = len(g.tasks)
+	}
+	taken := s.takeRooms(g, tasks, count)
+	units := len(taken) / tasks
+	if units == 0 {
+		return
 	}
-	free := s.quotas.free
-	for n := range count {
-		if !free.Covers(reserved) {
-			count = n
-			break
+	for _, i := range taken[tasks*s.Quota.Want(g.job.Organisation, demand, units):] {
+		s.quotas.rooms[i].free = s.quotas.rooms[i].free.Add(g.spec().reservedResources())
+	}
+}
+
+// takeRooms takes the room of up to count units of that many tasks of a step each, and returns where it was, task by task. A part of a
+// unit takes none.
+func (s *Scheduler) takeRooms(g *taskGroup, tasks, count int) []int {
+	spec := g.spec()
+	var taken []int
+	for i, onWorker := 0, 0; i < len(s.quotas.rooms) && len(taken) < tasks*count; {
+		room := &s.quotas.rooms[i]
+		spread := spec.SpreadLimit > 0 && g.runsOn(room.worker)+onWorker >= spec.SpreadLimit
+		if spread || !room.fits(g) {
+			i, onWorker = i+1, 0
+			continue
 		}
-		free = free.Sub(reserved)
+		room.free = room.free.Sub(spec.reservedResources())
+		taken = append(taken, i)
+		onWorker++
 	}
-	s.quotas.free = free
-	if count > 0 {
-		s.Quota.Want(g.job.Organisation, demand, count)
+	whole := len(taken) - len(taken)%tasks
+	for _, i := range taken[whole:] {
+		s.quotas.rooms[i].free = s.quotas.rooms[i].free.Add(spec.reservedResources())
 	}
+	return taken[:whole]
 }
 
 // gangQuotaPatience is the time for which a gang waits for room before less urgent steps of its organisation get none. They
-// would take each bit of room that is given back.
+// would take each bit of room that is given back. A gang that can't fit beside tasks that don't end holds up none.
 const gangQuotaPatience = time.Second
 
 // awaitQuotaForGang records that a gang lacks room for all its tasks.
@@ -67,10 +101,24 @@
 	if g.lacksQuotaSince.IsZero() {
 		g.lacksQuotaSince = now
 	}
-	if now.Sub(g.lacksQuotaSince) >= gangQuotaPatience {
+	demand := g.spec().Demand.Times(len(g.tasks))
+	if now.Sub(g.lacksQuotaSince) >= gangQuotaPatience && s.Quota.FitsBeside(g.job.Organisation, demand, s.lastingUsage(g.job.Organisation)) {
 		s.quotas.holds[g.job.Organisation] = true
 	}
-	s.wantQuota(g, g.spec().Demand.Times(len(g.tasks)), 1)
+	s.wantQuota(g, demand, 1)
+}
+
+// lastingUsage returns what the long-running tasks of an organisation count towards its limit in the pool. They don't end to make room.
+func (s *Scheduler) lastingUsage(organisation string) Resources {
+	var sum Resources
+	for _, w := range s.sortedWorkers {
+		for _, r := range w.runs {
+			if r.usage.organisation == organisation && r.task != nil && r.task.group.spec().LongRunning {
+				sum = sum.Add(r.usage.demand)
+			}
+		}
+	}
+	return sum
 }
 
 // beginQuotaRound prepares the ledger for the starts of a round.
@@ -80,13 +128,13 @@
 	}
 	s.Quota.BeginRound(now)
 	clear(s.quotas.holds)
-	s.quotas.free = Resources{}
+	s.quotas.rooms = s.quotas.rooms[:0]
 	for _, w := range available {
-		s.quotas.free = s.quotas.free.Add(w.freeResources().Max(Resources{}))
+		s.quotas.rooms = append(s.quotas.rooms, workerRoom{w, w.freeResources().Max(Resources{})})
 	}
 	for _, w := range s.sortedWorkers {
 		if s.probesFor(w, now) > 0 {
-			s.quotas.free = s.quotas.free.Add(w.freeResources().Max(Resources{}))
+			s.quotas.rooms = append(s.quotas.rooms, workerRoom{w, w.freeResources().Max(Resources{})})
 		}
 	}
 }
