--- a/core/duty/member.go
+++ b/core/duty/member.go
@@ -29,6 +29,9 @@
 	// InProgress counts the requests of the member that are in progress on hosts missing from all versions in
 	// RouteVersions.
 	InProgress map[host.ID]int `json:"busy,omitempty"`
+	// Waiting names the organisations of which tasks wait in pools that the member holds, because other pools have been granted too much
+	// of their limit.
+	Waiting []string `json:"waiting,omitempty"`
 }
 
 // MemberRow is a member row as read by one poll.
--- a/core/quota/learn.go
+++ b/core/quota/learn.go
@@ -64,7 +64,7 @@
 			l.accounts[r.Organisation].unverified = false
 		}
 	}
-	l.nextWriteAt = time.Time{}
+	l.nextWriteAt, l.nextTrimAt = time.Time{}, time.Time{}
 }
 
 // Confirm records that a write is stored with this version.
--- a/core/quota/ledger.go
+++ b/core/quota/ledger.go
@@ -69,8 +69,11 @@
 	wanted     []want
 	obtainable resource.Amount
 	peak       peak
-	// atLimit is true while wanted runs don't fit within the limit.
-	atLimit bool
+	// atLimit is true while wanted runs don't fit within the limit, which began at atLimitSince.
+	atLimit      bool
+	atLimitSince time.Time
+	// awaited is true while another pool has runs of the organisation waiting that don't fit within the limit.
+	awaited bool
 }
 
 // unsureWrite is a write without an answer. It can take effect only while the row has the version.
@@ -211,6 +214,33 @@
 // Superseded reports whether a later holder of the pool has written to the store.
 func (l *Ledger) Superseded() bool { return l.superseded }
 
+// waitingAfter is the time for which runs lack room before other pools are to keep none idle. Most waits end sooner, as runs end.
+const waitingAfter = 300 * time.Millisecond
+
+// Waiting returns the organisations of which runs have waited for a while that don't fit within the limit beside what other pools have been
+// granted, with the time since which they have.
+func (l *Ledger) Waiting(now time.Time) map[string]time.Time {
+	waiting := make(map[string]time.Time)
+	for name, a := range l.accounts {
+		if a.bound && a.atLimit && now.Sub(a.atLimitSince) >= waitingAfter {
+			waiting[name] = a.atLimitSince
+		}
+	}
+	return waiting
+}
+
+// SetAwaited sets the organisations of which runs wait in any pool. Of these no room is kept idle.
+func (l *Ledger) SetAwaited(organisations []string) {
+	for _, a := range l.accounts {
+		a.awaited = false
+	}
+	for _, name := range organisations {
+		if a := l.accounts[name]; a != nil {
+			a.awaited = true
+		}
+	}
+}
+
 // SetUnresolved sets whether there may be runs of an earlier holder that no organisation is charged for.
 func (l *Ledger) SetUnresolved(unresolved bool) {
 	if l.unresolved && !unresolved {
--- a/core/quota/load_test.go
+++ b/core/quota/load_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -26,6 +28,9 @@
 	// calls counts the calls of the store, and waits the rounds in which a task of an organisation under half of its
 	// limit lacked room.
 	calls, conflicts, tasks, waits int
+	// announced holds the organisations that waited for room of other pools at announcedAt, which holders learn announcementDelay later.
+	announced   []string
+	announcedAt time.Time
 }
 
 // loadPool is a pool with a holder that is never replaced.
@@ -42,6 +47,8 @@
 type loadTask struct {
 	organisation string
 	demand       resource.Amount
+	// lasting is true for a task that doesn't end.
+	lasting bool
 }
 
 const (
@@ -49,6 +56,10 @@
 	loadTurn  = 4500 * time.Millisecond
 	// loadLatency is the time from a call to its answer.
 	loadLatency = 10 * time.Millisecond
+	// announcementInterval is the time between two announcements of waiting organisations, and announcementDelay that until all holders
+	// know of one.
+	announcementInterval = 700 * time.Millisecond
+	announcementDelay    = 450 * time.Millisecond
 )
 
 func newLoadSite(organisations, pools int) *loadSite {
@@ -69,6 +80,7 @@
 // step runs one round of each pool. Each organisation submits jobs of eight tasks in proportion to its limit.
 func (s *loadSite) step() {
 	s.now = s.now.Add(loadRound)
+	s.announce()
 	turn := int(s.now.Sub(time.Unix(0, 0))/loadTurn) % len(s.pools)
 	for i, p := range s.pools {
 		rate := 0.05
@@ -79,7 +91,7 @@
 			perSecond := rate * float64(o.Limit.MilliCores) / float64(8*3000*5*len(s.pools))
 			if s.random.Float64() < perSecond*loadRound.Seconds() {
 				for range 8 {
-					p.waiting = append(p.waiting, loadTask{o.Name, cores(3000)})
+					p.waiting = append(p.waiting, loadTask{organisation: o.Name, demand: cores(3000)})
 				}
 			}
 		}
@@ -87,6 +99,23 @@
 	}
 }
 
+// announce tells all holders which organisations waited a while ago.
+func (s *loadSite) announce() {
+	if since := s.now.Sub(s.announcedAt); since == announcementDelay {
+		for _, p := range s.pools {
+			p.ledger.SetAwaited(s.announced)
+		}
+	} else if since < announcementInterval {
+		return
+	}
+	if s.now.Sub(s.announcedAt) >= announcementInterval {
+		s.announced, s.announcedAt = nil, s.now
+		for _, p := range s.pools {
+			s.announced = slices.AppendSeq(s.announced, maps.Keys(p.ledger.Waiting(s.now)))
+		}
+	}
+}
+
 // round starts the tasks that fit and makes the calls that are due.
 func (s *loadSite) round(p *loadPool) {
 	for _, t := range p.ends[s.now] {
@@ -103,6 +132,9 @@
 		}
 		p.ledger.Acquire(t.organisation, t.demand)
 		s.tasks++
+		if t.lasting {
+			continue
+		}
 		end := s.now.Add(time.Duration(20+s.random.IntN(90)) * loadRound)
 		p.ends[end] = append(p.ends[end], t)
 	}
--- a/core/quota/writes.go
+++ b/core/quota/writes.go
@@ -155,6 +155,12 @@
 // adjust returns the grant that covers the need, with some room for what is to come, and how soon it has to be written.
 func (l *Ledger) adjust(a *account, need, ceiling resource.Amount) (resource.Amount, urgency) {
 	stored := a.own.Granted
+	if a.awaited && a.granted.Covers(need) {
+		if stored != need {
+			return stored.Min(need), dueTrim
+		}
+		return stored, notDue
+	}
 	keep := a.peak.highest()
 	slack := resource.Amount{}
 	if keep != (resource.Amount{}) {
@@ -190,12 +196,16 @@
 func (l *Ledger) claimable(a *account, floor resource.Amount, now time.Time) resource.Amount {
 	ceiling := l.ceiling(a, floor, now)
 	need := floor
+	before := a.atLimit
 	a.atLimit = a.exceedsLimit() && len(a.wanted) > 0
 	for _, w := range a.wanted {
 		n := min(w.count, unitsWithin(ceiling.Sub(need), w.demand))
 		need = need.Add(w.demand.Times(n))
 		a.atLimit = a.atLimit || n < w.count
 	}
+	if a.atLimit && !before {
+		a.atLimitSince = now
+	}
 	return need
 }
 
--- a/core/work/quota.go
+++ b/core/work/quota.go
@@ -48,7 +48,7 @@
 func (r *workerRoom) fits(g *taskGroup) bool {
 	spec := g.spec()
 	decision, decided := g.approvals[r.Incarnation]
-	return r.free.Covers(spec.reservedResources()) && r.hasLabel(spec.RequiredLabel) && !(decided && decision.isDenied())
+	return r.free.Covers(spec.reservedResources()) && r.hasLabel(spec.RequiredLabel) && (!decided || !decision.isDenied())
 }
 
 // wantQuota records that tasks of a step lack room in their organisation's grant: as many units of this demand, each a task or a whole
--- a/io/runner/grants.go
+++ b/io/runner/grants.go
@@ -63,6 +63,8 @@
 	atLimit    map[string]limitWait
 	reportedAt time.Time
 	checkedAt  time.Time
+	// awaitedAt is when the ledger was last told which organisations wait in other pools.
+	awaitedAt time.Time
 }
 
 // limitsInterval is the maximum time between two updates of the limits. Workers that are no longer listed count for a
@@ -107,6 +109,10 @@
 	defer h.mu.Unlock()
 	h.recordQuotaWaits(now)
 	ledger := &h.scheduler.Quota
+	if h.grants.catalogueVersion > 0 && now.Sub(h.grants.awaitedAt) >= awaitedInterval {
+		h.grants.awaitedAt = now
+		ledger.SetAwaited(h.manager.awaitedOrganisations())
+	}
 	if h.grants.callInFlight || now.Before(h.grants.retryAt) {
 		return
 	}
--- a/io/runner/members.go
+++ b/io/runner/members.go
@@ -106,6 +106,7 @@
 	row := duty.Member{
 		Name: m.MemberName, Zone: m.Zone, Address: m.Peers.Address, Heartbeats: count, RowVersions: m.heldEpochs(),
 		Capacity: duty.Capacity{MilliCores: m.MilliCores, LinkMbps: m.LinkMbps, MemoryMB: m.MemoryMB},
+		Waiting:  m.waitingOrganisations(time.Now()),
 	}
 	return m.commitMember(ctx, platform.RowTransaction{Writes: []platform.RowWrite{{RowKey: m.memberKey(m.MemberName), Value: encodeRow(row)}}})
 }
