--- a/core/work/held_up_orders_test.go
+++ b/core/work/held_up_orders_test.go
@@ -24,6 +24,7 @@
 		}
 		started = orders[0]
 		f.answerOrder(started, work.OutcomeUnknown)
+		f.answerRenewal(started.Incarnation.Worker, work.Report{}) // the order is carried out after it
 	}
 	worker := started.Incarnation.Worker
 	f.answerRenewal(worker, runningReport([]work.Order{started}, worker))
@@ -57,6 +58,76 @@
 	f.is.Equal(len(unanswered), 2)
 }
 
+// TestUnansweredStartStopWaitsForReport guards against the same while all others are at work, and against a task that waits for good for
+// the stop of a run that its worker doesn't have.
+func TestUnansweredStartStopWaitsForReport(t *testing.T) {
+	// unanswered returns a pool of which worker "a" left a start and its repetition without an answer.
+	unanswered := func(t *testing.T, j work.Job) (*fixture, work.Order) {
+		f := newFixture(t)
+		f.scheduler.UpdateWorkers([]work.WorkerInfo{workerInfo("a")}, f.now)
+		f.answerRenewal("a", work.Report{})
+		f.scheduler.AddJob(j, work.Progress{}, 11, false, f.now)
+		var order work.Order
+		for range 2 {
+			orders := f.scheduler.Schedule(f.now, f.now)
+			f.is.Equal(len(orders), 1)
+			order = orders[0]
+			f.answerOrder(order, work.OutcomeUnknown)
+		}
+		return f, order
+	}
+	lasting := newLongRunningJob("j", 1)
+	t.Run("no stop while the worker answers no renewal", func(t *testing.T) {
+		f, _ := unanswered(t, lasting)
+		for range 20 {
+			f.is.Equal(len(f.scheduleStops()), 0)
+			f.now = f.now.Add(200 * time.Millisecond)
+			f.scheduler.HandleMissedRenewal(incarnation("a"), f.now)
+		}
+	})
+	t.Run("nor after the answer to a renewal that was sent before", func(t *testing.T) {
+		f := newFixture(t)
+		f.answerRenewal("a", work.Report{})
+		f.scheduler.UpdateWorkers([]work.WorkerInfo{workerInfo("a")}, f.now)
+		f.scheduler.AddJob(lasting, work.Progress{}, 11, false, f.now)
+		renewal, ok := f.scheduler.PrepareRenewal(incarnation("a"), time.Second, f.now)
+		f.is.True(ok)
+		for range 2 {
+			f.now = f.now.Add(200 * time.Millisecond)
+			f.answerOrder(f.scheduler.Schedule(f.now, f.now)[0], work.OutcomeUnknown)
+		}
+		f.scheduler.HandleReport(incarnation("a"), renewal.Sequence, work.Report{WorkerClock: f.now.Sub(start) + time.Second}, f.now)
+		f.is.Equal(len(f.scheduleStops()), 0)
+	})
+	t.Run("a stop once a report lacks the run, and again after a report that follows its loss", func(t *testing.T) {
+		f, _ := unanswered(t, lasting)
+		f.answerRenewal("a", work.Report{})
+		stops := f.scheduleStops()
+		f.is.Equal(len(stops), 1)
+		f.answerOrder(stops[0], work.OutcomeUnknown)
+		f.now = f.now.Add(time.Second)
+		f.is.Equal(len(f.scheduleStops()), 0)
+		f.answerRenewal("a", work.Report{})
+		f.is.Equal(len(f.scheduleStops()), 1)
+	})
+	t.Run("the task starts again once the leases are over", func(t *testing.T) {
+		f, first := unanswered(t, lasting)
+		f.scheduler.HandleMissedRenewal(incarnation("a"), f.now)
+		f.now = f.now.Add(longestLease)
+		f.scheduler.SetHeldUntil(f.now)
+		f.scheduler.UpdateWorkers([]work.WorkerInfo{workerInfo("b")}, f.now)
+		f.answerRenewal("b", work.Report{})
+		orders := f.scheduler.Schedule(f.now, f.now)
+		f.is.Equal(len(orders), 1)
+		f.is.Equal(orders[0].Kind, work.OrderStart)
+		f.is.Equal(orders[0].Run.Task, first.Run.Task)
+	})
+	t.Run("a task that ends by itself is stopped at once", func(t *testing.T) {
+		f, _ := unanswered(t, chainJob("j", 1))
+		f.is.Equal(len(f.scheduleStops()), 1)
+	})
+}
+
 // TestStartHeldUp guards against tasks that begin after their job was cancelled, or on a worker that is about to leave, by a
 // start order that a paused or slow entry host sends long after its decision.
 func TestStartHeldUp(t *testing.T) {
--- a/core/work/incarnations.go
+++ b/core/work/incarnations.go
@@ -111,6 +111,7 @@
 		s.detachRun(r)
 		r.worker = next
 		r.phase = phaseUncertain
+		r.unansweredSequence = s.sequence
 		r.confirmed, r.begun = false, false
 		r.stopInFlight = false
 		r.repeatStart = false
--- a/core/work/order.go
+++ b/core/work/order.go
@@ -139,6 +139,9 @@
 		if r.stopInFlight || r.phase == phaseStopping || r.phase == phaseStarting || now.Before(r.stopRetryAt) {
 			continue
 		}
+		if s.runsToStop[r] == stopUnanswered && !s.isStopOfUnansweredDue(r) {
+			continue
+		}
 		r.stopInFlight = true
 		r.stopsSent++
 		orders = append(orders, Order{Kind: OrderStop, Endpoint: r.worker.endpoint(), Epoch: s.Epoch, Run: r.id, Reason: r.describeStop()})
--- a/core/work/report.go
+++ b/core/work/report.go
@@ -162,7 +162,7 @@
 	answeredAt := w.latestAnswerTime(report.WorkerClock, now)
 	w.clock.readAt = answeredAt
 	if sequence == w.renewalSequence {
-		w.answeredRenewalAt = w.renewedAt
+		w.answeredRenewalAt, w.answeredSequence = w.renewedAt, sequence
 		w.clock.confirm(w.renewalDeadline)
 		w.clock.recordReport(report.WorkerClock, w.renewedAt)
 		s.observeMissedAcknowledgement(w, report)
--- a/core/work/result.go
+++ b/core/work/result.go
@@ -116,6 +116,7 @@
 			r.task.group.job.started = true
 		}
 	case res.Outcome == OutcomeUnknown:
+		r.unansweredSequence = s.sequence
 		if r.startRepeats < maxStartRepeats && r.phase == phaseStarting {
 			r.repeatStart = true
 			s.startsToRepeat++
@@ -160,6 +161,7 @@
 	if res.Outcome != OutcomeOK {
 		if res.Outcome == OutcomeUnknown {
 			r.stopUnansweredAt = now
+			r.unansweredSequence = s.sequence
 		}
 		s.withdrawMove(r)
 		return
--- a/core/work/run.go
+++ b/core/work/run.go
@@ -46,6 +46,9 @@
 	startOrder   Order
 	repeatStart  bool
 	startRepeats int
+	// unansweredSequence is the scheduler's sequence number when the last start or stop order without an answer was given up, or when the
+	// run passed to this incarnation of its worker; zero if there is none. Renewals that were sent later have higher ones.
+	unansweredSequence uint64
 	// stopReason states the figures behind a stop of a task that is still wanted, for the log; empty otherwise.
 	// stopsSent counts the stop orders.
 	stopReason string
--- a/core/work/stop.go
+++ b/core/work/stop.go
@@ -11,7 +11,8 @@
 const (
 	// stopUnneeded means that the run must end, whatever its worker reports.
 	stopUnneeded stopCause = iota + 1
-	// stopUnanswered means that the run's start order got no answer. A report that lists the run withdraws the stop.
+	// stopUnanswered means that the run's start order got no answer. A report that lists the run withdraws the stop; that of a
+	// long-running task waits for a report that doesn't.
 	stopUnanswered
 	// stopForMove means that the task is to run on another worker. It holds for one order: whether the step can do without
 	// the task is asked again before the next one.
@@ -83,8 +84,12 @@
 // confirmStop is ConfirmOrder for a stop order.
 func (s *Scheduler) confirmStop(r *run, now time.Time) bool {
 	switch s.runsToStop[r] {
-	case stopUnneeded, stopUnanswered:
+	case stopUnneeded:
 		return true
+	case stopUnanswered:
+		if s.isStopOfUnansweredDue(r) {
+			return true
+		}
 	case stopForMove:
 		if s.isMoveTolerated(r, now) {
 			return true
@@ -95,6 +100,15 @@
 	return false
 }
 
+// isStopOfUnansweredDue reports whether a run may be stopped because its start order got no answer. A long-running task may be at work
+// until a report that was asked for since doesn't list it. A worker that answers no renewal would hardly answer the stop.
+func (s *Scheduler) isStopOfUnansweredDue(r *run) bool {
+	if r.task == nil || !r.task.group.spec().LongRunning {
+		return true
+	}
+	return r.worker.answeredSequence > r.unansweredSequence
+}
+
 // isMoveTolerated reports whether the task that the run belongs to may still be stopped in order to run on another worker: the
 // worker is to become empty and the step tolerates the loss, or the task stands still.
 func (s *Scheduler) isMoveTolerated(r *run, now time.Time) bool {
--- a/core/work/worker.go
+++ b/core/work/worker.go
@@ -165,7 +165,9 @@
 	renewalDeadline time.Duration
 	// answeredRenewalAt is the time of the last renewal that the worker has answered with a report.
 	answeredRenewalAt time.Time
-	runs              map[RunID]*run
+	// answeredSequence is the sequence number of that renewal.
+	answeredSequence uint64
+	runs             map[RunID]*run
 	// reserved is what runs take, including runs that are being stopped. It exceeds Capacity if that has shrunk.
 	reserved Resources
 	// unknownDemands counts the runs whose demand is not known, which reserved lacks.
