--- a/core/quota/writes.go
+++ b/core/quota/writes.go
@@ -155,15 +155,11 @@
 // adjust returns the grant that covers the need, with some room for what is to come, and how soon it has to be written.
 func (l *Ledger) adjust(a *account, need, ceiling resource.Amount) (resource.Amount, urgency) {
 	stored := a.own.Granted
-	if a.awaited && a.granted.Covers(need) {
-		if stored != need {
-			return stored.Min(need), dueTrim
-		}
-		return stored, notDue
-	}
-	keep := a.peak.highest()
-	slack := resource.Amount{}
-	if keep != (resource.Amount{}) {
+	keep, slack := a.peak.highest(), resource.Amount{}
+	switch {
+	case a.awaited:
+		keep = need
+	case keep != (resource.Amount{}):
 		slack = a.limit.DividedBy(slackDivisor * max(minSlackShares, len(a.stored.Row)))
 	}
 	// Other pools find at least half of the free room.
--- a/io/runner/fence.go
+++ b/io/runner/fence.go
@@ -15,8 +15,10 @@
 	// fenceInterval is the time between two calls that fence a silent worker. A new incarnation may carry out orders to a former one
 	// for that long, and for the time that a call takes to reach it.
 	fenceInterval = 20 * time.Millisecond
-	// fenceTimeout bounds the wait for the answer to such a call. The call takes effect without its answer.
-	fenceTimeout = 30 * time.Millisecond
+	// fenceShare is what each fenced worker of the pool adds to that time, if that is more: it bounds the rate of these calls.
+	fenceShare = 2500 * time.Microsecond
+	// maxFenceCalls is the number of calls that fence a worker and wait for an answer at the same time.
+	maxFenceCalls = 10
 )
 
 // startFenceLoops calls the workers that have to be fenced. The caller holds the lock.
@@ -30,58 +32,99 @@
 }
 
 // fenceWorker calls a silent worker at short intervals until one of its incarnations answers or no order has to be fenced off any more.
+// Calls overlap, so that the intervals don't depend on how long an answer is waited for.
 func (h *poolHolder) fenceWorker(worker string) {
-	began, calls, ended := time.Now(), 0, "no order has to be fenced off any more"
+	began, calls, waiting := time.Now(), 0, 0
+	ctx, cancel := context.WithCancel(h.ctx)
+	answers := make(chan string, maxFenceCalls)
+	ended := "nothing has to be fenced off any more"
 	defer func() {
+		cancel()
+		for ; waiting > 0; waiting-- {
+			<-answers
+		}
 		h.mu.Lock()
 		delete(h.fenceLoops, worker)
 		h.mu.Unlock()
 		h.manager.record(event.Event{Number: event.WorkerFenced, Pool: h.pool, Host: worker, Detail: fmt.Sprintf(
 			"%d calls in %s, ended as %s", calls, time.Since(began).Round(time.Millisecond), ended)})
 	}()
-	for h.ctx.Err() == nil {
-		h.mu.Lock()
-		renewal, ok := h.scheduler.PrepareFence(worker, time.Now())
-		h.mu.Unlock()
+	for ctx.Err() == nil {
+		renewal, pause, ok := h.prepareFence(worker)
 		if !ok {
 			return
 		}
-		if h.manager.workers.isInOtherPool(worker, h.pool) {
-			ended = "another pool lists the worker"
-			return
+		if waiting < maxFenceCalls {
+			waiting++
+			calls++
+			go func() { answers <- h.callFence(ctx, renewal) }()
 		}
-		calls++
-		ctx, cancel := context.WithTimeout(h.ctx, fenceTimeout)
-		report, err := h.manager.Executors.RenewLeases(ctx, renewal)
-		cancel()
-		if ended, ok = h.applyFenceAnswer(renewal, report, err); ok || !sleep(h.ctx, fenceInterval) {
-			return
+		next := time.After(pause)
+		for paused := false; !paused; {
+			select {
+			case answer := <-answers:
+				waiting--
+				if answer != "" {
+					ended = answer
+					return
+				}
+			case <-next:
+				paused = true
+			case <-ctx.Done():
+				ended = "the duty ends"
+				return
+			}
 		}
 	}
 }
 
-// applyFenceAnswer passes the result of a call that fences a worker to the scheduler. It returns false if no incarnation has answered.
-func (h *poolHolder) applyFenceAnswer(renewal work.Renewal, report work.Report, err error) (answer string, answered bool) {
+// prepareFence returns the next call that fences a worker and the pause after it, and false if none is needed any more.
+func (h *poolHolder) prepareFence(worker string) (work.Renewal, time.Duration, bool) {
+	if h.manager.workers.isInOtherPool(worker, h.pool) {
+		return work.Renewal{}, 0, false
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	renewal, ok := h.scheduler.PrepareFence(worker, time.Now())
+	return renewal, max(fenceInterval, fenceShare*time.Duration(len(h.fenceLoops))), ok
+}
+
+// callFence makes a call that fences a worker and passes its result to the scheduler. It returns what has answered, and nothing if that
+// was no incarnation that the call is meant for.
+func (h *poolHolder) callFence(ctx context.Context, renewal work.Renewal) string {
+	ctx, cancel := context.WithTimeout(ctx, h.manager.workerLatency.timeout())
+	defer cancel()
+	clock, err := h.manager.fence(ctx, renewal)
 	var stale platform.ErrStaleEpoch
 	var mismatch platform.ErrWrongIncarnation
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	switch {
+	case h.ctx.Err() != nil:
 	case err == nil:
-		h.scheduler.HandleFenceAnswer(renewal.Incarnation, report.WorkerClock, time.Now())
-		return "the known incarnation answers", true
+		h.scheduler.HandleFenceAnswer(renewal.Incarnation, clock, time.Now())
+		return "the known incarnation answers"
 	case errors.As(err, &stale):
 		if !h.scheduler.HasSupersededToken(renewal.Endpoint) {
 			h.end(err.Error())
 		}
-		return err.Error(), true
+		return err.Error()
 	case errors.As(err, &mismatch) && (mismatch.Actual == 0 || mismatch.Actual > renewal.Incarnation.StartMillis):
 		if mismatch.Actual == 0 {
 			h.scheduler.HandleMisdirectedFence(renewal.Endpoint)
 		}
 		h.applyMismatch(renewal, mismatch)
 		h.wake()
-		return fmt.Sprintf("the answer is of the incarnation started at %d", mismatch.Actual), true
+		return fmt.Sprintf("the answer is of the incarnation started at %d", mismatch.Actual)
+	}
+	return ""
+}
+
+// fence is Executors.Fence.
+func (m *Manager) fence(ctx context.Context, r work.Renewal) (time.Duration, error) {
+	if m.Executors.Fence != nil {
+		return m.Executors.Fence(ctx, r)
 	}
-	return "the duty ends", false
+	report, err := m.Executors.RenewLeases(ctx, r)
+	return report.WorkerClock, err
 }
