--- a/core/work/fence.go
+++ b/core/work/fence.go
@@ -31,10 +31,56 @@
 			add(worker)
 		}
 	}
+	for worker, former := range s.formerEndpoints {
+		switch {
+		case !now.Before(former.until):
+			delete(s.formerEndpoints, worker)
+		case s.latestIncarnation(worker) == nil:
+			add(worker)
+		}
+	}
 	slices.Sort(workers)
 	return slices.Compact(workers)
 }
 
+// formerEndpoint is an endpoint to which earlier holders may have sent start orders.
+type formerEndpoint struct {
+	Endpoint
+	// until is the time until which these may be carried out.
+	until time.Time
+}
+
+// AddFormerEndpoint adds an endpoint on which an earlier holder may have started tasks. It is called if the directory no longer lists its
+// worker.
+func (s *Scheduler) AddFormerEndpoint(e Endpoint, now time.Time) {
+	s.initialise()
+	e.Generation = 0 // the token's epoch is higher than theirs
+	until := laterTime(now, s.earlierHoldersSuspendedAt()).Add(lateOrderBound)
+	if known, ok := s.formerEndpoints[e.Incarnation.Worker]; !ok || known.Incarnation.StartMillis <= e.Incarnation.StartMillis {
+		s.formerEndpoints[e.Incarnation.Worker] = formerEndpoint{e, until}
+	}
+}
+
+// UnfencedEndpoints returns the endpoints that the next holder must pass to AddFormerEndpoint though their incarnations aren't on the
+// roster, sorted by worker.
+func (s *Scheduler) UnfencedEndpoints(now time.Time) []Endpoint {
+	var endpoints []Endpoint
+	for _, worker := range s.WorkersToFence(now) {
+		if e, ok := s.endpointToFence(worker, now); ok {
+			endpoints = append(endpoints, e)
+		}
+	}
+	return endpoints
+}
+
+// Address returns the address of an incarnation; empty if it isn't known.
+func (s *Scheduler) Address(inc Incarnation) string {
+	if w := s.workers[inc]; w != nil {
+		return w.Address
+	}
+	return ""
+}
+
 // PrepareFence returns the next call that fences off the unanswered start orders to a worker, and false if none is needed any more. It
 // grants no lease and acknowledges no end.
 func (s *Scheduler) PrepareFence(worker string, now time.Time) (Renewal, bool) {
@@ -56,6 +102,9 @@
 // HandleMisdirectedFence records that another worker has answered a call of PrepareFence, so that start orders to its address are refused.
 func (s *Scheduler) HandleMisdirectedFence(e Endpoint) {
 	s.lateStarts.markMisdirected(e.Incarnation.Worker, e.Address)
+	if s.formerEndpoints[e.Incarnation.Worker].Address == e.Address {
+		delete(s.formerEndpoints, e.Incarnation.Worker)
+	}
 }
 
 // endpointToFence returns the endpoint to call, with a higher generation than that of the orders to be fenced off, and false if there
@@ -67,6 +116,8 @@
 	case w == nil && ok:
 		target.Generation = s.generations.raise(worker, target.Generation, now)
 		return target, true
+	case w == nil && now.Before(s.formerEndpoints[worker].until):
+		return s.formerEndpoints[worker].Endpoint, true
 	case w == nil, w.ended, w.consecutiveMisses < missesUntilLost, w.silentFor(now) < fenceSilence:
 		return Endpoint{}, false
 	case ok && w.generation <= target.Generation:
@@ -88,8 +139,8 @@
 
 // keepEarlierStarts remembers, for a worker that is removed, that start orders of earlier holders may still be carried out there.
 func (s *Scheduler) keepEarlierStarts(w *worker, now time.Time) {
-	if until := s.earlierStartsUntil(w); now.Before(until) {
-		s.lateStarts.keep(lateStart{endpoint: w.endpoint(), count: 1, until: until, shown: true}, RunID{}, now)
+	if until := s.earlierStartsUntil(w); now.Before(until) && !w.ended {
+		s.formerEndpoints[w.Incarnation.Worker] = formerEndpoint{w.endpoint(), until}
 	}
 }
 
--- a/core/work/late_start.go
+++ b/core/work/late_start.go
@@ -34,28 +34,23 @@
 
 // add records that an order to start a run got no answer.
 func (l *lateStarts) add(o Order, now time.Time) {
-	l.keep(lateStart{endpoint: o.Endpoint, count: 1, until: now.Add(lateOrderBound)}, o.Run, now)
-}
-
-// keep remembers unanswered orders to start a run, together with earlier ones to the same incarnation.
-func (l *lateStarts) keep(late lateStart, run RunID, now time.Time) {
 	l.dropOld(now)
-	worker := late.endpoint.Incarnation.Worker
+	worker := o.Incarnation.Worker
 	if l.byWorker == nil {
 		l.byWorker = make(map[string]map[RunID][]lateStart)
 	}
 	if l.byWorker[worker] == nil {
 		l.byWorker[worker] = make(map[RunID][]lateStart)
 	}
-	orders := l.byWorker[worker][run]
-	i := slices.IndexFunc(orders, func(known lateStart) bool { return known.endpoint.Incarnation == late.endpoint.Incarnation })
+	orders := l.byWorker[worker][o.Run]
+	i := slices.IndexFunc(orders, func(late lateStart) bool { return late.endpoint.Incarnation == o.Incarnation })
 	if i < 0 {
-		l.byWorker[worker][run] = append(orders, late)
-		return
+		i, orders = len(orders), append(orders, lateStart{endpoint: o.Endpoint})
 	}
-	orders[i].count += late.count
-	orders[i].until = late.until
-	orders[i].endpoint.Generation = max(orders[i].endpoint.Generation, late.endpoint.Generation)
+	orders[i].count++
+	orders[i].until = now.Add(lateOrderBound)
+	orders[i].endpoint.Generation = max(orders[i].endpoint.Generation, o.Generation)
+	l.byWorker[worker][o.Run] = orders
 }
 
 // dropOld drops the orders that concern nothing any more.
--- a/core/work/scheduler.go
+++ b/core/work/scheduler.go
@@ -88,6 +88,8 @@
 	crashRate  crashRate
 	silentEnds silentEnds
 	lateStarts lateStarts
+	// formerEndpoints holds, by worker, where start orders of earlier holders may still be carried out.
+	formerEndpoints map[string]formerEndpoint
 	// strays holds what calls to an incarnation may have acknowledged at a later one of its worker, by the former.
 	strays map[Incarnation]strayAcknowledgement
 	// generations tells calls to an incarnation of a worker from those to later ones.
@@ -179,6 +181,7 @@
 	s.workers = make(map[Incarnation]*worker)
 	s.silences = make(map[Incarnation]silence)
 	s.unresolved = make(map[Incarnation]time.Time)
+	s.formerEndpoints = make(map[string]formerEndpoint)
 	s.strays = make(map[Incarnation]strayAcknowledgement)
 	s.runsToStop = make(map[*run]stopCause)
 	s.quotas = quotaState{unaccountedRuns: make(map[*run]bool), holds: make(map[string]bool), arrivals: make(map[string]*arrivalAllowance)}
--- a/io/runner/directory.go
+++ b/io/runner/directory.go
@@ -47,6 +47,23 @@
 	changeCount uint64
 }
 
+// address returns the address of a listed incarnation; empty if it is not listed.
+func (d *directoryCache) address(incarnation work.Incarnation) string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if w := d.workers[incarnation.Worker]; w.Incarnation == incarnation {
+		return w.Address
+	}
+	return ""
+}
+
+// isLoaded reports whether the whole directory has been read.
+func (d *directoryCache) isLoaded() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.loaded
+}
+
 // isInOtherPool reports whether the directory lists the worker in another pool.
 func (d *directoryCache) isInOtherPool(worker, pool string) bool {
 	d.mu.Lock()
--- a/io/runner/fence.go
+++ b/io/runner/fence.go
@@ -17,12 +17,17 @@
 	fenceInterval = 20 * time.Millisecond
 	// fenceShare is what each fenced worker of the pool adds to that time, if that is more: it bounds the rate of these calls.
 	fenceShare = 2500 * time.Microsecond
+	// fencedInterval is that time while an incarnation answers that the directory doesn't list. The next one has seen no token.
+	fencedInterval = 250 * time.Millisecond
 	// maxFenceCalls is the number of calls that fence a worker and wait for an answer at the same time.
 	maxFenceCalls = 10
 )
 
 // startFenceLoops calls the workers that have to be fenced. The caller holds the lock.
 func (h *poolHolder) startFenceLoops(now time.Time) {
+	if !h.manager.workers.isLoaded() {
+		return
+	}
 	for _, worker := range h.scheduler.WorkersToFence(now) {
 		if !h.fenceLoops[worker] && !h.manager.workers.isInOtherPool(worker, h.pool) {
 			h.fenceLoops[worker] = true
@@ -31,13 +36,12 @@
 	}
 }
 
-// fenceWorker calls a silent worker at short intervals until one of its incarnations answers or no order has to be fenced off any more.
+// fenceWorker calls a silent worker at short intervals until a known incarnation of it answers or nothing has to be fenced off any more.
 // Calls overlap, so that the intervals don't depend on how long an answer is waited for.
 func (h *poolHolder) fenceWorker(worker string) {
-	began, calls, waiting := time.Now(), 0, 0
+	began, calls, waiting, lastAnswer := time.Now(), 0, 0, "none"
 	ctx, cancel := context.WithCancel(h.ctx)
 	answers := make(chan string, maxFenceCalls)
-	ended := "nothing has to be fenced off any more"
 	defer func() {
 		cancel()
 		for ; waiting > 0; waiting-- {
@@ -47,7 +51,7 @@
 		delete(h.fenceLoops, worker)
 		h.mu.Unlock()
 		h.manager.record(event.Event{Number: event.WorkerFenced, Pool: h.pool, Host: worker, Detail: fmt.Sprintf(
-			"%d calls in %s, ended as %s", calls, time.Since(began).Round(time.Millisecond), ended)})
+			"%d calls in %s, last answer: %s", calls, time.Since(began).Round(time.Millisecond), lastAnswer)})
 	}()
 	for ctx.Err() == nil {
 		renewal, pause, ok := h.prepareFence(worker)
@@ -59,19 +63,21 @@
 			calls++
 			go func() { answers <- h.callFence(ctx, renewal) }()
 		}
-		next := time.After(pause)
+		next := time.NewTimer(pause)
 		for paused := false; !paused; {
 			select {
 			case answer := <-answers:
 				waiting--
 				if answer != "" {
-					ended = answer
-					return
+					lastAnswer = answer
+					next.Reset(fencedInterval)
+					if _, _, ok := h.prepareFence(worker); !ok {
+						return
+					}
 				}
-			case <-next:
+			case <-next.C:
 				paused = true
 			case <-ctx.Done():
-				ended = "the duty ends"
 				return
 			}
 		}
--- a/io/runner/holder.go
+++ b/io/runner/holder.go
@@ -1,6 +1,7 @@
 package runner
 
 import (
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -143,6 +144,11 @@
 		h.possibleRoster[incarnation] = true
 		h.scheduler.AddUnresolvedIncarnation(incarnation, time.Now())
 	}
+	for _, row := range slices.Concat(roster.Unfenced, roster.Incarnations) {
+		if row.Address != "" {
+			h.scheduler.AddFormerEndpoint(row.endpoint(), time.Now())
+		}
+	}
 }
 
 // addStoredJob adds a stored job to the scheduler. A nil progress stands for a job without a progress row. earlier is
@@ -304,11 +310,17 @@
 	h.rosterWrittenAt = time.Now()
 	var row rosterRow
 	for incarnation := range roster {
-		row.Incarnations = append(row.Incarnations, incarnationRow{Worker: incarnation.Worker, StartMillis: incarnation.StartMillis})
+		address := cmp.Or(h.scheduler.Address(incarnation), h.manager.workers.address(incarnation))
+		row.Incarnations = append(row.Incarnations, newIncarnationRow(incarnation, address))
 		h.possibleRoster[incarnation] = true
 	}
 	for _, incarnation := range h.scheduler.UnsettledIncarnations(roster, h.rosterWrittenAt) {
-		row.Unsettled = append(row.Unsettled, incarnationRow{Worker: incarnation.Worker, StartMillis: incarnation.StartMillis})
+		row.Unsettled = append(row.Unsettled, newIncarnationRow(incarnation, ""))
+	}
+	for _, e := range h.scheduler.UnfencedEndpoints(h.rosterWrittenAt) {
+		if !roster[e.Incarnation] {
+			row.Unfenced = append(row.Unfenced, newIncarnationRow(e.Incarnation, e.Address))
+		}
 	}
 	// The stored roster may lack the removed incarnations from here on, so they must get no work.
 	maps.DeleteFunc(h.confirmedRoster, func(incarnation work.Incarnation, _ bool) bool { return !roster[incarnation] })
--- a/io/runner/late_start_unheard_life_test.go
+++ b/io/runner/late_start_unheard_life_test.go
@@ -52,15 +52,17 @@
 	for name, c := range map[string]struct {
 		// unlistedAfter is the time after the crash at which the directory drops the worker, and downFor that of the next birth.
 		unlistedAfter, downFor time.Duration
-		// holderKilled is true if the pool's holder is killed a second after the crash.
-		holderKilled bool
+		// holderKilledAfter is the time after the crash at which the pool's holder is killed; zero if it is not.
+		holderKilledAfter time.Duration
 	}{
 		"listed all the while":            {unlistedAfter: 10 * time.Second, downFor: 3 * time.Second},
 		"no longer listed":                {unlistedAfter: 4500 * time.Millisecond, downFor: 6500 * time.Millisecond},
 		"dropped at once":                 {unlistedAfter: 0, downFor: 4 * time.Second},
 		"back soon":                       {unlistedAfter: 10 * time.Second, downFor: 1800 * time.Millisecond},
-		"listed, known to the former one": {unlistedAfter: 10 * time.Second, downFor: 6500 * time.Millisecond, holderKilled: true},
-		"dropped under the next holder":   {unlistedAfter: 5500 * time.Millisecond, downFor: 6500 * time.Millisecond, holderKilled: true},
+		"listed, known to the former one": {unlistedAfter: 10 * time.Second, downFor: 6500 * time.Millisecond, holderKilledAfter: time.Second},
+		"dropped under the next holder":   {unlistedAfter: 5500 * time.Millisecond, downFor: 6500 * time.Millisecond, holderKilledAfter: time.Second},
+		"dropped during the takeover":     {unlistedAfter: 4500 * time.Millisecond, downFor: 9 * time.Second, holderKilledAfter: 4 * time.Second},
+		"dropped before the takeover":     {unlistedAfter: 4500 * time.Millisecond, downFor: 11 * time.Second, holderKilledAfter: 7 * time.Second},
 	} {
 		t.Run(name, func(t *testing.T) {
 			lost := &lostStarts{worker: "w0"}
@@ -73,13 +75,21 @@
 				w := s.workers["w0"]
 				w.setSilent(true)
 				crashedAt := time.Now()
-				if c.holderKilled {
-					time.Sleep(time.Second)
+				drop := func() {
+					if c.unlistedAfter < c.downFor {
+						time.Sleep(time.Until(crashedAt.Add(c.unlistedAfter)))
+						s.silenceWorker("w0")
+					}
+				}
+				if c.holderKilledAfter > c.unlistedAfter {
+					drop()
+				}
+				if c.holderKilledAfter > 0 {
+					time.Sleep(time.Until(crashedAt.Add(c.holderKilledAfter)))
 					s.kill(s.poolHolder())
 				}
-				if c.unlistedAfter < c.downFor {
-					time.Sleep(time.Until(crashedAt.Add(c.unlistedAfter)))
-					s.silenceWorker("w0")
+				if c.holderKilledAfter <= c.unlistedAfter {
+					drop()
 				}
 				time.Sleep(time.Until(crashedAt.Add(c.downFor)))
 				w.restart()
@@ -90,3 +100,31 @@
 		})
 	}
 }
+
+// TestFenceCallsAreBounded guards against a worker that is called without a pause, because it answers and the directory doesn't list it.
+func TestFenceCallsAreBounded(t *testing.T) {
+	const (
+		watched  = 10 * time.Second
+		maxCalls = 60 // of a worker that answers, four a second and some at the beginning
+	)
+	lost := &lostStarts{worker: "w0"}
+	site := fakeSite{}
+	site.executors = platform.Executors{RenewLeases: site.renewLeases, SendOrder: lost.sendOrder(&site)}
+	withSite(t, &site, 3, 1, func(s *fakeSite) {
+		s.is.NoErr(s.submit("e0", "j", 1))
+		s.awaitCompleted("e0", "j", 5*time.Second)
+		w := s.workers["w0"]
+		s.silenceWorker("w0")
+		w.setSilent(false)
+		time.Sleep(time.Second)
+		before := w.renewals.Load()
+		time.Sleep(watched)
+		calls := w.renewals.Load() - before
+		s.is.True(calls > 0)
+		s.is.True(calls <= maxCalls)
+		time.Sleep(watched) // no order can be carried out any more
+		before = w.renewals.Load()
+		time.Sleep(watched)
+		s.is.Equal(w.renewals.Load(), before)
+	})
+}
--- a/io/runner/rows.go
+++ b/io/runner/rows.go
@@ -73,6 +73,9 @@
 	// Unsettled holds the incarnations whose later ones may have carried out acknowledgements that were sent to them. It is absent in rows
 	// of earlier versions.
 	Unsettled []incarnationRow `json:"unsettled,omitempty"`
+	// Unfenced holds incarnations that are not among the former, of which a later one may carry out start orders that got no answer. It is
+	// absent in rows of earlier versions.
+	Unfenced []incarnationRow `json:"unfenced,omitempty"`
 }
 
 // incarnation returns the incarnation that the row names.
@@ -80,9 +83,21 @@
 	return work.Incarnation{Worker: r.Worker, StartMillis: r.StartMillis}
 }
 
+// newIncarnationRow returns the row of an incarnation and where it is called.
+func newIncarnationRow(incarnation work.Incarnation, address string) incarnationRow {
+	return incarnationRow{Worker: incarnation.Worker, StartMillis: incarnation.StartMillis, Address: address}
+}
+
 type incarnationRow struct {
 	Worker      string `json:"worker"`
 	StartMillis int64  `json:"born"`
+	// Address is where the incarnation is called; empty if it isn't known.
+	Address string `json:"address,omitempty"`
+}
+
+// endpoint returns where the incarnation is called.
+func (r incarnationRow) endpoint() work.Endpoint {
+	return work.Endpoint{Incarnation: r.incarnation(), Address: r.Address}
 }
 
 // specRow is the stored form of work.Job.
