--- a/core/work/fence.go
+++ b/core/work/fence.go
@@ -82,7 +82,8 @@
 }
 
 // PrepareFence returns the next call that fences off the unanswered start orders to a worker, and false if none is needed any more. It
-// grants no lease and acknowledges no end.
+// grants no lease and acknowledges no end. The answer of the addressed incarnation is of no use to the scheduler: calls overlap, so that a
+// report could be older than one that is known, and a worker counts as answering once it has reported.
 func (s *Scheduler) PrepareFence(worker string, now time.Time) (Renewal, bool) {
 	e, ok := s.endpointToFence(worker, now)
 	if !ok {
@@ -92,13 +93,6 @@
 	return Renewal{Endpoint: e, Epoch: s.Epoch}, true
 }
 
-// HandleFenceAnswer records that the addressed incarnation itself has answered a call of PrepareFence with this reading of its clock.
-func (s *Scheduler) HandleFenceAnswer(inc Incarnation, clock time.Duration, now time.Time) {
-	if w := s.workers[inc]; w != nil {
-		s.recordAnswer(w, clock, now)
-	}
-}
-
 // HandleMisdirectedFence records that another worker has answered a call of PrepareFence, so that start orders to its address are refused.
 func (s *Scheduler) HandleMisdirectedFence(e Endpoint) {
 	s.lateStarts.markMisdirected(e.Incarnation.Worker, e.Address)
--- a/core/work/fence_test.go
+++ b/core/work/fence_test.go
@@ -76,9 +76,10 @@
 		f.now = f.now.Add(2 * time.Second)
 		f.assertNotFenced("a")
 	})
-	t.Run("until the incarnation answers", func(t *testing.T) {
+	t.Run("until the incarnation reports", func(t *testing.T) {
 		f, _ := newSilentFixture(t)
-		f.scheduler.HandleFenceAnswer(f.fence().Incarnation, f.now.Sub(start)+time.Second, f.now)
+		f.fence()
+		f.answerRenewal("a", work.Report{})
 		f.assertNotFenced("a")
 		f.fallSilent()
 		f.fence() // an incarnation after this one has seen no token
--- a/core/work/model_test.go
+++ b/core/work/model_test.go
@@ -479,7 +479,7 @@
 	}
 	m.endDueRuns(w)
 	if renewal.FencingToken() < w.highestToken {
-		sched.stopped = !sched.HasLaterIncarnation(inc)
+		sched.stopped = !sched.HasSupersededToken(renewal.Endpoint)
 		sched.HandleMissedRenewal(inc, m.now)
 		return false
 	}
@@ -524,6 +524,7 @@
 func (m *model) runRound(sched *modelScheduler) {
 	sched.UpdateWorkers(m.storedListings(sched), m.now)
 	sched.SetWithdrawn(sched.withdrawnWorkers(), m.now)
+	m.fenceWorkers(sched)
 	defer m.answerApprovalRequests(sched)
 	for _, o := range sched.Schedule(m.now, m.now) {
 		m.log("epoch %d orders %s %s at %v", o.Epoch, o.Kind, o.Run, o.Incarnation)
@@ -536,6 +537,31 @@
 	}
 }
 
+// fenceWorkers simulates one call to each silent worker that has to be fenced. Some get no answer, though they are carried out.
+func (m *model) fenceWorkers(sched *modelScheduler) {
+	for _, id := range sched.WorkersToFence(m.now) {
+		call, ok := sched.PrepareFence(id, m.now)
+		if !ok || sched.stopped {
+			continue
+		}
+		w := m.workerByID(id)
+		if !w.alive || !w.reachable {
+			m.delayRenewal(call)
+			continue
+		}
+		m.endDueRuns(w)
+		if call.FencingToken() < w.highestToken {
+			sched.stopped = !sched.HasSupersededToken(call.Endpoint)
+			continue
+		}
+		m.log("epoch %d fences %v", call.Epoch, w.incarnation)
+		m.carryOutRenewal(w, call)
+		if w.incarnation != call.Incarnation && (m.calm || rapid.IntRange(0, 3).Draw(m.t, "lost fence") > 0) {
+			sched.ReplaceIncarnation(call.Incarnation, w.incarnation.StartMillis, m.now)
+		}
+	}
+}
+
 // storedListings returns the directory without the incarnations that are not on the stored roster. It stores the
 // roster first.
 func (m *model) storedListings(sched *modelScheduler) []work.WorkerInfo {
--- a/io/platform/executors.go
+++ b/io/platform/executors.go
@@ -13,9 +13,9 @@
 	// RenewLeases renews the leases of all runs on a worker and returns its active and ended runs. With a wait, it
 	// returns as soon as a run ends. It returns ErrStaleEpoch, ErrWrongIncarnation or ErrNotSent, or another error if there is no response.
 	RenewLeases func(ctx context.Context, r work.Renewal) (work.Report, error)
-	// Fence sends a renewal without a lease or an acknowledgement, and returns the reading of the worker's clock or the errors of
-	// RenewLeases. It waits for no other call to the worker. If it is nil, RenewLeases is used.
-	Fence func(ctx context.Context, r work.Renewal) (time.Duration, error)
+	// Fence sends a renewal without a lease or an acknowledgement, and returns the errors of RenewLeases. It waits for no other call to the
+	// worker. If it is nil, RenewLeases is used.
+	Fence func(ctx context.Context, r work.Renewal) error
 	// SendOrder sends an order to a worker. The result also covers failed calls, so that there is no error.
 	SendOrder func(ctx context.Context, o work.Order) work.OrderResult
 	// RequestTickets asks the policy service which of the workers may run a step. It returns the tickets of those by worker ID.
--- a/io/runner/fence.go
+++ b/io/runner/fence.go
@@ -17,7 +17,7 @@
 	fenceInterval = 20 * time.Millisecond
 	// fenceShare is what each fenced worker of the pool adds to that time, if that is more: it bounds the rate of these calls.
 	fenceShare = 2500 * time.Microsecond
-	// fencedInterval is that time while an incarnation answers that the directory doesn't list. The next one has seen no token.
+	// fencedInterval is that time after an answer. The incarnation after the one that gave it has seen no token.
 	fencedInterval = 250 * time.Millisecond
 	// maxFenceCalls is the number of calls that fence a worker and wait for an answer at the same time.
 	maxFenceCalls = 10
@@ -36,8 +36,8 @@
 	}
 }
 
-// fenceWorker calls a silent worker at short intervals until a known incarnation of it answers or nothing has to be fenced off any more.
-// Calls overlap, so that the intervals don't depend on how long an answer is waited for.
+// fenceWorker calls a silent worker at short intervals until its renewals are answered or nothing has to be fenced off any more. Calls
+// overlap, so that the intervals don't depend on how long an answer is waited for.
 func (h *poolHolder) fenceWorker(worker string) {
 	began, calls, waiting, lastAnswer := time.Now(), 0, 0, "none"
 	ctx, cancel := context.WithCancel(h.ctx)
@@ -95,12 +95,12 @@
 	return renewal, max(fenceInterval, fenceShare*time.Duration(len(h.fenceLoops))), ok
 }
 
-// callFence makes a call that fences a worker and passes its result to the scheduler. It returns what has answered, and nothing if that
-// was no incarnation that the call is meant for.
+// callFence makes a call that fences a worker, and tells the scheduler if another incarnation or worker has answered. It returns what has
+// answered, and nothing if the call has fenced off nothing.
 func (h *poolHolder) callFence(ctx context.Context, renewal work.Renewal) string {
 	ctx, cancel := context.WithTimeout(ctx, h.manager.workerLatency.timeout())
 	defer cancel()
-	clock, err := h.manager.fence(ctx, renewal)
+	err := h.manager.fence(ctx, renewal)
 	var stale platform.ErrStaleEpoch
 	var mismatch platform.ErrWrongIncarnation
 	h.mu.Lock()
@@ -108,7 +108,6 @@
 	switch {
 	case h.ctx.Err() != nil:
 	case err == nil:
-		h.scheduler.HandleFenceAnswer(renewal.Incarnation, clock, time.Now())
 		return "the known incarnation answers"
 	case errors.As(err, &stale):
 		if !h.scheduler.HasSupersededToken(renewal.Endpoint) {
@@ -127,10 +126,10 @@
 }
 
 // fence is Executors.Fence.
-func (m *Manager) fence(ctx context.Context, r work.Renewal) (time.Duration, error) {
+func (m *Manager) fence(ctx context.Context, r work.Renewal) error {
 	if m.Executors.Fence != nil {
 		return m.Executors.Fence(ctx, r)
 	}
-	report, err := m.Executors.RenewLeases(ctx, r)
-	return report.WorkerClock, err
+	_, err := m.Executors.RenewLeases(ctx, r)
+	return err
 }
