--- a/core/work/fence.go
+++ b/core/work/fence.go
@@ -81,16 +81,24 @@
 	return ""
 }
 
+// Fence is a call that fences a worker.
+type Fence struct {
+	Renewal
+	// Presumed is true if no order is known that has to be fenced off: earlier holders may have sent some.
+	Presumed bool
+}
+
 // PrepareFence returns the next call that fences off the unanswered start orders to a worker, and false if none is needed any more. It
 // grants no lease and acknowledges no end. The answer of the addressed incarnation is of no use to the scheduler: calls overlap, so that a
 // report could be older than one that is known, and a worker counts as answering once it has reported.
-func (s *Scheduler) PrepareFence(worker string, now time.Time) (Renewal, bool) {
+func (s *Scheduler) PrepareFence(worker string, now time.Time) (Fence, bool) {
 	e, ok := s.endpointToFence(worker, now)
 	if !ok {
-		return Renewal{}, false
+		return Fence{}, false
 	}
 	s.generations.called(worker, now)
-	return Renewal{Endpoint: e, Epoch: s.Epoch}, true
+	_, known := s.lateStarts.target(worker, now)
+	return Fence{Renewal: Renewal{Endpoint: e, Epoch: s.Epoch}, Presumed: !known}, true
 }
 
 // HandleMisdirectedFence records that another worker has answered a call of PrepareFence, so that start orders to its address are refused.
@@ -131,9 +139,10 @@
 	return laterTime(s.takenAt, s.earlierHoldersSuspendedAt()).Add(lateOrderBound)
 }
 
-// keepEarlierStarts remembers, for a worker that is removed, that start orders of earlier holders may still be carried out there.
+// keepEarlierStarts remembers, for a worker that is removed, that start orders of earlier holders may still be carried out there. A worker
+// that was to leave doesn't start again.
 func (s *Scheduler) keepEarlierStarts(w *worker, now time.Time) {
-	if until := s.earlierStartsUntil(w); now.Before(until) && !w.ended {
+	if until := s.earlierStartsUntil(w); now.Before(until) && !w.ended && !w.withdrawn && !w.Draining {
 		s.formerEndpoints[w.Incarnation.Worker] = formerEndpoint{w.endpoint(), until}
 	}
 }
--- a/core/work/fence_test.go
+++ b/core/work/fence_test.go
@@ -38,7 +38,7 @@
 }
 
 // fence returns the next call that fences worker "a".
-func (f *fixture) fence() work.Renewal {
+func (f *fixture) fence() work.Fence {
 	f.is.Equal(f.scheduler.WorkersToFence(f.now), []string{"a"})
 	call, ok := f.scheduler.PrepareFence("a", f.now)
 	f.is.True(ok)
@@ -51,6 +51,7 @@
 	t.Run("the call carries a higher token, and neither a lease nor an acknowledgement", func(t *testing.T) {
 		f, lost := newSilentFixture(t)
 		call := f.fence()
+		f.is.True(!call.Presumed)
 		f.is.True(call.FencingToken() > lost.FencingToken())
 		f.is.Equal(call.Address, lost.Address)
 		f.is.Equal(call.LeaseDeadline, time.Duration(0))
@@ -141,16 +142,30 @@
 // TestFenceOfEarlierHoldersOrders guards against a start order of the former holder that the next incarnation of a worker carries out: the
 // next holder doesn't know of it, and called the address no more once the worker was no longer listed.
 func TestFenceOfEarlierHoldersOrders(t *testing.T) {
-	f := newFixture(t)
-	f.scheduler = &work.Scheduler{Pool: "pool", Epoch: 11}
-	f.scheduler.AddUnresolvedIncarnation(incarnation("a"), f.now)
-	f.scheduler.UpdateWorkers([]work.WorkerInfo{workerInfo("a")}, f.now)
-	f.fallSilent()
-	f.fence()
-	f.scheduler.UpdateWorkers(nil, f.now)
-	f.fence()
-	f.now = f.now.Add(16 * time.Second)
-	f.assertNotFenced("a")
+	takeOver := func(t *testing.T) *fixture {
+		f := newFixture(t)
+		f.scheduler = &work.Scheduler{Pool: "pool", Epoch: 11}
+		f.scheduler.AddUnresolvedIncarnation(incarnation("a"), f.now)
+		f.scheduler.UpdateWorkers([]work.WorkerInfo{workerInfo("a")}, f.now)
+		f.fallSilent()
+		return f
+	}
+	t.Run("of a worker that falls silent and is dropped", func(t *testing.T) {
+		f := takeOver(t)
+		f.is.True(f.fence().Presumed)
+		f.scheduler.UpdateWorkers(nil, f.now)
+		f.fence()
+		f.now = f.now.Add(16 * time.Second)
+		f.assertNotFenced("a")
+	})
+	t.Run("but not of one that was to leave", func(t *testing.T) {
+		f := takeOver(t)
+		leaving := workerInfo("a")
+		leaving.Draining = true
+		f.scheduler.UpdateWorkers([]work.WorkerInfo{leaving}, f.now)
+		f.scheduler.UpdateWorkers(nil, f.now)
+		f.assertNotFenced("a")
+	})
 }
 
 // TestTokenOfManyGenerations guards against a fencing token that no longer rises, or that reaches the next holder's, after many incarnations.
--- a/core/work/model_test.go
+++ b/core/work/model_test.go
@@ -546,7 +546,7 @@
 		}
 		w := m.workerByID(id)
 		if !w.alive || !w.reachable {
-			m.delayRenewal(call)
+			m.delayRenewal(call.Renewal)
 			continue
 		}
 		m.endDueRuns(w)
@@ -555,7 +555,7 @@
 			continue
 		}
 		m.log("epoch %d fences %v", call.Epoch, w.incarnation)
-		m.carryOutRenewal(w, call)
+		m.carryOutRenewal(w, call.Renewal)
 		if w.incarnation != call.Incarnation && (m.calm || rapid.IntRange(0, 3).Draw(m.t, "lost fence") > 0) {
 			sched.ReplaceIncarnation(call.Incarnation, w.incarnation.StartMillis, m.now)
 		}
--- a/io/runner/fence.go
+++ b/io/runner/fence.go
@@ -16,7 +16,9 @@
 	// for that long, and for the time that a call takes to reach it.
 	fenceInterval = 20 * time.Millisecond
 	// fenceShare is what each fenced worker of the pool adds to that time, if that is more: it bounds the rate of these calls.
-	fenceShare = 2500 * time.Microsecond
+	fenceShare = 5 * time.Millisecond
+	// presumedFenceInterval is that time if no order is known that has to be fenced off.
+	presumedFenceInterval = 100 * time.Millisecond
 	// fencedInterval is that time after an answer. The incarnation after the one that gave it has seen no token.
 	fencedInterval = 250 * time.Millisecond
 	// maxFenceCalls is the number of calls that fence a worker and wait for an answer at the same time.
@@ -54,14 +56,14 @@
 			"%d calls in %s, last answer: %s", calls, time.Since(began).Round(time.Millisecond), lastAnswer)})
 	}()
 	for ctx.Err() == nil {
-		renewal, pause, ok := h.prepareFence(worker)
+		fence, pause, ok := h.prepareFence(worker)
 		if !ok {
 			return
 		}
 		if waiting < maxFenceCalls {
 			waiting++
 			calls++
-			go func() { answers <- h.callFence(ctx, renewal) }()
+			go func() { answers <- h.callFence(ctx, fence.Renewal) }()
 		}
 		next := time.NewTimer(pause)
 		for paused := false; !paused; {
@@ -85,14 +87,18 @@
 }
 
 // prepareFence returns the next call that fences a worker and the pause after it, and false if none is needed any more.
-func (h *poolHolder) prepareFence(worker string) (work.Renewal, time.Duration, bool) {
+func (h *poolHolder) prepareFence(worker string) (work.Fence, time.Duration, bool) {
 	if h.manager.workers.isInOtherPool(worker, h.pool) {
-		return work.Renewal{}, 0, false
+		return work.Fence{}, 0, false
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	renewal, ok := h.scheduler.PrepareFence(worker, time.Now())
-	return renewal, max(fenceInterval, fenceShare*time.Duration(len(h.fenceLoops))), ok
+	fence, ok := h.scheduler.PrepareFence(worker, time.Now())
+	interval := fenceInterval
+	if fence.Presumed {
+		interval = presumedFenceInterval
+	}
+	return fence, max(interval, fenceShare*time.Duration(len(h.fenceLoops))), ok
 }
 
 // callFence makes a call that fences a worker, and tells the scheduler if another incarnation or worker has answered. It returns what has
--- a/io/runner/late_start_unheard_life_test.go
+++ b/io/runner/late_start_unheard_life_test.go
@@ -49,6 +49,8 @@
 	// fencedAfter is the time after the birth of a life at which it refuses orders to former ones: a call that has just been given up,
 	// the pause before the next one, and its way.
 	const fencedAfter = 60 * time.Millisecond
+	// presumedAfter is that time where the order was sent by a former holder.
+	const presumedAfter = 140 * time.Millisecond
 	for name, c := range map[string]struct {
 		// unlistedAfter is the time after the crash at which the directory drops the worker, and downFor that of the next birth.
 		unlistedAfter, downFor time.Duration
@@ -94,6 +96,9 @@
 				time.Sleep(time.Until(crashedAt.Add(c.downFor)))
 				w.restart()
 				w.setSilent(false)
+				if c.holderKilledAfter > 0 {
+					time.Sleep(presumedAfter - fencedAfter)
+				}
 				time.Sleep(fencedAfter)
 				s.is.True(!lost.carriesOut(s)) // the life refuses the order though it is not listed yet
 			})
