--- a/io/listen/connections.go
+++ b/io/listen/connections.go
@@ -2,12 +2,15 @@
 
 import (
 	"container/list"
+	"context"
 	"errors"
 	"net"
 	"net/http"
 	"sync"
 	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 const (
@@ -28,6 +31,9 @@
 
 	mu   sync.Mutex
 	open int
+	// shuttingDown is set from the beginning of a graceful shutdown on. ended is signalled when a connection ends then.
+	shuttingDown bool
+	ended        chan struct{}
 	// waiting holds the connections without a complete request, as *connection, in the order in which they began to wait.
 	waiting list.List
 }
@@ -36,10 +42,29 @@
 type connection struct {
 	*net.TCPConn
 	all *connections
-	// place is the connection's place in the list of those that wait; nil if it has a request. closed is set once it was closed. The
-	// lock of all guards both.
-	place  *list.Element
-	closed bool
+	// place is the connection's place in the list of those that wait; nil if it has a request. closed is set once it was closed, and
+	// handled is the number of bytes that had arrived when it began to wait. The lock of all guards them.
+	place   *list.Element
+	closed  bool
+	handled uint64
+}
+
+// arrived returns how many bytes have arrived on the connection, read or not, and how many of them are unread.
+func (c *connection) arrived() (all uint64, unread int) {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return 0, 0
+	}
+	// A connection that is closed already has nothing to tell.
+	_ = raw.Control(func(fd uintptr) {
+		if info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
+			all = info.Bytes_received
+		}
+		if n, err := unix.IoctlGetInt(int(fd), unix.TIOCINQ); err == nil {
+			unread = n
+		}
+	})
+	return all, unread
 }
 
 // Write limits how long the client may leave the answer unread.
@@ -136,6 +161,57 @@
 	c.closed = true
 	s.open--
 	s.stopWaiting(c)
+	if s.shuttingDown {
+		select {
+		case s.ended <- struct{}{}:
+		default: // a signal is pending
+		}
+	}
+}
+
+// beginShutdown makes connections end as soon as they wait for another request and nothing of one has arrived.
+func (s *connections) beginShutdown() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.shuttingDown {
+		s.shuttingDown, s.ended = true, make(chan struct{}, 1)
+	}
+}
+
+// awaitEnds closes the connections that wait and on which nothing of a request has arrived. It then waits until all are closed, or ctx
+// is done.
+func (s *connections) awaitEnds(ctx context.Context) {
+	s.mu.Lock()
+	var idle []*connection
+	for e := s.waiting.Front(); e != nil; e = e.Next() {
+		if c := e.Value.(*connection); c.isIdle() {
+			idle = append(idle, c)
+		}
+	}
+	s.mu.Unlock()
+	for _, c := range idle {
+		_ = c.Close() // it is closed in any case
+	}
+	for s.count() > 0 {
+		select {
+		case <-s.ended:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// isIdle reports whether nothing of a request has arrived on a connection that waits. The caller holds the lock of all.
+func (c *connection) isIdle() bool {
+	all, unread := c.arrived()
+	return all == c.handled && unread == 0
+}
+
+// endsGracefully reports whether a graceful shutdown has begun.
+func (s *connections) endsGracefully() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.shuttingDown
 }
 
 // stopWaiting takes a connection out of the list of those that wait. The caller holds the lock.
@@ -152,15 +228,25 @@
 	if !ok {
 		return
 	}
+	if s.follow(c, state) {
+		_ = c.Close() // it is closed in any case
+	}
+}
+
+// follow records the state of a connection, and reports whether it is to be closed because of a shutdown.
+func (s *connections) follow(c *connection, state http.ConnState) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch state {
 	case http.StateActive:
 		s.stopWaiting(c)
 	case http.StateIdle:
+		c.handled, _ = c.arrived()
 		if !c.closed && c.place == nil {
 			c.place = s.waiting.PushBack(c)
 		}
+		return s.shuttingDown && c.isIdle()
 	case http.StateNew, http.StateHijacked, http.StateClosed:
 	}
+	return false
 }
--- a/io/listen/listen.go
+++ b/io/listen/listen.go
@@ -41,9 +41,23 @@
 	connections  connections
 	mu           sync.Mutex
 	server       *http.Server
+	listener     *closableListener
 	boundAddress string
 }
 
+// closableListener is a listener that may be closed several times.
+type closableListener struct {
+	net.Listener
+	once sync.Once
+	err  error
+}
+
+// Close closes the listener and returns the result of the first time.
+func (l *closableListener) Close() error {
+	l.once.Do(func() { l.err = l.Listener.Close() })
+	return l.err
+}
+
 // Start listens on address and serves until ShutDown or Abort. The returned channel then
 // receives nil, or the error that ended the server earlier.
 func (s *Server) Start(ctx context.Context, address string) (<-chan error, error) {
@@ -64,8 +78,9 @@
 		MaxHeaderBytes:    s.MaxHeaderBytes,
 		ConnState:         s.connections.note,
 	}
+	s.listener = &closableListener{Listener: listener}
 	done := make(chan error, 1)
-	go serve(s.server, crowdListener{listener, &s.connections}, done)
+	go s.serve(s.server, crowdListener{s.listener, &s.connections}, done)
 	return done, nil
 }
 
@@ -82,9 +97,9 @@
 }
 
 // serve serves connections until the server ends and sends the error, or nil after a shutdown, to done.
-func serve(server *http.Server, listener net.Listener, done chan<- error) {
+func (s *Server) serve(server *http.Server, listener net.Listener, done chan<- error) {
 	err := server.Serve(listener)
-	if errors.Is(err, http.ErrServerClosed) {
+	if errors.Is(err, http.ErrServerClosed) || (errors.Is(err, net.ErrClosed) && s.connections.endsGracefully()) {
 		err = nil
 	}
 	done <- err
@@ -97,12 +112,19 @@
 	return s.boundAddress
 }
 
-// ShutDown stops accepting connections and waits until the requests in progress are completed or ctx is done.
+// ShutDown stops accepting connections and waits until the requests in progress, and those that have arrived, are completed or ctx is
+// done. A request of which net/http reads the header after the beginning of its own shutdown gets no answer, so that one begins last.
 func (s *Server) ShutDown(ctx context.Context) error {
-	if server := s.current(); server != nil {
-		return server.Shutdown(ctx)
+	s.mu.Lock()
+	server, listener := s.server, s.listener
+	s.mu.Unlock()
+	if server == nil {
+		return nil
 	}
-	return nil
+	s.connections.beginShutdown()
+	err := listener.Close()
+	s.connections.awaitEnds(ctx)
+	return errors.Join(err, server.Shutdown(ctx))
 }
 
 // Abort closes the listener and all connections immediately.
