--- a/io/runner/late_start_unheard_life_test.go
+++ b/io/runner/late_start_unheard_life_test.go
@@ -10,20 +10,36 @@
 	"siskincross/io/platform"
 )
 
-// lostStarts leaves the first start order to a worker without an answer, and keeps it to be carried out later.
+// lostStarts leaves the first start order to each worker without an answer, and keeps it to be carried out later.
 type lostStarts struct {
 	mu     sync.Mutex
-	worker string
-	orders []work.Order
+	orders map[string]work.Order
+}
+
+// withLostStarts runs a test on a site with three entry hosts, whose job of some tasks has ended: all ends are acknowledged, and of each
+// worker one start order has no answer.
+func withLostStarts(t *testing.T, workers, tasks int, test func(*fakeSite, *lostStarts)) {
+	t.Helper()
+	lost := &lostStarts{orders: make(map[string]work.Order)}
+	site := fakeSite{}
+	site.executors = platform.Executors{RenewLeases: site.renewLeases, SendOrder: lost.sendOrder(&site)}
+	withSite(t, &site, 3, workers, func(s *fakeSite) {
+		s.is.NoErr(s.submit("e0", "j", tasks))
+		s.awaitCompleted("e0", "j", 10*time.Second)
+		time.Sleep(500 * time.Millisecond)
+		s.is.Equal(len(lost.orders), workers)
+		test(s, lost)
+	})
 }
 
 // sendOrder is the SendOrder of a site's executors.
 func (l *lostStarts) sendOrder(s *fakeSite) func(context.Context, work.Order) work.OrderResult {
 	return func(ctx context.Context, o work.Order) work.OrderResult {
 		l.mu.Lock()
-		lost := o.Kind == work.OrderStart && o.Incarnation.Worker == l.worker && len(l.orders) == 0
+		_, known := l.orders[o.Incarnation.Worker]
+		lost := o.Kind == work.OrderStart && !known
 		if lost {
-			l.orders = append(l.orders, o)
+			l.orders[o.Incarnation.Worker] = o
 		}
 		l.mu.Unlock()
 		if lost {
@@ -34,12 +50,11 @@
 	}
 }
 
-// carriesOut reports whether the worker carries the kept order out now.
-func (l *lostStarts) carriesOut(s *fakeSite) bool {
+// carriesOut reports whether the worker carries its kept order out now.
+func (l *lostStarts) carriesOut(s *fakeSite, worker string) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	s.is.Equal(len(l.orders), 1)
-	result := s.sendOrder(context.Background(), l.orders[0])
+	result := s.sendOrder(context.Background(), l.orders[worker])
 	return result.Outcome == work.OutcomeOK
 }
 
@@ -67,13 +82,7 @@
 		"dropped before the takeover":     {unlistedAfter: 4500 * time.Millisecond, downFor: 11 * time.Second, holderKilledAfter: 7 * time.Second},
 	} {
 		t.Run(name, func(t *testing.T) {
-			lost := &lostStarts{worker: "w0"}
-			site := fakeSite{}
-			site.executors = platform.Executors{RenewLeases: site.renewLeases, SendOrder: lost.sendOrder(&site)}
-			withSite(t, &site, 3, 1, func(s *fakeSite) {
-				s.is.NoErr(s.submit("e0", "j", 1))
-				s.awaitCompleted("e0", "j", 5*time.Second)
-				time.Sleep(500 * time.Millisecond) // the end is acknowledged
+			withLostStarts(t, 1, 1, func(s *fakeSite, lost *lostStarts) {
 				w := s.workers["w0"]
 				w.setSilent(true)
 				crashedAt := time.Now()
@@ -100,7 +109,7 @@
 					time.Sleep(presumedAfter - fencedAfter)
 				}
 				time.Sleep(fencedAfter)
-				s.is.True(!lost.carriesOut(s)) // the life refuses the order though it is not listed yet
+				s.is.True(!lost.carriesOut(s, "w0")) // the life refuses the order though it is not listed yet
 			})
 		})
 	}
@@ -112,12 +121,7 @@
 		watched  = 10 * time.Second
 		maxCalls = 60 // of a worker that answers, four a second and some at the beginning
 	)
-	lost := &lostStarts{worker: "w0"}
-	site := fakeSite{}
-	site.executors = platform.Executors{RenewLeases: site.renewLeases, SendOrder: lost.sendOrder(&site)}
-	withSite(t, &site, 3, 1, func(s *fakeSite) {
-		s.is.NoErr(s.submit("e0", "j", 1))
-		s.awaitCompleted("e0", "j", 5*time.Second)
+	withLostStarts(t, 1, 1, func(s *fakeSite, _ *lostStarts) {
 		w := s.workers["w0"]
 		s.silenceWorker("w0")
 		w.setSilent(false)
@@ -133,3 +137,33 @@
 		s.is.Equal(w.renewals.Load(), before)
 	})
 }
+
+// TestFenceCallsOfManyWorkers guards against a pool's holder that spends its processor time on calls to the workers of a silent rack.
+func TestFenceCallsOfManyWorkers(t *testing.T) {
+	const (
+		workers = 20
+		watched = 5 * time.Second
+		// maxCalls is 200 calls that fence in a second, and as many renewals as 20 silent workers get at the most, seven a second each.
+		maxCalls = (200 + 7*workers) * int64(watched/time.Second)
+		// minCalls is half of the calls that fence.
+		minCalls = 100 * int64(watched/time.Second)
+	)
+	withLostStarts(t, workers, 10*workers, func(s *fakeSite, _ *lostStarts) {
+		calls := func() int64 {
+			sum := int64(0)
+			for _, w := range s.workers {
+				sum += w.renewals.Load()
+			}
+			return sum
+		}
+		for _, w := range s.workers {
+			w.setSilent(true)
+		}
+		time.Sleep(2 * time.Second) // all count as silent
+		before := calls()
+		time.Sleep(watched)
+		made := calls() - before
+		s.is.True(made >= minCalls)
+		s.is.True(made <= maxCalls)
+	})
+}
--- a/io/runner/waits_test.go
+++ b/io/runner/waits_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"testing"
 	"time"
 
 	"siskincross/core/duty"
+	"siskincross/core/organisation"
+	"siskincross/core/work"
 	"siskincross/io/platform"
 )
 
@@ -82,3 +85,34 @@
 		})
 	})
 }
+
+// TestAnnouncedWaitsAreBounded guards against member rows that grow with the number of organisations: those that have waited longest are
+// named.
+func TestAnnouncedWaitsAreBounded(t *testing.T) {
+	const organisations, most = 40, 32
+	var all []organisation.Organisation
+	for i := range organisations {
+		all = append(all, organisation.Organisation{Name: fmt.Sprintf("o%02d", i), Limit: work.Resources{MilliCores: 2000}})
+	}
+	runFakeSite(t, fakeSite{organisations: organisation.NewDirectory(all)}, 3, 20, func(s *fakeSite) {
+		for _, o := range all {
+			entry := map[string]any{"epoch": 1, "milli-cores": 2000}
+			s.store.put(platform.RowKey{Table: "grants", Partition: "!grants", Key: o.Name}, map[string]any{"pools": map[string]any{"other": entry}})
+		}
+		for i := range all {
+			j := job(fmt.Sprintf("j%02d", i), 1)
+			j.Organisation = all[len(all)-1-i].Name
+			s.is.NoErr(s.submitJob("e0", j))
+			time.Sleep(20 * time.Millisecond)
+		}
+		time.Sleep(3 * time.Second)
+		named := 0
+		for i, o := range all {
+			if s.isAnnounced(o.Name) {
+				named++
+				s.is.True(i >= organisations-most) // it was submitted before those that aren't named
+			}
+		}
+		s.is.Equal(named, most)
+	})
+}
