--- a/core/work/capacity_demand.go
+++ b/core/work/capacity_demand.go
@@ -265,7 +265,7 @@
 	workers := 0
 	for _, g := range s.groups {
 		if step := g.spec(); step.LongRunning && step.SpreadLimit > 0 {
-			workers = max(workers, (g.remainingTasks+step.SpreadLimit-1)/step.SpreadLimit)
+			workers = max(workers, (s.permittedTasks(g)+step.SpreadLimit-1)/step.SpreadLimit)
 		}
 	}
 	return workers
--- a/core/work/fence.go
+++ b/core/work/fence.go
@@ -124,7 +124,7 @@
 		return Endpoint{}, false
 	case ok && w.generation <= target.Generation:
 		w.generation = s.generations.raise(worker, target.Generation, now)
-	case !ok && !now.Before(s.earlierStartsUntil(w)):
+	case !ok && (w.isLeaving() || !now.Before(s.earlierStartsUntil(w))):
 		return Endpoint{}, false
 	}
 	return w.endpoint(), true
@@ -139,10 +139,12 @@
 	return laterTime(s.takenAt, s.earlierHoldersSuspendedAt()).Add(lateOrderBound)
 }
 
-// keepEarlierStarts remembers, for a worker that is removed, that start orders of earlier holders may still be carried out there. A worker
-// that was to leave doesn't start again.
+// isLeaving reports whether the worker is to leave the pool. It doesn't start again under its ID then.
+func (w *worker) isLeaving() bool { return w.withdrawn || w.Draining }
+
+// keepEarlierStarts remembers, for a worker that is removed, that start orders of earlier holders may still be carried out there.
 func (s *Scheduler) keepEarlierStarts(w *worker, now time.Time) {
-	if until := s.earlierStartsUntil(w); now.Before(until) && !w.ended && !w.withdrawn && !w.Draining {
+	if until := s.earlierStartsUntil(w); now.Before(until) && !w.ended && !w.isLeaving() {
 		s.formerEndpoints[w.Incarnation.Worker] = formerEndpoint{w.endpoint(), until}
 	}
 }
--- a/core/work/quota_test.go
+++ b/core/work/quota_test.go
@@ -195,6 +195,41 @@
 	})
 }
 
+// TestSpareHostsBesideLimit guards against hosts that a pool keeps from others for lasting tasks that their organisation's limit forbids.
+func TestSpareHostsBesideLimit(t *testing.T) {
+	const workers, tasks, limit = 12, 12, 4
+	for name, c := range map[string]struct {
+		change func(*work.Step)
+		kept   int
+	}{
+		"each on a worker of its own": {func(s *work.Step) { s.SpreadLimit = 1 }, limit},
+		"as large as a worker":        {func(s *work.Step) { s.Demand = work.Resources{MilliCores: 1000, MemoryMB: 4000} }, limit},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newLimitedFixture(t, limit)
+			var infos []work.WorkerInfo
+			for i := range workers {
+				infos = append(infos, workerInfo(string(rune('a'+i))))
+			}
+			f.scheduler.UpdateWorkers(infos, f.now)
+			for _, info := range infos {
+				f.answerRenewal(info.Incarnation.Worker, work.Report{})
+			}
+			lasting := newLongRunningJob("lasting", tasks)
+			c.change(&lasting.Steps[0])
+			f.submit("o", lasting)
+			started := f.storedRound()
+			f.is.Equal(startCount(started), limit)
+			f.scheduler.CapacityDemand(f.now) // from then on workers are spare
+			f.now = f.now.Add(time.Second)
+			for _, info := range infos {
+				f.answerRenewal(info.Incarnation.Worker, runningReport(started, info.Incarnation.Worker))
+			}
+			f.is.Equal(f.scheduler.CapacityDemand(f.now).SpareCount, workers-c.kept)
+		})
+	}
+}
+
 func TestValidateLimit(t *testing.T) {
 	limit := work.Resources{MilliCores: 2500}
 	gang := chainJob("gang", 3)
--- a/core/work/worker_count.go
+++ b/core/work/worker_count.go
@@ -41,8 +41,20 @@
 	workers := 0.0
 	for _, g := range s.groups {
 		if step := g.spec(); step.LongRunning && g.remainingTasks > 0 {
-			workers += float64(g.remainingTasks) / float64(max(1, step.tasksPerWorker(capacity)))
+			workers += float64(s.permittedTasks(g)) / float64(max(1, step.tasksPerWorker(capacity)))
 		}
 	}
 	return int(math.Ceil(workers))
 }
+
+// permittedTasks returns the number of tasks of a step that are not done and that the limit of its organisation lets run in the pool. The
+// other steps of the organisation may use the same room.
+func (s *Scheduler) permittedTasks(g *taskGroup) int {
+	headroom, bound := s.Quota.Headroom(g.job.Organisation)
+	if !bound {
+		return g.remainingTasks
+	}
+	share := min(1, shareWithin(headroom.MilliCores, g.spec().Demand.MilliCores*g.remainingTasks), shareWithin(headroom.MemoryMB, g.spec().Demand.MemoryMB*g.remainingTasks),
+		shareWithin(headroom.Accelerators, g.spec().Demand.Accelerators*g.remainingTasks))
+	return int(math.Ceil(share * float64(g.remainingTasks)))
+}
