--- a/io/listen/connections.go
+++ b/io/listen/connections.go
@@ -16,6 +16,9 @@
 const (
 	// writeTimeout limits how long one write of an answer may take. An answer is written at once unless the client doesn't read.
 	writeTimeout = 5 * time.Second
+	// firstRequestGrace is the usual connections.grace, and lookInterval the time between two looks at the connections during a shutdown.
+	firstRequestGrace = 250 * time.Millisecond
+	lookInterval      = 10 * time.Millisecond
 	// slackShare is the part of MaxConnections that is accepted in addition while other connections are about to end.
 	slackShare = 8
 )
@@ -26,6 +29,8 @@
 	limit int
 	// makeRoom makes another connection end soon and reports whether there is one; nil means that there is none.
 	makeRoom func() bool
+	// grace is how long a shutdown waits for the first request on a new connection.
+	grace time.Duration
 	// crowded is called for each connection that is closed because of the limit; nil means nothing.
 	crowded func()
 
@@ -47,6 +52,8 @@
 	place   *list.Element
 	closed  bool
 	handled uint64
+	// admittedAt is when the connection was accepted; zero once a request of it was answered.
+	admittedAt time.Time
 }
 
 // arrived returns how many bytes have arrived on the connection, read or not, and how many of them are unread.
@@ -119,7 +126,7 @@
 			return nil
 		}
 	}
-	c := &connection{TCPConn: tcp, all: s}
+	c := &connection{TCPConn: tcp, all: s, admittedAt: time.Now()}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.open++
@@ -178,29 +185,37 @@
 	}
 }
 
-// awaitEnds closes the connections that wait and on which nothing of a request has arrived. It then waits until all are closed, or ctx
-// is done.
+// awaitEnds closes the connections that wait and on which nothing of a request has arrived, until all are closed or ctx is done. New
+// connections have some time for their first one.
 func (s *connections) awaitEnds(ctx context.Context) {
-	s.mu.Lock()
-	var idle []*connection
-	for e := s.waiting.Front(); e != nil; e = e.Next() {
-		if c := e.Value.(*connection); c.isIdle() {
-			idle = append(idle, c)
+	for ctx.Err() == nil {
+		for _, c := range s.idle() {
+			_ = c.Close() // it is closed in any case
+		}
+		if s.count() == 0 {
+			return
 		}
-	}
-	s.mu.Unlock()
-	for _, c := range idle {
-		_ = c.Close() // it is closed in any case
-	}
-	for s.count() > 0 {
 		select {
 		case <-s.ended:
+		case <-time.After(lookInterval):
 		case <-ctx.Done():
-			return
 		}
 	}
 }
 
+// idle returns the connections that a shutdown is to close.
+func (s *connections) idle() []*connection {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var idle []*connection
+	for e := s.waiting.Front(); e != nil; e = e.Next() {
+		if c := e.Value.(*connection); time.Since(c.admittedAt) >= s.grace && c.isIdle() {
+			idle = append(idle, c)
+		}
+	}
+	return idle
+}
+
 // isIdle reports whether nothing of a request has arrived on a connection that waits. The caller holds the lock of all.
 func (c *connection) isIdle() bool {
 	all, unread := c.arrived()
@@ -242,6 +257,7 @@
 		s.stopWaiting(c)
 	case http.StateIdle:
 		c.handled, _ = c.arrived()
+		c.admittedAt = time.Time{}
 		if !c.closed && c.place == nil {
 			c.place = s.waiting.PushBack(c)
 		}
--- a/io/listen/listen.go
+++ b/io/listen/listen.go
@@ -69,7 +69,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.boundAddress = listener.Addr().String()
-	s.connections.limit, s.connections.makeRoom, s.connections.crowded = s.MaxConnections, s.MakeRoom, s.Crowded
+	s.connections.limit, s.connections.makeRoom, s.connections.crowded, s.connections.grace = s.MaxConnections, s.MakeRoom, s.Crowded, firstRequestGrace
 	s.server = &http.Server{
 		Handler:           s.Handler,
 		ReadHeaderTimeout: readHeaderTimeout,
--- a/io/listen/shutdown_test.go
+++ b/io/listen/shutdown_test.go
@@ -62,6 +62,27 @@
 		is.New(t).NoErr(server.ShutDown(context.Background()))
 		assertClosed(t, c)
 	})
+	t.Run("new", func(t *testing.T) {
+		server := &Server{Handler: answer}
+		c := withConnection(t, withServer(t, server))
+		awaitWaiting(server, 1)
+		is.New(t).NoErr(server.ShutDown(context.Background()))
+		assertClosed(t, c)
+	})
+	t.Run("new, its request arrives a little later", func(t *testing.T) {
+		server := &Server{Handler: answer}
+		c := withConnection(t, withServer(t, server))
+		awaitWaiting(server, 1)
+		server.connections.grace = waitLimit
+		ended := make(chan error)
+		go func() { ended <- server.ShutDown(context.Background()) }()
+		for !server.connections.endsGracefully() {
+			time.Sleep(time.Millisecond)
+		}
+		is.New(t).Equal(ask(c, "/"), http.StatusOK)
+		is.New(t).NoErr(<-ended)
+		assertClosed(t, c)
+	})
 	t.Run("incomplete request", func(t *testing.T) {
 		server, c := idle(t)
 		_, err := fmt.Fprint(c, "GET / HTTP/1.1\r\nHo")
